--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN = $(VENV)/bin
+SEED ?= 1
+SECONDS ?= 120
+
+.PHONY: venv test lint format demo measure measure-control binary clean
+
+venv: $(VENV)/.installed
+
+$(VENV)/.installed: requirements/base.txt requirements/dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q -r requirements/dev.txt
+	touch $@
+
+test: venv
+	$(BIN)/python -m tests.run
+
+lint: venv
+	$(BIN)/black --check -q cicadacourse standins bench tests
+	$(BIN)/isort --check -q cicadacourse standins bench tests
+	$(BIN)/flake8 cicadacourse standins bench tests
+	$(BIN)/lint-imports --no-cache
+
+format: venv
+	$(BIN)/isort -q cicadacourse standins bench tests
+	$(BIN)/black -q cicadacourse standins bench tests
+
+demo: venv
+	$(BIN)/python -m bench.demo
+
+measure: venv
+	$(BIN)/python -m bench.measure --seed $(SEED) --seconds $(SECONDS)
+
+measure-control: venv
+	$(BIN)/python -m bench.measure_control
+
+binary: venv
+	rm -rf build dist
+	mkdir -p dist
+	$(BIN)/shiv -q -c cicadacourse -o dist/cicadacourse --compressed .
+	dist/cicadacourse version
+
+clean:
+	rm -rf build dist out
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, measurement and demo programs."""
--- /dev/null
+++ b/cicadacourse/__main__.py
@@ -0,0 +1,8 @@
+"""Entry point of ``python -m cicadacourse`` and of the binary."""
+
+import sys
+
+from cicadacourse.cmd import main
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/cicadacourse/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder for the claims family."""
--- /dev/null
+++ b/cicadacourse/config.py
@@ -0,0 +1,253 @@
+"""Settings: each option is declared once with its type, default, unit and bounds."""
+
+from __future__ import annotations
+
+import configparser
+import ipaddress
+from typing import Any, Callable, TypeVar
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from cicadacourse.errors import Error, ErrorKind
+from cicadacourse.registry import Registry, suggest
+
+S = TypeVar("S", bound=type)
+
+SECTIONS: Registry[type] = Registry("section")
+
+_OPTION = "cicadacourse_option"
+
+
+@attrs.frozen
+class Option:
+    """How one option is read.
+
+    :param parse: makes a value from text; raises ValueError.
+    :param expected: what a valid value is, for messages.
+    :param unit: the unit of the value, or empty.
+    :param help: one line for the operators' page.
+    :param minimum: the lowest valid number, or None.
+    :param maximum: the highest valid number, or None.
+    """
+
+    parse: Callable[[str], Any]
+    expected: str
+    unit: str = ""
+    help: str = ""
+    minimum: float | None = None
+    maximum: float | None = None
+
+
+def option(
+    parse: Callable[[str], Any],
+    default: Any = attrs.NOTHING,
+    *,
+    unit: str = "",
+    help: str = "",
+    minimum: float | None = None,
+    maximum: float | None = None,
+) -> Any:
+    """Declares a field of a section class as an option.
+
+    :param default: the value if the option is absent; a missing option without
+        a default is an error.
+    """
+    expected = EXPECTED_BY_PARSER.get(parse, parse.__name__.replace("_", " "))
+    spec = Option(parse, expected, unit, help, minimum, maximum)
+    return attrs.field(default=default, metadata={_OPTION: spec})
+
+
+def options_by_name(cls: type) -> dict[str, tuple[Option, Any]]:
+    """Returns each option of a section class with its default."""
+    return {
+        field.name: (field.metadata[_OPTION], field.default)
+        for field in attrs.fields(cls)
+        if _OPTION in field.metadata
+    }
+
+
+def section(name: str) -> Callable[[S], S]:
+    """Returns a decorator that makes a frozen attrs class of a section's options."""
+
+    def decorate(cls: S) -> S:
+        return SECTIONS.register(name)(attrs.frozen(kw_only=True)(cls))
+
+    return decorate
+
+
+def parse_bool(text: str) -> bool:
+    """Parses ``yes`` or ``no`` and their usual synonyms."""
+    states = configparser.ConfigParser.BOOLEAN_STATES
+    if text.lower() not in states:
+        raise ValueError(text)
+    return states[text.lower()]
+
+
+def parse_name(text: str) -> str:
+    """Parses a name of letters, digits, ``-``, ``_`` and ``.``."""
+    stripped = text.replace("-", "").replace("_", "").replace(".", "")
+    if not stripped.isalnum() or not text.isascii() or len(text) > MAX_NAME_LENGTH:
+        raise ValueError(text)
+    return text
+
+
+def parse_address(text: str) -> str:
+    """Parses ``IP:port`` with a literal IP number.
+
+    >>> parse_address("127.0.0.1:80")
+    '127.0.0.1:80'
+    """
+    host, _, port = text.rpartition(":")
+    ipaddress.ip_address(host.strip("[]"))
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError(text)
+    return text
+
+
+def parse_addresses(text: str) -> tuple[str, ...]:
+    """Parses addresses separated by commas or white space."""
+    return tuple(parse_address(part) for part in text.replace(",", " ").split())
+
+
+MAX_PORT = 65535
+MAX_NAME_LENGTH = 64
+
+EXPECTED_BY_PARSER: dict[Callable[[str], Any], str] = {
+    int: "a whole number",
+    float: "a number",
+    str: "text",
+    parse_bool: "yes or no",
+    parse_name: "a name of letters, digits, '-', '_' and '.'",
+    parse_address: "an IP number and a port, such as 127.0.0.1:7000",
+    parse_addresses: "IP numbers with ports, separated by commas",
+}
+
+
+def parse_section(
+    cls: type, file: str, section_name: str, texts_by_option: dict[str, str]
+) -> Result[Any, list[Error]]:
+    """Makes a section object from the texts of its options.
+
+    :param file: the file's name, for messages.
+    :returns: the object, or every error found.
+    """
+    specs = options_by_name(cls)
+    errors = [
+        _error(file, section_name, name, text, f"unknown option{suggest(name, specs)}")
+        for name, text in texts_by_option.items()
+        if name not in specs
+    ]
+    values: dict[str, Any] = {}
+    for name, (spec, default) in specs.items():
+        if name not in texts_by_option:
+            if default is attrs.NOTHING:
+                message = f"missing; expected {spec.expected}"
+                errors.append(_error(file, section_name, name, "", message))
+            continue
+        match _parse_option(spec, texts_by_option[name].strip()):
+            case Success(value):
+                values[name] = value
+            case Failure(message):
+                text = texts_by_option[name]
+                errors.append(_error(file, section_name, name, text, message))
+    if errors:
+        return Failure(errors)
+    return Success(cls(**values))
+
+
+def _parse_option(spec: Option, text: str) -> Result[Any, str]:
+    """Parses one value and checks its bounds."""
+    expected = f"expected {spec.expected}{f' in {spec.unit}' if spec.unit else ''}"
+    try:
+        value = spec.parse(text)
+    except ValueError:
+        return Failure(expected)
+    if isinstance(value, float) and value != value:
+        return Failure(expected)
+    if spec.minimum is not None and value < spec.minimum:
+        return Failure(f"{expected}, at least {spec.minimum:g}")
+    if spec.maximum is not None and value > spec.maximum:
+        return Failure(f"{expected}, at most {spec.maximum:g}")
+    return Success(value)
+
+
+def _error(file: str, section_name: str, name: str, text: str, message: str) -> Error:
+    shown = f" = {text!r}" if text else ""
+    detail = f"{file}: [{section_name}] {name}{shown}: {message}"
+    return Error(ErrorKind.INVALID_SETTINGS, detail)
+
+
+def read_ini(file: str, text: str) -> Result[dict[str, dict[str, str]], list[Error]]:
+    """Reads INI text into option texts by section and option name."""
+    parser = configparser.ConfigParser(interpolation=None, default_section="")
+    try:
+        parser.read_string(text, source=file)
+    except configparser.Error as error:
+        detail = f"{file}: {error.message.splitlines()[0]}"
+        return Failure([Error(ErrorKind.INVALID_SETTINGS, detail)])
+    return Success({name: dict(parser[name]) for name in parser.sections()})
+
+
+@section("instance")
+class InstanceSettings:
+    """Who this instance is and where it listens."""
+
+    name: str = option(parse_name, help="Name of this instance, unique in the fleet.")
+    region: str = option(parse_name, "default", help="Region of this instance.")
+    failure_domain: str = option(parse_name, help="Failure domain of this instance.")
+    caller_address: str = option(parse_address, help="Where callers connect.")
+    peer_address: str = option(parse_address, help="Where other instances connect.")
+    log_level: str = option(str, "INFO", help="Lowest level that is logged.")
+
+
+@section("platform")
+class PlatformSettings:
+    """Where the platform's services are."""
+
+    log_address: str = option(parse_address, help="Address of the log service.")
+    instance_list_address: str = option(
+        parse_address, help="Address of the list of instances."
+    )
+    weight_store_address: str = option(
+        parse_address, "127.0.0.1:1", help="Address of the weight store."
+    )
+
+
+class Settings:
+    """The settings of one instance: one object per section class."""
+
+    def __init__(self, *sections: Any) -> None:
+        self._by_class: dict[type, Any] = {type(item): item for item in sections}
+
+    def get(self, cls: type[S]) -> S:
+        """Returns the section of that class, with defaults if it was absent."""
+        if cls not in self._by_class:
+            self._by_class[cls] = cls()
+        return self._by_class[cls]
+
+
+def parse_settings(file: str, text: str) -> Result[Settings, list[Error]]:
+    """Parses and checks an instance's whole settings file."""
+    match read_ini(file, text):
+        case Failure(errors):
+            return Failure(errors)
+        case Success(texts_by_section):
+            pass
+    errors: list[Error] = []
+    sections = []
+    for name, texts_by_option in texts_by_section.items():
+        if name not in SECTIONS:
+            detail = f"{file}: [{name}]: unknown section{suggest(name, SECTIONS)}"
+            errors.append(Error(ErrorKind.INVALID_SETTINGS, detail))
+            continue
+        match parse_section(SECTIONS.get(name), file, name, texts_by_option):
+            case Success(value):
+                sections.append(value)
+            case Failure(found):
+                errors.extend(found)
+    for name in ("instance", "platform"):
+        if name not in texts_by_section:
+            detail = f"{file}: [{name}]: missing section"
+            errors.append(Error(ErrorKind.INVALID_SETTINGS, detail))
+    return Failure(errors) if errors else Success(Settings(*sections))
--- /dev/null
+++ b/cicadacourse/endpoints/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder for the endpoints family."""
--- /dev/null
+++ b/cicadacourse/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder for the entry family."""
--- /dev/null
+++ b/cicadacourse/errors.py
@@ -0,0 +1,143 @@
+"""The closed list of error kinds and the table from kind to answer."""
+
+from __future__ import annotations
+
+import enum
+
+import attrs
+
+
+class Run(enum.Enum):
+    """Whether the request that an error answers has run."""
+
+    NOT_RUN = "not_run"
+    FAILED = "failed"
+    UNKNOWN = "unknown"
+
+
+class ErrorKind(enum.Enum):
+    """Every kind of error that leaves one of the system's parts."""
+
+    BAD_REQUEST = "bad_request"
+    TOO_LARGE = "too_large"
+    UNKNOWN_ROUTE = "unknown_route"
+    NOT_READY = "not_ready"
+    LEAVING = "leaving"
+    LIMIT_EXCEEDED = "limit_exceeded"
+    OVERLOADED = "overloaded"
+    DEADLINE_UNREACHABLE = "deadline_unreachable"
+    NO_ENDPOINT = "no_endpoint"
+    LOG_UNAVAILABLE = "log_unavailable"
+    LOG_OUTCOME_UNKNOWN = "log_outcome_unknown"
+    PEER_UNREACHABLE = "peer_unreachable"
+    KEY_CLAIMED = "key_claimed"
+    KEY_EXPIRED = "key_expired"
+    TIMED_OUT = "timed_out"
+    OUTCOME_UNKNOWN = "outcome_unknown"
+    ENDPOINT_UNREACHABLE = "endpoint_unreachable"
+    ENDPOINT_REFUSED = "endpoint_refused"
+    ENDPOINT_FAILED = "endpoint_failed"
+    STREAM_LOST = "stream_lost"
+    INVALID_SETTINGS = "invalid_settings"
+    INVALID_TABLES = "invalid_tables"
+    VERSION_CONFLICT = "version_conflict"
+    FENCED = "fenced"
+    INTERNAL = "internal"
+
+
+@attrs.frozen
+class Answer:
+    """What a caller is told about an error of some kind.
+
+    :param status: the HTTP status code.
+    :param run: whether the request has run, unless the error says otherwise.
+    :param retry: whether trying again later can help.
+    """
+
+    status: int
+    run: Run
+    retry: bool
+
+
+ANSWERS_BY_KIND: dict[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400, Run.NOT_RUN, retry=False),
+    ErrorKind.TOO_LARGE: Answer(413, Run.NOT_RUN, retry=False),
+    ErrorKind.UNKNOWN_ROUTE: Answer(404, Run.NOT_RUN, retry=False),
+    ErrorKind.NOT_READY: Answer(503, Run.NOT_RUN, retry=True),
+    ErrorKind.LEAVING: Answer(503, Run.NOT_RUN, retry=True),
+    ErrorKind.LIMIT_EXCEEDED: Answer(429, Run.NOT_RUN, retry=True),
+    ErrorKind.OVERLOADED: Answer(503, Run.NOT_RUN, retry=True),
+    ErrorKind.DEADLINE_UNREACHABLE: Answer(503, Run.NOT_RUN, retry=True),
+    ErrorKind.NO_ENDPOINT: Answer(503, Run.NOT_RUN, retry=True),
+    ErrorKind.LOG_UNAVAILABLE: Answer(503, Run.NOT_RUN, retry=True),
+    ErrorKind.LOG_OUTCOME_UNKNOWN: Answer(502, Run.UNKNOWN, retry=True),
+    ErrorKind.PEER_UNREACHABLE: Answer(503, Run.NOT_RUN, retry=True),
+    ErrorKind.KEY_CLAIMED: Answer(409, Run.UNKNOWN, retry=False),
+    ErrorKind.KEY_EXPIRED: Answer(410, Run.UNKNOWN, retry=False),
+    ErrorKind.TIMED_OUT: Answer(504, Run.FAILED, retry=True),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(502, Run.UNKNOWN, retry=False),
+    ErrorKind.ENDPOINT_UNREACHABLE: Answer(503, Run.NOT_RUN, retry=True),
+    ErrorKind.ENDPOINT_REFUSED: Answer(503, Run.NOT_RUN, retry=True),
+    ErrorKind.ENDPOINT_FAILED: Answer(502, Run.FAILED, retry=True),
+    ErrorKind.STREAM_LOST: Answer(502, Run.FAILED, retry=True),
+    ErrorKind.INVALID_SETTINGS: Answer(422, Run.NOT_RUN, retry=False),
+    ErrorKind.INVALID_TABLES: Answer(422, Run.NOT_RUN, retry=False),
+    ErrorKind.VERSION_CONFLICT: Answer(409, Run.NOT_RUN, retry=False),
+    ErrorKind.FENCED: Answer(409, Run.NOT_RUN, retry=False),
+    ErrorKind.INTERNAL: Answer(500, Run.UNKNOWN, retry=False),
+}
+
+DEFAULT_RETRY_AFTER_S = 1.0
+
+
+@attrs.frozen
+class Error:
+    """One error, as parts of the system hand it to each other.
+
+    :param kind: the kind from the closed list.
+    :param detail: one short sentence that names the thing at fault.
+    :param reason: the label counted in the metrics; the kind's value if empty.
+    :param run: whether the request has run; the kind's own answer if None.
+    :param retry_after_s: when to come back, in seconds, or None if never.
+    """
+
+    kind: ErrorKind
+    detail: str = ""
+    reason: str = ""
+    run: Run | None = None
+    retry_after_s: float | None = None
+
+    @property
+    def answer(self) -> Answer:
+        """The row of the table for this error's kind."""
+        return ANSWERS_BY_KIND[self.kind]
+
+    @property
+    def label(self) -> str:
+        """The label under which the metrics count this error."""
+        return self.reason or self.kind.value
+
+    def to_json(self) -> dict[str, object]:
+        """Returns the one documented JSON form of an error for callers.
+
+        >>> Error(ErrorKind.OVERLOADED, "queue is full").to_json()["run"]
+        'not_run'
+        """
+        run = self.run or self.answer.run
+        body: dict[str, object] = {
+            "kind": self.kind.value,
+            "reason": self.label,
+            "detail": self.detail,
+            "run": run.value,
+        }
+        if self.answer.retry:
+            body["retry_after_s"] = self.retry_after_s or DEFAULT_RETRY_AFTER_S
+        return body
+
+
+class CicadacourseError(Exception):
+    """Carries an :class:`Error` where an exception is the way out."""
+
+    def __init__(self, error: Error) -> None:
+        super().__init__(f"{error.kind.value}: {error.detail}")
+        self.error = error
--- /dev/null
+++ b/cicadacourse/events.py
@@ -0,0 +1,54 @@
+"""Named events by which services tell each other what happened."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import Any, Callable
+
+from cicadacourse.util.logging import get_logger
+
+logger = get_logger("events")
+
+MEMBER_JOINED = "member-joined"
+MEMBER_LEFT = "member-left"
+TABLES_CHANGED = "tables-changed"
+ENDPOINTS_CHANGED = "endpoints-changed"
+LEAVING = "leaving"
+RESUMED_AFTER_PAUSE = "resumed-after-pause"
+
+EVENT_NAMES = frozenset(
+    {
+        MEMBER_JOINED,
+        MEMBER_LEFT,
+        TABLES_CHANGED,
+        ENDPOINTS_CHANGED,
+        LEAVING,
+        RESUMED_AFTER_PAUSE,
+    }
+)
+
+
+class EventBus:
+    """Calls listeners, in the order they were connected, when an event is emitted."""
+
+    def __init__(self) -> None:
+        self._listeners_by_event: dict[str, list[Callable[..., None]]] = defaultdict(
+            list
+        )
+
+    def connect(self, event: str, listener: Callable[..., None]) -> None:
+        """Connects a plain (not async) function to an event.
+
+        :raises ValueError: if the event is not in :data:`EVENT_NAMES`.
+        """
+        if event not in EVENT_NAMES:
+            raise ValueError(f"unknown event {event!r}")
+        self._listeners_by_event[event].append(listener)
+
+    def emit(self, event: str, *args: Any) -> None:
+        """Calls every listener; a listener that fails does not stop the others."""
+        for listener in self._listeners_by_event[event]:
+            try:
+                listener(*args)
+            except Exception:
+                logger.exception("listener of {} failed", event)
--- /dev/null
+++ b/cicadacourse/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder for the limits family."""
--- /dev/null
+++ b/cicadacourse/metrics.py
@@ -0,0 +1,63 @@
+"""The metrics of one instance, in Prometheus' text form."""
+
+from __future__ import annotations
+
+from aioprometheus import Counter, Gauge, Registry, render
+
+
+class Metrics:
+    """Makes each counter and gauge once and renders them all.
+
+    Metric names are prefixed with ``cicadacourse_``.
+    """
+
+    def __init__(self) -> None:
+        self._registry = Registry()
+        self._by_name: dict[str, Counter | Gauge] = {}
+
+    def count(self, name: str, amount: float = 1, **labels: str) -> None:
+        """Adds to a counter declared with :data:`HELP_BY_NAME`."""
+        self._get(name, Counter).add(labels, amount)
+
+    def set(self, name: str, value: float, **labels: str) -> None:
+        """Sets a gauge declared with :data:`HELP_BY_NAME`."""
+        self._get(name, Gauge).set(labels, value)
+
+    def value(self, name: str, **labels: str) -> float:
+        """Returns the value of a metric, 0 if it was never touched."""
+        metric = self._by_name.get(name)
+        if metric is None:
+            return 0
+        try:
+            return metric.get(labels)
+        except KeyError:
+            return 0
+
+    def render(self) -> tuple[bytes, dict[str, str]]:
+        """Returns the body and the headers of an answer to a scrape."""
+        return render(self._registry, [])
+
+    def _get(self, name: str, cls: type[Counter] | type[Gauge]) -> Counter | Gauge:
+        metric = self._by_name.get(name)
+        if metric is None:
+            metric = cls(f"cicadacourse_{name}", HELP_BY_NAME[name])
+            self._registry.register(metric)
+            self._by_name[name] = metric
+        return metric
+
+
+HELP_BY_NAME: dict[str, str] = {}
+
+
+def declare(name: str, help_text: str) -> str:
+    """Declares a metric in one place and returns its name.
+
+    >>> declare("doctest_total", "Counts examples.")
+    'doctest_total'
+    """
+    HELP_BY_NAME[name] = help_text
+    return name
+
+
+REFUSALS = declare("refusals_total", "Requests refused, by reason.")
+RETRIES = declare("retries_total", "Attempts repeated, by reason.")
--- /dev/null
+++ b/cicadacourse/registry.py
@@ -0,0 +1,71 @@
+"""Registries of variants, filled by decorators."""
+
+from __future__ import annotations
+
+import difflib
+from typing import Callable, Generic, Iterator, TypeVar
+
+T = TypeVar("T")
+
+
+class UnknownNameError(LookupError):
+    """A name that no variant was registered under."""
+
+
+class Registry(Generic[T]):
+    """Maps names to variants of one subject.
+
+    >>> shapes = Registry("shape")
+    >>> @shapes.register("round")
+    ... class Round: ...
+    >>> shapes.get("round").__name__
+    'Round'
+    >>> shapes.get("rond")
+    Traceback (most recent call last):
+    ...
+    cicadacourse.registry.UnknownNameError: unknown shape 'rond'; did you mean 'round'?
+
+    :param subject: what the variants are, for messages.
+    """
+
+    def __init__(self, subject: str) -> None:
+        self.subject = subject
+        self._by_name: dict[str, T] = {}
+
+    def register(self, name: str) -> Callable[[T], T]:
+        """Returns a decorator that registers its target under a name."""
+
+        def decorate(variant: T) -> T:
+            known = self._by_name.get(name)
+            if known is not None and known is not variant:
+                raise ValueError(f"{self.subject} {name!r} is registered twice")
+            self._by_name[name] = variant
+            return variant
+
+        return decorate
+
+    def get(self, name: str) -> T:
+        """Returns the variant of that name.
+
+        :raises UnknownNameError: if there is none; it suggests the nearest.
+        """
+        if name not in self._by_name:
+            hint = suggest(name, self._by_name)
+            raise UnknownNameError(f"unknown {self.subject} {name!r}{hint}")
+        return self._by_name[name]
+
+    def names(self) -> list[str]:
+        """Returns the registered names, sorted."""
+        return sorted(self._by_name)
+
+    def __contains__(self, name: object) -> bool:
+        return name in self._by_name
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(self.names())
+
+
+def suggest(name: str, known: object) -> str:
+    """Returns ``; did you mean …?`` for the nearest known name, or nothing."""
+    nearest = difflib.get_close_matches(name, list(known), n=1)
+    return f"; did you mean {nearest[0]!r}?" if nearest else ""
--- /dev/null
+++ b/cicadacourse/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder for the routing family."""
--- /dev/null
+++ b/cicadacourse/schema/__init__.py
@@ -0,0 +1,1 @@
+"""Cap'n Proto schemas of the messages between instances."""
--- /dev/null
+++ b/cicadacourse/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""Placeholder for the sessions family."""
--- /dev/null
+++ b/cicadacourse/util/__init__.py
@@ -0,0 +1,1 @@
+"""Small helpers that import nothing above them."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and its endpoints, for tests and demos."""
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,8 @@
+"""Shared fixtures and the hypothesis profile."""
+
+from __future__ import annotations
+
+from hypothesis import settings
+
+settings.register_profile("fixed", derandomize=True, deadline=None, database=None)
+settings.load_profile("fixed")
--- /dev/null
+++ b/tests/run.py
@@ -0,0 +1,31 @@
+"""Runs the test suite; passes over just the tests that KNOWN-RED.txt names."""
+
+from __future__ import annotations
+
+import pathlib
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+PREFIX = "test: "
+
+
+def known_red() -> list[str]:
+    """Returns the ids of the tests that are known to fail."""
+    lines = KNOWN_RED.read_text().splitlines()
+    return [line.removeprefix(PREFIX) for line in lines if line.startswith(PREFIX)]
+
+
+def main() -> int:
+    """Prints the known failures, then runs every other test."""
+    red = known_red()
+    for test in red:
+        print(f"known red, not run: {test}", flush=True)
+    deselected = [f"--deselect={test}" for test in red]
+    command = [sys.executable, "-m", "pytest", *deselected]
+    return subprocess.run(command, cwd=ROOT).returncode
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,41 @@
+"""Tests of the settings."""
+
+import pytest
+from returns.result import Failure
+
+from cicadacourse.config import InstanceSettings, parse_settings
+
+VALID = """
+[instance]
+name = e1
+failure_domain = a
+caller_address = 127.0.0.1:7001
+peer_address = 127.0.0.1:7101
+[platform]
+log_address = 127.0.0.1:7201
+instance_list_address = 127.0.0.1:7202
+"""
+
+
+def test_valid_settings():
+    settings = parse_settings("e1.ini", VALID).unwrap()
+    assert settings.get(InstanceSettings).name == "e1"
+
+
+@pytest.mark.parametrize(
+    ("change", "message"),
+    [
+        (("name = e1", "nme = e1"), "unknown option; did you mean 'name'?"),
+        (("127.0.0.1:7001", "localhost:7001"), "expected an IP number and a port"),
+        (("127.0.0.1:7001", "127.0.0.1:70010"), "expected an IP number and a port"),
+        (("[platform]", "[platfrom]"), "unknown section; did you mean 'platform'?"),
+        (("failure_domain = a", ""), "missing; expected a name"),
+    ],
+)
+def test_an_error_names_file_section_option_and_what_was_expected(change, message):
+    result = parse_settings("e1.ini", VALID.replace(*change))
+    assert isinstance(result, Failure)
+    assert any(
+        message in error.detail and "e1.ini: [" in error.detail
+        for error in result.failure()
+    )
