--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,7 @@
 
 clean:
 	rm -rf build dist out
+
+.PHONY: reference
+reference: venv
+	$(BIN)/python -m bench.reference
