--- /dev/null
+++ b/cicadacourse/routing/_groups.py
@@ -0,0 +1,272 @@
+"""Groups of engines for prompts that are larger than one engine."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+import random
+from collections import defaultdict
+from typing import TYPE_CHECKING, AsyncIterator, Sequence
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from cicadacourse.endpoints import Endpoint
+from cicadacourse.errors import Error, ErrorKind
+from cicadacourse.metrics import declare
+from cicadacourse.routing._candidates import Candidate
+from cicadacourse.routing._dispatch_client import DispatchClient
+from cicadacourse.routing._messages import GrantReply
+from cicadacourse.routing._model import Grant, GroupMember, PromptClass, Work, kv_limit
+from cicadacourse.tables import Pool
+from cicadacourse.util.clock import now
+from cicadacourse.util.tokens import BYTES_PER_TOKEN
+
+if TYPE_CHECKING:
+    from cicadacourse.application import Application
+
+
+RESERVE_TIMEOUT_S = 2.0
+BACK_OFF_S = 0.5
+SLICE_SLACK_TOKENS = 2
+
+GROUPS = declare("groups_total", "Groups of engines asked for, by result.")
+
+
+@attrs.frozen
+class _Slice:
+    """One member's part of a prompt, as work of its own."""
+
+    endpoint: Endpoint
+    work: Work
+
+
+class Groups:
+    """Reserves groups of engines in one failure domain, all or nothing.
+
+    Members are reserved in the order of their names, so that of two groups with a
+    common member one waits for the other without holding what the other needs next.
+    """
+
+    def __init__(self, app: Application, client: DispatchClient) -> None:
+        self.app = app
+        self._client = client
+        self._me = app.get("membership").self_member()
+        self._random = random.Random(f"groups/{self._me.name}")
+
+    async def acquire(
+        self, work: Work, pool: Pool, endpoints: Sequence[Endpoint], deadline: float
+    ) -> Result[Grant, Error]:
+        """Returns a grant with members, or why there is none."""
+        needed_s = _service_s(work, pool)
+        if now() + needed_s > deadline:
+            return Failure(_too_late(needed_s, deadline - now()))
+        refused = Error(ErrorKind.OVERLOADED, "no group was free in time")
+        while now() + needed_s < deadline:
+            slices = await self._choose(work, pool, endpoints)
+            if slices is None:
+                detail = f"no failure domain can hold {work.kv_tokens} tokens"
+                return Failure(Error(ErrorKind.TOO_LARGE, detail))
+            match await self._reserve_all(slices, deadline):
+                case Success(members):
+                    self.app.metrics.count(GROUPS, result="reserved")
+                    return Success(self._grant(work, members, deadline))
+                case Failure(error):
+                    refused = error
+            self.app.metrics.count(GROUPS, result=refused.label)
+            await asyncio.sleep(BACK_OFF_S * (0.5 + self._random.random()))
+        return Failure(attrs.evolve(refused, retry_after_s=needed_s))
+
+    async def _choose(
+        self, work: Work, pool: Pool, endpoints: Sequence[Endpoint]
+    ) -> list[_Slice] | None:
+        """Returns slices over the failure domain whose members are free first."""
+        choices = [
+            _cut(work, pool, members) for members in _by_domain(endpoints).values()
+        ]
+        choices = [slices for slices in choices if slices]
+        if not choices:
+            return None
+        candidates = [Candidate(one.endpoint) for slices in choices for one in slices]
+        part = choices[0][0].work
+        seconds_by_name = await self._client.estimate(part, candidates)
+
+        def latest(slices: list[_Slice]) -> tuple[float, float]:
+            seconds = (seconds_by_name.get(one.endpoint.name, 60.0) for one in slices)
+            return max(seconds), self._random.random()
+
+        return min(choices, key=latest)
+
+    async def _reserve_all(
+        self, slices: Sequence[_Slice], deadline: float
+    ) -> Result[tuple[GroupMember, ...], Error]:
+        """Reserves every slice in order, or none."""
+        async with self._undoing() as reserved:
+            for one in slices:
+                match await self._reserve(one, deadline):
+                    case Success(member):
+                        reserved.append(member)
+                    case Failure(error):
+                        return Failure(error)
+            members = tuple(reserved)
+            reserved.clear()
+            return Success(members)
+
+    @contextlib.asynccontextmanager
+    async def _undoing(self) -> AsyncIterator[list[GroupMember]]:
+        """Yields a list; what is in it at the end is released."""
+        reserved: list[GroupMember] = []
+        try:
+            yield reserved
+        finally:
+            for member in reserved:
+                self.app.get("routing").discard(member.endpoint, member.session)
+                self._client.give_back(member.endpoint.name, member.session)
+
+    async def _reserve(
+        self, one: _Slice, deadline: float
+    ) -> Result[GroupMember, Error]:
+        """Waits for a slice's grant, then reserves it on the engine."""
+        match await self._wait_for_grant(one, deadline):
+            case Failure(error):
+                return Failure(error)
+            case Success(session):
+                pass
+        member = GroupMember(one.endpoint, session, one.work.kv_tokens)
+        self.app.get("sessions").hold(session)
+        answer = await self.app.get("endpoint_client").reserve(
+            one.endpoint,
+            session,
+            self._me.name,
+            one.work.kv_tokens,
+            max(0.0, deadline - now()),
+            RESERVE_TIMEOUT_S,
+        )
+        if isinstance(answer, Failure):
+            self.app.get("routing").discard(one.endpoint, session)
+            self._client.give_back(one.endpoint.name, session)
+            return answer
+        return Success(member)
+
+    async def _wait_for_grant(self, one: _Slice, deadline: float) -> Result[str, Error]:
+        granted = False
+        try:
+            while now() < deadline:
+                name = one.endpoint.name
+                match await self._client.request(one.work, name, deadline):
+                    case Success(GrantReply(session="")):
+                        continue
+                    case Success(reply):
+                        granted = True
+                        return Success(reply.session)
+                    case Failure(error):
+                        return Failure(error)
+        finally:
+            if not granted:
+                self._client.withdraw(one.work, one.endpoint.name)
+        return Failure(Error(ErrorKind.OVERLOADED, "no group was free in time"))
+
+    def _grant(
+        self, work: Work, members: tuple[GroupMember, ...], deadline: float
+    ) -> Grant:
+        leader = members[-1]
+        return Grant(
+            session=leader.session,
+            endpoint=leader.endpoint,
+            members=members[:-1],
+            priority=PromptClass.HUGE.priority,
+            expires_at=deadline,
+            dispatcher=self._client.dispatcher(leader.endpoint.name).name,
+            attempt=work.attempt,
+        )
+
+
+async def prefill_group(
+    app: Application, grant: Grant, prompt: str
+) -> Result[None, Error]:
+    """Prefills each member's slice of a prompt, all at the same time.
+
+    The leader's slice is the last one; its answer starts from there.
+    """
+    client = app.get("endpoint_client")
+    texts = _split(prompt, [member.kv_tokens for member in grant.members])
+    targets = [(one.endpoint, one.session) for one in grant.members]
+    targets.append((grant.endpoint, grant.session))
+    offsets = [0]
+    for member in grant.members:
+        offsets.append(offsets[-1] + member.kv_tokens - SLICE_SLACK_TOKENS)
+    timeout_s = max(0.0, grant.expires_at - now())
+    answers = await asyncio.gather(
+        *(
+            client.prefill(endpoint, session, text, offset, timeout_s)
+            for (endpoint, session), text, offset in zip(targets, texts, offsets)
+        )
+    )
+    for answer in answers:
+        if isinstance(answer, Failure):
+            return answer
+    return Success(None)
+
+
+def _by_domain(endpoints: Sequence[Endpoint]) -> dict[str, list[Endpoint]]:
+    by_domain: dict[str, list[Endpoint]] = defaultdict(list)
+    for endpoint in sorted(endpoints, key=lambda one: one.name):
+        by_domain[endpoint.failure_domain].append(endpoint)
+    return by_domain
+
+
+def _cut(work: Work, pool: Pool, members: Sequence[Endpoint]) -> list[_Slice]:
+    """Returns equal slices over the first members, or none if they are too few.
+
+    The first by name are those that long prompts are kept to.
+    """
+    count = max(2, math.ceil(work.kv_tokens / (kv_limit(pool) - SLICE_SLACK_TOKENS)))
+    if count > len(members):
+        return []
+    slices = []
+    prompt_left = work.prompt_tokens
+    part_tokens = math.ceil(work.kv_tokens / count)
+    for index, endpoint in enumerate(members[:count]):
+        is_leader = index == count - 1
+        tokens = prompt_left if is_leader else min(part_tokens, prompt_left)
+        prompt_left -= tokens
+        part = attrs.evolve(
+            work,
+            request_id=f"{work.request_id}-slice{index}",
+            prompt_tokens=tokens + SLICE_SLACK_TOKENS,
+            max_output_tokens=work.max_output_tokens if is_leader else 0,
+            prefix=(),
+        )
+        slices.append(_Slice(endpoint, part))
+    return slices
+
+
+def _split(prompt: str, kv_tokens: Sequence[int]) -> list[str]:
+    """Splits a prompt at characters near the members' shares; the rest is last."""
+    body = prompt.encode()
+    texts = []
+    start = 0
+    stop = 0
+    for tokens in kv_tokens:
+        stop += (tokens - SLICE_SLACK_TOKENS) * BYTES_PER_TOKEN
+        cut = min(stop, len(body))
+        while cut < len(body) and body[cut] & 0xC0 == 0x80:
+            cut -= 1
+        texts.append(body[start:cut].decode())
+        start = cut
+    texts.append(body[start:].decode())
+    return texts
+
+
+def _service_s(work: Work, pool: Pool) -> float:
+    """Returns how long an idle group would take for the whole answer."""
+    slice_tokens = min(work.prompt_tokens, kv_limit(pool))
+    prefill_s = slice_tokens / pool.prefill_tokens_per_s
+    return prefill_s + work.max_output_tokens / pool.decode_tokens_per_s
+
+
+def _too_late(needed_s: float, left_s: float) -> Error:
+    detail = f"needs {needed_s:.1f} s of {left_s:.1f} s left"
+    late_s = needed_s - left_s
+    return Error(ErrorKind.DEADLINE_UNREACHABLE, detail, retry_after_s=late_s)
