--- a/cicadacourse/routing/__init__.py
+++ b/cicadacourse/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from cicadacourse.routing._default import DefaultPolicy
 from cicadacourse.routing._model import (
+    PREFIX_BLOCKS,
     Grant,
     GroupMember,
     Outcome,
@@ -16,6 +17,7 @@
 
 __all__ = [
     "POLICIES",
+    "PREFIX_BLOCKS",
     "DefaultPolicy",
     "Grant",
     "GroupMember",
--- a/cicadacourse/routing/_model.py
+++ b/cicadacourse/routing/_model.py
@@ -11,6 +11,7 @@
 
 SHORT_PART_OF_LONG = 4
 SINGLE_ENGINE_PART = 0.85
+PREFIX_BLOCKS = 32
 
 
 class PromptClass(enum.Enum):
