Add the calls between instances, over TCP and in memory

Messages are packed by one generic codec from attrs classes to Cap'n Proto structs and travel in an envelope as packed bytes, so that their size is checked and counted and a malformed one is told apart from a broken connection.

A handler runs on when its caller gives up: pycapnp cancels the handler's task when the call is finished from the other side, which would stop it half way. Ruled out: resetting a silent connection at once, which would cut off calls that wait long; it is retired instead, later calls dial anew.

--- /dev/null
+++ b/cicadacourse/peers/_capnp.py
@@ -0,0 +1,188 @@
+"""Calls between instances as Cap'n Proto RPC over TCP."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from typing import Any, AsyncIterator
+
+import capnp
+from returns.result import Failure, Result, Success
+
+from cicadacourse.application import SERVICES, Application
+from cicadacourse.config import InstanceSettings
+from cicadacourse.errors import Error, ErrorKind
+from cicadacourse.peers._base import Peers
+from cicadacourse.peers._codec import load_schema
+from cicadacourse.peers._connection import Connection, split_address
+from cicadacourse.peers._dispatch import (
+    BYTES_SENT,
+    CALLS_FAILED,
+    CALLS_SENT,
+    Dispatcher,
+    Frame,
+    PeersSettings,
+    from_frame,
+    to_frame,
+)
+from cicadacourse.util.logging import get_logger
+
+logger = get_logger("peers")
+
+_KEEPALIVE_IDLE_S = 60
+_BACKLOG = 256
+
+
+class _PeerServer(load_schema("common").Peer.Server):
+    """Answers the calls of one connection."""
+
+    def __init__(self, peers: CapnpPeers) -> None:
+        self._peers = peers
+
+    async def call_context(self, context: Any) -> None:
+        """Answers one call; the handler runs on even if the caller gives up."""
+        request = context.params.request
+        frame = Frame(request.name, request.body)
+        reply = await asyncio.shield(self._peers.answer(frame, request.timeoutS))
+        envelope = context.results.reply
+        envelope.name = reply.name
+        envelope.body = reply.body
+
+
+@SERVICES.register("peers")
+class CapnpPeers(Peers):
+    """Keeps one connection and one task for each peer that was called lately.
+
+    It runs inside ``capnp.kj_loop()``.
+    """
+
+    def __init__(self, app: Application) -> None:
+        super().__init__(app)
+        self.address = app.settings.get(InstanceSettings).peer_address
+        self._settings = app.settings.get(PeersSettings)
+        self._dispatcher = Dispatcher(app)
+        self._connections_by_address: dict[str, Connection] = {}
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Listens at the peer address while it runs."""
+        listener = _listening_socket(self.address)
+        server = await capnp.AsyncIoStream.create_server(self._serve, sock=listener)
+        logger.info("listening on {}", self.address)
+        try:
+            yield
+        finally:
+            server.close()
+            for task in list(self._tasks):
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def answer(self, frame: Frame, timeout_s: float) -> Frame:
+        """Answers one frame within the time that the caller waits."""
+        reply = await self._dispatcher.answer(frame, timeout_s)
+        self.app.metrics.count(BYTES_SENT, len(reply.body), message=reply.name)
+        return reply
+
+    async def call(
+        self, address: str, request: Any, timeout_s: float
+    ) -> Result[Any, Error]:
+        """Calls over TCP; see :meth:`Peers.call`."""
+        if address == self.address:
+            return await self._dispatcher.call(request, timeout_s)
+        match to_frame(request, self._settings.max_message_bytes):
+            case Failure() as failure:
+                return failure
+            case Success(frame):
+                pass
+        self.app.metrics.count(CALLS_SENT, message=frame.name)
+        self.app.metrics.count(BYTES_SENT, len(frame.body), message=frame.name)
+        result = await self._exchange(address, frame, timeout_s)
+        if isinstance(result, Failure):
+            error = result.failure().label
+            self.app.metrics.count(CALLS_FAILED, message=frame.name, error=error)
+        return result
+
+    async def _exchange(
+        self, address: str, frame: Frame, timeout_s: float
+    ) -> Result[Any, Error]:
+        connection = self._connection(address)
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply = await connection.call(frame, timeout_s)
+        except TimeoutError:
+            self._retire_if_silent(connection)
+            return _unreachable(f"{address}: no answer in {timeout_s:g} s")
+        except (OSError, capnp.KjException) as error:
+            return _unreachable(f"{address}: {_first_line(error)}")
+        return from_frame(reply, self._settings.max_message_bytes)
+
+    def _connection(self, address: str) -> Connection:
+        """Returns the connection to an address and its task, made if missing."""
+        connection = self._connections_by_address.get(address)
+        if connection is None or connection.retired:
+            connection = Connection(address, self._settings)
+            self._connections_by_address[address] = connection
+            self._start(self._keep(connection))
+        return connection
+
+    async def _keep(self, connection: Connection) -> None:
+        try:
+            await connection.keep()
+        finally:
+            connection.retired = True
+            if self._connections_by_address.get(connection.address) is connection:
+                del self._connections_by_address[connection.address]
+
+    def _retire_if_silent(self, connection: Connection) -> None:
+        """Makes later calls dial again if the peer sent nothing for a while.
+
+        A path that was cut would otherwise come back only when TCP repeats what it
+        sent, which may take minutes.
+        """
+        if connection.is_silent():
+            connection.retired = True
+
+    async def _serve(self, stream: Any) -> None:
+        """Serves one connection of a peer until it ends."""
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        limit_words = self._settings.max_message_bytes // 4
+        server = capnp.TwoPartyServer(
+            stream, bootstrap=_PeerServer(self), traversal_limit_in_words=limit_words
+        )
+        try:
+            await server.on_disconnect()
+        except (asyncio.CancelledError, capnp.KjException) as error:
+            logger.debug("connection of a peer ended: {}", _first_line(error))
+        finally:
+            self._tasks.discard(task)
+            stream.close()
+
+    def _start(self, coroutine: Any) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _listening_socket(address: str) -> socket.socket:
+    """Makes a socket whose connections notice a peer that vanished."""
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    if hasattr(socket, "TCP_KEEPIDLE"):
+        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+    listener.bind((host, port))
+    listener.listen(_BACKLOG)
+    return listener
+
+
+def _unreachable(detail: str) -> Result[Any, Error]:
+    return Failure(Error(ErrorKind.PEER_UNREACHABLE, detail))
+
+
+def _first_line(error: BaseException) -> str:
+    return str(error).partition("\n")[0] or type(error).__name__
--- /dev/null
+++ b/cicadacourse/peers/_codec.py
@@ -0,0 +1,161 @@
+"""Packs message classes into Cap'n Proto structs of the same fields, and back.
+
+A field ``retry_after_s`` is the struct's ``retryAfterS``. A field that may be None is
+a null pointer where the struct has text, data, a list or a struct, and is told by a
+second field ``hasRetryAfterS`` where it has a number.
+"""
+
+from __future__ import annotations
+
+import functools
+import importlib.resources
+import types
+import typing
+from typing import Any
+
+import attrs
+import capnp
+import cattrs
+from cattrs.gen import make_dict_structure_fn, make_dict_unstructure_fn, override
+
+from cicadacourse.peers._base import MESSAGES
+from cicadacourse.registry import UnknownNameError
+
+_SCALARS = (int, float, bool)
+_WORD_BYTES = 8
+_PACKING_RATIO = 16
+
+
+class MalformedMessage(ValueError):
+    """Bytes that are no message of the class they claim to be."""
+
+
+def encode(message: Any) -> bytes:
+    """Packs a message into bytes.
+
+    :raises MalformedMessage: if a value does not fit its field.
+    """
+    struct = _struct(type(message).message_name)
+    try:
+        return struct.new_message(**_converter.unstructure(message)).to_bytes_packed()
+    except (capnp.KjException, TypeError, ValueError, OverflowError) as error:
+        detail = str(error).splitlines()[0]
+        raise MalformedMessage(f"{type(message).message_name}: {detail}") from error
+
+
+def decode(name: str, body: bytes) -> Any:
+    """Unpacks a message that is registered under a name.
+
+    :raises MalformedMessage: if the name is unknown or the bytes are no such message.
+    """
+    try:
+        cls = MESSAGES.get(name)
+    except UnknownNameError as error:
+        raise MalformedMessage(str(error)) from error
+    limit_words = max(1, len(body)) * _PACKING_RATIO
+    try:
+        reader = _struct(name).from_bytes_packed(
+            body, traversal_limit_in_words=limit_words
+        )
+        return _converter.structure(reader.to_dict(), cls)
+    except (capnp.KjException, cattrs.BaseValidationError, ValueError) as error:
+        raise MalformedMessage(f"{name}: not a valid message") from error
+
+
+@functools.cache
+def load_schema(family: str) -> Any:
+    """Returns the loaded schema file of a family."""
+    files = importlib.resources.files("cicadacourse.schema")
+    with importlib.resources.as_file(files / f"{family}.capnp") as path:
+        return capnp.load(str(path))
+
+
+@functools.cache
+def _struct(name: str) -> Any:
+    family, _, struct_name = name.partition(".")
+    return getattr(load_schema(family), struct_name)
+
+
+def _camel(name: str) -> str:
+    first, *others = name.split("_")
+    return first + "".join(part.capitalize() for part in others)
+
+
+def _is_optional(annotation: Any) -> bool:
+    union = typing.get_origin(annotation) in (typing.Union, types.UnionType)
+    return union and type(None) in typing.get_args(annotation)
+
+
+def _is_optional_scalar(annotation: Any) -> bool:
+    if not _is_optional(annotation):
+        return False
+    return any(choice in _SCALARS for choice in typing.get_args(annotation))
+
+
+def _fields(cls: type) -> tuple[attrs.Attribute, ...]:
+    return attrs.fields(attrs.resolve_types(cls))
+
+
+def _has_name(name: str) -> str:
+    return _camel(f"has_{name}")
+
+
+def _make_unstructure(cls: type) -> Any:
+    """Makes the function that turns a message into a struct's fields."""
+    renames = {
+        field.name: override(rename=_camel(field.name)) for field in _fields(cls)
+    }
+    plain = make_dict_unstructure_fn(cls, _converter, **renames)
+    optional_scalars = [
+        (_camel(field.name), _has_name(field.name))
+        for field in _fields(cls)
+        if _is_optional_scalar(field.type)
+    ]
+
+    def unstructure(message: Any) -> dict[str, Any]:
+        values_by_name = plain(message)
+        for name, has_name in optional_scalars:
+            values_by_name[has_name] = values_by_name.get(name) is not None
+        return {key: item for key, item in values_by_name.items() if item is not None}
+
+    return unstructure
+
+
+def _make_structure(cls: type) -> Any:
+    """Makes the function that turns a struct's fields into a message."""
+    renames = {
+        field.name: override(rename=_camel(field.name)) for field in _fields(cls)
+    }
+    plain = make_dict_structure_fn(cls, _converter, **renames)
+    optional_scalars = [
+        (_camel(field.name), _has_name(field.name))
+        for field in _fields(cls)
+        if _is_optional_scalar(field.type)
+    ]
+    nulls = {_camel(field.name): _null_value(field.type) for field in _fields(cls)}
+
+    def structure(values_by_name: dict[str, Any], _: type) -> Any:
+        values_by_name = {**nulls, **values_by_name}
+        for name, has_name in optional_scalars:
+            if not values_by_name.get(has_name):
+                values_by_name[name] = None
+        return plain(values_by_name, cls)
+
+    return structure
+
+
+def _null_value(annotation: Any) -> Any:
+    """Returns what a null pointer in a struct stands for."""
+    if _is_optional(annotation):
+        return None
+    empty_by_type = {str: "", bytes: b""}
+    if annotation in empty_by_type:
+        return empty_by_type[annotation]
+    return () if typing.get_origin(annotation) in (tuple, list) else {}
+
+
+_converter = cattrs.Converter()
+_converter.register_unstructure_hook_factory(attrs.has, _make_unstructure)
+_converter.register_structure_hook_factory(attrs.has, _make_structure)
+_converter.register_unstructure_hook(bytes, lambda data: data)
+_converter.register_structure_hook(bytes, lambda data, _: bytes(data))
--- /dev/null
+++ b/cicadacourse/peers/_memory.py
@@ -0,0 +1,195 @@
+"""Calls between instances in one process, over a network that can be broken."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from typing import Any, AsyncIterator, Iterable
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from cicadacourse.application import Application
+from cicadacourse.config import InstanceSettings
+from cicadacourse.errors import Error, ErrorKind
+from cicadacourse.peers._base import Peers
+from cicadacourse.peers._dispatch import (
+    BYTES_SENT,
+    CALLS_FAILED,
+    CALLS_SENT,
+    Dispatcher,
+    Frame,
+    PeersSettings,
+    from_frame,
+    to_frame,
+)
+
+
+@attrs.define
+class Link:
+    """How messages in one direction between two addresses fare.
+
+    :param delay_s: one-way delay.
+    :param jitter_s: what is added to the delay at the most.
+    :param drop: the probability that a message is lost.
+    :param duplicate: the probability that a request arrives twice.
+    :param cut: whether everything is lost.
+    """
+
+    delay_s: float = 0.002
+    jitter_s: float = 0.001
+    drop: float = 0.0
+    duplicate: float = 0.0
+    cut: bool = False
+
+
+class MemoryNetwork:
+    """Joins the instances of one process by peer address; every fault is seeded."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self.random = random.Random(seed)
+        self.default_link = Link()
+        self._link_by_pair: dict[tuple[str, str], Link] = {}
+        self._peers_by_address: dict[str, MemoryPeers] = {}
+        self._thawed_by_address: dict[str, asyncio.Event] = {}
+
+    def join(self, address: str, peers: MemoryPeers) -> None:
+        """Makes an instance reachable."""
+        self._peers_by_address[address] = peers
+
+    def leave(self, address: str) -> None:
+        """Makes an instance unreachable, as if its process had died."""
+        self._peers_by_address.pop(address, None)
+
+    def link(self, source: str, target: str) -> Link:
+        """Returns the link from one address to another, to read or change."""
+        pair = (source, target)
+        if pair not in self._link_by_pair:
+            self._link_by_pair[pair] = attrs.evolve(self.default_link)
+        return self._link_by_pair[pair]
+
+    def cut(self, ones: Iterable[str], others: Iterable[str]) -> None:
+        """Cuts every link between two sets of addresses, both ways."""
+        self._set_cut(ones, others, True)
+
+    def heal(self, ones: Iterable[str], others: Iterable[str]) -> None:
+        """Mends what :meth:`cut` cut."""
+        self._set_cut(ones, others, False)
+
+    def _set_cut(self, ones: Iterable[str], others: Iterable[str], cut: bool) -> None:
+        others = list(others)
+        for one in ones:
+            for other in others:
+                self.link(one, other).cut = cut
+                self.link(other, one).cut = cut
+
+    def freeze(self, address: str) -> None:
+        """Stops an instance from sending and receiving until it is thawed."""
+        self._thawed_by_address.setdefault(address, asyncio.Event())
+
+    def thaw(self, address: str) -> None:
+        """Lets a frozen instance go on; what waited for it arrives now."""
+        event = self._thawed_by_address.pop(address, None)
+        if event is not None:
+            event.set()
+
+    async def until_thawed(self, address: str) -> None:
+        """Waits while the instance at an address is frozen."""
+        while address in self._thawed_by_address:
+            await self._thawed_by_address[address].wait()
+
+    async def deliver(self, source: str, target: str) -> MemoryPeers:
+        """Carries a message over a link; waits for ever if it is lost."""
+        link = self._link_by_pair.get((source, target), self.default_link)
+        await self.until_thawed(source)
+        if link.cut or self.random.random() < link.drop:
+            await asyncio.Event().wait()
+        await asyncio.sleep(link.delay_s + self.random.random() * link.jitter_s)
+        await self.until_thawed(target)
+        if target not in self._peers_by_address:
+            raise ConnectionRefusedError(target)
+        return self._peers_by_address[target]
+
+    def is_duplicated(self, source: str, target: str) -> bool:
+        """Draws whether a request over a link arrives twice."""
+        link = self._link_by_pair.get((source, target), self.default_link)
+        return link.duplicate > 0 and self.random.random() < link.duplicate
+
+
+class MemoryPeers(Peers):
+    """Calls instances of the same process; messages pass through the codec."""
+
+    def __init__(self, app: Application, network: MemoryNetwork) -> None:
+        super().__init__(app)
+        self.address = app.settings.get(InstanceSettings).peer_address
+        self._network = network
+        self._dispatcher = Dispatcher(app)
+        self._late: set[asyncio.Task[Any]] = set()
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Is reachable while it runs."""
+        self._network.join(self.address, self)
+        try:
+            yield
+        finally:
+            self._network.leave(self.address)
+            for task in self._late:
+                task.cancel()
+            await asyncio.gather(*self._late, return_exceptions=True)
+
+    async def call(
+        self, address: str, request: Any, timeout_s: float
+    ) -> Result[Any, Error]:
+        """Calls over the memory network; see :meth:`Peers.call`."""
+        if address == self.address:
+            return await self._dispatcher.call(request, timeout_s)
+        max_bytes = self.app.settings.get(PeersSettings).max_message_bytes
+        match to_frame(request, max_bytes):
+            case Failure() as failure:
+                return failure
+            case Success(frame):
+                pass
+        self.app.metrics.count(CALLS_SENT, message=frame.name)
+        self.app.metrics.count(BYTES_SENT, len(frame.body), message=frame.name)
+        result = await self._exchange(address, frame, timeout_s)
+        await self._network.until_thawed(self.address)
+        if isinstance(result, Failure):
+            error = result.failure().label
+            self.app.metrics.count(CALLS_FAILED, message=frame.name, error=error)
+        return result
+
+    async def _exchange(
+        self, address: str, frame: Frame, timeout_s: float
+    ) -> Result[Any, Error]:
+        """Sends a frame and waits for its reply, which may go on after the wait."""
+        task = asyncio.ensure_future(self._round_trip(address, frame, timeout_s))
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+        try:
+            done, _ = await asyncio.wait({task}, timeout=timeout_s)
+        except asyncio.CancelledError:
+            task.cancel()
+            raise
+        if not done:
+            detail = f"{address}: no answer in {timeout_s:g} s"
+            return Failure(Error(ErrorKind.PEER_UNREACHABLE, detail))
+        if task.cancelled() or task.exception() is not None:
+            detail = f"{address}: not connected"
+            return Failure(Error(ErrorKind.PEER_UNREACHABLE, detail))
+        max_bytes = self.app.settings.get(PeersSettings).max_message_bytes
+        return from_frame(task.result(), max_bytes)
+
+    async def _round_trip(self, address: str, frame: Frame, timeout_s: float) -> Frame:
+        async with asyncio.timeout(_LOST_AFTER_S + timeout_s):
+            target = await self._network.deliver(self.address, address)
+            if self._network.is_duplicated(self.address, address):
+                await target._dispatcher.answer(frame, timeout_s)
+            reply = await target._dispatcher.answer(frame, timeout_s)
+            target.app.metrics.count(BYTES_SENT, len(reply.body), message=reply.name)
+            await self._network.deliver(address, self.address)
+        return reply
+
+
+_LOST_AFTER_S = 600.0
--- /dev/null
+++ b/tests/memory_cluster.py
@@ -0,0 +1,165 @@
+"""Runs several applications in one process, joined by a memory network."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import Any, AsyncIterator, Callable, Sequence
+
+from returns.result import Result, Success
+
+from cicadacourse.application import SERVICES, Application, Service
+from cicadacourse.config import InstanceSettings, PlatformSettings, Settings
+from cicadacourse.errors import Error
+from cicadacourse.peers import MemoryNetwork, MemoryPeers
+from cicadacourse.platform import KIND_ENTRY, InstanceListClient, ListedInstance
+
+ServiceSpec = str | Callable[[Application], Service]
+
+
+class MemoryInstanceList(Service, InstanceListClient):
+    """An instance list that returns whatever rows a test put into it."""
+
+    name = "instance_list"
+
+    def __init__(self, app: Application, rows_by_name: dict[str, ListedInstance]):
+        super().__init__(app)
+        self._rows_by_name = rows_by_name
+
+    async def fetch(
+        self, timeout_s: float
+    ) -> Result[tuple[ListedInstance, ...], Error]:
+        """Returns the rows as they are now."""
+        return Success(tuple(self._rows_by_name.values()))
+
+
+class MemoryCluster:
+    """Applications by name, the network between them and their instance list.
+
+    :param service_specs: names of registered services, or functions that make one
+        for an application; added after ``peers`` and ``instance_list``.
+    :param sections: further settings sections, the same for each instance.
+    """
+
+    def __init__(
+        self,
+        service_specs: Sequence[ServiceSpec],
+        sections: Sequence[Any] = (),
+        seed: int = 1,
+        failure_domains: Sequence[str] = ("a", "b", "c"),
+    ) -> None:
+        self.network = MemoryNetwork(seed)
+        self.app_by_name: dict[str, Application] = {}
+        self.rows_by_name: dict[str, ListedInstance] = {}
+        self._service_specs = service_specs
+        self._sections = sections
+        self._failure_domains = failure_domains
+        self._stack_by_name: dict[str, contextlib.AsyncExitStack] = {}
+        self._index_by_name: dict[str, int] = {}
+
+    def address(self, name: str) -> str:
+        """Returns the peer address of an instance."""
+        return f"10.0.{self._index(name) // 250}.{self._index(name) % 250 + 1}:7000"
+
+    def addresses(self, names: Sequence[str]) -> list[str]:
+        """Returns the peer addresses of instances."""
+        return [self.address(name) for name in names]
+
+    def failure_domain(self, name: str) -> str:
+        """Returns the failure domain of an instance; names are dealt round robin."""
+        return self._failure_domains[self._index(name) % len(self._failure_domains)]
+
+    def list_instance(self, name: str) -> None:
+        """Puts an instance into the instance list."""
+        domain = self.failure_domain(name)
+        self.rows_by_name[name] = ListedInstance(
+            name=name,
+            kind=KIND_ENTRY,
+            address=self.address(name),
+            failure_domain=domain,
+        )
+
+    def build(self, name: str) -> Application:
+        """Makes an application that does not run yet."""
+        instance = InstanceSettings(
+            name=name,
+            failure_domain=self.failure_domain(name),
+            caller_address=self.address(name).replace(":7000", ":8000"),
+            peer_address=self.address(name),
+        )
+        platform = PlatformSettings(
+            log_address="127.0.0.1:1", instance_list_address="127.0.0.1:1"
+        )
+        app = Application(Settings(instance, platform, *self._sections))
+        app.add_service(MemoryPeers(app, self.network))
+        app.add_service(MemoryInstanceList(app, self.rows_by_name))
+        for spec in self._service_specs:
+            app.add_service(
+                SERVICES.get(spec)(app) if isinstance(spec, str) else spec(app)
+            )
+        return app
+
+    async def start(self, name: str) -> Application:
+        """Starts an instance, again with a fresh application if it had run before."""
+        app = self.build(name)
+        stack = contextlib.AsyncExitStack()
+        await stack.enter_async_context(app.running())
+        self.app_by_name[name] = app
+        self._stack_by_name[name] = stack
+        return app
+
+    async def kill(self, name: str) -> None:
+        """Ends an instance without a word to the others."""
+        self.network.cut([self.address(name)], list(self.network_addresses()))
+        await self.stop(name)
+        self.network.heal([self.address(name)], list(self.network_addresses()))
+
+    async def stop(self, name: str) -> None:
+        """Ends an instance the way its services end."""
+        del self.app_by_name[name]
+        await self._stack_by_name.pop(name).aclose()
+
+    def network_addresses(self) -> list[str]:
+        """Returns the peer addresses of the running instances."""
+        return self.addresses(list(self.app_by_name))
+
+    def get(self, name: str, service_name: str) -> Any:
+        """Returns a service of an instance."""
+        return self.app_by_name[name].get(service_name)
+
+    def services(self, service_name: str) -> list[Any]:
+        """Returns that service of every running instance."""
+        return [app.get(service_name) for app in self.app_by_name.values()]
+
+    def freeze(self, name: str) -> None:
+        """Stops an instance from sending and receiving."""
+        self.network.freeze(self.address(name))
+
+    def thaw(self, name: str) -> None:
+        """Lets a frozen instance go on."""
+        self.network.thaw(self.address(name))
+
+    def _index(self, name: str) -> int:
+        return self._index_by_name.setdefault(name, len(self._index_by_name))
+
+
+@contextlib.asynccontextmanager
+async def memory_cluster(
+    names: Sequence[str],
+    service_specs: Sequence[ServiceSpec],
+    *sections: Any,
+    seed: int = 1,
+    failure_domains: Sequence[str] = ("a", "b", "c"),
+) -> AsyncIterator[MemoryCluster]:
+    """Lists and starts instances of these names, yields, then ends them all."""
+    cluster = MemoryCluster(service_specs, sections, seed, failure_domains)
+    for name in names:
+        cluster.list_instance(name)
+    try:
+        for name in names:
+            await cluster.start(name)
+        yield cluster
+    finally:
+        for name in list(cluster.app_by_name):
+            cluster.thaw(name)
+        for name in reversed(list(cluster.app_by_name)):
+            await cluster.stop(name)
--- /dev/null
+++ b/tests/test_peers/echo_process.py
@@ -0,0 +1,60 @@
+"""An instance that answers pings, as a process: ``echo_process NAME PORT``."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import sys
+
+import capnp
+
+from cicadacourse.application import Application, Service
+from cicadacourse.config import InstanceSettings, Settings
+from cicadacourse.membership._messages import Ack, Ping
+from cicadacourse.peers import CapnpPeers, PeersSettings, handles
+from cicadacourse.util.clock import BoottimeEventLoop
+
+
+class Echo(Service):
+    """Answers pings; waits first if the target says so."""
+
+    name = "echo"
+
+    @handles(Ping)
+    async def on_ping(self, ping):
+        if ping.target:
+            await asyncio.sleep(float(ping.target))
+        return Ack(reached=True, deltas=ping.deltas)
+
+
+def free_port() -> int:
+    """Returns a port of 127.0.0.1 that was free just now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def build(name: str, port: int, settings: PeersSettings | None = None) -> Application:
+    """Makes an instance that listens for peers on a port."""
+    instance = InstanceSettings(
+        name=name,
+        failure_domain="a",
+        caller_address="127.0.0.1:1",
+        peer_address=f"127.0.0.1:{port}",
+    )
+    app = Application(Settings(instance, settings or PeersSettings()))
+    app.add_service(CapnpPeers(app))
+    app.add_service(Echo(app))
+    return app
+
+
+async def serve(name: str, port: int) -> None:
+    """Runs the instance until the process ends."""
+    async with capnp.kj_loop(), build(name, port).running():
+        print("ready", flush=True)
+        await asyncio.Event().wait()
+
+
+if __name__ == "__main__":
+    with asyncio.Runner(loop_factory=BoottimeEventLoop) as runner:
+        runner.run(serve(sys.argv[1], int(sys.argv[2])))
--- /dev/null
+++ b/tests/test_peers/test_peers_memory.py
@@ -0,0 +1,161 @@
+"""Tests of calls between instances over the memory network."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from returns.result import Failure, Success
+
+from cicadacourse.application import Service
+from cicadacourse.errors import CicadacourseError, Error, ErrorKind
+from cicadacourse.membership import Member, MemberState
+from cicadacourse.membership._messages import Ack, Ping
+from cicadacourse.peers import MalformedMessage, decode, encode, handles
+from cicadacourse.peers._dispatch import FailureReply, Frame
+from cicadacourse.util.clock import now
+from tests.memory_cluster import memory_cluster
+
+REFUSAL = Error(ErrorKind.LIMIT_EXCEEDED, "no", "slow-down", retry_after_s=2.5)
+
+
+class Echo(Service):
+    """Counts pings; refuses, hangs or breaks when asked to."""
+
+    name = "echo"
+
+    def __init__(self, app):
+        super().__init__(app)
+        self.pings = 0
+
+    @handles(Ping)
+    async def on_ping(self, ping):
+        self.pings += 1
+        if ping.target == "refuse":
+            raise CicadacourseError(REFUSAL)
+        if ping.target == "hang":
+            await asyncio.sleep(1000)
+        if ping.target == "break":
+            raise RuntimeError("broken")
+        return Ack(reached=True, deltas=ping.deltas)
+
+
+def echo_pair(seed=1):
+    return memory_cluster(["e1", "e2"], [Echo], seed=seed)
+
+
+def test_a_message_comes_back_from_its_bytes_as_it_was():
+    member = Member("n", "1.2.3.4:5", state=MemberState.SUSPECT, incarnation=2**63)
+    ping = Ping(source="ø", deltas=(member,))
+    assert decode("membership.Ping", encode(ping)) == ping
+
+
+@pytest.mark.parametrize("retry_after_s", [None, 0.0, 1.5])
+def test_an_optional_number_keeps_none_and_zero_apart(retry_after_s):
+    reply = FailureReply(kind="internal", retry_after_s=retry_after_s)
+    assert decode("common.Failure", encode(reply)) == reply
+
+
+@pytest.mark.parametrize(
+    ("name", "body"),
+    [
+        ("membership.Pong", b""),
+        ("nothing", b""),
+        ("membership.Ping", b"\xff" * 40),
+        ("membership.Ping", encode(Ping(source="x" * 200))[:30]),
+        ("membership.Ping", b"\x00\xff" * 500),
+    ],
+)
+def test_bytes_that_are_no_message_are_named_as_such(name, body):
+    with pytest.raises(MalformedMessage):
+        decode(name, body)
+
+
+def test_a_value_that_does_not_fit_its_field_is_not_sent():
+    with pytest.raises(MalformedMessage):
+        encode(Ping(source="x", deltas=(Member("n", "a", incarnation=-1),)))
+
+
+@pytest.mark.looptime
+async def test_a_reply_and_a_refusal_reach_the_caller():
+    async with echo_pair() as cluster:
+        peers = cluster.get("e1", "peers")
+        address = cluster.address("e2")
+        reply = await peers.call(address, Ping(source="e1"), 1.0)
+        assert reply == Success(Ack(reached=True))
+        refused = await peers.call(address, Ping(source="e1", target="refuse"), 1.0)
+        assert refused == Failure(REFUSAL)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize(
+    ("request_message", "kind"),
+    [
+        (Ping(source="e1", target="break"), ErrorKind.INTERNAL),
+        (Ping(source="e1", target="hang"), ErrorKind.PEER_UNREACHABLE),
+        (Ping(source="x" * 5_000_000), ErrorKind.TOO_LARGE),
+        (FailureReply(kind="internal"), ErrorKind.INTERNAL),
+        (Ack(reached=True), ErrorKind.BAD_REQUEST),
+    ],
+)
+async def test_a_bad_call_gets_a_clear_error_and_disturbs_nothing(
+    request_message, kind
+):
+    async with echo_pair() as cluster:
+        peers = cluster.get("e1", "peers")
+        address = cluster.address("e2")
+        result = await peers.call(address, request_message, 1.0)
+        assert result.failure().kind is kind
+        assert await peers.call(address, Ping(source="e1"), 1.0) == Success(
+            Ack(reached=True)
+        )
+
+
+@pytest.mark.looptime
+async def test_a_malformed_frame_is_answered_by_an_error():
+    async with echo_pair() as cluster:
+        dispatcher = cluster.get("e2", "peers")._dispatcher
+        reply = await dispatcher.answer(Frame("membership.Ping", b"\xff" * 40), 1.0)
+        assert decode(reply.name, reply.body).kind == "bad_request"
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("fault", ["cut", "drop", "freeze", "kill"])
+async def test_a_fault_ends_in_peer_unreachable_in_time(fault):
+    async with echo_pair() as cluster:
+        peers = cluster.get("e1", "peers")
+        address = cluster.address("e2")
+        if fault == "cut":
+            cluster.network.cut([cluster.address("e1")], [address])
+        elif fault == "drop":
+            cluster.network.link(cluster.address("e1"), address).drop = 1.0
+        elif fault == "freeze":
+            cluster.freeze("e2")
+        else:
+            await cluster.kill("e2")
+        started = now()
+        result = await peers.call(address, Ping(source="e1"), 1.0)
+        assert result.failure().kind is ErrorKind.PEER_UNREACHABLE
+        assert now() - started <= 1.1
+
+
+@pytest.mark.looptime
+async def test_a_frozen_instance_acts_on_what_arrived_once_it_is_thawed():
+    async with echo_pair() as cluster:
+        cluster.freeze("e2")
+        ping = Ping(source="e1")
+        result = await cluster.get("e1", "peers").call(cluster.address("e2"), ping, 1.0)
+        assert isinstance(result, Failure)
+        assert cluster.get("e2", "echo").pings == 0
+        cluster.thaw("e2")
+        await asyncio.sleep(1.0)
+        assert cluster.get("e2", "echo").pings == 1
+
+
+@pytest.mark.looptime
+async def test_a_duplicated_request_is_handled_twice():
+    async with echo_pair() as cluster:
+        address = cluster.address("e2")
+        cluster.network.link(cluster.address("e1"), address).duplicate = 1.0
+        await cluster.get("e1", "peers").call(address, Ping(source="e1"), 1.0)
+        assert cluster.get("e2", "echo").pings == 2
