--- a/cicadacourse/membership/_messages.py
+++ b/cicadacourse/membership/_messages.py
@@ -1,4 +1,4 @@
-"""Messages of membership."""
+"""Messages of membership; each carries the sender's own record."""
 
 from __future__ import annotations
 
@@ -10,12 +10,11 @@
 class Ping:
     """A probe, or a request to probe another address.
 
-    :param source: the asking instance's name.
-    :param target: an address to probe on its behalf, or empty.
-    :param deltas: what the asking side heard lately.
+    :param target: an address to probe on the sender's behalf, or empty.
+    :param deltas: what the sender heard lately.
     """
 
-    source: str
+    sender: Member
     target: str = ""
     deltas: tuple[Member, ...] = ()
 
@@ -28,12 +27,37 @@
     :param deltas: what the answering side heard lately.
     """
 
-    reached: bool
+    sender: Member
+    reached: bool = True
     deltas: tuple[Member, ...] = ()
 
 
-@message("membership.Sync")
-class Sync:
-    """All members that one side knows; the answer is what the other side knows."""
+@message("membership.SyncDigest")
+class SyncDigest:
+    """Opens an anti-entropy exchange.
 
+    :param digest: hash over all that the sender knows.
+    :param deltas: what the other side must hear about itself.
+    """
+
+    sender: Member
+    digest: int
+    deltas: tuple[Member, ...] = ()
+
+
+@message("membership.SyncHashes")
+class SyncHashes:
+    """One hash per bucket of members; none if the digests are equal."""
+
+    sender: Member
+    hashes: tuple[int, ...] = ()
+    deltas: tuple[Member, ...] = ()
+
+
+@message("membership.SyncMembers")
+class SyncMembers:
+    """All members of some buckets; the answer is what the other side knows."""
+
+    sender: Member
+    buckets: tuple[int, ...] = ()
     members: tuple[Member, ...] = ()
--- /dev/null
+++ b/cicadacourse/membership/_service.py
@@ -0,0 +1,294 @@
+"""The service that other parts ask who is live and who owns a key."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+from typing import Any, AsyncIterator, Coroutine
+
+import attrs
+import cachetools
+
+from cicadacourse.application import SERVICES, Application, Service
+from cicadacourse.config import InstanceSettings
+from cicadacourse.events import MEMBER_JOINED, MEMBER_LEFT, RESUMED_AFTER_PAUSE
+from cicadacourse.membership._deltas import DeltaQueue
+from cicadacourse.membership._messages import (
+    Ack,
+    Ping,
+    SyncDigest,
+    SyncHashes,
+    SyncMembers,
+)
+from cicadacourse.membership._model import Member, MemberState
+from cicadacourse.membership._prober import Prober
+from cicadacourse.membership._settings import (
+    DEATHS,
+    MEMBERS,
+    PAUSES,
+    REFUTATIONS,
+    MembershipSettings,
+)
+from cicadacourse.membership._syncer import Syncer
+from cicadacourse.membership._view import View
+from cicadacourse.peers import handles
+from cicadacourse.util import hashing
+from cicadacourse.util.clock import now
+from cicadacourse.util.logging import get_logger
+
+logger = get_logger("membership")
+
+_TICK_S = 0.25
+_OWNERS_CACHED = 4096
+
+
+@SERVICES.register("membership")
+class Membership(Service):
+    """Keeps a soft view of the other instances; it may be wrong at any time."""
+
+    name = "membership"
+
+    def __init__(self, app: Application) -> None:
+        super().__init__(app)
+        instance = app.settings.get(InstanceSettings)
+        self.settings = app.settings.get(MembershipSettings)
+        self.random = random.Random(instance.name)
+        self.view = View()
+        self.pauses = 0
+        self.refreshing = True
+        self._deltas = DeltaQueue()
+        self._prober = Prober(self)
+        self._syncer = Syncer(self)
+        self._own = Member(
+            name=instance.name,
+            peer_address=instance.peer_address,
+            caller_address=instance.caller_address,
+            region=instance.region,
+            failure_domain=instance.failure_domain,
+        )
+        self._fresh = True
+        self._superseded = False
+        self._last_tick: float | None = None
+        self._dispatch_members: list[Member] | None = None
+        self._owner_by_key: cachetools.LRUCache[str, Member] = cachetools.LRUCache(
+            _OWNERS_CACHED
+        )
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Joins the others and watches them while it runs."""
+        self._last_tick = now()
+        for loop in (self._tick, self._prober.run, self._syncer.run):
+            self.start_task(loop())
+        self.start_task(self._syncer.refresh())
+        try:
+            yield
+        finally:
+            for task in list(self._tasks):
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+            await self._say_farewell()
+
+    def self_member(self) -> Member:
+        """Returns this instance's own record."""
+        return self._own
+
+    def members(self) -> list[Member]:
+        """Returns all members but the dead, this one included, sorted by name."""
+        return sorted([self._own, *self.view.live()], key=lambda member: member.name)
+
+    def dispatch_members(self) -> list[Member]:
+        """Returns the members that may own keys, sorted by name: the alive ones.
+
+        This instance is left out while it refreshes its view, at its start and after
+        a pause, unless there is no other.
+        """
+        self.notice_pause()
+        if self._dispatch_members is None:
+            alive = [
+                member
+                for member in self.members()
+                if member.state is MemberState.ALIVE and self._may_own(member)
+            ]
+            self._dispatch_members = alive or [self._own]
+        return self._dispatch_members
+
+    def find(self, name: str) -> Member | None:
+        """Returns the record of a member, dead or not, or None if it is unknown."""
+        return self._own if name == self._own.name else self.view.find(name)
+
+    def owner(self, key: str) -> Member:
+        """Returns the member that owns a key, by rendezvous hashing."""
+        members = self.dispatch_members()
+        if key not in self._owner_by_key:
+            by_name = {member.name: member for member in members}
+            self._owner_by_key[key] = by_name[hashing.owner(key, by_name)]
+        return self._owner_by_key[key]
+
+    def set_leaving(self) -> None:
+        """Announces at once that this instance takes no new work."""
+        if self._own.state is MemberState.ALIVE:
+            self._change_own(state=MemberState.LEAVING)
+            self._prober.announce()
+
+    def set_tables_version(self, version: int) -> None:
+        """Notes the version of the tables in force here, for others to hear."""
+        self._own = attrs.evolve(self._own, tables_version=version)
+
+    @handles(Ping)
+    async def on_ping(self, ping: Ping) -> Ack:
+        """Answers a probe, or probes another address for the sender."""
+        self.notice_pause()
+        self.hear(ping.sender, *ping.deltas)
+        reached = True
+        if ping.target:
+            reached = await self._prober.ping(ping.target, name="")
+        deltas = self.deltas_for(ping.sender.name)
+        return Ack(sender=self._own, reached=reached, deltas=deltas)
+
+    @handles(SyncDigest)
+    async def on_sync_digest(self, request: SyncDigest) -> SyncHashes:
+        """Answers the first step of an anti-entropy exchange."""
+        self.notice_pause()
+        self.hear(request.sender, *request.deltas)
+        return self._syncer.answer_digest(request)
+
+    @handles(SyncMembers)
+    async def on_sync_members(self, request: SyncMembers) -> SyncMembers:
+        """Answers the second step of an anti-entropy exchange."""
+        self.notice_pause()
+        self.hear(request.sender, *request.members)
+        return self._syncer.members_of(request.buckets)
+
+    def hear(self, *members: Member) -> None:
+        """Takes in records from others and passes on what is news."""
+        for member in members:
+            if member.name == self._own.name:
+                self._hear_of_self(member)
+                continue
+            known = self.view.find(member.name)
+            if self.view.merge(member, now()):
+                self._deltas.put(member)
+                self._tell_change(known, member)
+
+    def deltas_for(self, name: str) -> tuple[Member, ...]:
+        """Returns what a message to a member carries.
+
+        What that member must hear of itself, to refute it, always goes along.
+        """
+        limit = self.settings.deltas_per_message
+        deltas = self._deltas.take(limit, len(self.view) + 1)
+        own_state = self.view.find(name)
+        if own_state is None or own_state.state is MemberState.ALIVE:
+            return deltas
+        return (*(item for item in deltas if item.name != name), own_state)
+
+    def notice_pause(self) -> None:
+        """Notices that this instance did not run for a while, before it acts."""
+        if self._last_tick is None:
+            return
+        gap_s = now() - self._last_tick
+        self._last_tick = now()
+        if gap_s <= self.settings.pause_limit_s:
+            return
+        logger.warning("resumed after a pause of {:.1f} s", gap_s)
+        self.pauses += 1
+        self.app.metrics.count(PAUSES)
+        self.refreshing = True
+        self._forget_owners()
+        self._prober.restart_suspicions()
+        self.start_task(self._syncer.refresh())
+        self.app.events.emit(RESUMED_AFTER_PAUSE)
+
+    def refreshed(self, heard_any: bool) -> None:
+        """Ends a refresh; this instance may own keys again."""
+        self._fresh = self._fresh and not heard_any
+        self.refreshing = False
+        self._forget_owners()
+
+    def forget(self, name: str) -> None:
+        """Drops a member that has been dead for long."""
+        self.view.forget(name)
+
+    def start_task(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Starts a task that ends with the service."""
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_ended)
+        return task
+
+    async def sleep(self, delay_s: float) -> None:
+        """Sleeps; tests replace it to freeze an instance."""
+        await asyncio.sleep(delay_s)
+
+    async def call(self, address: str, request: Any, timeout_s: float) -> Any:
+        """Calls a peer."""
+        return await self.app.get("peers").call(address, request, timeout_s)
+
+    def _task_ended(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.error("task failed: {!r}", task.exception())
+
+    async def _tick(self) -> None:
+        while True:
+            await self.sleep(_TICK_S)
+            self.notice_pause()
+
+    def _hear_of_self(self, heard: Member) -> None:
+        """Refutes what others believe of this instance, unless it was replaced."""
+        if self._superseded or heard.incarnation < self._own.incarnation:
+            return
+        elsewhere = heard.peer_address != self._own.peer_address
+        if elsewhere and not self._fresh:
+            if heard.incarnation > self._own.incarnation:
+                logger.error("replaced by {}, standing back", heard.peer_address)
+                self._superseded = True
+                self._forget_owners()
+            return
+        wrong = heard.state in (MemberState.SUSPECT, MemberState.DEAD)
+        if wrong or self._fresh or heard.incarnation > self._own.incarnation:
+            if wrong:
+                self.app.metrics.count(REFUTATIONS)
+            self._change_own(incarnation=heard.incarnation + 1)
+
+    def _change_own(self, **changes: Any) -> None:
+        self._own = attrs.evolve(self._own, **changes)
+        self._deltas.put(self._own)
+        self._forget_owners()
+
+    def _may_own(self, member: Member) -> bool:
+        if member.name != self._own.name:
+            return True
+        return not self.refreshing and not self._superseded
+
+    def _tell_change(self, known: Member | None, member: Member) -> None:
+        self._forget_owners()
+        was_live = known is not None and known.state is not MemberState.DEAD
+        is_live = member.state is not MemberState.DEAD
+        if is_live and not was_live:
+            self.app.events.emit(MEMBER_JOINED, member)
+        if was_live and not is_live:
+            logger.info("member {} is dead", member.name)
+            self.app.metrics.count(DEATHS)
+            self.app.events.emit(MEMBER_LEFT, member)
+
+    def _forget_owners(self) -> None:
+        self._dispatch_members = None
+        self._owner_by_key.clear()
+        self._count_members()
+
+    def _count_members(self) -> None:
+        for state in MemberState:
+            entries = self.view.entries()
+            count = sum(entry.member.state is state for entry in entries)
+            self.app.metrics.set(MEMBERS, count, state=state.value)
+
+    async def _say_farewell(self) -> None:
+        """Saves the others from finding out that an instance that left is gone."""
+        if self._own.state is not MemberState.LEAVING or self._superseded:
+            return
+        self._change_own(state=MemberState.DEAD)
+        await asyncio.gather(*self._prober.announcements())
--- /dev/null
+++ b/cicadacourse/membership/_settings.py
@@ -0,0 +1,56 @@
+"""Settings and metrics of membership."""
+
+from __future__ import annotations
+
+from cicadacourse.config import option, section
+from cicadacourse.metrics import declare
+
+SUSPICIONS = declare(
+    "membership_suspicions_total", "Members that this instance began to suspect."
+)
+REFUTATIONS = declare(
+    "membership_refutations_total", "Suspicions of this instance that it refuted."
+)
+DEATHS = declare("membership_deaths_total", "Members declared dead.")
+PAUSES = declare("membership_pauses_total", "Pauses that this instance noticed.")
+MEMBERS = declare("membership_members", "Members known, by state.")
+
+
+@section("membership")
+class MembershipSettings:
+    """How instances find each other and notice failures."""
+
+    probe_period_s: float = option(
+        float, 1.0, unit="seconds", minimum=0.05, help="One member is probed each."
+    )
+    probe_timeout_s: float = option(
+        float, 0.4, unit="seconds", minimum=0.01, help="Time limit of a probe."
+    )
+    indirect_probes: int = option(
+        int, 3, minimum=0, maximum=16, help="Members asked to probe in turn."
+    )
+    suspicion_periods: float = option(
+        float,
+        4.0,
+        unit="probe periods",
+        minimum=1,
+        help="How long a suspected member may refute, times log10 of the members.",
+    )
+    deltas_per_message: int = option(
+        int, 8, minimum=1, maximum=64, help="Members told of per probe or answer."
+    )
+    sync_period_s: float = option(
+        float, 5.0, unit="seconds", minimum=0.1, help="Compares all with one member."
+    )
+    sync_timeout_s: float = option(
+        float, 2.0, unit="seconds", minimum=0.1, help="Time limit of a comparison."
+    )
+    list_period_s: float = option(
+        float, 10.0, unit="seconds", minimum=0.5, help="The instance list is read."
+    )
+    forget_dead_s: float = option(
+        float, 7200.0, unit="seconds", minimum=10, help="Dead members are kept."
+    )
+    pause_limit_s: float = option(
+        float, 2.0, unit="seconds", minimum=0.2, help="A longer gap is a pause."
+    )
--- a/cicadacourse/schema/membership.capnp
+++ b/cicadacourse/schema/membership.capnp
@@ -16,17 +16,34 @@
 
 struct Ping {
   # A probe; with a target, a request to probe that address on the sender's behalf.
-  source @0 :Text;
+  sender @0 :Member;
   target @1 :Text;
   deltas @2 :List(Member);
 }
 
 struct Ack {
-  reached @0 :Bool;
-  deltas @1 :List(Member);
+  sender @0 :Member;
+  reached @1 :Bool;
+  deltas @2 :List(Member);
+}
+
+struct SyncDigest {
+  # Opens an anti-entropy exchange; deltas hold only what the other side must hear.
+  sender @0 :Member;
+  digest @1 :UInt64;
+  deltas @2 :List(Member);
+}
+
+struct SyncHashes {
+  # One hash per bucket; empty if the digests are equal.
+  sender @0 :Member;
+  hashes @1 :List(UInt64);
+  deltas @2 :List(Member);
 }
 
-struct Sync {
-  # Anti-entropy: everything that one side knows.
-  members @0 :List(Member);
+struct SyncMembers {
+  # All members of the buckets that differ; answered by the other side's.
+  sender @0 :Member;
+  buckets @1 :List(UInt16);
+  members @2 :List(Member);
 }
--- a/tests/memory_cluster.py
+++ b/tests/memory_cluster.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 from typing import Any, AsyncIterator, Callable, Sequence
 
@@ -93,11 +94,22 @@
         app.add_service(MemoryPeers(app, self.network))
         app.add_service(MemoryInstanceList(app, self.rows_by_name))
         for spec in self._service_specs:
-            app.add_service(
-                SERVICES.get(spec)(app) if isinstance(spec, str) else spec(app)
-            )
+            service = SERVICES.get(spec)(app) if isinstance(spec, str) else spec(app)
+            self._make_freezable(service, self.address(name))
+            app.add_service(service)
         return app
 
+    def _make_freezable(self, service: Any, address: str) -> None:
+        """Makes the loops of a service that sleeps by ``sleep`` stop while frozen."""
+        if not hasattr(service, "sleep"):
+            return
+
+        async def sleep(delay_s: float) -> None:
+            await asyncio.sleep(delay_s)
+            await self.network.until_thawed(address)
+
+        service.sleep = sleep
+
     async def start(self, name: str) -> Application:
         """Starts an instance, again with a fresh application if it had run before."""
         app = self.build(name)
--- /dev/null
+++ b/tests/test_membership/test_membership_service.py
@@ -0,0 +1,62 @@
+"""Tests of who is seen as live, under failures."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+import cicadacourse.membership  # noqa: F401
+from cicadacourse.membership import MemberState
+from tests.memory_cluster import memory_cluster
+
+SIX = ["e1", "e2", "e3", "e4", "e5", "e6"]
+
+
+def running(names=SIX, **options):
+    return memory_cluster(names, ["membership"], **options)
+
+
+def states(cluster, name):
+    """Returns the state of a member as each running instance sees it."""
+    seen = [service.find(name) for service in cluster.services("membership")]
+    return {member.state if member else None for member in seen}
+
+
+def live_names(cluster, name):
+    return [member.name for member in cluster.get(name, "membership").members()]
+
+
+@pytest.mark.looptime
+async def test_all_find_each_other_and_agree_on_owners():
+    async with running() as cluster:
+        await asyncio.sleep(20)
+        for service in cluster.services("membership"):
+            assert [member.name for member in service.dispatch_members()] == SIX
+        owners = {
+            service.owner("key").name for service in cluster.services("membership")
+        }
+        assert len(owners) == 1
+
+
+@pytest.mark.looptime
+async def test_a_killed_instance_is_seen_dead_by_all():
+    async with running() as cluster:
+        await asyncio.sleep(20)
+        await cluster.kill("e3")
+        await asyncio.sleep(15)
+        assert states(cluster, "e3") == {MemberState.DEAD}
+
+
+@pytest.mark.looptime
+async def test_a_leaving_instance_is_dropped_from_owners_within_seconds():
+    async with running() as cluster:
+        await asyncio.sleep(20)
+        cluster.get("e3", "membership").set_leaving()
+        await asyncio.sleep(3)
+        assert states(cluster, "e3") == {MemberState.LEAVING}
+        for service in cluster.services("membership"):
+            assert "e3" not in [item.name for item in service.dispatch_members()]
+        await cluster.stop("e3")
+        await asyncio.sleep(3)
+        assert states(cluster, "e3") == {MemberState.DEAD}
--- a/tests/test_peers/echo_process.py
+++ b/tests/test_peers/echo_process.py
@@ -10,10 +10,19 @@
 
 from cicadacourse.application import Application, Service
 from cicadacourse.config import InstanceSettings, Settings
+from cicadacourse.membership import Member
 from cicadacourse.membership._messages import Ack, Ping
 from cicadacourse.peers import CapnpPeers, PeersSettings, handles
 from cicadacourse.util.clock import BoottimeEventLoop
 
+SENDER = Member("e1", "127.0.0.1:1")
+ACK = Ack(sender=SENDER)
+
+
+def ping(target: str = "", deltas: tuple[Member, ...] = ()) -> Ping:
+    """Makes a message to send about."""
+    return Ping(sender=SENDER, target=target, deltas=deltas)
+
 
 class Echo(Service):
     """Answers pings; waits first if the target says so."""
@@ -21,10 +30,10 @@
     name = "echo"
 
     @handles(Ping)
-    async def on_ping(self, ping):
-        if ping.target:
-            await asyncio.sleep(float(ping.target))
-        return Ack(reached=True, deltas=ping.deltas)
+    async def on_ping(self, request):
+        if request.target:
+            await asyncio.sleep(float(request.target))
+        return Ack(sender=SENDER, deltas=request.deltas)
 
 
 def free_port() -> int:
--- a/tests/test_peers/test_peers_capnp.py
+++ b/tests/test_peers/test_peers_capnp.py
@@ -15,12 +15,11 @@
 
 from cicadacourse.errors import ErrorKind
 from cicadacourse.membership import Member
-from cicadacourse.membership._messages import Ack, Ping
 from cicadacourse.peers import PeersSettings
-from tests.test_peers.echo_process import build, free_port
+from tests.test_peers.echo_process import ACK, build, free_port, ping
 
 ROOT = pathlib.Path(__file__).parents[2]
-OK = Success(Ack(reached=True))
+OK = Success(ACK)
 LIMIT_S = 10.0
 REFUSED_KINDS = {ErrorKind.TOO_LARGE, ErrorKind.PEER_UNREACHABLE}
 
@@ -49,7 +48,7 @@
 async def call_until_reached(peers, address):
     async with asyncio.timeout(LIMIT_S):
         while True:
-            result = await peers.call(address, Ping(source="e1"), 1.0)
+            result = await peers.call(address, ping(), 1.0)
             if result == OK:
                 return
             assert result.failure().kind is ErrorKind.PEER_UNREACHABLE
@@ -60,31 +59,28 @@
     async with running_pair() as (peers, address):
         members = [(Member(f"m{index}", "1.2.3.4:5"),) for index in range(50)]
         replies = await asyncio.gather(
-            *(
-                peers.call(address, Ping(source="e1", deltas=one), LIMIT_S)
-                for one in members
-            )
+            *(peers.call(address, ping(deltas=one), LIMIT_S) for one in members)
         )
         assert [reply.unwrap().deltas for reply in replies] == members
 
 
 async def test_a_call_that_is_cancelled_or_times_out_leaves_the_connection_usable():
     async with running_pair() as (peers, address):
-        slow = Ping(source="e1", target="60")
+        slow = ping(target="60")
         task = asyncio.create_task(peers.call(address, slow, LIMIT_S))
         await asyncio.sleep(0.1)
         task.cancel()
         assert (await asyncio.gather(task, return_exceptions=True))[0] is not None
         result = await peers.call(address, slow, 0.2)
         assert result.failure().kind is ErrorKind.PEER_UNREACHABLE
-        assert await peers.call(address, Ping(source="e1"), LIMIT_S) == OK
+        assert await peers.call(address, ping(), LIMIT_S) == OK
 
 
 async def test_an_instance_that_was_not_there_is_reached_once_it_starts():
     one, other = build("e1", free_port()), build("e2", free_port())
     async with capnp.kj_loop(), one.running():
         peers, address = one.get("peers"), other.get("peers").address
-        result = await peers.call(address, Ping(source="e1"), LIMIT_S)
+        result = await peers.call(address, ping(), LIMIT_S)
         assert result.failure().kind is ErrorKind.PEER_UNREACHABLE
         async with other.running():
             await call_until_reached(peers, address)
@@ -99,13 +95,11 @@
         with echo_process(port) as process:
             await call_until_reached(peers, address)
             process.send_signal(signal.SIGSTOP)
-            result = await peers.call(address, Ping(source="e1"), 0.3)
+            result = await peers.call(address, ping(), 0.3)
             assert result.failure().kind is ErrorKind.PEER_UNREACHABLE
             process.send_signal(signal.SIGCONT)
             await call_until_reached(peers, address)
-            waiting = asyncio.create_task(
-                peers.call(address, Ping(source="e1", target="60"), 60.0)
-            )
+            waiting = asyncio.create_task(peers.call(address, ping(target="60"), 60.0))
             await asyncio.sleep(0.1)
             process.kill()
             async with asyncio.timeout(LIMIT_S):
@@ -117,14 +111,14 @@
 
 async def test_garbage_on_a_connection_disturbs_no_other():
     async with running_pair() as (peers, address):
-        assert await peers.call(address, Ping(source="e1"), LIMIT_S) == OK
+        assert await peers.call(address, ping(), LIMIT_S) == OK
         host, port = address.split(":")
         for garbage in (b"\xff" * 4096, b"GET / HTTP/1.1\r\n\r\n", b"\x00" * 7):
             _, writer = await asyncio.open_connection(host, int(port))
             writer.write(garbage)
             await writer.drain()
             writer.close()
-        assert await peers.call(address, Ping(source="e1"), LIMIT_S) == OK
+        assert await peers.call(address, ping(), LIMIT_S) == OK
 
 
 @pytest.mark.parametrize("name_bytes", [1500, 200_000])
@@ -135,7 +129,7 @@
     other = build("e2", free_port(), small if strict == "receiver" else None)
     async with capnp.kj_loop(), one.running(), other.running():
         peers, address = one.get("peers"), other.get("peers").address
-        result = await peers.call(address, Ping(source="x" * name_bytes), LIMIT_S)
+        result = await peers.call(address, ping(target="x" * name_bytes), LIMIT_S)
         assert result.failure().kind in REFUSED_KINDS
         await call_until_reached(peers, address)
 
@@ -144,9 +138,9 @@
     one, other = build("e1", free_port()), build("e2", free_port())
     async with capnp.kj_loop(), one.running(), other.running():
         peers, address = one.get("peers"), other.get("peers").address
-        assert await peers.call(address, Ping(source="e1"), LIMIT_S) == OK
+        assert await peers.call(address, ping(), LIMIT_S) == OK
         silent = peers._connections_by_address[address]
         silent._silent_since = 0.0
-        await peers.call(address, Ping(source="e1", target="5"), 0.1)
-        assert await peers.call(address, Ping(source="e1"), LIMIT_S) == OK
+        await peers.call(address, ping(target="5"), 0.1)
+        assert await peers.call(address, ping(), LIMIT_S) == OK
         assert peers._connections_by_address[address] is not silent
--- a/tests/test_peers/test_peers_memory.py
+++ b/tests/test_peers/test_peers_memory.py
@@ -15,6 +15,7 @@
 from cicadacourse.peers._dispatch import FailureReply, Frame
 from cicadacourse.util.clock import now
 from tests.memory_cluster import memory_cluster
+from tests.test_peers.echo_process import ACK, SENDER, ping
 
 REFUSAL = Error(ErrorKind.LIMIT_EXCEEDED, "no", "slow-down", retry_after_s=2.5)
 
@@ -29,15 +30,15 @@
         self.pings = 0
 
     @handles(Ping)
-    async def on_ping(self, ping):
+    async def on_ping(self, request):
         self.pings += 1
-        if ping.target == "refuse":
+        if request.target == "refuse":
             raise CicadacourseError(REFUSAL)
-        if ping.target == "hang":
+        if request.target == "hang":
             await asyncio.sleep(1000)
-        if ping.target == "break":
+        if request.target == "break":
             raise RuntimeError("broken")
-        return Ack(reached=True, deltas=ping.deltas)
+        return Ack(sender=SENDER, deltas=request.deltas)
 
 
 def echo_pair(seed=1):
@@ -46,8 +47,8 @@
 
 def test_a_message_comes_back_from_its_bytes_as_it_was():
     member = Member("n", "1.2.3.4:5", state=MemberState.SUSPECT, incarnation=2**63)
-    ping = Ping(source="ø", deltas=(member,))
-    assert decode("membership.Ping", encode(ping)) == ping
+    request = ping(target="ø", deltas=(member,))
+    assert decode("membership.Ping", encode(request)) == request
 
 
 @pytest.mark.parametrize("retry_after_s", [None, 0.0, 1.5])
@@ -62,7 +63,7 @@
         ("membership.Pong", b""),
         ("nothing", b""),
         ("membership.Ping", b"\xff" * 40),
-        ("membership.Ping", encode(Ping(source="x" * 200))[:30]),
+        ("membership.Ping", encode(ping(target="x" * 200))[:30]),
         ("membership.Ping", b"\x00\xff" * 500),
     ],
 )
@@ -73,7 +74,7 @@
 
 def test_a_value_that_does_not_fit_its_field_is_not_sent():
     with pytest.raises(MalformedMessage):
-        encode(Ping(source="x", deltas=(Member("n", "a", incarnation=-1),)))
+        encode(ping(deltas=(Member("n", "a", incarnation=-1),)))
 
 
 @pytest.mark.looptime
@@ -81,9 +82,9 @@
     async with echo_pair() as cluster:
         peers = cluster.get("e1", "peers")
         address = cluster.address("e2")
-        reply = await peers.call(address, Ping(source="e1"), 1.0)
-        assert reply == Success(Ack(reached=True))
-        refused = await peers.call(address, Ping(source="e1", target="refuse"), 1.0)
+        reply = await peers.call(address, ping(), 1.0)
+        assert reply == Success(ACK)
+        refused = await peers.call(address, ping(target="refuse"), 1.0)
         assert refused == Failure(REFUSAL)
 
 
@@ -91,11 +92,11 @@
 @pytest.mark.parametrize(
     ("request_message", "kind"),
     [
-        (Ping(source="e1", target="break"), ErrorKind.INTERNAL),
-        (Ping(source="e1", target="hang"), ErrorKind.PEER_UNREACHABLE),
-        (Ping(source="x" * 5_000_000), ErrorKind.TOO_LARGE),
+        (ping(target="break"), ErrorKind.INTERNAL),
+        (ping(target="hang"), ErrorKind.PEER_UNREACHABLE),
+        (ping(target="x" * 5_000_000), ErrorKind.TOO_LARGE),
         (FailureReply(kind="internal"), ErrorKind.INTERNAL),
-        (Ack(reached=True), ErrorKind.BAD_REQUEST),
+        (ACK, ErrorKind.BAD_REQUEST),
     ],
 )
 async def test_a_bad_call_gets_a_clear_error_and_disturbs_nothing(
@@ -106,9 +107,7 @@
         address = cluster.address("e2")
         result = await peers.call(address, request_message, 1.0)
         assert result.failure().kind is kind
-        assert await peers.call(address, Ping(source="e1"), 1.0) == Success(
-            Ack(reached=True)
-        )
+        assert await peers.call(address, ping(), 1.0) == Success(ACK)
 
 
 @pytest.mark.looptime
@@ -134,7 +133,7 @@
         else:
             await cluster.kill("e2")
         started = now()
-        result = await peers.call(address, Ping(source="e1"), 1.0)
+        result = await peers.call(address, ping(), 1.0)
         assert result.failure().kind is ErrorKind.PEER_UNREACHABLE
         assert now() - started <= 1.1
 
@@ -143,8 +142,10 @@
 async def test_a_frozen_instance_acts_on_what_arrived_once_it_is_thawed():
     async with echo_pair() as cluster:
         cluster.freeze("e2")
-        ping = Ping(source="e1")
-        result = await cluster.get("e1", "peers").call(cluster.address("e2"), ping, 1.0)
+        request = ping()
+        result = await cluster.get("e1", "peers").call(
+            cluster.address("e2"), request, 1.0
+        )
         assert isinstance(result, Failure)
         assert cluster.get("e2", "echo").pings == 0
         cluster.thaw("e2")
@@ -157,5 +158,5 @@
     async with echo_pair() as cluster:
         address = cluster.address("e2")
         cluster.network.link(cluster.address("e1"), address).duplicate = 1.0
-        await cluster.get("e1", "peers").call(address, Ping(source="e1"), 1.0)
+        await cluster.get("e1", "peers").call(address, ping(), 1.0)
         assert cluster.get("e2", "echo").pings == 2
