Register each metric in its own application's registry

aioprometheus collectors register with the library's process-wide registry unless one is given, so a second Application in one process failed with 'already registered'. Seen in tests/test_platform (16 failures); gone after.

--- a/cicadacourse/metrics.py
+++ b/cicadacourse/metrics.py
@@ -40,8 +40,9 @@
     def _get(self, name: str, cls: type[Counter] | type[Gauge]) -> Counter | Gauge:
         metric = self._by_name.get(name)
         if metric is None:
-            metric = cls(f"cicadacourse_{name}", HELP_BY_NAME[name])
-            self._registry.register(metric)
+            metric = cls(
+                f"cicadacourse_{name}", HELP_BY_NAME[name], registry=self._registry
+            )
             self._by_name[name] = metric
         return metric
 
