--- /dev/null
+++ b/cicadacourse/cmd/_status.py
@@ -0,0 +1,66 @@
+"""Asks running instances for their status."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, Sequence
+
+from returns.result import Failure, Result, Success
+
+from cicadacourse.errors import Error, ErrorKind
+from cicadacourse.util.http import HttpClient, HttpError
+
+STATUS_TIMEOUT_S = 3.0
+STATE_DEAD = "dead"
+
+_OK = 200
+
+
+async def fetch_status(http: HttpClient, address: str) -> Result[dict[str, Any], Error]:
+    """Returns the status that the instance at a caller address gives of itself."""
+    try:
+        answer = await http.request("GET", address, "/v1/status", STATUS_TIMEOUT_S)
+    except HttpError as error:
+        return Failure(Error(ErrorKind.PEER_UNREACHABLE, str(error)))
+    if answer.status != _OK:
+        detail = f"{address} answered {answer.status}"
+        return Failure(Error(ErrorKind.PEER_UNREACHABLE, detail))
+    try:
+        return Success(dict(answer.json()))
+    except (ValueError, TypeError) as error:
+        detail = f"{address}: malformed status: {error}"
+        return Failure(Error(ErrorKind.PEER_UNREACHABLE, detail))
+
+
+async def fetch_first_status(
+    http: HttpClient, addresses: Sequence[str]
+) -> Result[dict[str, Any], Error]:
+    """Returns the status of the first instance that answers."""
+    result: Result[dict[str, Any], Error] = Failure(
+        Error(ErrorKind.PEER_UNREACHABLE, "no address was given")
+    )
+    for address in addresses:
+        result = await fetch_status(http, address)
+        if isinstance(result, Success):
+            return result
+    return result
+
+
+async def fetch_versions(
+    http: HttpClient, members: Sequence[dict[str, Any]]
+) -> dict[str, int | None]:
+    """Returns the version in force on each member; None where none answered."""
+    statuses = await asyncio.gather(
+        *(fetch_status(http, member["caller_address"]) for member in members)
+    )
+    return {
+        member["name"]: status.map(lambda body: body.get("tables_version")).value_or(
+            None
+        )
+        for member, status in zip(members, statuses)
+    }
+
+
+def get_live_members(status: dict[str, Any]) -> list[dict[str, Any]]:
+    """Returns the members that an instance sees as not dead."""
+    return [row for row in status.get("members", ()) if row["state"] != STATE_DEAD]
--- a/cicadacourse/platform/_model.py
+++ b/cicadacourse/platform/_model.py
@@ -1,4 +1,4 @@
-"""Clients of the platform's services: the log, the instance list, the weight store."""
+"""What the clients of the platform's services return and offer."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/cicadacourse/util/http.py
@@ -0,0 +1,92 @@
+"""HTTP calls over the curl client, each with a time limit."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import attrs
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.httpclient import HTTPRequest
+
+MAX_CONNECTIONS = 512
+_NEVER_SENT = frozenset({pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST})
+
+
+class HttpError(Exception):
+    """No whole answer came.
+
+    :param sent: whether any byte of the request may have left.
+    """
+
+    def __init__(self, detail: str, sent: bool) -> None:
+        super().__init__(detail)
+        self.sent = sent
+
+
+@attrs.frozen
+class HttpAnswer:
+    """The status and body of an answer."""
+
+    status: int
+    body: bytes
+
+    def json(self) -> Any:
+        """Returns the body read as JSON.
+
+        :raises ValueError: if it is not JSON.
+        """
+        return json.loads(self.body)
+
+
+class HttpClient:
+    """Makes calls to addresses given as ``IP:port``; made for one event loop."""
+
+    def __init__(self) -> None:
+        self._curl: CurlAsyncHTTPClient | None = None
+
+    async def request(
+        self,
+        method: str,
+        address: str,
+        path: str,
+        timeout_s: float,
+        body: Any = None,
+    ) -> HttpAnswer:
+        """Makes one call and returns its answer, whatever its status.
+
+        :param body: sent as JSON unless None.
+        :raises HttpError: if no whole answer came within ``timeout_s``.
+        """
+        if timeout_s <= 0:
+            raise HttpError(f"{address}: no time is left", sent=False)
+        request = HTTPRequest(
+            f"http://{address}{path}",
+            method=method,
+            headers={"Content-Type": "application/json"},
+            body=None if body is None else json.dumps(body),
+            connect_timeout=timeout_s,
+            request_timeout=timeout_s,
+            allow_nonstandard_methods=True,
+            follow_redirects=False,
+        )
+        try:
+            response = await self._client().fetch(request, raise_error=False)
+        except CurlError as error:
+            sent = error.errno not in _NEVER_SENT
+            raise HttpError(f"{address}: {error}", sent) from error
+        return HttpAnswer(response.code, response.body or b"")
+
+    def close(self) -> None:
+        """Closes every connection."""
+        if self._curl is not None:
+            self._curl.close()
+            self._curl = None
+
+    def _client(self) -> CurlAsyncHTTPClient:
+        if self._curl is None:
+            self._curl = CurlAsyncHTTPClient(
+                force_instance=True, max_clients=MAX_CONNECTIONS
+            )
+        return self._curl
