--- a/cicadacourse/endpoints/__init__.py
+++ b/cicadacourse/endpoints/__init__.py
@@ -1,6 +1,8 @@
 """Endpoints: who they are, whether they serve, and the calls they take."""
 
 from cicadacourse.endpoints._client import EndpointClient, Lines
+from cicadacourse.endpoints._directory import REASON_LEAVING, Directory
+from cicadacourse.endpoints._http import HttpEndpointClient
 from cicadacourse.endpoints._model import (
     SESSION_FINISHED,
     SESSION_HELD,
@@ -18,6 +20,9 @@
 )
 
 __all__ = [
+    "REASON_LEAVING",
+    "Directory",
+    "HttpEndpointClient",
     "SESSION_FINISHED",
     "SESSION_HELD",
     "SESSION_RESERVED",
