--- a/cicadacourse/endpoints/_curl.py
+++ b/cicadacourse/endpoints/_curl.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 from collections import deque
-from typing import AsyncIterator
+from typing import Any, AsyncIterator
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -52,6 +52,7 @@
         self._fresh_connection = False
         self.rest = b""
         self.status = 0
+        self.connected = False
 
     @property
     def buffered_bytes(self) -> int:
@@ -59,11 +60,15 @@
         return self._size
 
     @property
-    def response(self) -> HTTPResponse | None:
-        """The answer without its body, once the transfer is over."""
-        if self._fetch is None or not self._fetch.done():
-            return None
-        return self._fetch.result()
+    def done(self) -> bool:
+        """Whether the transfer is over."""
+        return self._fetch is not None and self._fetch.done()
+
+    @property
+    def error(self) -> BaseException | None:
+        """Why the transfer broke, or None if it did not."""
+        assert self._fetch is not None and self._fetch.done()
+        return self._fetch.exception()
 
     @contextlib.asynccontextmanager
     async def transfer(
@@ -71,6 +76,9 @@
     ) -> AsyncIterator[BodyStream]:
         """Sends a request; leaving the context ends the transfer.
 
+        :attr:`status` is the HTTP status as soon as it is known, and
+        :attr:`connected` whether any byte of the request may have left.
+
         :param fresh_connection: connect anew. On a kept connection that closes
             without an answer the curl library sends the request a second time.
         """
@@ -84,8 +92,10 @@
             yield self
         finally:
             self._closed = True
-            if self._curl is not None and not self._fetch.done():
+            if self._curl is not None and not self.done:
                 self._client.abort(self._curl)
+            if self.done:
+                self._fetch.exception()
             self._curl = None
 
     async def chunks(self) -> AsyncIterator[bytes]:
@@ -93,7 +103,7 @@
         while True:
             while self._chunks:
                 yield self._take()
-            if self.response is not None:
+            if self.done:
                 return
             self._changed.clear()
             await self._changed.wait()
@@ -117,16 +127,24 @@
         self._curl = curl
         curl.setopt(pycurl.NOSIGNAL, 1)
         curl.setopt(pycurl.WRITEFUNCTION, self._write)
+        curl.setopt(pycurl.HEADERFUNCTION, self._read_header)
+        curl.setopt(pycurl.PREREQFUNCTION, self._note_connected)
         curl.setopt(pycurl.FRESH_CONNECT, self._fresh_connection)
 
+    def _note_connected(self, *addresses: Any) -> int:
+        self.connected = True
+        return pycurl.PREREQFUNC_OK
+
+    def _read_header(self, header: bytes) -> None:
+        if header.startswith(b"HTTP/"):
+            self.status = int(header.split()[1])
+
     def _write(self, chunk: bytes) -> int:
         if self._closed:
             return 0
         if self._size >= self._limit_bytes:
             self._paused = True
             return pycurl.WRITEFUNC_PAUSE
-        if not self.status and self._curl is not None:
-            self.status = self._curl.getinfo(pycurl.RESPONSE_CODE)
         self._chunks.append(chunk)
         self._size += len(chunk)
         self._changed.set()
@@ -135,7 +153,7 @@
     def _take(self) -> bytes:
         chunk = self._chunks.popleft()
         self._size -= len(chunk)
-        if self._paused and not self._chunks and self.response is None:
+        if self._paused and not self._chunks and not self.done:
             self._paused = False
             assert self._curl is not None
             self._client.resume(self._curl)
--- a/cicadacourse/endpoints/_http.py
+++ b/cicadacourse/endpoints/_http.py
@@ -6,11 +6,11 @@
 import json
 from typing import Any, AsyncIterator, Callable, TypeVar
 
-import pycurl
 from returns.result import Failure, Result, Success
-from tornado.httpclient import HTTPRequest, HTTPResponse
+from tornado.httpclient import HTTPRequest
 
 from cicadacourse.application import SERVICES, Application
+from cicadacourse.config import InstanceSettings
 from cicadacourse.endpoints._answers import (
     refusal_of,
     to_events,
@@ -36,12 +36,12 @@
 )
 from cicadacourse.endpoints._settings import EndpointSettings
 from cicadacourse.errors import CicadacourseError, Error, ErrorKind
+from cicadacourse.util.tokens import count_tokens
 
 T = TypeVar("T")
 
 ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
 HTTP_REFUSED = frozenset({400, 404, 409, 413, 422, 429, 503})
-NOTHING_SENT = frozenset({pycurl.E_COULDNT_CONNECT})
 
 
 @SERVICES.register("endpoint_client")
@@ -82,10 +82,10 @@
             "session": grant.session,
             "request": work.request_id,
             "attempt": work.attempt,
-            "owner": grant.dispatcher,
+            "owner": self.app.settings.get(InstanceSettings).name,
             "prompt": prompt,
             "emitted": emitted,
-            "max_tokens": work.max_output_tokens,
+            "max_tokens": count_tokens(emitted) + work.max_output_tokens,
             "priority": grant.priority,
             "time_limit_s": time_left_s,
             "members": members,
@@ -275,10 +275,8 @@
         stream = self._body_stream(ANSWER_LIMIT_BYTES)
         async with stream.transfer(request, fresh_connection=once):
             content = b"".join([chunk async for chunk in stream.chunks()])
-        response = stream.response
-        assert response is not None
-        if response.code != HTTP_OK:
-            return Failure(_to_error(endpoint, response, content))
+        if stream.error is not None or stream.status != HTTP_OK:
+            return Failure(_to_error(endpoint, stream, content))
         try:
             return Success(to_answer(json.loads(content) if content else {}))
         except (ValueError, KeyError, TypeError) as error:
@@ -306,30 +304,21 @@
             raise CicadacourseError(
                 Error(ErrorKind.ENDPOINT_FAILED, detail, "wrong_answer")
             ) from error
-        response = stream.response
-        if response is not None and response.code != HTTP_OK:
+        if stream.error is not None or stream.status != HTTP_OK:
             content += stream.rest
-            raise CicadacourseError(_to_error(endpoint, response, content))
+            raise CicadacourseError(_to_error(endpoint, stream, content))
 
 
-def _to_error(endpoint: Endpoint, response: HTTPResponse, content: bytes) -> Error:
+def _to_error(endpoint: Endpoint, stream: BodyStream, content: bytes) -> Error:
     """Returns what a failed transfer says about whether the endpoint acted."""
-    if response.code in HTTP_REFUSED:
-        return refusal_of(endpoint, response.code, content)
-    detail = f"{endpoint.name}: {response.error or response.code}"
-    error_number = getattr(response.error, "errno", None)
-    if error_number in NOTHING_SENT or _never_connected(response):
+    detail = f"{endpoint.name}: {stream.error or stream.status}"
+    if not stream.connected:
         return Error(ErrorKind.ENDPOINT_UNREACHABLE, detail)
+    if stream.error is None and stream.status in HTTP_REFUSED:
+        return refusal_of(endpoint, stream.status, content)
     return Error(ErrorKind.ENDPOINT_FAILED, detail)
 
 
-def _never_connected(response: HTTPResponse) -> bool:
-    """Whether the transfer ended before its connection stood."""
-    error_number = getattr(response.error, "errno", None)
-    timed_out = error_number == pycurl.E_OPERATION_TIMEDOUT
-    return timed_out and response.time_info.get("pretransfer", 1) == 0
-
-
 def _to_fenced(error: Error) -> Error:
     if error.label != "fenced":
         return error
