--- a/bench/load/_results.py
+++ b/bench/load/_results.py
@@ -24,6 +24,7 @@
 class RequestResult:
     """One request of a run.
 
+    :param endpoint: the engine of the last attempt.
     :param first_token_s: from its arrival to the first token, or None.
     :param gaps_s: times between the tokens of its answer.
     :param total_s: from its arrival to its end.
@@ -35,6 +36,7 @@
     fate: Fate = Fate.LATE
     reason: str = ""
     attempts: int = 0
+    endpoint: str = ""
     first_token_s: float | None = None
     total_s: float = 0.0
     gaps_s: list[float] = attrs.field(factory=list)
--- a/bench/load/_run.py
+++ b/bench/load/_run.py
@@ -146,6 +146,7 @@
                 self._refuse(acquired.failure())
                 return
             grant = acquired.unwrap()
+            self.result.endpoint = grant.endpoint.name
             error = await self._attempt(grant, work)
             if error is None:
                 return
--- a/cicadacourse/routing/_candidates.py
+++ b/cicadacourse/routing/_candidates.py
@@ -15,13 +15,21 @@
 from cicadacourse.util.hashing import rank
 
 AFFINE_CANDIDATES = 2
-HOME_CANDIDATES = 2
-OTHER_CANDIDATES = 1
-AWAY_PENALTY_S = 0.3
-
 LONG_PART = 0.3
 MEDIUM_PART = 0.5
 
+HOME_CANDIDATES_BY_CLASS: dict[PromptClass, int] = {
+    PromptClass.SHORT: 2,
+    PromptClass.MEDIUM: 3,
+    PromptClass.LONG: 6,
+}
+
+AWAY_PENALTIES_S: dict[PromptClass, dict[PromptClass, float]] = {
+    PromptClass.SHORT: {PromptClass.MEDIUM: 0.8, PromptClass.LONG: 1.0},
+    PromptClass.MEDIUM: {PromptClass.LONG: 1.0, PromptClass.SHORT: 2.0},
+    PromptClass.LONG: {PromptClass.MEDIUM: 5.0},
+}
+
 
 @attrs.frozen
 class Candidate:
@@ -34,31 +42,25 @@
     penalty_s: float = 0.0
 
 
-def home_endpoints(
-    prompt_class: PromptClass, endpoints: Sequence[Endpoint]
-) -> list[Endpoint]:
-    """Returns the endpoints that are kept for a class of prompts.
+def homes_by_class(
+    endpoints: Sequence[Endpoint],
+) -> dict[PromptClass, list[Endpoint]]:
+    """Returns the endpoints that are kept for each class of prompts.
 
     A step that prefills a chunk of a long prompt delays every answer that the engine
     decodes, so each class has a part of each failure domain's engines to itself.
     """
     by_domain: dict[str, list[Endpoint]] = defaultdict(list)
-    for endpoint in endpoints:
+    for endpoint in sorted(endpoints, key=lambda one: one.name):
         by_domain[endpoint.failure_domain].append(endpoint)
-    home: list[Endpoint] = []
+    homes: dict[PromptClass, list[Endpoint]] = defaultdict(list)
     for members in by_domain.values():
-        home += _part(prompt_class, sorted(members, key=lambda one: one.name))
-    return home or list(endpoints)
-
-
-def _part(prompt_class: PromptClass, members: list[Endpoint]) -> list[Endpoint]:
-    long_end = math.ceil(len(members) * LONG_PART)
-    medium_end = max(long_end, math.ceil(len(members) * MEDIUM_PART))
-    if prompt_class.is_long:
-        return members[:long_end]
-    if prompt_class is PromptClass.MEDIUM:
-        return members[long_end:medium_end]
-    return members[medium_end:]
+        long_end = math.ceil(len(members) * LONG_PART)
+        medium_end = max(long_end, math.ceil(len(members) * MEDIUM_PART))
+        homes[PromptClass.LONG] += members[:long_end]
+        homes[PromptClass.MEDIUM] += members[long_end:medium_end]
+        homes[PromptClass.SHORT] += members[medium_end:]
+    return homes
 
 
 def choose_candidates(
@@ -73,19 +75,24 @@
     The first block alone would send all that share it to one endpoint, so the
     deepest block known ranks as well and the probes' estimates bound the load.
     """
-    home = list(endpoints)
-    if parts.placement:
-        home = home_endpoints(prompt_class, endpoints)
-    chosen = [Candidate(one) for one in _choose_home(work, home, parts, rng)]
-    if not prompt_class.is_long or not parts.long_share:
-        away = [endpoint for endpoint in endpoints if endpoint not in home]
-        sample = rng.sample(away, min(OTHER_CANDIDATES, len(away)))
-        chosen += [Candidate(one, AWAY_PENALTY_S) for one in sample]
-    return chosen
-
-
-def _choose_home(
-    work: Work, home: Sequence[Endpoint], parts: Parts, rng: random.Random
+    if not parts.placement:
+        return [Candidate(one) for one in _choose(work, endpoints, 3, parts, rng)]
+    homes = homes_by_class(endpoints)
+    count = HOME_CANDIDATES_BY_CLASS[prompt_class]
+    chosen = _choose(work, homes[prompt_class], count, parts, rng)
+    candidates = [Candidate(one) for one in chosen]
+    for other, penalty_s in AWAY_PENALTIES_S[prompt_class].items():
+        if homes[other]:
+            candidates.append(Candidate(rng.choice(homes[other]), penalty_s))
+    return candidates or [Candidate(rng.choice(endpoints))]
+
+
+def _choose(
+    work: Work,
+    home: Sequence[Endpoint],
+    count: int,
+    parts: Parts,
+    rng: random.Random,
 ) -> list[Endpoint]:
     by_name = {endpoint.name: endpoint for endpoint in home}
     names: list[str] = []
@@ -93,5 +100,5 @@
         for block in (work.prefix[0], work.prefix[-1]):
             names += rank(str(block), by_name)[:AFFINE_CANDIDATES]
     others = [name for name in by_name if name not in names]
-    names += rng.sample(others, min(HOME_CANDIDATES, len(others)))
+    names += rng.sample(others, min(count, len(others)))
     return [by_name[name] for name in dict.fromkeys(names)]
--- a/cicadacourse/routing/_dispatch_client.py
+++ b/cicadacourse/routing/_dispatch_client.py
@@ -63,7 +63,7 @@
     async def estimate(
         self, work: Work, candidates: Sequence[Candidate]
     ) -> dict[str, float]:
-        """Returns the estimated first-token times by endpoint, in seconds.
+        """Returns the estimated delays by endpoint, in seconds.
 
         One message per dispatcher; those that don't answer in time are left out.
         """
@@ -78,7 +78,7 @@
         seconds_by_name: dict[str, float] = {}
         for answer in await asyncio.gather(*probes):
             for estimate in answer:
-                seconds_by_name[estimate.endpoint] = estimate.first_token_s
+                seconds_by_name[estimate.endpoint] = estimate.delay_s
         return seconds_by_name
 
     async def request(
--- a/cicadacourse/routing/_dispatcher.py
+++ b/cicadacourse/routing/_dispatcher.py
@@ -90,8 +90,7 @@
         for name in probe.endpoints:
             queue = await self._ready_queue(name, probe.work)
             if queue is not None:
-                first_token_s = queue.first_token_s(probe.work, now())
-                estimates.append(Estimate(endpoint=name, first_token_s=first_token_s))
+                estimates.append(_estimate(name, queue, probe.work))
         return Estimates(estimates=tuple(estimates))
 
     async def request(self, request: GrantRequest) -> GrantReply:
@@ -129,7 +128,7 @@
         """Frees the memory of grants that are used no more."""
         for returned in returns.grants:
             queue = self._queues_by_endpoint.get(returned.endpoint)
-            if queue is not None and queue.ledger.remove(returned.session, now()):
+            if queue is not None and queue.take_back(returned.session, now()):
                 self._changed(returned.endpoint)
 
     def reconcile(self, endpoint: Endpoint, listed: SessionList) -> None:
@@ -169,8 +168,7 @@
     ) -> None:
         if not self.parts.deadlines:
             return
-        decode_s = request.work.max_output_tokens / queue.pool.decode_tokens_per_s
-        needed_s = queue.first_token_s(request.work, time) + decode_s
+        needed_s = queue.needed_s(request.work, time)
         if needed_s > request.time_left_s:
             detail = f"needs {needed_s:.1f} s of {request.time_left_s:.1f} s left"
             late_s = needed_s - request.time_left_s
@@ -269,3 +267,12 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
+
+
+def _estimate(name: str, queue: EndpointQueue, work: Work) -> Estimate:
+    time = now()
+    return Estimate(
+        endpoint=name,
+        first_token_s=queue.first_token_s(work, time),
+        interference_s=queue.interference_s(work, time),
+    )
--- a/cicadacourse/routing/_messages.py
+++ b/cicadacourse/routing/_messages.py
@@ -21,10 +21,20 @@
 
 @attrs.frozen
 class Estimate:
-    """When an endpoint would give the first token, in seconds from now."""
+    """What an endpoint would give a work, in seconds.
+
+    :param first_token_s: until the first token.
+    :param interference_s: by which the prefill of others would delay the rest.
+    """
 
     endpoint: str
     first_token_s: float
+    interference_s: float
+
+    @property
+    def delay_s(self) -> float:
+        """What estimates are compared by."""
+        return self.first_token_s + self.interference_s
 
 
 @message("dispatch.Estimates")
--- a/cicadacourse/routing/_queue.py
+++ b/cicadacourse/routing/_queue.py
@@ -16,6 +16,10 @@
 from cicadacourse.tables import Pool
 
 PREFILL_WINDOW_S = 0.25
+PREFILL_STEP_DELAY = 0.67
+MAX_PREFILL_DELAY = 1.5
+STRETCH_WEIGHT = 0.2
+MAX_STRETCH = 4.0
 WAITER_GONE_S = 3.0
 OUTPUT_TOKEN_COST = 10.0
 
@@ -61,6 +65,7 @@
         self._prefixes = PrefixMemory(pool.kv_capacity_tokens // 2)
         self._shares = FairShare()
         self._waiters_by_key: dict[str, Waiter] = {}
+        self._stretch = 1.0
 
     def __len__(self) -> int:
         return len(self._waiters_by_key)
@@ -81,6 +86,20 @@
             memory_s = max(memory_s, self._long_wait_s(work.kv_tokens, time))
         return max(engine_s + queue_s, memory_s + self._prefill_s(work))
 
+    def interference_s(self, work: Work, time: float) -> float:
+        """Estimates how much the prefill of others would delay the work's tokens."""
+        backlog_s = self._backlog.wait_s(0, time) + self._queued_s(work, 0)
+        decode_s = work.max_output_tokens / self.pool.decode_tokens_per_s
+        return min(backlog_s * PREFILL_STEP_DELAY, decode_s * MAX_PREFILL_DELAY)
+
+    def needed_s(self, work: Work, time: float) -> float:
+        """Estimates when the whole answer would be out, in seconds."""
+        first_token_s = self.first_token_s(work, time)
+        interference_s = self.interference_s(work, time)
+        return first_token_s + max(
+            self.decode_s(work), self.decode_s(work) / self._stretch + interference_s
+        )
+
     def join(self, waiter: Waiter) -> None:
         """Adds a request to the queue."""
         self._waiters_by_key[key_of(waiter.work)] = waiter
@@ -98,6 +117,17 @@
         if granted is not None:
             self.ledger.remove(granted.session, time)
 
+    def take_back(self, session: str, time: float) -> bool:
+        """Frees a grant's memory and learns from how long it was in use."""
+        granted = self.ledger.remove(session, time)
+        if granted is None:
+            return False
+        expected_s = max(granted.expected_end - granted.granted_at, 0.1)
+        ratio = (time - granted.granted_at) * self._stretch / expected_s
+        stretch = self._stretch + STRETCH_WEIGHT * (ratio - self._stretch)
+        self._stretch = min(max(stretch, 1.0), MAX_STRETCH)
+        return True
+
     def clear(self) -> None:
         """Sends every waiting request away."""
         for waiter in self._waiters_by_key.values():
@@ -187,10 +217,17 @@
             if key != own_key and self.priority(one.prompt_class) >= priority
         )
 
-    def service_s(self, work: Work) -> float:
-        """Returns how long an idle engine would take for the whole answer."""
+    def decode_s(self, work: Work) -> float:
+        """Returns how long the answer would take after the first token.
+
+        Scaled by how much longer than expected recent grants were in use.
+        """
         decode_s = work.max_output_tokens / self.pool.decode_tokens_per_s
-        return self._prefill_s(work) + decode_s
+        return decode_s * self._stretch
+
+    def service_s(self, work: Work) -> float:
+        """Returns how long the answer would take if it started now."""
+        return self._prefill_s(work) + self.decode_s(work)
 
     def _prefill_s(self, work: Work) -> float:
         return self._uncached(work) / self.pool.prefill_tokens_per_s
--- a/cicadacourse/schema/dispatch.capnp
+++ b/cicadacourse/schema/dispatch.capnp
@@ -20,6 +20,8 @@
   endpoint @0 :Text;
   # Seconds until the first token would be out.
   firstTokenS @1 :Float64;
+  # Seconds by which the prefill of others would delay the tokens after it.
+  interferenceS @2 :Float64;
 }
 
 struct Estimates {
