--- /dev/null
+++ b/cicadacourse/cmd/entry.py
@@ -0,0 +1,110 @@
+"""``cicadacourse entry``: run one entry instance."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import contextlib
+import pathlib
+import signal
+import sys
+from typing import Iterator
+
+import capnp
+from returns.result import Failure, Success
+
+from cicadacourse.application import SERVICES, Application
+from cicadacourse.cmd import EXIT_ERROR, EXIT_OK, EXIT_USAGE
+from cicadacourse.cmd._families import load_families
+from cicadacourse.config import InstanceSettings, Settings, parse_settings
+from cicadacourse.util.clock import BoottimeEventLoop
+from cicadacourse.util.logging import get_logger, set_up_logging
+
+logger = get_logger("instance")
+
+SERVICES_IN_ORDER = (
+    "log",
+    "instance_list",
+    "peers",
+    "membership",
+    "tables",
+    "directory",
+    "endpoint_client",
+    "limits",
+    "claims",
+    "sessions",
+    "orders",
+    "routing",
+    "entry",
+)
+
+
+def get_parser() -> argparse.ArgumentParser:
+    """Returns the parser of this command."""
+    parser = argparse.ArgumentParser(
+        prog="cicadacourse entry",
+        description="Run one entry instance until SIGTERM, then leave gracefully.",
+        epilog="exit status: 0 left gracefully, 1 could not start, 2 wrong settings",
+    )
+    parser.add_argument(
+        "--settings",
+        required=True,
+        type=pathlib.Path,
+        metavar="FILE",
+        help="the instance's settings, INI",
+    )
+    return parser
+
+
+def main(argv: list[str]) -> int:
+    """Runs the instance and returns its exit status."""
+    arguments = get_parser().parse_args(argv)
+    load_families()
+    try:
+        text = arguments.settings.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        print(f"{arguments.settings}: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    match parse_settings(str(arguments.settings), text):
+        case Failure(errors):
+            for error in errors:
+                print(error.detail, file=sys.stderr)
+            return EXIT_USAGE
+        case Success(settings):
+            pass
+    set_up_logging(settings.get(InstanceSettings).log_level)
+    with asyncio.Runner(loop_factory=BoottimeEventLoop) as runner:
+        return runner.run(_run(settings))
+
+
+async def _run(settings: Settings) -> int:
+    app = Application(settings)
+    app.add_services(*(name for name in SERVICES_IN_ORDER if name in SERVICES))
+    name = settings.get(InstanceSettings).name
+    try:
+        async with capnp.kj_loop():
+            with _termination() as terminated:
+                async with app.running():
+                    logger.info("instance {} runs", name)
+                    await terminated.wait()
+                    await app.get("entry").drain()
+    except OSError as error:
+        logger.error("instance {} stops: {}", name, error)
+        return EXIT_ERROR
+    logger.info("instance {} has left", name)
+    return EXIT_OK
+
+
+@contextlib.contextmanager
+def _termination() -> Iterator[asyncio.Event]:
+    """Yields an event that SIGTERM or SIGINT sets."""
+    loop = asyncio.get_running_loop()
+    terminated = asyncio.Event()
+    signals = (signal.SIGTERM, signal.SIGINT)
+    for number in signals:
+        loop.add_signal_handler(number, terminated.set)
+    try:
+        yield terminated
+    finally:
+        for number in signals:
+            loop.remove_signal_handler(number)
--- a/cicadacourse/endpoints/__init__.py
+++ b/cicadacourse/endpoints/__init__.py
@@ -1,6 +1,7 @@
 """Endpoints: who they are, whether they serve, and the calls they take."""
 
 from cicadacourse.endpoints._client import EndpointClient, Lines
+from cicadacourse.endpoints._curl import AbortableCurlClient, BodyStream
 from cicadacourse.endpoints._directory import REASON_LEAVING, Directory
 from cicadacourse.endpoints._http import HttpEndpointClient
 from cicadacourse.endpoints._model import (
@@ -20,6 +21,8 @@
 )
 
 __all__ = [
+    "AbortableCurlClient",
+    "BodyStream",
     "REASON_LEAVING",
     "Directory",
     "HttpEndpointClient",
--- /dev/null
+++ b/cicadacourse/entry/_call.py
@@ -0,0 +1,102 @@
+"""Serves a request of a ``call`` route: one call of a plain service."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from returns.result import Failure, Result, Success
+
+from cicadacourse.entry._attempts import NOT_SENT, Attempts
+from cicadacourse.errors import Error
+from cicadacourse.routing import Grant, Outcome, Work
+
+if TYPE_CHECKING:
+    from cicadacourse.application import Application
+
+SHARE_OF_TIME_LEFT = 0.5
+
+
+class ServiceCall:
+    """Runs one request's calls until one is answered or none may follow.
+
+    A call that may not be repeated is sent to an endpoint once at the most: after
+    any byte may have left, its outcome without an answer is unknown.
+    """
+
+    def __init__(self, app: Application, attempts: Attempts) -> None:
+        self.app = app
+        self._attempts = attempts
+        self._request = attempts.request
+
+    async def run(self) -> Result[Any, Error]:
+        """Returns the service's result, or why there is none."""
+        while True:
+            work = self._work(self._attempts.start())
+            acquired = await self.app.get("routing").acquire(
+                work, self._attempts.deadline, frozenset(self._attempts.excluded)
+            )
+            match acquired:
+                case Failure(error):
+                    return Failure(self._attempts.final(error))
+                case Success(grant):
+                    pass
+            result = await self._call(grant, work.attempt)
+            if isinstance(result, Success):
+                return result
+            error = result.failure()
+            self._attempts.note_failure(grant.endpoint, error)
+            if not self._attempts.may_repeat(error):
+                return Failure(self._attempts.final(error))
+            await self._attempts.back_off()
+
+    def _work(self, attempt: int) -> Work:
+        return Work(
+            request_id=self._request.request_id,
+            attempt=attempt,
+            organisation=self._request.organisation,
+            pool=self._attempts.pool.name,
+            prompt_tokens=self._request.prompt_tokens,
+        )
+
+    async def _call(self, grant: Grant, attempt: int) -> Result[Any, Error]:
+        outcome = Outcome.ABANDONED
+        ran_before = self._attempts.may_have_run
+        try:
+            self._attempts.note_sent()
+            result = await self.app.get("endpoint_client").call(
+                grant.endpoint,
+                self._request.request_id,
+                attempt,
+                self._request.organisation,
+                self._body(),
+                self._call_time_s(),
+            )
+            outcome = Outcome.COMPLETE
+            if isinstance(result, Failure):
+                outcome = Outcome.FAILED
+                if result.failure().kind in NOT_SENT:
+                    outcome = Outcome.REFUSED
+                    self._attempts.may_have_run = ran_before
+        finally:
+            self.app.get("routing").release(grant, outcome)
+        if outcome is Outcome.COMPLETE:
+            self.app.get("directory").record_success(grant.endpoint.name)
+        return result
+
+    def _call_time_s(self) -> float:
+        """Returns the time for one call, leaving some for another if it may follow."""
+        left_s = self._attempts.time_left_s
+        if not self._attempts.repeatable:
+            return left_s
+        share_s = max(
+            self._attempts.pool.progress_timeout_s, left_s * SHARE_OF_TIME_LEFT
+        )
+        return min(left_s, share_s)
+
+    def _body(self) -> Any:
+        """Returns the prompt as the service's body, as JSON where it is JSON."""
+        try:
+            return json.loads(self._request.prompt)
+        except ValueError:
+            return self._request.prompt
