--- a/cicadacourse/caller.py
+++ b/cicadacourse/caller.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import uuid
-from typing import Any, AsyncIterator, Sequence
+from typing import Any, Sequence
 
 import attrs
 from tornado.httpclient import HTTPRequest
@@ -110,8 +110,7 @@
             return PAUSE_BEFORE_RETRY_S
         body = exchange.body(deadline - now())
         try:
-            lines = self._post(address, body, deadline - now() + GRACE_S)
-            await exchange.read(lines)
+            await self._post(address, body, deadline - now() + GRACE_S, exchange)
         except _Broken as broken:
             self._drop(address)
             exchange.note_lost(broken.connected)
@@ -155,14 +154,14 @@
         )
         stream = BodyStream(self._curl, BUFFER_BYTES)
         async with stream.transfer(request):
-            content = b"".join([chunk async for chunk in stream.chunks()])
+            content = await stream.read_all()
         if stream.error is not None:
             raise _Broken(stream.connected)
         return content
 
     async def _post(
-        self, address: str, body: bytes, timeout_s: float
-    ) -> AsyncIterator[dict[str, Any]]:
+        self, address: str, body: bytes, timeout_s: float, exchange: _Exchange
+    ) -> None:
         request = HTTPRequest(
             f"http://{address}/v1/requests",
             method="POST",
@@ -173,12 +172,11 @@
         stream = BodyStream(self._curl, BUFFER_BYTES)
         # A kept connection that closes would make the curl library send again.
         async with stream.transfer(request, fresh_connection=True):
-            async for line in stream.lines():
-                try:
-                    yield json.loads(line)
-                except ValueError:
-                    raise _Broken(connected=True) from None
-        raise _Broken(stream.connected)
+            while not exchange.over:
+                lines = await stream.read_lines()
+                if not lines:
+                    raise _Broken(stream.connected)
+                exchange.take_lines(lines)
 
 
 @attrs.define
@@ -195,6 +193,7 @@
 
     def body(self, time_left_s: float) -> bytes:
         """Returns the request's body, with what is already here of its answer."""
+        self.reply.error = None
         fields = {**self.fields, "time_limit_s": max(time_left_s, 0.001)}
         if self.position:
             self.reply.resumes += 1
@@ -205,13 +204,20 @@
             }
         return json.dumps(fields).encode()
 
-    async def read(self, lines: AsyncIterator[dict[str, Any]]) -> None:
+    @property
+    def over(self) -> bool:
+        """Whether this try was answered."""
+        return self.ended or self.reply.error is not None
+
+    def take_lines(self, lines: list[bytes]) -> None:
         """Reads lines up to the end mark, a result or an error."""
-        self.reply.error = None
-        async for line in lines:
-            self._take(line)
-            if self.ended or self.reply.error:
+        for text in lines:
+            if self.over:
                 return
+            try:
+                self._take(json.loads(text))
+            except (ValueError, KeyError, TypeError):
+                raise _Broken(connected=True) from None
 
     def _take(self, line: dict[str, Any]) -> None:
         if "error" in line:
--- a/cicadacourse/endpoints/_curl.py
+++ b/cicadacourse/endpoints/_curl.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-from collections import deque
 from typing import Any, AsyncIterator
 
 import pycurl
@@ -25,6 +24,11 @@
         self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "aborted")
         self._process_queue()
 
+    def _handle_timeout(self) -> None:
+        # Closing the handles sets the timer once more.
+        if self._multi is not None:
+            super()._handle_timeout()
+
     def resume(self, curl: pycurl.Curl) -> None:
         """Goes on with a transfer whose write function paused it."""
         with contextlib.suppress(pycurl.error):
@@ -42,7 +46,7 @@
     def __init__(self, client: AbortableCurlClient, limit_bytes: int) -> None:
         self._client = client
         self._limit_bytes = limit_bytes
-        self._chunks: deque[bytes] = deque()
+        self._chunks: list[bytes] = []
         self._size = 0
         self._paused = False
         self._changed = asyncio.Event()
@@ -98,28 +102,37 @@
                 self._fetch.exception()
             self._curl = None
 
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yields the body's chunks; ends when the transfer is over."""
-        while True:
-            while self._chunks:
-                yield self._take()
+    async def read(self) -> bytes:
+        """Returns what has arrived, waiting for some; empty when all was read."""
+        while not self._chunks:
             if self.done:
-                return
+                return b""
             self._changed.clear()
             await self._changed.wait()
+        return self._take()
+
+    async def read_all(self) -> bytes:
+        """Returns the whole body."""
+        parts = []
+        while part := await self.read():
+            parts.append(part)
+        return b"".join(parts)
 
-    async def lines(self) -> AsyncIterator[bytes]:
-        """Yields whole lines; a last line without its end stays in :attr:`rest`.
+    async def read_lines(self) -> list[bytes]:
+        """Returns the whole lines that have arrived, at least one; none at the end.
+
+        A last line without its end stays in :attr:`rest`.
 
         :raises ValueError: if a line is longer than :data:`MAX_LINE_BYTES`.
         """
-        async for chunk in self.chunks():
-            parts = (self.rest + chunk).split(b"\n")
-            self.rest = parts.pop()
+        while part := await self.read():
+            lines = (self.rest + part).split(b"\n")
+            self.rest = lines.pop()
             if len(self.rest) > MAX_LINE_BYTES:
                 raise ValueError("line too long")
-            for part in parts:
-                yield part
+            if lines:
+                return lines
+        return []
 
     def _prepare(self, curl: pycurl.Curl) -> None:
         if self._closed:
@@ -151,10 +164,11 @@
         return len(chunk)
 
     def _take(self) -> bytes:
-        chunk = self._chunks.popleft()
-        self._size -= len(chunk)
-        if self._paused and not self._chunks and not self.done:
+        data = b"".join(self._chunks)
+        self._chunks.clear()
+        self._size = 0
+        if self._paused and not self.done:
             self._paused = False
             assert self._curl is not None
             self._client.resume(self._curl)
-        return chunk
+        return data
--- a/cicadacourse/endpoints/_http.py
+++ b/cicadacourse/endpoints/_http.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import json
+from collections import deque
 from typing import Any, AsyncIterator, Callable, TypeVar
 
 from returns.result import Failure, Result, Success
@@ -32,6 +33,7 @@
     KvExport,
     Order,
     SessionList,
+    StreamLine,
     WorkView,
 )
 from cicadacourse.endpoints._settings import EndpointSettings
@@ -274,7 +276,7 @@
         request = self._request(endpoint, method, path, timeout_s, body)
         stream = self._body_stream(ANSWER_LIMIT_BYTES)
         async with stream.transfer(request, fresh_connection=once):
-            content = b"".join([chunk async for chunk in stream.chunks()])
+            content = await stream.read_all()
         if stream.error is not None or stream.status != HTTP_OK:
             return Failure(_to_error(endpoint, stream, content))
         try:
@@ -289,24 +291,40 @@
     ) -> AsyncIterator[Lines]:
         stream = self._body_stream(self._settings.stream_buffer_bytes)
         async with stream.transfer(request):
-            yield self._lines(endpoint, stream)
+            yield _LineReader(endpoint, stream)
 
-    async def _lines(self, endpoint: Endpoint, stream: BodyStream) -> Lines:
-        content = b""
+
+class _LineReader:
+    """The lines of an engine's stream, read one by one."""
+
+    def __init__(self, endpoint: Endpoint, stream: BodyStream) -> None:
+        self._endpoint = endpoint
+        self._stream = stream
+        self._ready: deque[bytes] = deque()
+
+    def __aiter__(self) -> _LineReader:
+        return self
+
+    async def __anext__(self) -> StreamLine:
         try:
-            async for text in stream.lines():
-                if stream.status == HTTP_OK:
-                    yield to_line(text)
-                else:
-                    content += text
+            if not self._ready:
+                await self._read()
+            return to_line(self._ready.popleft())
         except (ValueError, KeyError, TypeError) as error:
-            detail = f"{endpoint.name}: wrong line: {error}"
+            detail = f"{self._endpoint.name}: wrong line: {error}"
             raise CicadacourseError(
                 Error(ErrorKind.ENDPOINT_FAILED, detail, "wrong_answer")
             ) from error
-        if stream.error is not None or stream.status != HTTP_OK:
-            content += stream.rest
-            raise CicadacourseError(_to_error(endpoint, stream, content))
+
+    async def _read(self) -> None:
+        lines = await self._stream.read_lines()
+        if lines and self._stream.status == HTTP_OK:
+            self._ready.extend(lines)
+            return
+        if self._stream.error is None and self._stream.status == HTTP_OK:
+            raise StopAsyncIteration
+        content = b"".join(lines) + self._stream.rest + await self._stream.read_all()
+        raise CicadacourseError(_to_error(self._endpoint, self._stream, content))
 
 
 def _to_error(endpoint: Endpoint, stream: BodyStream, content: bytes) -> Error:
--- a/cicadacourse/entry/_claim.py
+++ b/cicadacourse/entry/_claim.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from returns.result import Failure, Result
+from returns.result import Result
 
 from cicadacourse.entry._attempts import Attempts
 from cicadacourse.entry._call import ServiceCall
--- a/cicadacourse/entry/_handlers.py
+++ b/cicadacourse/entry/_handlers.py
@@ -23,13 +23,14 @@
 
 
 class EntryHandler(tornado.web.RequestHandler):
-    """Base of the handlers; ``entry`` is the service that serves them."""
+    """Base of the handlers."""
 
     request: HTTPServerRequest
 
-    def initialize(self, entry: Entry) -> None:
-        """Takes the service."""
-        self.entry = entry
+    @property
+    def entry(self) -> Entry:
+        """The service that the handler works for."""
+        return self.application.settings["entry"]
 
     def set_default_headers(self) -> None:
         """Closes kept connections of an instance that is leaving."""
@@ -186,6 +187,8 @@
             await self._task
         except asyncio.CancelledError:
             self.entry.app.metrics.count(CALLERS_LOST, reason="left")
+        finally:
+            self._let_go()
         if not self._finished:
             self.finish()
 
--- a/cicadacourse/entry/_service.py
+++ b/cicadacourse/entry/_service.py
@@ -161,18 +161,17 @@
             await asyncio.wait(set(self._background), timeout=BACKGROUND_STOP_S)
 
     def _web_application(self) -> tornado.web.Application:
-        arguments = {"entry": self}
         routes = [
-            ("/v1/addresses", handlers.AddressesHandler, arguments),
-            ("/v1/requests", handlers.RequestsHandler, arguments),
-            ("/v1/status", handlers.StatusHandler, arguments),
-            ("/metrics", handlers.MetricsHandler, arguments),
-            ("/health", handlers.HealthHandler, arguments),
-            ("/ready", handlers.ReadyHandler, arguments),
+            ("/v1/addresses", handlers.AddressesHandler),
+            ("/v1/requests", handlers.RequestsHandler),
+            ("/v1/status", handlers.StatusHandler),
+            ("/metrics", handlers.MetricsHandler),
+            ("/health", handlers.HealthHandler),
+            ("/ready", handlers.ReadyHandler),
         ]
         return tornado.web.Application(
             routes,
             default_handler_class=handlers.NotFoundHandler,
-            default_handler_args=arguments,
+            entry=self,
             log_function=lambda handler: None,
         )
