--- /dev/null
+++ b/bench/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: a fleet of processes under a mixed load, a change and two stops."""
--- /dev/null
+++ b/bench/demo/__main__.py
@@ -0,0 +1,75 @@
+"""``python -m bench.demo``: run the whole path as separate processes."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import sys
+
+from bench.demo import _load, _report, _scenario
+from bench.fleet import Fleet, Program, running_fleet
+
+COUNT_BY_KIND = {
+    _load.SHORT: 120,
+    _load.LONG: 8,
+    _load.MILLION: 2,
+    _load.BOOKING: 40,
+}
+SPREAD_S = 15.0
+
+
+def get_parser() -> argparse.ArgumentParser:
+    """Returns the parser of this program."""
+    parser = argparse.ArgumentParser(prog="bench.demo", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--logs", action="store_true", help="print instances' logs")
+    return parser
+
+
+async def run(
+    fleet: Fleet, entries: list[Program], version: int, seed: int
+) -> tuple[dict[str, _load.Tally], dict[str, int]]:
+    """Runs the load and the disturbances side by side."""
+    plans = _load.plan_load(seed, COUNT_BY_KIND, SPREAD_S)
+    addresses = [entry.address for entry in entries]
+    async with asyncio.TaskGroup() as group:
+        load = group.create_task(_load.run_load(addresses, plans))
+        disturbed = group.create_task(_scenario.disturb(fleet, entries, version))
+    return load.result(), disturbed.result()
+
+
+def main(argv: list[str]) -> int:
+    """Runs the demo; exit status 0 only if nothing was wrong, late or run twice."""
+    arguments = get_parser().parse_args(argv)
+    with running_fleet() as fleet:
+        print("starting stand-ins and six entry instances", flush=True)
+        entries = _scenario.start_fleet(fleet)
+        routes = _scenario.tables_of_the_start()
+        published = _scenario.publish(fleet, entries, routes, 0)
+        print(f"published: {published}", flush=True)
+        _scenario.wait_until_ready(entries)
+        print("running the load", flush=True)
+        version = published["version"]
+        tallies, statuses = asyncio.run(run(fleet, entries, version, arguments.seed))
+        runs = _scenario.runs_by_request(fleet)
+        held = _scenario.kv_used(fleet)
+        if arguments.logs:
+            print_logs(fleet)
+    sums = _report.totals(tallies, sum(count > 1 for count in runs.values()))
+    print(_report.render_table(tallies))
+    print(f"change in force, exit status {statuses['publish_status']}")
+    print(f"graceful stop, exit status {statuses['stop_status']}")
+    print(f"KV memory still held by engines' sessions: {held} tokens")
+    print(_report.render_totals(sums))
+    return 0 if _report.passed(sums) and not any(statuses.values()) else 1
+
+
+def print_logs(fleet: Fleet) -> None:
+    """Prints the log of each entry instance."""
+    for program in _scenario.programs(fleet, "entry-"):
+        print(f"--- {program.name}")
+        print((fleet.folder / f"{program.name}.log").read_text()[-4000:])
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
