--- a/cicadacourse/entry/_request.py
+++ b/cicadacourse/entry/_request.py
@@ -134,7 +134,7 @@
         organisation=_name(fields, "organisation"),
         route=_name(fields, "route"),
         prompt=prompt,
-        prompt_tokens=count_tokens(_encoded(prompt)),
+        prompt_tokens=count_tokens(_encoded("prompt", prompt)),
         max_tokens=_whole(fields, "max_tokens", DEFAULT_MAX_TOKENS, 1, MAX_TOKENS),
         time_limit_s=_time_limit_s(fields),
         repeatable=_flag(fields, "repeatable"),
@@ -149,11 +149,18 @@
         return None
     if not isinstance(resume, dict):
         raise _Invalid("resume: expected an object")
-    text = _text(resume, "text")
-    position = _whole(resume, "position", None, 0, MAX_TOKENS)
-    if position != count_tokens(_encoded(text)):
-        raise _Invalid("resume: position is not the count of the text's tokens")
-    token_text = _text(resume, "token", "")
+    try:
+        return _to_resume(resume)
+    except _Invalid as error:
+        raise _Invalid(f"resume: {error}") from None
+
+
+def _to_resume(fields: dict[str, Any]) -> Resume:
+    text = _text(fields, "text")
+    position = _whole(fields, "position", None, 0, MAX_TOKENS)
+    if position != count_tokens(_encoded("text", text)):
+        raise _Invalid("position is not the count of the text's tokens")
+    token_text = _text(fields, "token", "")
     return Resume(position, text, ResumeToken.decode(token_text))
 
 
@@ -164,11 +171,11 @@
     return value
 
 
-def _encoded(text: str) -> bytes:
+def _encoded(name: str, text: str) -> bytes:
     try:
         return text.encode()
     except UnicodeEncodeError:
-        raise _Invalid("text holds a lone surrogate") from None
+        raise _Invalid(f"{name}: holds a lone surrogate") from None
 
 
 def _name(fields: dict[str, Any], name: str, default: str | None = None) -> str:
