--- a/bench/demo/__main__.py
+++ b/bench/demo/__main__.py
@@ -4,7 +4,9 @@
 
 import argparse
 import asyncio
+import contextlib
 import sys
+from typing import Iterator
 
 from bench.demo import _load, _report, _scenario
 from bench.fleet import Fleet, Program, running_fleet
@@ -41,7 +43,7 @@
 def main(argv: list[str]) -> int:
     """Runs the demo; exit status 0 only if nothing was wrong, late or run twice."""
     arguments = get_parser().parse_args(argv)
-    with running_fleet() as fleet:
+    with running_fleet() as fleet, logs_printed(fleet, arguments.logs):
         print("starting stand-ins and six entry instances", flush=True)
         entries = _scenario.start_fleet(fleet)
         routes = _scenario.tables_of_the_start()
@@ -53,8 +55,6 @@
         tallies, statuses = asyncio.run(run(fleet, entries, version, arguments.seed))
         runs = _scenario.runs_by_request(fleet)
         held = _scenario.kv_used(fleet)
-        if arguments.logs:
-            print_logs(fleet)
     sums = _report.totals(tallies, sum(count > 1 for count in runs.values()))
     print(_report.render_table(tallies))
     print(f"change in force, exit status {statuses['publish_status']}")
@@ -64,8 +64,18 @@
     return 0 if _report.passed(sums) and not any(statuses.values()) else 1
 
 
+@contextlib.contextmanager
+def logs_printed(fleet: Fleet, wanted: bool) -> Iterator[None]:
+    """Prints the end of each entry instance's log afterwards, if wanted."""
+    try:
+        yield
+    finally:
+        if wanted:
+            print_logs(fleet)
+
+
 def print_logs(fleet: Fleet) -> None:
-    """Prints the log of each entry instance."""
+    """Prints the end of each entry instance's log."""
     for program in _scenario.programs(fleet, "entry-"):
         print(f"--- {program.name}")
         print((fleet.folder / f"{program.name}.log").read_text()[-4000:])
