Restate tables before they expire and pass them between instances

A restatement names the position of the log whose state it tells, so a newcomer takes it only if it read on from there without a gap; a paused restater can only tell the past. Ruled out: 'highest restated version wins' and time margins alone (TrustingFold in tests/test_tables/test_tables_suffix.py steps back in the paused-restater history; the real fold does not).

--- a/cicadacourse/tables/_follower.py
+++ b/cicadacourse/tables/_follower.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import random
-from typing import AsyncIterator
+from typing import AsyncIterator, Awaitable, Callable
 
 from returns.result import Failure, Result, Success
 
@@ -14,11 +14,22 @@
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.events import TABLES_CHANGED
 from cicadacourse.metrics import declare
+from cicadacourse.peers import handles
 from cicadacourse.platform import Batch
-from cicadacourse.tables._fold import Fold, Outcome, OutcomeKind
+from cicadacourse.tables._exchange import Exchange
+from cicadacourse.tables._fold import Fold
+from cicadacourse.tables._messages import (
+    Announced,
+    Announcement,
+    SnapshotReply,
+    SnapshotRequest,
+    make_reply,
+)
 from cicadacourse.tables._model import Tables
 from cicadacourse.tables._publisher import READ_LIMIT, publish_edit
 from cicadacourse.tables._records import STREAM, Edit
+from cicadacourse.tables._restater import Restater
+from cicadacourse.tables._state import Outcome, OutcomeKind, Snapshot
 from cicadacourse.util.clock import now
 from cicadacourse.util.logging import get_logger
 
@@ -62,6 +73,14 @@
         maximum=120,
         help="Time limit of a read; more than read_wait_s.",
     )
+    exchange_interval_s: float = option(
+        float,
+        1.0,
+        unit="seconds",
+        minimum=0.01,
+        maximum=60,
+        help="How often a peer is asked for newer tables.",
+    )
 
 
 @SERVICES.register("tables")
@@ -76,7 +95,12 @@
         self._random = random.Random(app.settings.get(InstanceSettings).name)
         self._fold = Fold()
         self._current = Tables()
-        self._at_end = False
+        self._seen_log_end = False
+        self._log_failed = False
+        self._ready = False
+        self._exchange = Exchange(
+            app, lambda: self._fold.snapshot, self._adopt, self._random
+        )
 
     def current(self) -> Tables:
         """Returns the tables in force; version 0 if there are none yet."""
@@ -84,7 +108,7 @@
 
     def ready(self) -> bool:
         """Returns whether tables as new as the log's end or a peer's were seen."""
-        return self._at_end and self._current.version > 0
+        return self._ready
 
     async def publish(self, edit: Edit) -> Result[int, Error]:
         """Publishes an edit; returns its version, or ``VERSION_CONFLICT``."""
@@ -103,21 +127,52 @@
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Follows the log while the instance runs."""
-        task = asyncio.create_task(self._follow())
+        settings = self._settings
+        log = self.app.get("log")
+        self._restater = Restater(
+            log, settings.log_retention_s, self.app.metrics, self._random
+        )
+        tasks = [
+            asyncio.create_task(self._repeat(self._read_once)),
+            asyncio.create_task(self._repeat(self._exchange_once)),
+            asyncio.create_task(self._repeat(self._restater.run)),
+        ]
         try:
             yield
         finally:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
-
-    async def _follow(self) -> None:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await self._exchange.stop()
+
+    @handles(SnapshotRequest)
+    async def on_snapshot_request(self, request: SnapshotRequest) -> SnapshotReply:
+        """Answers with the own snapshot if it is beyond the asking side's."""
+        snapshot = self._fold.snapshot
+        if snapshot.version == 0 or snapshot.position <= request.position:
+            return SnapshotReply()
+        return make_reply(snapshot)
+
+    @handles(Announcement)
+    async def on_announcement(self, announcement: Announcement) -> Announced:
+        """Fetches the announced tables if they are newer than the own."""
+        if announcement.position > self._fold.snapshot.position:
+            await self._exchange.pull(announcement.address)
+        return Announced()
+
+    async def _repeat(self, step: Callable[[], Awaitable[None]]) -> None:
+        """Runs a step over and over; one that fails is logged."""
         while True:
             try:
-                await self._read_once()
+                await step()
             except Exception:
                 logger.exception("following the tables failed")
                 await asyncio.sleep(MAX_RETRY_DELAY_S)
 
+    async def _exchange_once(self) -> None:
+        await self._exchange.pull_any()
+        await asyncio.sleep(self._settings.exchange_interval_s)
+
     async def _read_once(self) -> None:
         result = await self.app.get("log").read(
             STREAM,
@@ -133,7 +188,9 @@
                 await self._wait_after(error)
 
     async def _wait_after(self, error: Error) -> None:
+        self._log_failed = True
         self.app.metrics.count(TABLES_READ_FAILURES, reason=error.label)
+        self._update_ready()
         await asyncio.sleep(self._random.uniform(0.2, 1.0) * MAX_RETRY_DELAY_S)
 
     def _take(self, batch: Batch) -> None:
@@ -141,7 +198,25 @@
             self._report(outcome)
         self._put_in_force()
         if self._fold.resolved and self._fold.position >= batch.next_offset:
-            self._at_end = True
+            self._seen_log_end = True
+            self._restater.observe(self._fold.snapshot, batch)
+        self._update_ready()
+
+    def _adopt(self, snapshot: Snapshot) -> None:
+        if self._fold.adopt(snapshot):
+            self._put_in_force()
+            self._update_ready()
+
+    def _update_ready(self) -> None:
+        """Becomes ready at the log's end, or in an outage by a peer's tables."""
+        if self._ready or self._current.version == 0:
+            return
+        self._ready = self._seen_log_end or (self._log_failed and self._is_newest())
+
+    def _is_newest(self) -> bool:
+        """Returns whether no peer is known to hold newer tables."""
+        versions = [peer.tables_version for peer in self._exchange.get_peers()]
+        return self._current.version >= max(versions, default=0)
 
     def _report(self, outcome: Outcome) -> None:
         label = outcome.kind.value
@@ -166,3 +241,4 @@
         if membership is not None:
             membership.set_tables_version(tables.version)
         self.app.events.emit(TABLES_CHANGED, tables)
+        self._exchange.announce()
--- a/cicadacourse/tables/_publisher.py
+++ b/cicadacourse/tables/_publisher.py
@@ -9,9 +9,10 @@
 
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.platform import LogClient
-from cicadacourse.tables._fold import Fold, Snapshot
+from cicadacourse.tables._fold import Fold
 from cicadacourse.tables._parser import parse_tables
 from cicadacourse.tables._records import STREAM, Edit, encode
+from cicadacourse.tables._state import Snapshot
 from cicadacourse.util.clock import now
 
 READ_LIMIT = 16
