--- a/cicadacourse/entry/_attempts.py
+++ b/cicadacourse/entry/_attempts.py
@@ -116,7 +116,9 @@
             return "not_repeatable"
         if self.number >= MAX_ATTEMPTS:
             return "attempts"
-        if not self.budget.take():
+        # What was never sent adds no load, so only the rest draws on the budget.
+        unsent = error.kind is ErrorKind.ENDPOINT_UNREACHABLE
+        if not unsent and not self.budget.take():
             return "budget"
         return ""
 
