--- /dev/null
+++ b/tests/log_service.py
@@ -0,0 +1,52 @@
+"""The stand-in log as a service of an instance that can be cut off from it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Callable, Sequence
+
+from returns.result import Failure, Result
+
+from cicadacourse.application import Application, Service
+from cicadacourse.errors import Error, ErrorKind
+from cicadacourse.platform import Batch, LogClient, Record
+from standins.log import LogCore
+
+
+class InstanceLog(Service, LogClient):
+    """One instance's way to a log that all instances of a test share.
+
+    While :attr:`cut` is set, requests are lost on their way.
+    """
+
+    name = "log"
+
+    def __init__(self, app: Application, core: LogCore) -> None:
+        super().__init__(app)
+        self.core = core
+        self.cut = False
+
+    async def append(
+        self, stream: str, bodies: Sequence[bytes], timeout_s: float
+    ) -> Result[tuple[Record, ...], Error]:
+        if self.cut:
+            return await self._lose(ErrorKind.LOG_OUTCOME_UNKNOWN, timeout_s)
+        return await self.core.append(stream, bodies, timeout_s)
+
+    async def read(
+        self, stream: str, offset: int, limit: int, wait_s: float, timeout_s: float
+    ) -> Result[Batch, Error]:
+        if not self.cut:
+            result = await self.core.read(stream, offset, limit, wait_s, timeout_s)
+            if not self.cut:
+                return result
+        return await self._lose(ErrorKind.LOG_UNAVAILABLE, timeout_s)
+
+    async def _lose(self, kind: ErrorKind, timeout_s: float) -> Failure[Error]:
+        await asyncio.sleep(timeout_s)
+        return Failure(Error(kind, "cut off"))
+
+
+def instance_log(core: LogCore) -> Callable[[Application], InstanceLog]:
+    """Returns what makes the log service of each instance of a test."""
+    return lambda app: InstanceLog(app, core)
