--- a/cicadacourse/tables/_exchange.py
+++ b/cicadacourse/tables/_exchange.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from typing import TYPE_CHECKING, Callable
+from typing import Any, Callable
 
 from returns.result import Failure, Success
 
@@ -15,9 +15,6 @@
 from cicadacourse.tables._state import Snapshot
 from cicadacourse.util.logging import get_logger
 
-if TYPE_CHECKING:
-    from cicadacourse.membership import Member
-
 TABLES_EXCHANGES = declare(
     "tables_exchanges_total", "Requests to peers for newer tables, by outcome."
 )
@@ -50,8 +47,8 @@
         self._address = app.settings.get(InstanceSettings).peer_address
         self._announcing: set[asyncio.Task[None]] = set()
 
-    def get_peers(self) -> list[Member]:
-        """Returns the other members."""
+    def get_peers(self) -> list[Any]:
+        """Returns the other members, as the service ``membership`` lists them."""
         membership = self._app.find("membership")
         if membership is None or self._app.find("peers") is None:
             return []
