--- a/cicadacourse/orders/_holder.py
+++ b/cicadacourse/orders/_holder.py
@@ -133,6 +133,18 @@
             await asyncio.sleep(MIN_APPEND_GAP_S)
             await self._wait_for_change()
 
+    async def release_all(self) -> None:
+        """Gives every lease back when the instance stops; one short attempt."""
+        self._wanted.clear()
+        record = self._next_record()
+        if record is None:
+            return
+        try:
+            async with asyncio.timeout(self._settings.log_timeout_s):
+                await self._append(record)
+        except TimeoutError:
+            logger.info("leases were not given back in time")
+
     def _lasts(self, own: OwnLease, needed_s: float) -> bool:
         return now() + needed_s <= own.valid_until
 
--- a/cicadacourse/orders/_keeper.py
+++ b/cicadacourse/orders/_keeper.py
@@ -112,6 +112,8 @@
         token = self._get_token(timeout_s)
         if token is None:
             return
+        if target != self.target:
+            return self._defer("target_changed")
         if target.tables_version < self._tools.leases.view.fold.tables_version:
             return self._defer("tables_behind")
         order = Order(
--- a/cicadacourse/orders/_service.py
+++ b/cicadacourse/orders/_service.py
@@ -31,6 +31,7 @@
     """
 
     name = "orders"
+    holder_class = LeaseHolder
 
     def __init__(self, app: Application) -> None:
         super().__init__(app)
@@ -64,10 +65,11 @@
                 yield
             finally:
                 await _cancel([*tasks, *self._tasks_by_name.values()])
+                await leases.release_all()
 
     def _make_tools(self, weights: WeightStore) -> Tools:
         holder = f"{self._instance_name}/{secrets.token_hex(4)}"
-        leases = LeaseHolder(
+        leases = self.holder_class(
             self.app.get("log"),
             self._settings,
             self.app.metrics,
