--- a/cicadacourse/orders/_holder.py
+++ b/cicadacourse/orders/_holder.py
@@ -221,7 +221,7 @@
         sent_at = self._sent_at_by_sequence.get(record.sequence)
         if sent_at is None:
             return
-        valid_until = sent_at + self._settings.lease_s - self._settings.margin_s
+        valid_until = self._get_end(sent_at)
         for held in changes.granted:
             self._own_by_name[held.name] = OwnLease(
                 held.token, valid_until, self._usable_from(held.name)
@@ -233,6 +233,10 @@
             if own is not None and own.token == held.token:
                 own.valid_until = max(own.valid_until, valid_until)
 
+    def _get_end(self, sent_at: float) -> float:
+        """Returns until when a lease is used whose record was sent at a time."""
+        return sent_at + self._settings.lease_s - self._settings.margin_s
+
     def _usable_from(self, name: str) -> float:
         """Returns when no order of an earlier holder can be under way."""
         wait_s = self._settings.order_timeout_s
--- a/tests/test_orders/fleet.py
+++ b/tests/test_orders/fleet.py
@@ -23,7 +23,7 @@
 from cicadacourse.platform import LogClient
 from cicadacourse.tables import Pool, Tables
 from standins.direct import DirectEndpointClient
-from standins.engine import EngineCore, LoadedModel
+from standins.engine import EngineCore, EngineSettings, LoadedModel
 from standins.log import LogCore
 from standins.weight_store import WeightStoreCore, WeightStoreRefusal
 
@@ -57,15 +57,19 @@
         super().__init__(app)
         self.core = core
         self.gate = Gate()
+        self.append_gate = Gate()
+        self.read_delay_s = 0.0
 
     async def append(self, stream, bodies, timeout_s):
         await self.gate.passed()
+        await self.append_gate.passed()
         result = await self.core.append(stream, bodies, timeout_s)
         await self.gate.passed()
         return result
 
     async def read(self, stream, offset, limit, wait_s, timeout_s):
         result = await self.core.read(stream, offset, limit, wait_s, timeout_s)
+        await asyncio.sleep(self.read_delay_s)
         await self.gate.passed()
         return result
 
@@ -75,13 +79,27 @@
         super().__init__(app, engines_by_address)
         self.gate = Gate()
         self.states_read = 0
+        self.orders_sent = 0
+        self.order_delay_s = 0.0
+        self.state_delay_s = 0.0
 
     async def state(self, endpoint, timeout_s):
         result = await super().state(endpoint, timeout_s)
         self.states_read += 1
+        await asyncio.sleep(self.state_delay_s)
         await self.gate.passed()
         return result
 
+    async def order(self, endpoint, order, timeout_s):
+        """Delivers the order after the delay, even if its sender gave up."""
+        self.orders_sent += 1
+        delivery = asyncio.create_task(self._deliver(endpoint, order, timeout_s))
+        return await asyncio.shield(delivery)
+
+    async def _deliver(self, endpoint, order, timeout_s):
+        await asyncio.sleep(self.order_delay_s)
+        return await super().order(endpoint, order, timeout_s)
+
 
 class DirectWeightStore(WeightStore):
     def __init__(self, app, core):
@@ -172,11 +190,23 @@
 class Fleet:
     """A log, a weight store and engines that instances share."""
 
-    def __init__(self, engine_count=1, checks_fencing=False, store=None, **log_options):
+    def __init__(
+        self,
+        engine_count=1,
+        checks_fencing=False,
+        store=None,
+        model_load_s=20.0,
+        **log_options,
+    ):
+        settings = EngineSettings(model_load_s=model_load_s)
         self.log = LogCore(**log_options)
         self.store = store or WeightStoreCore()
         self.engines = [
-            EngineCore(f"e{i}", model=LoadedModel(checks_fencing=checks_fencing))
+            EngineCore(
+                f"e{i}",
+                settings,
+                model=LoadedModel(settings=settings, checks_fencing=checks_fencing),
+            )
             for i in range(engine_count)
         ]
         self.engines_by_address = {f"{e.name}:1": e for e in self.engines}
--- a/tests/test_orders/test_orders_leases.py
+++ b/tests/test_orders/test_orders_leases.py
@@ -7,10 +7,20 @@
 
 import pytest
 
-from cicadacourse.orders import Orders
+from cicadacourse.metrics import Metrics
+from cicadacourse.orders import Orders, OrderSettings
 from cicadacourse.orders._holder import LeaseHolder
+from cicadacourse.orders._records import (
+    STREAM,
+    HeldLease,
+    LeaseRecord,
+    Snapshot,
+    encode,
+)
 from cicadacourse.orders._settings import ORDERS, ORDERS_DEFERRED
 from cicadacourse.orders._view import LeaseView
+from cicadacourse.util.clock import now
+from standins.log import LogCore
 from tests.test_orders.fleet import Fleet, until
 
 pytestmark = pytest.mark.looptime(noop_cycles=1)
@@ -30,6 +40,28 @@
     holder_class = UncheckedHolder
 
 
+class ReadTimeHolder(LeaseHolder):
+    """Measures its lease from when it read the record."""
+
+    def _get_end(self, sent_at):
+        return super()._get_end(now())
+
+
+class ReadTimeOrders(Orders):
+    holder_class = ReadTimeHolder
+
+
+class HastyHolder(LeaseHolder):
+    """Uses a lease as soon as it is granted."""
+
+    def _usable_from(self, name):
+        return now()
+
+
+class HastyOrders(Orders):
+    holder_class = HastyHolder
+
+
 def roles(engine):
     return [order.role for order in engine.model.orders]
 
@@ -141,6 +173,65 @@
     assert sum(overlaps for overlaps, _ in counts) > 0
 
 
+async def count_overlaps_after_late_read(orders_class):
+    """A holder's last renewal reaches it long after the log took it."""
+    fleet = Fleet()
+    overlaps = 0
+    async with (
+        fleet.node("n1", orders_class=orders_class) as first,
+        fleet.node("n2", owner="n1", orders_class=orders_class) as second,
+    ):
+        await until(lambda: first.usable_token("e0") is not None)
+        first.log.read_delay_s = 25.0
+        appends = fleet.log.appends
+        await until(lambda: fleet.log.appends > appends)
+        first.log.append_gate.close()
+        second.membership.default_owner = "n2"
+        for _ in range(600):
+            await asyncio.sleep(0.1)
+            tokens = [node.usable_token("e0") for node in (first, second)]
+            overlaps += None not in tokens
+        assert second.usable_token("e0") is not None
+    return overlaps
+
+
+async def test_a_renewal_that_is_read_late_counts_from_when_it_was_sent():
+    assert await count_overlaps_after_late_read(Orders) == 0
+
+
+async def test_a_lease_measured_from_reading_overlaps_the_next():
+    assert await count_overlaps_after_late_read(ReadTimeOrders) > 0
+
+
+async def order_in_flight_at_handover(orders_class):
+    """Hands over while an order is under way; returns the roles in their order."""
+    fleet = Fleet()
+    engine = fleet.engines[0]
+    options = {"order_timeout_s": 5.0, "margin_s": 0.5, "orders_class": orders_class}
+    async with (
+        fleet.node("n1", **options) as first,
+        fleet.node("n2", owner="n1", **options) as second,
+    ):
+        first.client.order_delay_s = 4.9
+        await until(lambda: first.client.states_read)
+        first.tables.put(2, role="prefill")
+        second.tables.put(3, role="decode")
+        await until(lambda: first.client.orders_sent)
+        first.membership.default_owner = second.membership.default_owner = "n2"
+        await until(lambda: engine.model.role == "decode")
+        await asyncio.sleep(1.5)
+        return roles(engine)
+
+
+async def test_a_successor_orders_after_every_order_under_way():
+    assert await order_in_flight_at_handover(Orders) == ["prefill", "decode"]
+
+
+async def test_a_hasty_successor_is_overtaken_by_an_order_under_way():
+    given = await order_in_flight_at_handover(HastyOrders)
+    assert given[:2] == ["decode", "prefill"]
+
+
 async def test_leases_are_kept_through_lost_append_answers():
     fleet = Fleet()
     fleet.log.faults.set("lose_answer", 1.0)
@@ -216,6 +307,25 @@
     assert overlaps > 0
 
 
+async def test_a_snapshot_older_than_the_records_read_is_not_taken_up():
+    log = LogCore(retention_s=30)
+    claim = LeaseRecord(holder="a", sequence=1, claims=("x",))
+    renewal = LeaseRecord(holder="a", sequence=2, renewals=(HeldLease("x", 0),))
+    late = Snapshot(as_of=0, time_ms=0, tables_version=0, leases_by_name={})
+    await log.append(STREAM, [encode(claim)], 1)
+    for _ in range(8):
+        await asyncio.sleep(5)
+        await log.append(STREAM, [encode(renewal)], 1)
+    await log.append(STREAM, [encode(late)], 1)
+    view = LeaseView(
+        log, OrderSettings(), Metrics(), random.Random(1), lambda *arguments: None
+    )
+    following = asyncio.create_task(view.follow())
+    await asyncio.sleep(2)
+    following.cancel()
+    assert view.next_offset == 10 and not view.settled
+
+
 async def test_a_newcomer_settles_once_every_lease_has_ended():
     fleet = Fleet(retention_s=30)
     async with fleet.node("n1", snapshot_s=1000):
--- a/tests/test_orders/test_orders_loads.py
+++ b/tests/test_orders/test_orders_loads.py
@@ -9,6 +9,7 @@
 from cicadacourse.orders._keeper import EndpointKeeper
 from cicadacourse.orders._loads import LoadSlots
 from cicadacourse.orders._settings import ORDERS_DEFERRED
+from standins.engine import Order
 from standins.weight_store import WeightStoreCore
 from tests.test_orders.fleet import Fleet, until
 
@@ -112,3 +113,34 @@
             await asyncio.sleep(0.1)
             assert not (first.model.loading and second.model.loading)
         assert {first.model.model_version, second.model.model_version} == {2}
+
+
+async def load_beside_orphan(fleet):
+    """Two holders want to load while a load that nobody has a slot for goes on."""
+    orphan = Order(token=0, holder="gone", model="base", model_version=2)
+    fleet.engines[0].model.take(orphan)
+    most = 0
+    async with fleet.node("n1") as first, fleet.node("n2") as second:
+        for node in (first, second):
+            node.membership.owner_names = {"e1": "n1", "e2": "n2", "e0": "n1"}
+            node.client.state_delay_s = 1.5
+            node.tables.put(2, model_version=2)
+        for _ in range(2000):
+            await asyncio.sleep(0.1)
+            loading = [engine.model.loading for engine in fleet.engines]
+            most = max(most, sum(loading))
+    return most
+
+
+async def test_one_engine_serves_beside_two_slots_and_an_orphaned_load():
+    assert await load_beside_orphan(Fleet(3, model_load_s=60.0)) < 3
+
+
+async def test_with_one_serving_engine_enough_none_may_serve(monkeypatch):
+    counted = EndpointKeeper._are_serving
+    monkeypatch.setattr(
+        EndpointKeeper,
+        "_are_serving",
+        lambda keeper, others, needed: counted(keeper, others, 1),
+    )
+    assert await load_beside_orphan(Fleet(3, model_load_s=60.0)) == 3
