List entry instances as the platform does, so that they find each other

Cause: in the demo no instance was on the platform's list, so each saw only itself; the sessions service then took the others for gone and released their sessions (3 of 8 long requests failed, 2 of 2 million-token prompts were refused). Ruled out: false death verdicts (no membership line in any log). Open: an owner that membership does not know but that is alive is still condemned.

--- a/bench/demo/__main__.py
+++ b/bench/demo/__main__.py
@@ -57,6 +57,9 @@
         held = _scenario.kv_used(fleet)
     sums = _report.totals(tallies, sum(count > 1 for count in runs.values()))
     print(_report.render_table(tallies))
+    for tally in tallies.values():
+        for error in tally.errors:
+            print(error)
     print(f"change in force, exit status {statuses['publish_status']}")
     print(f"graceful stop, exit status {statuses['stop_status']}")
     print(f"KV memory still held by engines' sessions: {held} tokens")
@@ -78,7 +81,7 @@
     """Prints the end of each entry instance's log."""
     for program in _scenario.programs(fleet, "entry-"):
         print(f"--- {program.name}")
-        print((fleet.folder / f"{program.name}.log").read_text()[-4000:])
+        print((fleet.folder / f"{program.name}.log").read_text()[-200_000:])
 
 
 if __name__ == "__main__":
--- a/bench/demo/_load.py
+++ b/bench/demo/_load.py
@@ -52,6 +52,7 @@
     resumed: int = 0
     first_token_s: list[float] = attrs.Factory(list)
     seconds: list[float] = attrs.Factory(list)
+    errors: list[str] = attrs.Factory(list)
 
     def add(self, plan: Plan, reply: Reply) -> None:
         """Adds one reply."""
@@ -62,6 +63,8 @@
         self.unknown += reply.outcome not in (COMPLETE, REFUSED)
         self.wrong += reply.wrong or is_wrong(plan, reply)
         self.late += reply.seconds > plan.fields["time_limit_s"] + LATE_GRACE_S
+        if reply.outcome != COMPLETE:
+            self.errors.append(f"{plan.fields['request_id']}: {reply.error}")
         if reply.outcome == COMPLETE:
             self.seconds.append(reply.seconds)
             if reply.first_token_s is not None:
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import pathlib
 import signal
 import socket
@@ -160,8 +161,21 @@
         arguments = ["cicadacourse", "entry", "--settings", str(path)]
         program = self.start(name, caller_address, arguments)
         wait_for_port(caller_address)
+        self._list_entry(name, peer_address, domain)
         return program
 
+    def _list_entry(self, name: str, peer_address: str, domain: str) -> None:
+        """Puts an entry instance on the list, as the platform does when it starts."""
+        row = {"name": name, "kind": "entry", "address": peer_address}
+        row |= {"region": REGION, "failure_domain": domain}
+        request = urllib.request.Request(
+            f"http://{self.list_address}/instances",
+            data=json.dumps(row).encode(),
+            method="POST",
+        )
+        with urllib.request.urlopen(request, timeout=START_TIMEOUT_S):
+            pass
+
     def stop(self) -> None:
         """Ends every process that still runs."""
         running = [
--- a/bench/load/_arrivals.py
+++ b/bench/load/_arrivals.py
@@ -88,9 +88,7 @@
     return tuple(sorted(arrivals, key=lambda one: one.at_s))
 
 
-def _poisson(
-    settings: LoadSettings, seconds: float, rng: random.Random
-) -> list[float]:
+def _poisson(settings: LoadSettings, seconds: float, rng: random.Random) -> list[float]:
     """Returns arrival times of a Poisson process with bursts, by thinning."""
     highest = settings.rate * settings.burst_factor
     times = []
--- a/bench/load/_fleet.py
+++ b/bench/load/_fleet.py
@@ -194,6 +194,4 @@
         kv_capacity_tokens=pool.kv_capacity_tokens,
     )
     route = Route(name=POOL, pool=POOL)
-    return Tables(
-        version=1, routes_by_name={POOL: route}, pools_by_name={POOL: named}
-    )
+    return Tables(version=1, routes_by_name={POOL: route}, pools_by_name={POOL: named})
