--- a/bench/load/_arrivals.py
+++ b/bench/load/_arrivals.py
@@ -36,7 +36,7 @@
     :param huge: prompts of a million tokens that come at set times besides.
     """
 
-    rate: float = 16.0
+    rate: float = 20.0
     burst_factor: float = 2.5
     burst_s: float = 2.0
     burst_period_s: float = 10.0
--- a/bench/load/_fleet.py
+++ b/bench/load/_fleet.py
@@ -137,6 +137,16 @@
                 self.apps.append(app)
             yield
 
+    def lose(self, name: str) -> None:
+        """Makes an instance dead for the others, without a word."""
+        member = self._members_by_name.pop(name)
+        self.network.leave(member.peer_address)
+
+    @property
+    def kv_used(self) -> int:
+        """KV memory that sessions hold on all engines, in tokens."""
+        return sum(engine._kv_used() for engine in self.engines)
+
     def _add_engine(self, index: int, seed: int) -> None:
         name = f"engine{index:02}"
         address = f"10.1.0.{index + 1}:9000"
--- a/cicadacourse/routing/_default.py
+++ b/cicadacourse/routing/_default.py
@@ -80,6 +80,8 @@
         try:
             while left and len(refusals) < MAX_ASKED and now() < deadline:
                 endpoint = await self._choose(work, pool, left, waiting_at)
+                if endpoint is None:
+                    return Success(self._fall_back(work, pool, left, "no_estimate"))
                 if waiting_at is not None and endpoint is not waiting_at:
                     self.app.metrics.count(MOVES)
                     self._client.withdraw(work, waiting_at.name)
@@ -91,7 +93,7 @@
                         waiting_at = None
                         return Success(self._grant(work, endpoint, reply))
                     case Failure(error) if is_unreachable(error):
-                        return Success(self._fall_back(work, pool, endpoint, error))
+                        return Success(self._fall_back(work, pool, left, error.label))
                     case Failure(error):
                         waiting_at = None
                         refusals.append(error)
@@ -107,8 +109,8 @@
         pool: Pool,
         endpoints: list[Endpoint],
         waiting_at: Endpoint | None,
-    ) -> Endpoint:
-        """Returns the candidate with the earliest estimate.
+    ) -> Endpoint | None:
+        """Returns the candidate with the earliest estimate; None without estimates.
 
         A request that waits moves only for a clear gain, as it loses its place.
         """
@@ -123,7 +125,7 @@
         seconds_by_name = await self._client.estimate(work, candidates)
         known = [one for one in candidates if one.endpoint.name in seconds_by_name]
         if not known:
-            return waiting_at or candidates[0].endpoint
+            return None
         best = min(
             known, key=lambda one: seconds_by_name[one.endpoint.name] + one.penalty_s
         )
@@ -140,10 +142,11 @@
         )
 
     def _fall_back(
-        self, work: Work, pool: Pool, endpoint: Endpoint, error: Error
+        self, work: Work, pool: Pool, endpoints: list[Endpoint], reason: str
     ) -> Grant:
-        """Leaves the decision to the engine's own admission."""
-        self.app.metrics.count(FALLBACKS, reason=error.label)
+        """Leaves the decision to the own admission of some engine."""
+        self.app.metrics.count(FALLBACKS, reason=reason)
+        endpoint = self.random.choice(endpoints)
         return Grant(
             session=self.new_session(work),
             endpoint=endpoint,
--- a/cicadacourse/routing/_dispatcher.py
+++ b/cicadacourse/routing/_dispatcher.py
@@ -32,6 +32,7 @@
 logger = get_logger("dispatcher")
 
 HOLD_S = 1.0
+PROBE_WAIT_S = 0.2
 REBUILD_TIMEOUT_S = 1.0
 IDLE_LOOK_S = 1.0
 MIN_RETRY_AFTER_S = 0.5
@@ -56,7 +57,7 @@
     def __init__(self, app: Application, parts: Parts) -> None:
         self.app = app
         self.parts = parts
-        self.leaving = False
+        self._stopped = False
         self._me = app.get("membership").self_member()
         self._numbers = itertools.count(1)
         self._queues_by_endpoint: dict[str, EndpointQueue] = {}
@@ -66,39 +67,44 @@
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
-        """Runs the queues' tasks and stops them."""
+        """Runs the queues' tasks; at the end, sends waiting requests elsewhere.
+
+        A leaving instance goes on granting: holders turn to the next dispatcher as
+        soon as they see it leave.
+        """
         sessions = self.app.find("sessions")
         if sessions is not None:
             sessions.watch(self.reconcile)
         try:
             yield
         finally:
-            self.leave()
+            self._stopped = True
+            for queue in self._queues_by_endpoint.values():
+                queue.clear()
             for task in self._tasks:
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    def leave(self) -> None:
-        """Sends the waiting requests to the next dispatcher."""
-        self.leaving = True
-        for queue in self._queues_by_endpoint.values():
-            queue.clear()
-
     async def probe(self, probe: Probe) -> Estimates:
         """Estimates the first token's time on each endpoint it can serve."""
-        estimates = []
-        for name in probe.endpoints:
-            queue = await self._ready_queue(name, probe.work)
-            if queue is not None:
-                estimates.append(_estimate(name, queue, probe.work))
-        return Estimates(estimates=tuple(estimates))
+        opening = [self._ready_queue(name, probe.work) for name in probe.endpoints]
+        tasks = [self._spawn(one) for one in opening]
+        await asyncio.wait(tasks, timeout=PROBE_WAIT_S)
+        queues = (self._queues_by_endpoint.get(name) for name in probe.endpoints)
+        return Estimates(
+            estimates=tuple(
+                _estimate(name, queue, probe.work)
+                for name, queue in zip(probe.endpoints, queues)
+                if queue is not None
+            )
+        )
 
     async def request(self, request: GrantRequest) -> GrantReply:
         """Grants, says that the request still waits, or refuses.
 
         :raises CicadacourseError: with the reason of the refusal.
         """
-        if self.leaving:
+        if self._stopped:
             raise self._refusal(ErrorKind.LEAVING, "the dispatcher is leaving", 0.0)
         queue = await self._ready_queue(request.endpoint, request.work)
         if queue is None:
@@ -197,7 +203,7 @@
     def _gone(
         self, queue: EndpointQueue, waiter: Waiter, endpoint_name: str
     ) -> CicadacourseError:
-        if self.leaving:
+        if self._stopped:
             return self._refusal(ErrorKind.LEAVING, "the dispatcher is leaving", 0.0)
         detail = f"endpoint {endpoint_name!r} got no room for it in time"
         wait_s = queue.first_token_s(waiter.work, now())
@@ -212,16 +218,19 @@
 
     async def _ready_queue(self, name: str, work: Work) -> EndpointQueue | None:
         """Returns an endpoint's queue once its ledger is rebuilt, or None."""
+        endpoint = self.app.get("directory").find(name)
+        pool = self.app.get("tables").current().pools_by_name.get(work.pool)
+        if endpoint is None or pool is None:
+            return None
         if name not in self._rebuilds_by_endpoint:
-            endpoint = self.app.get("directory").find(name)
-            pool = self.app.get("tables").current().pools_by_name.get(work.pool)
-            if endpoint is None or pool is None:
-                return None
             queue = EndpointQueue(pool, self.parts, self._new_session, now())
             rebuild = self._rebuild(endpoint, queue)
             self._rebuilds_by_endpoint[name] = self._spawn(rebuild)
         await asyncio.wait([self._rebuilds_by_endpoint[name]])
-        return self._queues_by_endpoint.get(name)
+        queue = self._queues_by_endpoint.get(name)
+        if queue is not None and queue.pool is not pool:
+            queue.set_pool(pool)
+        return queue
 
     async def _rebuild(self, endpoint: Endpoint, queue: EndpointQueue) -> None:
         """Fills a new ledger from the engine's own list, then opens the queue."""
--- a/cicadacourse/routing/_groups.py
+++ b/cicadacourse/routing/_groups.py
@@ -29,6 +29,7 @@
 
 RESERVE_TIMEOUT_S = 2.0
 BACK_OFF_S = 0.5
+TOO_FEW_RETRY_S = 5.0
 SLICE_SLACK_TOKENS = 2
 
 GROUPS = declare("groups_total", "Groups of engines asked for, by result.")
@@ -66,8 +67,7 @@
         while now() + needed_s < deadline:
             slices = await self._choose(work, pool, endpoints)
             if slices is None:
-                detail = f"no failure domain can hold {work.kv_tokens} tokens"
-                return Failure(Error(ErrorKind.TOO_LARGE, detail))
+                return Failure(self._too_few(work, pool))
             match await self._reserve_all(slices, deadline):
                 case Success(members):
                     self.app.metrics.count(GROUPS, result="reserved")
@@ -98,6 +98,15 @@
 
         return min(choices, key=latest)
 
+    def _too_few(self, work: Work, pool: Pool) -> Error:
+        """Returns whether too few engines exist, or too few of them serve now."""
+        detail = f"no failure domain can hold {work.kv_tokens} tokens"
+        listed = self.app.get("directory").all_endpoints()
+        every = [one for one, _ in listed if one.pool == pool.name]
+        if any(_cut(work, pool, members) for members in _by_domain(every).values()):
+            return Error(ErrorKind.NO_ENDPOINT, detail, retry_after_s=TOO_FEW_RETRY_S)
+        return Error(ErrorKind.TOO_LARGE, detail)
+
     async def _reserve_all(
         self, slices: Sequence[_Slice], deadline: float
     ) -> Result[tuple[GroupMember, ...], Error]:
--- a/cicadacourse/routing/_queue.py
+++ b/cicadacourse/routing/_queue.py
@@ -70,6 +70,11 @@
     def __len__(self) -> int:
         return len(self._waiters_by_key)
 
+    def set_pool(self, pool: Pool) -> None:
+        """Goes by the limits of changed tables from now on."""
+        self.pool = pool
+        self._backlog.tokens_per_s = pool.prefill_tokens_per_s
+
     def priority(self, prompt_class: PromptClass) -> int:
         """Returns the priority passed to the engine."""
         return prompt_class.priority if self.parts.classes else 0
--- a/cicadacourse/routing/_service.py
+++ b/cicadacourse/routing/_service.py
@@ -11,7 +11,6 @@
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.endpoints import Endpoint
 from cicadacourse.errors import Error, ErrorKind
-from cicadacourse.events import LEAVING
 from cicadacourse.metrics import declare
 from cicadacourse.peers import handles
 from cicadacourse.platform import KIND_ENGINE
@@ -62,7 +61,6 @@
         """Dispatches while it runs; grants that are still held stay held."""
         self.dispatch_client = DispatchClient(self.app)
         self.dispatcher = Dispatcher(self.app, self.parts)
-        self.app.events.connect(LEAVING, self.dispatcher.leave)
         async with self.dispatch_client.running(), self.dispatcher.running():
             yield
             if self._tasks:
