--- a/bench/load/_run.py
+++ b/bench/load/_run.py
@@ -134,11 +134,12 @@
         """Makes attempts until one is complete or none may follow."""
         for attempt in range(1, MAX_ATTEMPTS + 1):
             self.result.attempts = attempt
+            emitted_tokens = count_tokens(self.emitted)
             work = attrs.evolve(
                 self.work,
                 attempt=attempt,
-                max_output_tokens=self.arrival.output_tokens
-                - count_tokens(self.emitted),
+                prompt_tokens=self.work.prompt_tokens + emitted_tokens,
+                max_output_tokens=self.work.max_output_tokens - emitted_tokens,
             )
             routing = self.app.get("routing")
             acquired = await routing.acquire(work, self.deadline, self._excluded)
--- a/cicadacourse/routing/_groups.py
+++ b/cicadacourse/routing/_groups.py
@@ -242,7 +242,7 @@
         prompt_left -= tokens
         part = attrs.evolve(
             work,
-            request_id=f"{work.request_id}-slice{index}",
+            request_id=f"{work.request_id}.slice{index}",
             prompt_tokens=tokens + SLICE_SLACK_TOKENS,
             max_output_tokens=work.max_output_tokens if is_leader else 0,
             prefix=(),
