--- a/cicadacourse/membership/_deltas.py
+++ b/cicadacourse/membership/_deltas.py
@@ -8,7 +8,7 @@
 
 from cicadacourse.membership._model import Member
 
-_SENDS_PER_DOUBLING = 3
+_SENDS_PER_DIGIT = 4
 
 
 @attrs.define
@@ -35,8 +35,7 @@
 
         :param member_count: how many members there are.
         """
-        doublings = max(1, math.ceil(math.log2(member_count + 1)))
-        most_sends = _SENDS_PER_DOUBLING * doublings
+        most_sends = _SENDS_PER_DIGIT * math.ceil(math.log10(member_count + 1))
         least_sent = sorted(self._delta_by_name.values(), key=lambda item: item.sends)
         taken = least_sent[:limit]
         for delta in taken:
--- a/tests/test_membership/test_membership_view.py
+++ b/tests/test_membership/test_membership_view.py
@@ -80,7 +80,7 @@
         sent.extend(taken)
     latest = {member.name: member for member in heard}
     times = {sent.count(member) for member in latest.values()}
-    assert len(times) <= 1 and all(3 <= count <= 27 for count in times)
+    assert len(times) <= 1 and all(4 <= count <= 12 for count in times)
     assert len(sent) == sum(times) * len(latest)
 
 
