--- a/cicadacourse/orders/_holder.py
+++ b/cicadacourse/orders/_holder.py
@@ -133,6 +133,18 @@
             await asyncio.sleep(MIN_APPEND_GAP_S)
             await self._wait_for_change()
 
+    async def release_all(self) -> None:
+        """Gives every lease back when the instance stops; one short attempt."""
+        self._wanted.clear()
+        record = self._next_record()
+        if record is None:
+            return
+        try:
+            async with asyncio.timeout(self._settings.log_timeout_s):
+                await self._append(record)
+        except TimeoutError:
+            logger.info("leases were not given back in time")
+
     def _lasts(self, own: OwnLease, needed_s: float) -> bool:
         return now() + needed_s <= own.valid_until
 
@@ -209,7 +221,7 @@
         sent_at = self._sent_at_by_sequence.get(record.sequence)
         if sent_at is None:
             return
-        valid_until = sent_at + self._settings.lease_s - self._settings.margin_s
+        valid_until = self._get_end(sent_at)
         for held in changes.granted:
             self._own_by_name[held.name] = OwnLease(
                 held.token, valid_until, self._usable_from(held.name)
@@ -221,6 +233,10 @@
             if own is not None and own.token == held.token:
                 own.valid_until = max(own.valid_until, valid_until)
 
+    def _get_end(self, sent_at: float) -> float:
+        """Returns until when a lease is used whose record was sent at a time."""
+        return sent_at + self._settings.lease_s - self._settings.margin_s
+
     def _usable_from(self, name: str) -> float:
         """Returns when no order of an earlier holder can be under way."""
         wait_s = self._settings.order_timeout_s
