--- a/bench/measure_data_path.py
+++ b/bench/measure_data_path.py
@@ -127,9 +127,9 @@
     """Yields the three servers by kind, over the same engines."""
     with running_fleet() as fleet:
         fleet.start_platform()
-        start_engines(fleet, "engines")
-        # Outside any pool, so that the instance takes no session for an orphan.
-        engines = start_engines(fleet, "relayed")
+        for index in range(ENGINES):
+            fleet.start_endpoint("engine", f"e{index}", "engines", "d1")
+        engines = [start_unlisted_engine(fleet, index) for index in range(ENGINES)]
         publish(fleet)
         servers = {kind: start_base(fleet, kind, engines) for kind in BASES}
         servers[ENTRY] = fleet.start_entry(ENTRY, "d1", "[entry]\nkeep_s = 1\n")
@@ -137,10 +137,13 @@
         yield servers
 
 
-def start_engines(fleet: Fleet, group: str) -> list[str]:
-    """Starts the engines of one group and returns their addresses."""
-    names = [f"{group}-{index}" for index in range(ENGINES)]
-    return [fleet.start_endpoint("engine", name, group, "d1").address for name in names]
+def start_unlisted_engine(fleet: Fleet, index: int) -> str:
+    """Starts an engine whose sessions no instance takes for orphans."""
+    (address,) = free_addresses(1)
+    arguments = ["standins.engine", "--address", address, "--name", f"u{index}"]
+    fleet.start(f"u{index}", address, arguments)
+    wait_for_port(address)
+    return address
 
 
 def publish(fleet: Fleet) -> None:
