--- a/cicadacourse/orders/_view.py
+++ b/cicadacourse/orders/_view.py
@@ -110,8 +110,7 @@
         return None
 
     def _take(self, batch: Batch) -> None:
-        missing = batch.first_offset > self.next_offset
-        if missing or batch.next_offset < self.next_offset:
+        if self._is_gap(batch):
             logger.warning("stream of leases has a gap at {}", self.next_offset)
             self._metrics.count(LEASE_RESETS)
             self._reset()
@@ -125,6 +124,11 @@
         if not self.settled and self.next_offset == batch.next_offset:
             self._settle_if_quiet(batch.time_ms)
 
+    def _is_gap(self, batch: Batch) -> bool:
+        """Whether records expired unread, or the log lost some."""
+        expired = batch.first_offset > self.next_offset
+        return expired or batch.next_offset < self.next_offset
+
     def _keep(self, record: Record) -> None:
         """Keeps a record until the fold is settled."""
         self._pending.append(record)
--- a/standins/log/_core.py
+++ b/standins/log/_core.py
@@ -67,6 +67,13 @@
         """The log's clock, Unix milliseconds."""
         return int((self._wall_offset_s + now()) * 1000)
 
+    def set_wall_offset_s(self, wall_offset_s: float) -> None:
+        """Makes the log's clock jump.
+
+        :param wall_offset_s: Unix time at the loop's time 0.
+        """
+        self._wall_offset_s = wall_offset_s
+
     async def append(
         self, stream: str, bodies: Sequence[bytes], timeout_s: float
     ) -> Result[tuple[Record, ...], Error]:
--- a/tests/test_orders/test_orders_leases.py
+++ b/tests/test_orders/test_orders_leases.py
@@ -203,6 +203,76 @@
     assert await count_overlaps_after_late_read(ReadTimeOrders) > 0
 
 
+class ShortWaitHolder(LeaseHolder):
+    """Waits for orders under way only, whatever became of the holder before."""
+
+    def _usable_from(self, name):
+        return now() + self._settings.order_timeout_s
+
+
+class ShortWaitOrders(Orders):
+    holder_class = ShortWaitHolder
+
+
+async def count_overlaps_after_clock_jump(orders_class):
+    """The log's clock jumps; a lease passes through a second to a third holder."""
+    fleet = Fleet()
+    overlaps = 0
+    options = {"lease_s": 60.0, "orders_class": orders_class}
+    async with (
+        fleet.node("n1", **options) as first,
+        fleet.node("n2", owner="n1", **options) as second,
+        fleet.node("n3", owner="n1", **options) as third,
+    ):
+        await until(lambda: first.usable_token("e0") is not None)
+        first.log.append_gate.close()
+        fleet.log.set_wall_offset_s(2_000_000_000.0)
+        second.membership.default_owner = "n2"
+        await until(lambda: second.leases.holds("e0"))
+        second.membership.default_owner = third.membership.default_owner = "n3"
+        for _ in range(2000):
+            await asyncio.sleep(0.1)
+            tokens = [node.usable_token("e0") for node in (first, second, third)]
+            overlaps += tokens.count(None) < 2
+        assert third.usable_token("e0") is not None
+    return overlaps
+
+
+async def test_a_jump_of_the_logs_clock_gives_no_lease_to_two():
+    assert await count_overlaps_after_clock_jump(Orders) == 0
+
+
+async def test_a_short_wait_after_a_clock_jump_gives_a_lease_to_two():
+    assert await count_overlaps_after_clock_jump(ShortWaitOrders) > 0
+
+
+async def count_overlaps_after_gap():
+    """An instance reads on after records that it never read have expired."""
+    fleet = Fleet(retention_s=30)
+    overlaps = 0
+    async with fleet.node("n2", owner="n1", snapshot_s=1000) as second:
+        await until(lambda: second.leases.view.settled)
+        second.log.gate.close()
+        async with fleet.node("n1", snapshot_s=1000) as first:
+            await asyncio.sleep(100)
+            second.membership.default_owner = "n2"
+            second.log.gate.open()
+            for _ in range(600):
+                await asyncio.sleep(0.1)
+                tokens = [node.usable_token("e0") for node in (first, second)]
+                overlaps += None not in tokens
+    return overlaps
+
+
+async def test_an_instance_that_missed_records_claims_nothing_by_its_old_view():
+    assert await count_overlaps_after_gap() == 0
+
+
+async def test_reading_on_over_a_gap_gives_a_lease_to_two(monkeypatch):
+    monkeypatch.setattr(LeaseView, "_is_gap", lambda view, batch: False)
+    assert await count_overlaps_after_gap() > 0
+
+
 async def order_in_flight_at_handover(orders_class):
     """Hands over while an order is under way; returns the roles in their order."""
     fleet = Fleet()
