Let each lease record renew all of its holder's leases

Ruled out: a stream per part of the endpoints, which multiplies appends. A lease that its holder lost track of is given back, as it would be renewed for ever otherwise.

--- a/cicadacourse/orders/_fold.py
+++ b/cicadacourse/orders/_fold.py
@@ -2,9 +2,17 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
+
 import attrs
 
-from cicadacourse.orders._records import HeldLease, Lease, LeaseRecord, Snapshot
+from cicadacourse.orders._records import (
+    HeldLease,
+    Lease,
+    LeaseRecord,
+    Release,
+    Snapshot,
+)
 
 
 @attrs.frozen
@@ -23,7 +31,7 @@
     """Applies lease records in log order; every instance computes the same.
 
     A lease goes to the first that claims it at or after its end, by the log's own
-    record times. A renewal counts only for the holder, before the end.
+    record times. Each record of a holder renews the leases that it holds still.
 
     :param lease_ms: how long a lease lasts, in milliseconds.
     """
@@ -33,6 +41,7 @@
         self.leases_by_name: dict[str, Lease] = {}
         self.tables_version = 0
         self.time_ms = 0
+        self._names_by_holder: defaultdict[str, set[str]] = defaultdict(set)
 
     @classmethod
     def from_snapshot(cls, lease_ms: int, snapshot: Snapshot) -> LeaseFold:
@@ -41,6 +50,7 @@
         fold.leases_by_name = dict(snapshot.leases_by_name)
         fold.tables_version = snapshot.tables_version
         fold.time_ms = snapshot.time_ms
+        fold._index()
         return fold
 
     def snapshot(self, as_of: int) -> Snapshot:
@@ -70,15 +80,23 @@
         """Applies one record; the log's clock never goes back here."""
         self.time_ms = max(self.time_ms, time_ms)
         self.tables_version = max(self.tables_version, record.tables_version)
-        for held in record.releases:
-            self._release(record.holder, held)
-        renewed = [held for held in record.renewals if self._renew(record.holder, held)]
+        for release in record.releases:
+            self._release(record.holder, release)
+        renewed = self._renew(record.holder)
         granted = [
             HeldLease(name, offset)
             for name in record.claims
             if self._grant(record.holder, name, offset)
         ]
-        return Changes(tuple(granted), tuple(renewed))
+        return Changes(tuple(granted), renewed)
+
+    def held(self, holder: str) -> list[HeldLease]:
+        """Returns the leases that a holder has at the latest time, by name."""
+        return [
+            HeldLease(name, self.leases_by_name[name].token)
+            for name in sorted(self._names_by_holder.get(holder, ()))
+            if self.time_ms < self.leases_by_name[name].expires_ms
+        ]
 
     def forget_ended(self) -> None:
         """Forgets leases that have ended."""
@@ -87,35 +105,38 @@
             for name, lease in self.leases_by_name.items()
             if lease.expires_ms > self.time_ms
         }
+        self._index()
 
-    def _holds(self, holder: str, held: HeldLease) -> bool:
-        lease = self.leases_by_name.get(held.name)
-        return (
-            lease is not None
-            and lease.token == held.token
-            and lease.holder == holder
-            and self.time_ms < lease.expires_ms
-        )
+    def _index(self) -> None:
+        self._names_by_holder.clear()
+        for name, lease in self.leases_by_name.items():
+            self._names_by_holder[lease.holder].add(name)
 
-    def _release(self, holder: str, held: HeldLease) -> None:
-        if not self._holds(holder, held):
+    def _release(self, holder: str, release: Release) -> None:
+        if HeldLease(release.name, release.token) not in self.held(holder):
             return
-        self.leases_by_name[held.name] = attrs.evolve(
-            self.leases_by_name[held.name], expires_ms=self.time_ms, released=True
+        self.leases_by_name[release.name] = attrs.evolve(
+            self.leases_by_name[release.name],
+            expires_ms=self.time_ms,
+            released=release.clean,
         )
 
-    def _renew(self, holder: str, held: HeldLease) -> bool:
-        if not self._holds(holder, held):
-            return False
-        self.leases_by_name[held.name] = attrs.evolve(
-            self.leases_by_name[held.name], expires_ms=self.time_ms + self._lease_ms
-        )
-        return True
+    def _renew(self, holder: str) -> tuple[HeldLease, ...]:
+        renewed = tuple(self.held(holder))
+        for held in renewed:
+            self.leases_by_name[held.name] = attrs.evolve(
+                self.leases_by_name[held.name],
+                expires_ms=self.time_ms + self._lease_ms,
+            )
+        return renewed
 
     def _grant(self, holder: str, name: str, offset: int) -> bool:
         before = self.leases_by_name.get(name)
         if before is not None and self.time_ms < before.expires_ms:
             return False
+        if before is not None:
+            self._names_by_holder[before.holder].discard(name)
+        self._names_by_holder[holder].add(name)
         self.leases_by_name[name] = Lease(
             holder,
             offset,
--- a/cicadacourse/orders/_holder.py
+++ b/cicadacourse/orders/_holder.py
@@ -5,7 +5,7 @@
 import asyncio
 import random
 from collections import OrderedDict
-from typing import Callable
+from typing import Callable, Iterator
 
 import attrs
 from returns.result import Failure
@@ -16,6 +16,7 @@
     STREAM,
     HeldLease,
     LeaseRecord,
+    Release,
     Snapshot,
     encode,
 )
@@ -160,32 +161,35 @@
 
     def _next_record(self) -> LeaseRecord | None:
         """Returns the record to send now, or None if there is nothing to say."""
-        renewals = []
-        releases = []
+        held = self.view.fold.held(self.holder)
+        releases = tuple(self._make_releases(held))
+        claims = tuple(name for name in sorted(self._wanted) if self.is_free(name))
+        for release in releases:
+            self._own_by_name.pop(release.name, None)
         for name, own in sorted(self._own_by_name.items()):
             if not self.holds(name):
                 self._forget_if_over(name, own)
-                continue
-            held = HeldLease(name, own.token)
-            settled = now() >= own.usable_from
-            wanted = name in self._wanted
-            (renewals if wanted or not settled else releases).append(held)
-        claims = [name for name in sorted(self._wanted) if self.is_free(name)]
-        for held in releases:
-            del self._own_by_name[held.name]
         self._metrics.set(LEASES_HELD, len(self._own_by_name))
-        if not (renewals or releases or claims):
+        if not (held or claims):
             return None
         self._sequence += 1
         return LeaseRecord(
             holder=self.holder,
             sequence=self._sequence,
             tables_version=self._tables_version(),
-            claims=tuple(claims),
-            renewals=tuple(renewals),
-            releases=tuple(releases),
+            claims=claims,
+            releases=releases,
         )
 
+    def _make_releases(self, held: list[HeldLease]) -> Iterator[Release]:
+        """Yields the leases that are not wanted, or that this run lost track of."""
+        for lease in held:
+            own = self._own_by_name.get(lease.name)
+            known = own is not None and own.token == lease.token
+            if not known or lease.name not in self._wanted:
+                clean = known and now() >= own.usable_from
+                yield Release(lease.name, lease.token, clean)
+
     def _forget_if_over(self, name: str, own: OwnLease) -> None:
         if now() >= own.valid_until:
             del self._own_by_name[name]
--- a/cicadacourse/orders/_records.py
+++ b/cicadacourse/orders/_records.py
@@ -15,7 +15,7 @@
 
 @attrs.frozen
 class HeldLease:
-    """A lease that a holder renews or releases.
+    """A lease and the grant that it is from.
 
     :param name: what is leased: an endpoint, or a load slot of a pool.
     :param token: offset of the record that granted it.
@@ -25,11 +25,26 @@
     token: int
 
 
+@attrs.frozen
+class Release:
+    """A lease that its holder gives back.
+
+    :param name: what is leased.
+    :param token: offset of the record that granted it.
+    :param clean: whether no order of this or an earlier holder can be under way
+        longer than the time limit of an order from now.
+    """
+
+    name: str
+    token: int
+    clean: bool = False
+
+
 @attrs.frozen(kw_only=True)
 class LeaseRecord:
-    """One instance's claims, renewals and releases, all in one record.
+    """Renews every lease that an instance holds; it may claim and release some.
 
-    :param holder: the claiming run of an instance.
+    :param holder: the run of an instance.
     :param sequence: grows by one per record of the holder.
     :param tables_version: version of the tables that the holder goes by.
     """
@@ -38,8 +53,7 @@
     sequence: int
     tables_version: int = 0
     claims: tuple[str, ...] = ()
-    renewals: tuple[HeldLease, ...] = ()
-    releases: tuple[HeldLease, ...] = ()
+    releases: tuple[Release, ...] = ()
 
 
 @attrs.frozen
@@ -49,8 +63,8 @@
     :param holder: the run that holds it, or held it last.
     :param token: offset of the record that granted it: the fencing token.
     :param expires_ms: when it ends, by the log's clock.
-    :param released: whether its holder gave it back.
-    :param follows_release: whether the holder before gave it back.
+    :param released: whether its holder gave it back cleanly.
+    :param follows_release: whether the holder before gave it back cleanly.
     """
 
     holder: str
@@ -76,7 +90,7 @@
 
 def encode(record: LeaseRecord | Snapshot) -> bytes:
     """Returns the JSON form of a record."""
-    fields = {_KIND: type(record).__name__, **cattrs.unstructure(record)}
+    fields = {_KIND: type(record).__name__, **_converter.unstructure(record)}
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
@@ -85,11 +99,12 @@
     try:
         fields = json.loads(body)
         cls = _CLASSES_BY_KIND[fields.pop(_KIND)]
-        return Success(cattrs.structure(fields, cls))
+        return Success(_converter.structure(fields, cls))
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         return Failure(repr(error))
     except cattrs.BaseValidationError as error:
         return Failure(repr(error))
 
 
+_converter = cattrs.Converter(omit_if_default=True)
 _CLASSES_BY_KIND = {cls.__name__: cls for cls in (LeaseRecord, Snapshot)}
--- a/cicadacourse/orders/_settings.py
+++ b/cicadacourse/orders/_settings.py
@@ -72,7 +72,7 @@
     )
     snapshot_s: float = option(
         float,
-        60.0,
+        120.0,
         unit="seconds",
         minimum=1.0,
         maximum=3600.0,
--- a/tests/test_orders/test_orders_fold.py
+++ b/tests/test_orders/test_orders_fold.py
@@ -8,23 +8,20 @@
 from returns.result import Failure
 
 from cicadacourse.orders._fold import LeaseFold
-from cicadacourse.orders._records import HeldLease, LeaseRecord, decode, encode
+from cicadacourse.orders._records import HeldLease, LeaseRecord, Release, decode, encode
 
 LEASE_MS = 10
 HOLDERS = ["a", "b", "c"]
 NAMES = ["x", "y"]
 
-held_leases = st.lists(
-    st.builds(HeldLease, st.sampled_from(NAMES), st.integers(0, 12)), max_size=2
-).map(tuple)
+releases = st.builds(Release, st.sampled_from(NAMES), st.integers(0, 12), st.booleans())
 records = st.builds(
     LeaseRecord,
     holder=st.sampled_from(HOLDERS),
     sequence=st.integers(0, 5),
     tables_version=st.integers(0, 3),
     claims=st.lists(st.sampled_from(NAMES), max_size=2).map(tuple),
-    renewals=held_leases,
-    releases=held_leases,
+    releases=st.lists(releases, max_size=2).map(tuple),
 )
 gaps_ms = st.integers(-2, 7)
 streams = st.lists(st.tuples(gaps_ms, records), max_size=14)
@@ -52,12 +49,9 @@
     end_ms = latest_ms = 0
     for offset, time_ms, record in timed:
         latest_ms = max(latest_ms, time_ms)
-        mine = HeldLease(name, token)
         if record.holder == holder and latest_ms < end_ms:
-            if mine in record.releases:
-                end_ms = latest_ms
-            elif mine in record.renewals:
-                end_ms = latest_ms + LEASE_MS
+            released = any(r.name == name and r.token == token for r in record.releases)
+            end_ms = latest_ms if released else latest_ms + LEASE_MS
         if name in record.claims and latest_ms >= end_ms:
             holder, token, end_ms = record.holder, offset, latest_ms + LEASE_MS
     return (holder, token, end_ms) if latest_ms < end_ms else None
@@ -98,6 +92,15 @@
         for held in fold.apply(offset, time_ms, record).granted:
             assert held.token > token_by_name.get(held.name, -1)
             token_by_name[held.name] = held.token
+        assert all(
+            fold.held(holder)
+            == [
+                HeldLease(name, fold.leases_by_name[name].token)
+                for name in NAMES
+                if fold.holder(name, fold.time_ms) == holder
+            ]
+            for holder in HOLDERS
+        )
         for name, lease in fold.leases_by_name.items():
             grant = (name, lease.token)
             assert holder_by_grant.setdefault(grant, lease.holder) == lease.holder
@@ -115,6 +118,6 @@
 
 def test_a_later_renewal_revives_nothing():
     claim = LeaseRecord(holder="a", sequence=1, claims=("x",))
-    renewal = attrs.evolve(claim, claims=(), renewals=(HeldLease("x", 0),))
+    renewal = attrs.evolve(claim, claims=())
     fold = apply_all(LeaseFold(LEASE_MS), [(0, 0, claim), (1, LEASE_MS, renewal)])
     assert live(fold, "x") is None
--- a/tests/test_orders/test_orders_leases.py
+++ b/tests/test_orders/test_orders_leases.py
@@ -12,7 +12,6 @@
 from cicadacourse.orders._holder import LeaseHolder
 from cicadacourse.orders._records import (
     STREAM,
-    HeldLease,
     LeaseRecord,
     Snapshot,
     encode,
@@ -380,7 +379,7 @@
 async def test_a_snapshot_older_than_the_records_read_is_not_taken_up():
     log = LogCore(retention_s=30)
     claim = LeaseRecord(holder="a", sequence=1, claims=("x",))
-    renewal = LeaseRecord(holder="a", sequence=2, renewals=(HeldLease("x", 0),))
+    renewal = LeaseRecord(holder="a", sequence=2)
     late = Snapshot(as_of=0, time_ms=0, tables_version=0, leases_by_name={})
     await log.append(STREAM, [encode(claim)], 1)
     for _ in range(8):
