--- a/cicadacourse/orders/_service.py
+++ b/cicadacourse/orders/_service.py
@@ -6,7 +6,7 @@
 import contextlib
 import random
 import secrets
-from typing import AsyncIterator
+from typing import Any, AsyncIterator
 
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.config import InstanceSettings
@@ -41,10 +41,22 @@
         self._keepers_by_name: dict[str, EndpointKeeper] = {}
         self._tasks_by_name: dict[str, asyncio.Task[None]] = {}
 
-    @property
-    def held_leases(self) -> list[str]:
-        """The leases that this instance holds now, sorted."""
-        return self._tools.leases.held_names()
+    def leases(self) -> list[dict[str, Any]]:
+        """Returns the leases that this instance sees held, for ``show``."""
+        leases = self._tools.leases
+        held = set(leases.held_names())
+        time_ms = leases.view.log_time_ms()
+        return [
+            {
+                "name": name,
+                "holder": lease.holder,
+                "token": lease.token,
+                "left_s": round((lease.expires_ms - time_ms) / 1000, 1),
+                "own": name in held,
+            }
+            for name, lease in sorted(leases.view.fold.leases_by_name.items())
+            if lease.expires_ms > time_ms
+        ]
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
--- a/tests/test_orders/test_orders_leases.py
+++ b/tests/test_orders/test_orders_leases.py
@@ -74,6 +74,17 @@
         assert roles(fleet.engines[0]) == ["decode"]
 
 
+async def test_every_instance_shows_who_holds_a_lease():
+    fleet = Fleet()
+    async with fleet.node("n1") as first, fleet.node("n2", owner="n1") as second:
+        await until(lambda: first.usable_token("e0") is not None)
+        (mine,) = first.app.get("orders").leases()
+        (other,) = second.app.get("orders").leases()
+        assert (mine["own"], other["own"]) == (True, False)
+        assert (mine["name"], mine["token"]) == (other["name"], other["token"])
+        assert other["holder"].startswith("n1/")
+
+
 async def give_order_after_pause(orders_class, checks_fencing):
     """Freezes a holder before its order; a successor orders; the holder resumes."""
     fleet = Fleet(checks_fencing=checks_fencing)
