--- a/bench/load/_arrivals.py
+++ b/bench/load/_arrivals.py
@@ -48,7 +48,7 @@
     flood_time_limit_s: float = 30.0
 
 
-OVERLOAD = LoadSettings(flood_rate=300.0, flood_time_limit_s=4.0)
+OVERLOAD = LoadSettings(flood_rate=500.0, flood_time_limit_s=3.0)
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/test_routing/test_routing_dispatch.py
+++ b/tests/test_routing/test_routing_dispatch.py
@@ -7,7 +7,10 @@
 import pytest
 
 from bench.load import Fleet
+from bench.load._arrivals import Arrival
 from bench.load._fleet import POOL
+from bench.load._results import Fate
+from bench.load._run import _send
 from cicadacourse.errors import ErrorKind
 from cicadacourse.routing import Grant, Outcome, Work
 from cicadacourse.routing._dispatcher import Dispatcher
@@ -60,6 +63,13 @@
         assert first.unwrap().session == second.unwrap().session != ""
 
 
+async def open_without_list(self, endpoint, queue):
+    """Opens a dispatcher's queue without the engine's list of sessions."""
+    self._queues_by_endpoint[endpoint.name] = queue
+    self._changes_by_endpoint[endpoint.name] = asyncio.Event()
+    self._spawn(self._serve(endpoint.name, queue))
+
+
 async def refused_after_succession(fleet: Fleet) -> int:
     """Fills an engine, loses its dispatcher; counts what the engine then refuses."""
     async with fleet.running():
@@ -93,11 +103,6 @@
     fleet = Fleet("default", engine_count=1, instance_count=3)
     assert await refused_after_succession(fleet) == 0
 
-    async def open_without_list(self, endpoint, queue):
-        self._queues_by_endpoint[endpoint.name] = queue
-        self._changes_by_endpoint[endpoint.name] = asyncio.Event()
-        self._spawn(self._serve(endpoint.name, queue))
-
     monkeypatch.setattr(Dispatcher, "_rebuild", open_without_list)
     fleet = Fleet("default", engine_count=1, instance_count=3)
     assert await refused_after_succession(fleet) > 0
@@ -169,3 +174,35 @@
         waiting.cancel()
         await asyncio.sleep(1.0)
         assert sum(map(len, queues)) == 0
+
+
+def see_only_oneself(app) -> None:
+    membership = app.get("membership")
+    membership.owner = lambda key: membership.self_member()
+
+
+@pytest.mark.looptime
+async def test_two_views_of_the_owner_cost_time_and_lose_nothing(monkeypatch):
+    """Even without the engines' lists, their own admission is the guard."""
+    monkeypatch.setattr(Dispatcher, "_rebuild", open_without_list)
+    monkeypatch.setattr(Dispatcher, "reconcile", lambda *arguments: None)
+    fleet = Fleet("default", engine_count=2, instance_count=3)
+    async with fleet.running():
+        for app in fleet.apps:
+            see_only_oneself(app)
+        arrivals = [
+            Arrival(
+                name=f"r{number}",
+                at_s=number * 0.01,
+                organisation="o",
+                prompt_tokens=200_000,
+                output_tokens=40,
+                time_limit_s=600.0,
+            )
+            for number in range(18)
+        ]
+        results = await asyncio.gather(
+            *(_send(fleet.apps[number % 3], one) for number, one in enumerate(arrivals))
+        )
+        assert {one.fate for one in results} == {Fate.COMPLETE}
+        assert max(one.attempts for one in results) > 1
