--- a/tests/test_routing/test_routing_dispatch.py
+++ b/tests/test_routing/test_routing_dispatch.py
@@ -12,9 +12,12 @@
 from bench.load._results import Fate
 from bench.load._run import _send
 from cicadacourse.errors import ErrorKind
-from cicadacourse.routing import Grant, Outcome, Work
+from cicadacourse.routing import Grant, Outcome, Parts, Work
+from cicadacourse.routing._dispatch_client import DispatchClient
 from cicadacourse.routing._dispatcher import Dispatcher
+from cicadacourse.routing._ledger import Ledger
 from cicadacourse.routing._messages import GrantRequest
+from cicadacourse.routing._queue import EndpointQueue
 
 PROMPT = "x" * 400_000
 
@@ -43,24 +46,28 @@
     return fleet.apps[0].get("membership").owner(endpoint_name).name
 
 
-@pytest.mark.looptime
-async def test_a_request_repeated_over_the_network_gets_the_same_grant():
+async def sessions_for_two_requests() -> set[str]:
     fleet = Fleet("default", engine_count=1, instance_count=3)
     async with fleet.running():
         owner = owner_of(fleet, "engine00")
-        member = fleet.apps[0].get("membership").find(owner)
-        asking = next(
-            app
-            for app in fleet.apps
-            if app.get("membership").self_member().name != owner
-        )
+        address = fleet.apps[0].get("membership").find(owner).peer_address
+        index = (int(owner.removeprefix("entry")) + 1) % 3
+        peers = fleet.apps[index].get("peers")
         request = GrantRequest(
-            work=make_work("r"), endpoint="engine00", holder="h", time_left_s=900.0
+            work=make_work("r", tokens=1_000),
+            endpoint="engine00",
+            holder="h",
+            time_left_s=900.0,
         )
-        peers = asking.get("peers")
-        first = await peers.call(member.peer_address, request, 2.0)
-        second = await peers.call(member.peer_address, request, 2.0)
-        assert first.unwrap().session == second.unwrap().session != ""
+        replies = [await peers.call(address, request, 2.0) for _ in range(2)]
+        return {reply.unwrap().session for reply in replies}
+
+
+@pytest.mark.looptime
+async def test_a_request_repeated_over_the_network_gets_the_same_grant(monkeypatch):
+    assert len(await sessions_for_two_requests()) == 1
+    monkeypatch.setattr(Ledger, "find", lambda self, key: None)
+    assert len(await sessions_for_two_requests()) == 2
 
 
 async def open_without_list(self, endpoint, queue):
@@ -126,54 +133,66 @@
             fleet.network.thaw(member.peer_address)
 
 
-@pytest.mark.looptime
-async def test_a_grant_that_is_never_used_lapses():
+def queues_of(fleet: Fleet) -> list[EndpointQueue]:
+    return [
+        queue
+        for app in fleet.apps
+        for queue in app.get("routing").dispatcher._queues_by_endpoint.values()
+    ]
+
+
+async def granted_after_holder_died() -> int:
     fleet = Fleet("default", engine_count=1, instance_count=3)
     async with fleet.running():
         grant = await acquire(fleet, 0, make_work("r", tokens=200_000))
         fleet.lose("entry0" if grant.dispatcher != "entry0" else "entry1")
-        dispatcher = next(
-            app.get("routing").dispatcher
-            for app in fleet.apps
-            if app.get("routing").dispatcher._queues_by_endpoint
-        )
-        queue = dispatcher._queues_by_endpoint["engine00"]
-        assert queue.ledger.kv_tokens > 0
+        assert sum(queue.ledger.kv_tokens for queue in queues_of(fleet)) > 0
         await asyncio.sleep(20.0)
-        assert queue.ledger.kv_tokens == 0
+        return sum(queue.ledger.kv_tokens for queue in queues_of(fleet))
+
+
+@pytest.mark.looptime
+async def test_a_grant_that_is_never_used_lapses(monkeypatch):
+    assert await granted_after_holder_died() == 0
+    monkeypatch.setattr(Dispatcher, "reconcile", lambda *arguments: None)
+    assert await granted_after_holder_died() > 0
 
 
 @pytest.mark.looptime
 async def test_a_deadline_that_can_not_be_met_is_refused_at_once():
+    work = make_work("r", 1_000, 4_000)
     fleet = Fleet("default", engine_count=2, instance_count=3)
     async with fleet.running():
         asked_at = asyncio.get_running_loop().time()
         routing = fleet.apps[0].get("routing")
-        refused = await routing.acquire(make_work("r", 1_000, 4_000), deadline(5.0))
-        error = refused.failure()
+        error = (await routing.acquire(work, deadline(5.0))).failure()
         assert error.kind is ErrorKind.DEADLINE_UNREACHABLE
         assert error.retry_after_s > 0
         assert asyncio.get_running_loop().time() - asked_at < 1.0
+    fleet = Fleet("default", Parts(deadlines=False), engine_count=2, instance_count=3)
+    async with fleet.running():
+        routing = fleet.apps[0].get("routing")
+        assert (await routing.acquire(work, deadline(5.0))).value_or(None) is not None
 
 
-@pytest.mark.looptime
-async def test_a_caller_that_leaves_while_it_waits_takes_its_request_back():
+async def waiting_after_caller_left() -> int:
     fleet = Fleet("default", engine_count=1, instance_count=3)
     async with fleet.running():
-        grant = await acquire(fleet, 0, make_work("holder", tokens=350_000))
-        assert grant.dispatcher
+        await acquire(fleet, 0, make_work("holder", tokens=350_000))
         work = make_work("waiter", tokens=200_000, output=100)
         waiting = asyncio.create_task(acquire(fleet, 1, work))
         await asyncio.sleep(2.0)
-        queues = [
-            queue
-            for app in fleet.apps
-            for queue in app.get("routing").dispatcher._queues_by_endpoint.values()
-        ]
-        assert sum(map(len, queues)) == 1
+        assert sum(map(len, queues_of(fleet))) == 1
         waiting.cancel()
         await asyncio.sleep(1.0)
-        assert sum(map(len, queues)) == 0
+        return sum(map(len, queues_of(fleet)))
+
+
+@pytest.mark.looptime
+async def test_a_caller_that_leaves_while_it_waits_takes_its_request_back(monkeypatch):
+    assert await waiting_after_caller_left() == 0
+    monkeypatch.setattr(DispatchClient, "withdraw", lambda *arguments: None)
+    assert await waiting_after_caller_left() == 1
 
 
 def see_only_oneself(app) -> None:
--- a/tests/test_routing/test_routing_groups.py
+++ b/tests/test_routing/test_routing_groups.py
@@ -12,7 +12,7 @@
 from bench.load._results import Fate
 from bench.load._run import _send
 from cicadacourse.routing import PromptClass, Work
-from cicadacourse.routing._groups import _split
+from cicadacourse.routing._groups import Groups, _split
 
 HUGE_TOKENS = 1_000_000
 SETTLED_S = 40.0
@@ -49,6 +49,28 @@
     assert max(one.first_token_s for one in quick) < 1.2
 
 
+async def fates_of_two_in_one_domain() -> set[Fate]:
+    """Sends two huge prompts to a fleet where one failure domain alone has room."""
+    fleet = Fleet("default", engine_count=7, instance_count=3)
+    async with fleet.running():
+        sends = [_send(fleet.apps[index], huge(f"huge{index}")) for index in range(2)]
+        return {result.fate for result in await asyncio.gather(*sends)}
+
+
+@pytest.mark.looptime
+async def test_two_groups_of_the_same_engines_do_not_deadlock(monkeypatch):
+    assert await fates_of_two_in_one_domain() == {Fate.COMPLETE}
+    reserve_all = Groups._reserve_all
+
+    async def reserve_in_any_order(self, slices, deadline):
+        is_odd = slices[0].work.request_id.startswith("huge1")
+        ordered = list(reversed(slices)) if is_odd else slices
+        return await reserve_all(self, ordered, deadline)
+
+    monkeypatch.setattr(Groups, "_reserve_all", reserve_in_any_order)
+    assert await fates_of_two_in_one_domain() != {Fate.COMPLETE}
+
+
 def test_the_naive_policy_can_not_serve_a_huge_prompt():
     results = run_scenario(
         Scenario(name="naive", policy="naive"), [huge("huge0")], 10.0, seed=1
--- a/tests/test_routing/test_routing_queue.py
+++ b/tests/test_routing/test_routing_queue.py
@@ -83,11 +83,17 @@
     assert (await grants_beside_long(everything_alike))["short"] == 0
 
 
-async def test_long_prompts_get_their_share_under_a_stream_of_short_ones():
-    queue = make_queue()
+async def place_of_long(parts: Parts) -> int:
+    queue = make_queue(parts)
     waiters = [join(queue, make_work(f"short{i}", tokens=7_000)) for i in range(300)]
     waiters.append(join(queue, make_work("long", tokens=200_000)))
-    assert run(queue, waiters, 2.0).index("long") < 5
+    granted = run(queue, waiters, 2.0)
+    return granted.index("long") if "long" in granted else len(waiters)
+
+
+async def test_long_prompts_get_their_share_under_a_stream_of_short_ones():
+    assert await place_of_long(Parts()) < 5
+    assert await place_of_long(Parts(long_share=False)) == 301
 
 
 async def test_asking_twice_for_one_attempt_gives_one_grant():
--- a/tests/test_sessions/test_sessions_release.py
+++ b/tests/test_sessions/test_sessions_release.py
@@ -10,7 +10,8 @@
 from bench.load import Fleet
 from bench.load._fleet import POOL
 from cicadacourse.routing import Outcome, Work
-from cicadacourse.sessions import Sessions
+from cicadacourse.sessions import HoldQuery, Sessions
+from cicadacourse.sessions._judge import Orphaned, OrphanJudge
 
 SETTLED_S = 30.0
 PROMPT = "x" * 40_000
@@ -97,19 +98,42 @@
         task.cancel()
 
 
-@pytest.mark.looptime
-async def test_sessions_of_a_frozen_owner_stay_until_it_is_seen_as_dead():
-    fleet = fleet_of()
+async def kv_used_while_frozen_and_after_death() -> tuple[int, int]:
+    """Freezes an owner that is not the dispatcher of the only engine."""
+    fleet = fleet_of(engines=1)
     async with fleet.running():
-        task = await begin(fleet, 0, "running")
-        fleet.network.freeze("10.0.0.1:7000")
+        membership = fleet.apps[0].get("membership")
+        dispatcher = membership.owner("engine00").name
+        index = (int(dispatcher.removeprefix("entry")) + 1) % 3
+        owner = fleet.apps[index].get("membership").self_member()
+        task = await begin(fleet, index, "running")
+        fleet.network.freeze(owner.peer_address)
         await asyncio.sleep(SETTLED_S)
-        assert fleet.kv_used > 0
-        fleet.lose("entry0")
+        while_frozen = fleet.kv_used
+        fleet.lose(owner.name)
         await asyncio.sleep(SETTLED_S)
-        assert fleet.kv_used == 0
-        fleet.network.thaw("10.0.0.1:7000")
+        after_death = fleet.kv_used
+        fleet.network.thaw(owner.peer_address)
         task.cancel()
+    return while_frozen, after_death
+
+
+@pytest.mark.looptime
+async def test_sessions_of_a_frozen_owner_stay_until_it_is_seen_as_dead(monkeypatch):
+    while_frozen, after_death = await kv_used_while_frozen_and_after_death()
+    assert while_frozen > 0 and after_death == 0
+
+    async def condemn_the_silent(self, owner, names):
+        member = self.app.get("membership").find(owner)
+        address = member.peer_address if member else ""
+        query = HoldQuery(sessions=tuple(names))
+        answer = await self.app.get("peers").call(address, query, 2.0)
+        held = answer.map(lambda reply: reply.held).value_or(())
+        return dict.fromkeys(set(names).difference(held), Orphaned.NOT_HELD)
+
+    monkeypatch.setattr(OrphanJudge, "_judge_owner", condemn_the_silent)
+    while_frozen, _ = await kv_used_while_frozen_and_after_death()
+    assert while_frozen == 0
 
 
 @pytest.mark.looptime
