Measure what control costs, and how it grows

make measure-control prints samples at three sizes or more and the lines through them: membership (to 390 members), limits, following tables and leases, calls over loopback.

--- /dev/null
+++ b/bench/control/_calls.py
@@ -0,0 +1,100 @@
+"""Calls over real connections of one process: processor time and memory."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+import capnp
+
+from bench.control._sample import Meter, Sample
+from cicadacourse.application import Application
+from cicadacourse.config import InstanceSettings, Settings
+from cicadacourse.membership import Member, Membership, MembershipSettings
+from cicadacourse.membership._messages import Ping
+from cicadacourse.peers import CapnpPeers
+from cicadacourse.util.clock import BoottimeEventLoop
+
+RECORDS = (0, 8, 64)
+CONNECTIONS = (50, 150, 300)
+_CALLS = 400
+_TIMEOUT_S = 10.0
+_HOST = "127.0.0.1"
+
+
+def measure(seed: int) -> list[list[Sample]]:
+    """Returns the cost of a call by its records, then that of a connection."""
+    with asyncio.Runner(loop_factory=BoottimeEventLoop) as runner:
+        calls = [runner.run(_measure_calls(count)) for count in RECORDS]
+        connections = [runner.run(_measure_connections(count)) for count in CONNECTIONS]
+    return [calls, connections]
+
+
+def _free_ports(count: int) -> list[int]:
+    """Returns ports that were free, all at the same time, just now."""
+    with contextlib.ExitStack() as stack:
+        probes = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((_HOST, 0))
+        return [probe.getsockname()[1] for probe in probes]
+
+
+def _build(name: str, port: int) -> Application:
+    """Makes an instance that answers probes and makes none of its own."""
+    instance = InstanceSettings(
+        name=name,
+        failure_domain="a",
+        caller_address=f"{_HOST}:1",
+        peer_address=f"{_HOST}:{port}",
+    )
+    quiet = MembershipSettings(probe_period_s=3600, sync_period_s=3600)
+    app = Application(Settings(instance, quiet))
+    app.add_service(CapnpPeers(app))
+    app.add_service(Membership(app))
+    return app
+
+
+def _ping(record_count: int) -> Ping:
+    sender = Member("entry-000", "10.0.0.1:7000", "10.0.0.1:8000", "dk-east", "a")
+    deltas = tuple(
+        Member(f"entry-{index:03d}", f"10.0.0.{index}:7000", f"10.0.0.{index}:8000")
+        for index in range(record_count)
+    )
+    return Ping(sender=sender, deltas=deltas)
+
+
+async def _measure_calls(record_count: int) -> Sample:
+    ports = _free_ports(2)
+    one, other = _build("one", ports[0]), _build("other", ports[1])
+    async with capnp.kj_loop(), one.running(), other.running():
+        peers, address = one.get("peers"), other.get("peers").address
+        request = _ping(record_count)
+        await peers.call(address, request, _TIMEOUT_S)
+        meter = Meter()
+        for _ in range(_CALLS):
+            (await peers.call(address, request, _TIMEOUT_S)).unwrap()
+        cpu_us = meter.cpu_ms() * 1000 / _CALLS
+    figures = {"cpu_us_per_call_both_sides": cpu_us}
+    return Sample("call over loopback", "records", record_count, figures)
+
+
+async def _measure_connections(count: int) -> Sample:
+    one, *others = [
+        _build(f"instance-{index}", port)
+        for index, port in enumerate(_free_ports(count + 1))
+    ]
+    async with capnp.kj_loop(), contextlib.AsyncExitStack() as stack:
+        for app in (one, *others):
+            await stack.enter_async_context(app.running())
+        peers, request = one.get("peers"), _ping(0)
+        meter = Meter()
+        for other in others:
+            address = other.get("peers").address
+            (await peers.call(address, request, _TIMEOUT_S)).unwrap()
+        cpu_us, memory_kb = meter.cpu_ms() * 1000 / count, meter.memory_kb()
+    figures = {
+        "cpu_us_per_first_call_both_sides": cpu_us,
+        "memory_kb_both_sides": memory_kb,
+    }
+    return Sample("first call on a connection", "connections", count, figures)
--- /dev/null
+++ b/bench/control/_cluster.py
@@ -0,0 +1,67 @@
+"""Clusters in memory on a paused clock, and what their instances send."""
+
+from __future__ import annotations
+
+from typing import Any, Coroutine, TypeVar
+
+import attrs
+import looptime
+
+from cicadacourse.peers import MESSAGES
+from tests.memory_cluster import MemoryCluster
+
+T = TypeVar("T")
+
+NOOP_CYCLES = 2
+
+
+def run_paused(coroutine: Coroutine[Any, Any, T]) -> T:
+    """Runs a coroutine on a paused clock, which skips the waiting."""
+    loop = looptime.new_event_loop(noop_cycles=NOOP_CYCLES)
+    try:
+        return loop.run_until_complete(coroutine)
+    finally:
+        loop.close()
+
+
+@attrs.frozen
+class Traffic:
+    """Calls and bytes that all instances of a cluster have sent so far."""
+
+    calls: float
+    sent_bytes: float
+
+    def since(self, before: Traffic) -> Traffic:
+        """Returns what was sent after an earlier reading."""
+        return Traffic(self.calls - before.calls, self.sent_bytes - before.sent_bytes)
+
+
+def traffic(cluster: MemoryCluster, family: str) -> Traffic:
+    """Returns the traffic of one family's messages, replies included."""
+    calls = sent_bytes = 0.0
+    for app in cluster.app_by_name.values():
+        calls += _sum(app.metrics, "peer_calls_sent_total", family)
+        sent_bytes += _sum(app.metrics, "peer_bytes_sent_total", family)
+    return Traffic(calls, sent_bytes)
+
+
+def _sum(metrics: Any, name: str, family: str) -> float:
+    return sum(
+        metrics.value(name, message=message)
+        for message in MESSAGES
+        if message.startswith(f"{family}.")
+    )
+
+
+async def start_joined(cluster: MemoryCluster, names: list[str]) -> None:
+    """Starts instances that know each other from the start."""
+    for name in names:
+        cluster.list_instance(name)
+    for name in names:
+        await cluster.start(name)
+    services = cluster.services("membership")
+    for service in services:
+        for other in services:
+            if other is not service:
+                service.view.merge(other.self_member(), 0.0)
+        service.refreshed(heard_any=True)
--- /dev/null
+++ b/bench/measure_control.py
@@ -0,0 +1,54 @@
+"""Measures the slopes of control and prints them: ``make measure-control``."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import sys
+import time
+
+import attrs
+
+from bench.control import Sample, Slope, _calls, _limits, _membership, _tables, fit
+
+MATTERS = (_membership, _limits, _tables, _calls)
+
+
+def main(argv: list[str]) -> int:
+    """Runs every measurement and prints a table, then JSON lines."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument(
+        "--seed", type=int, default=1, help="seed of the random choices"
+    )
+    arguments = parser.parse_args(argv)
+    started = time.monotonic()
+    groups = [group for matter in MATTERS for group in matter.measure(arguments.seed)]
+    slopes = [slope for group in groups for slope in fit(group)]
+    for group in groups:
+        _print_group(group, fit(group))
+    for sample in (sample for group in groups for sample in group):
+        print(json.dumps({"sample": attrs.asdict(sample)}))
+    for slope in slopes:
+        print(json.dumps({"slope": attrs.asdict(slope)}))
+    print(json.dumps({"took_s": round(time.monotonic() - started, 1)}))
+    return 0
+
+
+def _print_group(samples: list[Sample], slopes: list[Slope]) -> None:
+    """Prints one matter: a row per figure, a column per size, then the slope."""
+    first = samples[0]
+    print(f"{first.matter} (by {first.size_name})")
+    sizes = "".join(f"{sample.size:>12}" for sample in samples)
+    print(f"  {'':34}{sizes}{'at zero':>14}{'per unit':>14}")
+    for slope in slopes:
+        values = "".join(
+            f"{sample.figures_by_name[slope.figure]:>12.2f}" for sample in samples
+        )
+        print(
+            f"  {slope.figure:34}{values}{slope.at_zero:>14.3f}{slope.per_unit:>14.4f}"
+        )
+    print()
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/tests/test_membership/naive.py
+++ b/tests/test_membership/naive.py
@@ -90,3 +90,10 @@
 
     syncer._read_list = read_and_believe
     return membership
+
+
+def telling_everything(app: Application) -> Membership:
+    """Puts all that it knows into every message."""
+    membership = Membership(app)
+    membership.deltas_for = lambda name: tuple(membership.view.live())
+    return membership
--- /dev/null
+++ b/tests/test_membership/test_membership_cost.py
@@ -0,0 +1,35 @@
+"""What membership sends per instance does not grow with the number of instances."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from bench.control._cluster import run_paused, start_joined, traffic
+from cicadacourse.membership import Membership
+from tests.memory_cluster import MemoryCluster
+from tests.test_membership import naive
+
+SMALL, LARGE = 6, 24
+QUIET_S = 10.0
+MOST_GROWTH = 1.25
+
+
+async def sent_per_instance(make, size):
+    """Returns calls and bytes that one instance sends while nothing happens."""
+    cluster = MemoryCluster([make])
+    await start_joined(cluster, [f"e{index}" for index in range(size)])
+    before = traffic(cluster, "membership")
+    await asyncio.sleep(QUIET_S)
+    sent = traffic(cluster, "membership").since(before)
+    await cluster.close()
+    return sent.calls / size, sent.sent_bytes / size
+
+
+@pytest.mark.parametrize("make", [Membership, naive.telling_everything])
+def test_calls_and_bytes_are_flat_in_the_number_of_members(make):
+    few = run_paused(sent_per_instance(make, SMALL))
+    many = run_paused(sent_per_instance(make, LARGE))
+    assert many[0] <= MOST_GROWTH * few[0]
+    assert (many[1] <= MOST_GROWTH * few[1]) == (make is Membership)
