--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV ?= .venv
 BIN = $(VENV)/bin
 SEED ?= 1
+SCENARIO ?= default
 SECONDS ?= 120
 
 .PHONY: venv test lint format demo measure measure-control binary clean
@@ -27,7 +28,7 @@
 	$(BIN)/black -q cicadacourse standins bench tests
 
 demo: venv
-	$(BIN)/python -m bench.demo
+	$(BIN)/python -m bench.demo --seed $(SEED) --scenario $(SCENARIO)
 
 measure: venv
 	$(BIN)/python -m bench.measure --seed $(SEED) --seconds $(SECONDS)
--- a/bench/demo/_load.py
+++ b/bench/demo/_load.py
@@ -53,6 +53,7 @@
     first_token_s: list[float] = attrs.Factory(list)
     seconds: list[float] = attrs.Factory(list)
     errors: list[str] = attrs.Factory(list)
+    not_run: list[str] = attrs.Factory(list)
 
     def add(self, plan: Plan, reply: Reply) -> None:
         """Adds one reply."""
@@ -63,6 +64,8 @@
         self.unknown += reply.outcome not in (COMPLETE, REFUSED)
         self.wrong += reply.wrong or is_wrong(plan, reply)
         self.late += reply.seconds > plan.fields["time_limit_s"] + LATE_GRACE_S
+        if reply.outcome == REFUSED:
+            self.not_run.append(plan.fields["request_id"])
         if reply.outcome != COMPLETE:
             self.errors.append(f"{plan.fields['request_id']}: {reply.error}")
         if reply.outcome == COMPLETE:
--- a/bench/demo/_report.py
+++ b/bench/demo/_report.py
@@ -25,13 +25,22 @@
     return f"{statistics.median(values):.2f}" if values else "-"
 
 
-def totals(tally_by_kind: dict[str, Tally], ran_twice: int) -> dict[str, int]:
-    """Returns the sums over all kinds."""
+def totals(
+    tally_by_kind: dict[str, Tally], runs_by_request: dict[str, int]
+) -> dict[str, int]:
+    """Returns the sums over all kinds; a false "not run" counts as wrong.
+
+    :param runs_by_request: how often each request ran, as the services count.
+    """
     names = ("sent", "complete", "refused", "unknown", "wrong", "late")
     sums = {
         name: sum(getattr(tally, name) for tally in tally_by_kind.values())
         for name in names
     }
+    for tally in tally_by_kind.values():
+        for request in tally.not_run:
+            sums["wrong"] += request in runs_by_request
+    ran_twice = sum(count > 1 for count in runs_by_request.values())
     return {**sums, "ran_twice": ran_twice}
 
 
--- a/bench/demo/_scenario.py
+++ b/bench/demo/_scenario.py
@@ -1,8 +1,7 @@
-"""The demo's fleet and what happens to it while the load runs."""
+"""The demo's fleet: starting it, publishing to it, and judging it afterwards."""
 
 from __future__ import annotations
 
-import asyncio
 import json
 import pathlib
 import subprocess
@@ -10,13 +9,14 @@
 import urllib.request
 from typing import Any
 
-from bench.demo._tables import CHANGED_ROUTES, POOLS, ROUTES
+from bench.demo._tables import POOLS, ROUTES
 from bench.fleet import FAILURE_DOMAINS, Fleet, Program, wait_for_http
 
 ENGINES_PER_DOMAIN = 3
 SERVICES = 3
 ENTRIES_PER_DOMAIN = 2
 PUBLISH_TIMEOUT_S = 30.0
+HTTP_TIMEOUT_S = 10.0
 
 
 def start_fleet(fleet: Fleet) -> list[Program]:
@@ -63,26 +63,22 @@
         wait_for_http(entry.address, "/ready")
 
 
-async def disturb(fleet: Fleet, entries: list[Program], version: int) -> dict[str, Any]:
-    """Publishes a change, stops one instance gracefully and kills another.
-
-    :returns: the exit status of the publisher and of the stopped instance.
-    """
-    await asyncio.sleep(3)
-    leaving, killed, *staying = entries
-    published = await asyncio.to_thread(
-        publish, fleet, entries, CHANGED_ROUTES, version
+def set_fault(program: Program, fault: str, value: Any = True) -> None:
+    """Switches a fault of a stand-in on or off."""
+    request = urllib.request.Request(
+        f"http://{program.address}/faults",
+        data=json.dumps({"fault": fault, "value": value}).encode(),
+        method="POST",
     )
-    leaving.terminate()
-    await asyncio.sleep(3)
-    killed.kill()
-    status = await asyncio.to_thread(leaving.wait, 120.0)
-    return {"publish_status": published["exit_status"], "stop_status": status}
+    with urllib.request.urlopen(request, timeout=HTTP_TIMEOUT_S):
+        pass
 
 
 def get_json(address: str, path: str) -> Any:
     """Returns the JSON at a path of a stand-in."""
-    with urllib.request.urlopen(f"http://{address}{path}", timeout=10) as answer:
+    with urllib.request.urlopen(
+        f"http://{address}{path}", timeout=HTTP_TIMEOUT_S
+    ) as answer:
         return json.load(answer)
 
 
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -109,7 +109,7 @@
 
     def start(self, name: str, address: str, arguments: Sequence[str]) -> Program:
         """Starts ``python -m`` with arguments; its output goes to ``name.log``."""
-        with (self.folder / f"{name}.log").open("wb") as output:
+        with (self.folder / f"{name}.log").open("ab") as output:
             process = subprocess.Popen(
                 [sys.executable, "-m", *arguments],
                 stdout=output,
@@ -156,12 +156,23 @@
             list_address=self.list_address,
             weight_store_address=self.weight_store_address,
         )
-        path = self.folder / f"{name}.ini"
-        path.write_text(text + extra_settings)
-        arguments = ["cicadacourse", "entry", "--settings", str(path)]
+        self._settings_file(name).write_text(text + extra_settings)
+        program = self._run_entry(name, caller_address)
+        self._list_entry(name, peer_address, domain)
+        return program
+
+    def restart_entry(self, name: str) -> Program:
+        """Starts an instance that has ended anew, with the same settings."""
+        return self._run_entry(name, self.programs_by_name[name].address)
+
+    def _settings_file(self, name: str) -> pathlib.Path:
+        return self.folder / f"{name}.ini"
+
+    def _run_entry(self, name: str, caller_address: str) -> Program:
+        path = str(self._settings_file(name))
+        arguments = ["cicadacourse", "entry", "--settings", path]
         program = self.start(name, caller_address, arguments)
         wait_for_port(caller_address)
-        self._list_entry(name, peer_address, domain)
         return program
 
     def _list_entry(self, name: str, peer_address: str, domain: str) -> None:
