--- a/cicadacourse/caller.py
+++ b/cicadacourse/caller.py
@@ -271,7 +271,13 @@
         error = self.reply.error
         if self.ended or error is None or "retry_after_s" not in error:
             return None
-        repeatable = self.fields.get("repeatable", "max_tokens" in self.fields)
-        if self.may_have_run and not repeatable:
+        if self.may_have_run and not self._may_send_again():
             return None
         return float(error["retry_after_s"])
+
+    def _may_send_again(self) -> bool:
+        """Whether a second send is harmless although the first may have run."""
+        if self.fields.get("key"):
+            return True
+        # Only generate routes take max_tokens, and they are repeatable by default.
+        return self.fields.get("repeatable", "max_tokens" in self.fields)
--- a/cicadacourse/cmd/ask.py
+++ b/cicadacourse/cmd/ask.py
@@ -14,12 +14,12 @@
 
 import attrs
 
-from cicadacourse.caller import COMPLETE, FAILED, REFUSED, Caller, Reply
+from cicadacourse.caller import COMPLETE, REFUSED, Caller, Reply
 from cicadacourse.cmd import EXIT_ERROR, EXIT_OK, EXIT_REFUSED, EXIT_UNKNOWN
 from cicadacourse.config import parse_addresses
 from cicadacourse.util.clock import BoottimeEventLoop
 
-EXIT_BY_OUTCOME = {COMPLETE: EXIT_OK, REFUSED: EXIT_REFUSED, FAILED: EXIT_ERROR}
+EXIT_BY_OUTCOME = {COMPLETE: EXIT_OK, REFUSED: EXIT_REFUSED}
 
 
 def get_parser() -> argparse.ArgumentParser:
@@ -27,8 +27,8 @@
     parser = argparse.ArgumentParser(
         prog="cicadacourse ask",
         description="Look up an instance, send one request, print its answer.",
-        epilog="exit status: 0 complete, 1 failed, 2 usage, 5 refused (not run), "
-        "6 outcome unknown",
+        epilog="exit status: 0 complete, 1 no prompt, 2 usage, 5 refused (not run), "
+        "6 outcome unknown, or it ran and failed",
     )
     add = parser.add_argument
     add(
