--- a/cicadacourse/orders/_fold.py
+++ b/cicadacourse/orders/_fold.py
@@ -72,9 +72,7 @@
         self.tables_version = max(self.tables_version, record.tables_version)
         for held in record.releases:
             self._release(record.holder, held)
-        renewed = [
-            held for held in record.renewals if self._renew(record.holder, held)
-        ]
+        renewed = [held for held in record.renewals if self._renew(record.holder, held)]
         granted = [
             HeldLease(name, offset)
             for name in record.claims
--- a/cicadacourse/platform/_http_log.py
+++ b/cicadacourse/platform/_http_log.py
@@ -6,6 +6,7 @@
 import contextlib
 from typing import Any, AsyncIterator, Sequence
 
+import attrs
 from returns.result import Failure, Result, Success
 
 from cicadacourse.application import SERVICES, Application, Service
@@ -17,7 +18,10 @@
 
 LOG_CALLS = declare("log_calls_total", "Calls to the log, by operation and outcome.")
 
+REASON_BUSY = "log_rate_limit"
+
 _OK = 200
+_TOO_MANY = 429
 _NO_EFFECT = frozenset({400, 404, 413, 429, 503})
 
 
@@ -45,9 +49,7 @@
         except HttpError as error:
             return Failure(_get_append_error(str(error), took_no_effect=not error.sent))
         if answer.status != _OK:
-            detail = f"the log answered {answer.status}"
-            no_effect = answer.status in _NO_EFFECT
-            return Failure(_get_append_error(detail, no_effect))
+            return Failure(_get_status_error(answer.status))
         try:
             rows = answer.json()["records"]
             return Success(
@@ -130,6 +132,12 @@
     return Error(kind, detail)
 
 
+def _get_status_error(status: int) -> Error:
+    error = _get_append_error(f"the log answered {status}", status in _NO_EFFECT)
+    reason = REASON_BUSY if status == _TOO_MANY else ""
+    return attrs.evolve(error, reason=reason)
+
+
 def _parse_batch(answer: Any) -> Batch:
     records = tuple(
         Record(
