Send a request that may not be repeated on a fresh connection

Cause: on a reused connection that dies before any answer, curl sends the request again by itself, POST too; one append with a lost answer reached the log twice (tests/test_cmd, 2 appends where 1 was asked for). Ruled out: the publisher (it had read the edit back) and the stand-in. GET, HEAD and DELETE still reuse connections.

--- a/cicadacourse/util/http.py
+++ b/cicadacourse/util/http.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import Any
+from typing import Any, Callable
 
 import attrs
 import pycurl
@@ -11,6 +11,7 @@
 from tornado.httpclient import HTTPRequest
 
 MAX_CONNECTIONS = 512
+_REPEATABLE = frozenset({"GET", "HEAD", "DELETE"})
 _NEVER_SENT = frozenset({pycurl.E_COULDNT_CONNECT, pycurl.E_COULDNT_RESOLVE_HOST})
 
 
@@ -69,6 +70,7 @@
             connect_timeout=timeout_s,
             request_timeout=timeout_s,
             allow_nonstandard_methods=True,
+            prepare_curl_callback=_get_preparation(method),
             follow_redirects=False,
         )
         try:
@@ -90,3 +92,17 @@
                 force_instance=True, max_clients=MAX_CONNECTIONS
             )
         return self._curl
+
+
+def _get_preparation(method: str) -> Callable[[pycurl.Curl], None]:
+    """Returns what sets up a handle for a method.
+
+    On a connection that it reuses and that dies before an answer, curl sends the
+    request again by itself, so a request that must not be repeated gets a new one.
+    """
+    fresh = int(method not in _REPEATABLE)
+
+    def prepare(curl: pycurl.Curl) -> None:
+        curl.setopt(pycurl.FRESH_CONNECT, fresh)
+
+    return prepare
--- a/tests/test_platform/test_platform_http.py
+++ b/tests/test_platform/test_platform_http.py
@@ -103,3 +103,29 @@
         async with running(HttpInstanceList, address) as instance_list:
             error = (await instance_list.fetch(5)).failure()
     assert error.kind is ErrorKind.PEER_UNREACHABLE
+
+
+async def count_posts_after_a_cut():
+    """Counts how often one append is sent if its used connection dies."""
+    posts = []
+
+    def script(method, uri, body):
+        if method == "POST":
+            posts.append(body)
+            return None
+        return 200, {"records": [], "first_offset": 0, "next_offset": 0, "time_ms": 0}
+
+    with scripted_server(script) as address:
+        async with running(HttpLog, address) as log:
+            (await log.read("s", 0, 1, 0, 5)).unwrap()
+            await log.append("s", [b"x"], 5)
+    return len(posts)
+
+
+async def test_an_append_whose_connection_dies_is_sent_once():
+    assert await count_posts_after_a_cut() == 1
+
+
+async def test_naively_on_a_reused_connection_curl_sends_it_again(monkeypatch):
+    monkeypatch.setattr("cicadacourse.util.http._get_preparation", lambda method: None)
+    assert await count_posts_after_a_cut() == 2
