--- a/standins/engine/__init__.py
+++ b/standins/engine/__init__.py
@@ -1,7 +1,7 @@
 """A model engine: continuous batching, prefix cache, sessions and orders."""
 
 from standins.engine._answer import expected_text
-from standins.engine._core import EngineCore, EngineRefusal
+from standins.engine._core import EngineCore
 from standins.engine._faults import EngineFaults
 from standins.engine._messages import (
     STATE_FINISHED,
@@ -23,6 +23,7 @@
     State,
 )
 from standins.engine._model import LoadedModel
+from standins.engine._refusal import EngineRefusal
 from standins.engine._settings import EngineSettings
 
 __all__ = [
--- a/standins/engine/_exports.py
+++ b/standins/engine/_exports.py
@@ -10,22 +10,19 @@
 
     def __init__(self) -> None:
         self._exports_by_handle: dict[str, Export] = {}
-        self._sessions_by_handle: dict[str, str] = {}
 
     def add(self, session: str, kv_tokens: int, prefilled_tokens: int) -> Export:
         """Makes an export of a session."""
         handle = f"{session}/{len(self._exports_by_handle)}"
         export = Export(
-            handle=handle, kv_tokens=kv_tokens, prefilled_tokens=prefilled_tokens
+            handle=handle,
+            kv_tokens=kv_tokens,
+            session=session,
+            prefilled_tokens=prefilled_tokens,
         )
         self._exports_by_handle[handle] = export
-        self._sessions_by_handle[handle] = session
         return export
 
     def find(self, handle: str) -> Export | None:
         """Returns the export of that handle, or None."""
         return self._exports_by_handle.get(handle)
-
-    def session(self, handle: str) -> str:
-        """Returns the session that an export was made of."""
-        return self._sessions_by_handle[handle]
--- a/standins/engine/_messages.py
+++ b/standins/engine/_messages.py
@@ -115,10 +115,11 @@
 
 @attrs.frozen(kw_only=True)
 class Export:
-    """KV cache made ready for another engine to fetch."""
+    """KV cache of a held session, made ready for another engine to fetch."""
 
     handle: str
     kv_tokens: int
+    session: str = ""
     prefilled_tokens: int = 0
 
 
--- a/standins/engine/_session.py
+++ b/standins/engine/_session.py
@@ -7,7 +7,8 @@
 import attrs
 
 from cicadacourse.util.clock import now
-from standins.engine._answer import answer_slice
+from cicadacourse.util.tokens import count_tokens
+from standins.engine._answer import answer_slice, prompt_seed
 from standins.engine._messages import (
     STATE_FINISHED,
     STATE_RUNNING,
@@ -82,6 +83,21 @@
         stopped = self.state == STATE_RUNNING and self.timed_out
         return self.released or stopped or self.state == STATE_FINISHED
 
+    def begin(self, request: GenerateRequest, prefill_left: int) -> None:
+        """Starts on a request.
+
+        :param prefill_left: prompt tokens that are still to be processed.
+        """
+        self.state = STATE_RUNNING
+        self.started_at = now()
+        self.time_limit_s = request.time_limit_s
+        self.request = request
+        self.priority = request.priority
+        self.prefill_left = prefill_left
+        self.answer_seed = prompt_seed(request.prompt)
+        self.first = self.produced = count_tokens(request.emitted)
+        self.total = request.max_tokens
+
     def text(self, start: int, stop: int) -> str:
         """Returns the answer's tokens from ``start`` up to ``stop``."""
         return answer_slice(self.answer_seed, start, stop)
