--- a/tests/test_orders/fleet.py
+++ b/tests/test_orders/fleet.py
@@ -243,3 +243,8 @@
     async with asyncio.timeout(timeout_s):
         while not condition():
             await asyncio.sleep(step_s)
+
+
+def roles(engine):
+    """Returns the roles that an engine was ordered to take, in order."""
+    return [order.role for order in engine.model.orders]
