--- a/cicadacourse/orders/_holder.py
+++ b/cicadacourse/orders/_holder.py
@@ -219,8 +219,10 @@
         await self._send(encode(snapshot))
 
     def _on_record(self, record: LeaseRecord, offset: int, changes: Changes) -> None:
-        """Notes what a record of this run brought it."""
+        """Notes what a record of this run brought it, or what another gave back."""
         if record.holder != self.holder:
+            if any(release.name in self._wanted for release in record.releases):
+                self._wake.set()
             return
         sent_at = self._sent_at_by_sequence.get(record.sequence)
         if sent_at is None:
--- a/cicadacourse/orders/_service.py
+++ b/cicadacourse/orders/_service.py
@@ -6,7 +6,7 @@
 import contextlib
 import random
 import secrets
-from typing import Any, AsyncIterator
+from typing import Any, AsyncIterator, Awaitable, Callable
 
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.config import InstanceSettings
@@ -21,6 +21,7 @@
 logger = get_logger("orders")
 
 SURVEY_S = 1.0
+RESTART_S = 1.0
 
 
 @SERVICES.register("orders")
@@ -69,9 +70,9 @@
             self._tools = self._make_tools(weights)
             leases = self._tools.leases
             tasks = [
-                asyncio.create_task(leases.view.follow()),
-                asyncio.create_task(leases.renew()),
-                asyncio.create_task(self._survey()),
+                asyncio.create_task(_go_on(leases.view.follow)),
+                asyncio.create_task(_go_on(leases.renew)),
+                asyncio.create_task(_go_on(self._survey)),
             ]
             try:
                 yield
@@ -105,10 +106,7 @@
     async def _survey(self) -> None:
         """Keeps one task per owned endpoint."""
         while True:
-            try:
-                self._update_keepers(self._find_targets())
-            except Exception:
-                logger.exception("survey of endpoints failed")
+            self._update_keepers(self._find_targets())
             await asyncio.sleep(SURVEY_S)
 
     def _find_targets(self) -> dict[str, Target]:
@@ -149,7 +147,7 @@
         self._tools.leases.want(name)
         keeper = EndpointKeeper(target, self._tools)
         self._keepers_by_name[name] = keeper
-        self._tasks_by_name[name] = asyncio.create_task(keeper.keep())
+        self._tasks_by_name[name] = asyncio.create_task(_go_on(keeper.keep))
 
     def _stop_keeper(self, name: str) -> None:
         del self._keepers_by_name[name]
@@ -157,6 +155,16 @@
         self._tools.leases.unwant(name)
 
 
+async def _go_on(work: Callable[[], Awaitable[None]]) -> None:
+    """Runs endless work, and runs it again should it fail."""
+    while True:
+        try:
+            await work()
+        except Exception:
+            logger.exception("a task of the orders failed")
+        await asyncio.sleep(RESTART_S)
+
+
 async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
     """Cancels tasks and waits for their end."""
     for task in tasks:
--- a/standins/engine/_core.py
+++ b/standins/engine/_core.py
@@ -8,6 +8,7 @@
 
 from cicadacourse.util.hashing import prefix_hashes
 from cicadacourse.util.tokens import count_tokens
+from standins._refusal import Refusal
 from standins.engine._batching import apply_step, plan_step
 from standins.engine._cache import BLOCK_TOKENS
 from standins.engine._faults import EngineFaults
@@ -37,6 +38,7 @@
 from standins.engine._stream import read_lines
 
 MAX_PREFIX_BLOCKS = 4096
+GROUP_CHECK_S = 1.0
 
 
 class EngineCore:
@@ -64,6 +66,7 @@
         self.model = model or LoadedModel(settings=settings)
         self._seed = seed
         self._task: asyncio.Task | None = None
+        self._watches: set[asyncio.Task] = set()
         self._arrivals = 0
         self._lose_memory()
 
@@ -256,8 +259,22 @@
         session.begin(request, max(prompt_tokens - known, 1))
         self._memory.note_load()
         self._ensure_stepping()
+        if request.members:
+            watch = asyncio.create_task(self._watch_group(session))
+            self._watches.add(watch)
+            watch.add_done_callback(self._watches.discard)
         return session
 
+    async def _watch_group(self, session: Session) -> None:
+        """Cuts a session off once a member of its group lost its slice."""
+        while not session.ended:
+            await asyncio.sleep(GROUP_CHECK_S)
+            try:
+                await check_members(session.request.members, self.peers_by_address)
+            except (Refusal, ConnectionError):
+                session.broken = not session.ended
+                session.notify()
+
     def _admit(self, request: GenerateRequest, kv_tokens: int) -> Session:
         """Takes up a reserved or held session, or makes a new one."""
         if self._memory.running_count >= self.settings.max_streams:
--- a/tests/test_standins/test_standins_engine.py
+++ b/tests/test_standins/test_standins_engine.py
@@ -145,6 +145,24 @@
     assert (await member.sessions()).kv_used == 900
 
 
+async def test_a_stream_breaks_without_its_mark_when_a_member_is_lost():
+    peers = {}
+    settings = EngineSettings(kv_capacity=1000)
+    leader, member = (
+        EngineCore(name, settings, peers_by_address=peers) for name in "ab"
+    )
+    peers["m:1"] = member
+    members = (MemberRef("m:1", "slice"),)
+    asked = request("big", 1500, members=members, max_tokens=300)
+    await hold(member, "slice", asked.prompt[:3600])
+    reading = asyncio.create_task(collect(leader.generate(asked)))
+    await asyncio.sleep(1)
+    await member.release("slice")
+    lines = await reading
+    assert lines and not lines[-1].end and len(lines) < 300
+    assert (await leader.sessions()).kv_used == 900
+
+
 async def test_exported_cache_is_imported_without_another_prefill():
     peers = {}
     source, target = (EngineCore(name, peers_by_address=peers) for name in "ab")
