Rank candidates by the block half way through the known prefix

Cause: the last known block is a prompt's own in most prompts that share a beginning, so ranking by it chose at random.

--- a/cicadacourse/routing/_candidates.py
+++ b/cicadacourse/routing/_candidates.py
@@ -72,8 +72,8 @@
 ) -> list[Candidate]:
     """Returns a few endpoints, those first that probably hold the prompt's prefix.
 
-    The first block alone would send all that share it to one endpoint, so the
-    deepest block known ranks as well and the probes' estimates bound the load.
+    The first block alone would send all that share it to one endpoint, so the block
+    half way ranks as well, and the probes' estimates bound the load.
     """
     if not parts.placement:
         return [Candidate(one) for one in _choose(work, endpoints, 3, parts, rng)]
@@ -97,7 +97,8 @@
     by_name = {endpoint.name: endpoint for endpoint in home}
     names: list[str] = []
     if parts.affinity and work.prefix:
-        for block in (work.prefix[0], work.prefix[-1]):
+        middle = len(work.prefix) // 2
+        for block in (work.prefix[0], work.prefix[middle]):
             names += rank(str(block), by_name)[:AFFINE_CANDIDATES]
     others = [name for name in by_name if name not in names]
     names += rng.sample(others, min(count, len(others)))
