--- a/tests/test_routing/test_routing_groups.py
+++ b/tests/test_routing/test_routing_groups.py
@@ -84,14 +84,14 @@
     async with fleet.running():
         task = asyncio.create_task(_send(fleet.apps[0], huge("huge0")))
         await asyncio.sleep(after_s)
-        held = [engine for engine in fleet.engines if engine._kv_used()]
+        held = [one for one in fleet.engines if (await one.sessions()).kv_used]
         if held:
             held[engine_index % len(held)].crash()
         result = await task
         for engine in fleet.engines:
             engine.restart()
         await asyncio.sleep(SETTLED_S)
-        return result.fate, fleet.kv_used
+        return result.fate, await fleet.kv_used()
 
 
 @pytest.mark.looptime
@@ -115,7 +115,7 @@
         fleet.network.freeze("10.0.0.1:7000")
         fleet.lose("entry0")
         await asyncio.sleep(after_s + SETTLED_S)
-        assert fleet.kv_used == 0
+        assert await fleet.kv_used() == 0
         fleet.network.thaw("10.0.0.1:7000")
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
--- a/tests/test_sessions/test_sessions_release.py
+++ b/tests/test_sessions/test_sessions_release.py
@@ -59,7 +59,7 @@
 
     task = asyncio.create_task(read())
     await asyncio.sleep(1.0)
-    assert fleet.kv_used > 0
+    assert await fleet.kv_used() > 0
     return task
 
 
@@ -69,7 +69,7 @@
         task = await begin(fleet, 0, state)
         fleet.lose("entry0")
         await asyncio.sleep(SETTLED_S)
-        used = fleet.kv_used
+        used = await fleet.kv_used()
         task.cancel()
     return used
 
@@ -94,7 +94,7 @@
     async with fleet.running():
         task = await begin(fleet, 0, state)
         await asyncio.sleep(SETTLED_S)
-        assert fleet.kv_used > 0
+        assert await fleet.kv_used() > 0
         task.cancel()
 
 
@@ -109,10 +109,10 @@
         task = await begin(fleet, index, "running")
         fleet.network.freeze(owner.peer_address)
         await asyncio.sleep(SETTLED_S)
-        while_frozen = fleet.kv_used
+        while_frozen = await fleet.kv_used()
         fleet.lose(owner.name)
         await asyncio.sleep(SETTLED_S)
-        after_death = fleet.kv_used
+        after_death = await fleet.kv_used()
         fleet.network.thaw(owner.peer_address)
         task.cancel()
     return while_frozen, after_death
@@ -143,7 +143,7 @@
         task = await begin(fleet, 0, "running")
         fleet.apps[0].get("sessions")._held.clear()
         await asyncio.sleep(SETTLED_S)
-        assert fleet.kv_used == 0
+        assert await fleet.kv_used() == 0
         task.cancel()
 
 
@@ -158,9 +158,9 @@
         await client.reserve(endpoint, "s", "entry0", 1_000, 500.0, 2.0)
         await client.prefill(endpoint, "s", "x" * 400, 0, 2.0)
         await asyncio.sleep(480.0)
-        assert fleet.kv_used > 0
+        assert await fleet.kv_used() > 0
         await asyncio.sleep(20.0 + SETTLED_S)
-        assert fleet.kv_used == 0
+        assert await fleet.kv_used() == 0
 
 
 @pytest.mark.looptime
@@ -192,7 +192,7 @@
                 task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await asyncio.sleep(SETTLED_S)
-        assert fleet.kv_used == 0
+        assert await fleet.kv_used() == 0
         queues = [
             queue
             for app in fleet.apps
