--- a/cicadacourse/routing/_groups.py
+++ b/cicadacourse/routing/_groups.py
@@ -4,9 +4,7 @@
 
 import asyncio
 import contextlib
-import math
 import random
-from collections import defaultdict
 from typing import TYPE_CHECKING, AsyncIterator, Sequence
 
 import attrs
@@ -19,9 +17,9 @@
 from cicadacourse.routing._dispatch_client import DispatchClient
 from cicadacourse.routing._messages import GrantReply
 from cicadacourse.routing._model import Grant, GroupMember, PromptClass, Work, kv_limit
+from cicadacourse.routing._slices import Slice, by_domain, cut
 from cicadacourse.tables import Pool
 from cicadacourse.util.clock import now
-from cicadacourse.util.tokens import BYTES_PER_TOKEN
 
 if TYPE_CHECKING:
     from cicadacourse.application import Application
@@ -30,19 +28,10 @@
 RESERVE_TIMEOUT_S = 2.0
 BACK_OFF_S = 0.5
 TOO_FEW_RETRY_S = 5.0
-SLICE_SLACK_TOKENS = 2
 
 GROUPS = declare("groups_total", "Groups of engines asked for, by result.")
 
 
-@attrs.frozen
-class _Slice:
-    """One member's part of a prompt, as work of its own."""
-
-    endpoint: Endpoint
-    work: Work
-
-
 class Groups:
     """Reserves groups of engines in one failure domain, all or nothing.
 
@@ -80,10 +69,10 @@
 
     async def _choose(
         self, work: Work, pool: Pool, endpoints: Sequence[Endpoint]
-    ) -> list[_Slice] | None:
+    ) -> list[Slice] | None:
         """Returns slices over the failure domain whose members are free first."""
         choices = [
-            _cut(work, pool, members) for members in _by_domain(endpoints).values()
+            cut(work, pool, members) for members in by_domain(endpoints).values()
         ]
         choices = [slices for slices in choices if slices]
         if not choices:
@@ -92,7 +81,7 @@
         part = choices[0][0].work
         seconds_by_name = await self._client.estimate(part, candidates)
 
-        def latest(slices: list[_Slice]) -> tuple[float, float]:
+        def latest(slices: list[Slice]) -> tuple[float, float]:
             seconds = (seconds_by_name.get(one.endpoint.name, 60.0) for one in slices)
             return max(seconds), self._random.random()
 
@@ -103,12 +92,12 @@
         detail = f"no failure domain can hold {work.kv_tokens} tokens"
         listed = self.app.get("directory").all_endpoints()
         every = [one for one, _ in listed if one.pool == pool.name]
-        if any(_cut(work, pool, members) for members in _by_domain(every).values()):
+        if any(cut(work, pool, members) for members in by_domain(every).values()):
             return Error(ErrorKind.NO_ENDPOINT, detail, retry_after_s=TOO_FEW_RETRY_S)
         return Error(ErrorKind.TOO_LARGE, detail)
 
     async def _reserve_all(
-        self, slices: Sequence[_Slice], deadline: float
+        self, slices: Sequence[Slice], deadline: float
     ) -> Result[tuple[GroupMember, ...], Error]:
         """Reserves every slice in order, or none."""
         async with self._undoing() as reserved:
@@ -133,9 +122,7 @@
                 self.app.get("routing").discard(member.endpoint, member.session)
                 self._client.give_back(member.endpoint.name, member.session)
 
-    async def _reserve(
-        self, one: _Slice, deadline: float
-    ) -> Result[GroupMember, Error]:
+    async def _reserve(self, one: Slice, deadline: float) -> Result[GroupMember, Error]:
         """Waits for a slice's grant, then reserves it on the engine."""
         match await self._wait_for_grant(one, deadline):
             case Failure(error):
@@ -158,7 +145,7 @@
             return answer
         return Success(member)
 
-    async def _wait_for_grant(self, one: _Slice, deadline: float) -> Result[str, Error]:
+    async def _wait_for_grant(self, one: Slice, deadline: float) -> Result[str, Error]:
         granted = False
         try:
             while now() < deadline:
@@ -191,83 +178,6 @@
         )
 
 
-async def prefill_group(
-    app: Application, grant: Grant, prompt: str
-) -> Result[None, Error]:
-    """Prefills each member's slice of a prompt, all at the same time.
-
-    The leader's slice is the last one; its answer starts from there.
-    """
-    client = app.get("endpoint_client")
-    texts = _split(prompt, [member.kv_tokens for member in grant.members])
-    targets = [(one.endpoint, one.session) for one in grant.members]
-    targets.append((grant.endpoint, grant.session))
-    offsets = [0]
-    for member in grant.members:
-        offsets.append(offsets[-1] + member.kv_tokens - SLICE_SLACK_TOKENS)
-    timeout_s = max(0.0, grant.expires_at - now())
-    answers = await asyncio.gather(
-        *(
-            client.prefill(endpoint, session, text, offset, timeout_s)
-            for (endpoint, session), text, offset in zip(targets, texts, offsets)
-        )
-    )
-    for answer in answers:
-        if isinstance(answer, Failure):
-            return answer
-    return Success(None)
-
-
-def _by_domain(endpoints: Sequence[Endpoint]) -> dict[str, list[Endpoint]]:
-    by_domain: dict[str, list[Endpoint]] = defaultdict(list)
-    for endpoint in sorted(endpoints, key=lambda one: one.name):
-        by_domain[endpoint.failure_domain].append(endpoint)
-    return by_domain
-
-
-def _cut(work: Work, pool: Pool, members: Sequence[Endpoint]) -> list[_Slice]:
-    """Returns equal slices over the first members, or none if they are too few.
-
-    The first by name are those that long prompts are kept to.
-    """
-    count = max(2, math.ceil(work.kv_tokens / (kv_limit(pool) - SLICE_SLACK_TOKENS)))
-    if count > len(members):
-        return []
-    slices = []
-    prompt_left = work.prompt_tokens
-    part_tokens = math.ceil(work.kv_tokens / count)
-    for index, endpoint in enumerate(members[:count]):
-        is_leader = index == count - 1
-        tokens = prompt_left if is_leader else min(part_tokens, prompt_left)
-        prompt_left -= tokens
-        part = attrs.evolve(
-            work,
-            request_id=f"{work.request_id}.slice{index}",
-            prompt_tokens=tokens + SLICE_SLACK_TOKENS,
-            max_output_tokens=work.max_output_tokens if is_leader else 0,
-            prefix=(),
-        )
-        slices.append(_Slice(endpoint, part))
-    return slices
-
-
-def _split(prompt: str, kv_tokens: Sequence[int]) -> list[str]:
-    """Splits a prompt at characters near the members' shares; the rest is last."""
-    body = prompt.encode()
-    texts = []
-    start = 0
-    stop = 0
-    for tokens in kv_tokens:
-        stop += (tokens - SLICE_SLACK_TOKENS) * BYTES_PER_TOKEN
-        cut = min(stop, len(body))
-        while cut < len(body) and body[cut] & 0xC0 == 0x80:
-            cut -= 1
-        texts.append(body[start:cut].decode())
-        start = cut
-    texts.append(body[start:].decode())
-    return texts
-
-
 def _service_s(work: Work, pool: Pool) -> float:
     """Returns how long an idle group would take for the whole answer."""
     slice_tokens = min(work.prompt_tokens, kv_limit(pool))
--- a/cicadacourse/routing/_service.py
+++ b/cicadacourse/routing/_service.py
@@ -17,7 +17,6 @@
 from cicadacourse.registry import UnknownNameError
 from cicadacourse.routing._dispatch_client import DispatchClient
 from cicadacourse.routing._dispatcher import Dispatcher
-from cicadacourse.routing._groups import prefill_group
 from cicadacourse.routing._messages import (
     Done,
     Estimates,
@@ -30,6 +29,7 @@
 from cicadacourse.routing._model import Grant, Outcome, Work
 from cicadacourse.routing._parts import Parts
 from cicadacourse.routing._policy import POLICIES, Policy
+from cicadacourse.routing._slices import prefill_group
 from cicadacourse.util.clock import now
 
 RELEASE_TIMEOUT_S = 2.0
