Look at a queue again only when time can change it

Cause: a queue that waited for memory was looked at every 5 ms, as its backlog was already within the window.

--- a/cicadacourse/routing/_dispatcher.py
+++ b/cicadacourse/routing/_dispatcher.py
@@ -34,6 +34,7 @@
 HOLD_S = 1.0
 PROBE_WAIT_S = 0.2
 REBUILD_TIMEOUT_S = 1.0
+SOONEST_LOOK_S = 0.005
 IDLE_LOOK_S = 1.0
 MIN_RETRY_AFTER_S = 0.5
 
@@ -253,8 +254,9 @@
         while True:
             ready_in_s = queue.ready_in_s(now())
             timeout_s = IDLE_LOOK_S if ready_in_s is None else ready_in_s
+            timeout_s = min(max(timeout_s, SOONEST_LOOK_S), IDLE_LOOK_S)
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(changed.wait(), min(timeout_s, IDLE_LOOK_S))
+                await asyncio.wait_for(changed.wait(), timeout_s)
             changed.clear()
             queue.grant_ready(now())
             self._count_queued()
--- a/cicadacourse/routing/_queue.py
+++ b/cicadacourse/routing/_queue.py
@@ -152,10 +152,16 @@
                 self._grant(waiter, time)
 
     def ready_in_s(self, time: float) -> float | None:
-        """Returns when to look again if nothing else happens, or None."""
-        if not self._waiters_by_key:
-            return None
-        return max(0.005, self._backlog.wait_s(0, time) - PREFILL_WINDOW_S)
+        """Returns when the backlog lets a waiting class go on; None if it does now.
+
+        What waits for memory is looked at when a grant comes back.
+        """
+        classes = {waiter.prompt_class for waiter in self._waiters_by_key.values()}
+        waits = (
+            self._backlog.wait_s(self.priority(one), time) - PREFILL_WINDOW_S
+            for one in classes
+        )
+        return min((wait_s for wait_s in waits if wait_s > 0), default=None)
 
     def _in_class(self, prompt_class: PromptClass) -> list[Waiter]:
         waiters = self._waiters_by_key.values()
--- a/tests/test_routing/test_routing_queue.py
+++ b/tests/test_routing/test_routing_queue.py
@@ -128,6 +128,16 @@
     assert warm_s < cold_s / 2
 
 
+async def test_a_queue_that_waits_for_memory_is_not_looked_at_all_the_time():
+    queue = make_queue()
+    join(queue, make_work("holder", tokens=350_000))
+    queue.grant_ready(0.0)
+    join(queue, make_work("waiter", tokens=200_000), 60.0)
+    queue.grant_ready(60.0)
+    assert len(queue) == 1
+    assert queue.ready_in_s(60.0) is None
+
+
 STEPS = st.lists(
     st.tuples(
         st.sampled_from(["ask", "return", "withdraw", "wait"]),
