--- a/bench/load/_fleet.py
+++ b/bench/load/_fleet.py
@@ -145,7 +145,7 @@
     @property
     def kv_used(self) -> int:
         """KV memory that sessions hold on all engines, in tokens."""
-        return sum(engine._kv_used() for engine in self.engines)
+        return sum(engine.kv_used for engine in self.engines)
 
     def _add_engine(self, index: int, seed: int) -> None:
         name = f"engine{index:02}"
--- a/standins/engine/_core.py
+++ b/standins/engine/_core.py
@@ -103,6 +103,11 @@
         async for line in read_lines(self, session, position):
             yield line
 
+    @property
+    def kv_used(self) -> int:
+        """KV memory that sessions hold now, in tokens."""
+        return self._memory.kv_used
+
     async def sessions(self) -> SessionList:
         """Lists every session that holds memory."""
         await self._enter()
--- a/tests/test_routing/test_routing_groups.py
+++ b/tests/test_routing/test_routing_groups.py
@@ -84,7 +84,7 @@
     async with fleet.running():
         task = asyncio.create_task(_send(fleet.apps[0], huge("huge0")))
         await asyncio.sleep(after_s)
-        held = [engine for engine in fleet.engines if engine._kv_used()]
+        held = [engine for engine in fleet.engines if engine.kv_used]
         if held:
             held[engine_index % len(held)].crash()
         result = await task
