--- a/cicadacourse/membership/_service.py
+++ b/cicadacourse/membership/_service.py
@@ -86,6 +86,7 @@
         try:
             yield
         finally:
+            self._last_tick = None
             for task in list(self._tasks):
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/cicadacourse/peers/_memory.py
+++ b/cicadacourse/peers/_memory.py
@@ -166,7 +166,7 @@
         """Sends a frame and waits for its reply, which may go on after the wait."""
         task = asyncio.ensure_future(self._round_trip(address, frame, timeout_s))
         self._late.add(task)
-        task.add_done_callback(self._late.discard)
+        task.add_done_callback(self._end)
         try:
             done, _ = await asyncio.wait({task}, timeout=timeout_s)
         except asyncio.CancelledError:
@@ -181,6 +181,12 @@
         max_bytes = self.app.settings.get(PeersSettings).max_message_bytes
         return from_frame(task.result(), max_bytes)
 
+    def _end(self, task: asyncio.Task[Any]) -> None:
+        """Drops a task; one that ended after its caller gave up may have failed."""
+        self._late.discard(task)
+        if not task.cancelled():
+            task.exception()
+
     async def _round_trip(self, address: str, frame: Frame, timeout_s: float) -> Frame:
         async with asyncio.timeout(_LOST_AFTER_S + timeout_s):
             target = await self._network.deliver(self.address, address)
--- a/tests/memory_cluster.py
+++ b/tests/memory_cluster.py
@@ -143,6 +143,11 @@
         """Returns the peer addresses of the running instances."""
         return self.addresses(list(self.app_by_name))
 
+    @property
+    def apps(self) -> list[Application]:
+        """The running applications."""
+        return list(self.app_by_name.values())
+
     def get(self, name: str, service_name: str) -> Any:
         """Returns a service of an instance."""
         return self.app_by_name[name].get(service_name)
