--- a/bench/measure_control.py
+++ b/bench/measure_control.py
@@ -13,6 +13,7 @@
     Sample,
     Slope,
     _calls,
+    _claims,
     _dispatch,
     _limits,
     _membership,
@@ -20,7 +21,7 @@
     fit,
 )
 
-MATTERS = (_membership, _limits, _dispatch, _tables, _calls)
+MATTERS = (_membership, _limits, _dispatch, _claims, _tables, _calls)
 
 
 def main(argv: list[str]) -> int:
