--- a/bench/measure_control.py
+++ b/bench/measure_control.py
@@ -13,6 +13,7 @@
     Sample,
     Slope,
     _calls,
+    _capacity,
     _claims,
     _dispatch,
     _limits,
@@ -36,10 +37,13 @@
     slopes = [slope for group in groups for slope in fit(group)]
     for group in groups:
         _print_group(group, fit(group))
+    _print_capacity(slopes)
     for sample in (sample for group in groups for sample in group):
         print(json.dumps({"sample": attrs.asdict(sample)}))
     for slope in slopes:
         print(json.dumps({"slope": attrs.asdict(slope)}))
+    for role in _capacity.roles(slopes):
+        print(json.dumps({"capacity": attrs.asdict(role)}))
     print(json.dumps({"took_s": round(time.monotonic() - started, 1)}))
     return 0
 
@@ -60,5 +64,20 @@
     print()
 
 
+def _print_capacity(slopes: list[Slope]) -> None:
+    """Prints what each role costs one node at the target's size."""
+    print(f"one of {_capacity.NODES} nodes, worked out from the lines above")
+    print(f"  {'role':36}{'calls/s':>10}{'sent B/s':>12}{'CPU ms/s':>10}{'KB':>12}")
+    for role in _capacity.roles(slopes):
+        figures = f"{role.calls_per_s:>10.2f}{role.sent_bytes_per_s:>12.0f}"
+        print(
+            f"  {role.name:36}{figures}{role.cpu_ms_per_s:>10.2f}{role.memory_kb:>12.0f}"
+        )
+    claims_per_s = _capacity.claim_appends_per_s(slopes)
+    leases_per_s = _capacity.lease_appends_per_s()
+    print(f"  log appends/s: leases {leases_per_s:.0f}, claims {claims_per_s:.0f}")
+    print()
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:]))
