Claim a call's key before its first byte leaves

The claim follows the grant, so that a key is not used up where no endpoint is free, and is never taken over. The recorded outcome answers later requests with the key; recording does not make the caller wait. Seen failing first: claims that are always granted run a key twice when the first instance dies after the send.

--- a/cicadacourse/entry/_admission.py
+++ b/cicadacourse/entry/_admission.py
@@ -100,4 +100,5 @@
         detail = f"route {route.name!r} takes no key"
         return Error(ErrorKind.BAD_REQUEST, detail, "key_not_taken")
     claims = app.find("claims")
-    return check_key(request.key, getattr(claims, "key_horizon_s", KEY_HORIZON_S))
+    horizon_s = KEY_HORIZON_S if claims is None else claims.key_horizon_s
+    return check_key(request.key, horizon_s)
--- a/cicadacourse/entry/_call.py
+++ b/cicadacourse/entry/_call.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING, Any
 
 from returns.result import Failure, Result, Success
 
 from cicadacourse.entry._attempts import NOT_SENT, Attempts
-from cicadacourse.errors import Error
+from cicadacourse.entry._claim import KeyClaim
+from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.routing import Grant, Outcome, Work
 
 if TYPE_CHECKING:
@@ -26,11 +26,17 @@
 
     def __init__(self, app: Application, attempts: Attempts) -> None:
         self.app = app
+        self._claim = KeyClaim(app, attempts)
         self._attempts = attempts
         self._request = attempts.request
 
     async def run(self) -> Result[Any, Error]:
         """Returns the service's result, or why there is none."""
+        result = await self._run_attempts()
+        self.app.get("entry").run_held(self._claim.record(result))
+        return result
+
+    async def _run_attempts(self) -> Result[Any, Error]:
         while True:
             work = self._work(self._attempts.start())
             acquired = await self.app.get("routing").acquire(
@@ -41,6 +47,9 @@
                     return Failure(self._attempts.final(error))
                 case Success(grant):
                     pass
+            answered = await self._claim_first(grant)
+            if answered is not None:
+                return answered
             result = await self._call(grant, work.attempt)
             if isinstance(result, Success):
                 return result
@@ -50,6 +59,16 @@
                 return Failure(self._attempts.final(error))
             await self._attempts.back_off()
 
+    async def _claim_first(self, grant: Grant) -> Result[Any, Error] | None:
+        """Claims the key under a grant, so that a key is not used up in vain."""
+        answered: Result[Any, Error] | None = Failure(Error(ErrorKind.INTERNAL))
+        try:
+            answered = await self._claim.take()
+        finally:
+            if answered is not None:
+                self.app.get("routing").release(grant, Outcome.ABANDONED)
+        return answered
+
     def _work(self, attempt: int) -> Work:
         return Work(
             request_id=self._request.request_id,
@@ -69,7 +88,7 @@
                 self._request.request_id,
                 attempt,
                 self._request.organisation,
-                self._body(),
+                self._request.prompt,
                 self._call_time_s(),
             )
             outcome = Outcome.COMPLETE
@@ -93,10 +112,3 @@
             self._attempts.pool.progress_timeout_s, left_s * SHARE_OF_TIME_LEFT
         )
         return min(left_s, share_s)
-
-    def _body(self) -> Any:
-        """Returns the prompt as the service's body, as JSON where it is JSON."""
-        try:
-            return json.loads(self._request.prompt)
-        except ValueError:
-            return self._request.prompt
--- a/cicadacourse/entry/_path.py
+++ b/cicadacourse/entry/_path.py
@@ -14,7 +14,6 @@
 from cicadacourse.entry._attempts import Attempts
 from cicadacourse.entry._budget import RetryBudget
 from cicadacourse.entry._call import ServiceCall
-from cicadacourse.entry._claim import claimed_call
 from cicadacourse.entry._generate import Generation
 from cicadacourse.entry._request import CallerRequest, parse_request
 from cicadacourse.entry._settings import CALLERS_LOST, REQUESTS
@@ -113,7 +112,8 @@
         if attempts.route.kind != KIND_CALL:
             return await Generation(self.app, attempts, sink).run()
         # A call runs on when its caller leaves, so that its outcome gets recorded.
-        result = await self.app.get("entry").finish(self._run_call(attempts))
+        call = self.app.get("entry").run_held(self._run_call(attempts))
+        result = await asyncio.shield(call)
         if isinstance(result, Failure):
             return result
         request_id = attempts.request.request_id
@@ -121,10 +121,9 @@
         return Success(None)
 
     async def _run_call(self, attempts: Attempts) -> Result[Any, Error]:
-        call = ServiceCall(self.app, attempts)
         try:
             async with asyncio.timeout_at(attempts.deadline):
-                return await claimed_call(self.app, attempts, call)
+                return await ServiceCall(self.app, attempts).run()
         except TimeoutError:
             return Failure(attempts.timed_out())
 
--- a/cicadacourse/entry/_service.py
+++ b/cicadacourse/entry/_service.py
@@ -111,12 +111,12 @@
         task.add_done_callback(self._background.discard)
         return task
 
-    async def finish(self, work: Coroutine[Any, Any, T]) -> T:
-        """Runs work to its end, also if the caller leaves, and returns its result."""
+    def run_held(self, work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
+        """Runs work that no caller waits for, but a stop does."""
         self.hold()
         task = self.run_in_background(work)
         task.add_done_callback(lambda _: self.let_go())
-        return await asyncio.shield(task)
+        return task
 
     async def drain(self) -> None:
         """Leaves gracefully; returns when the last request has ended.
