--- a/cicadacourse/tables/_follower.py
+++ b/cicadacourse/tables/_follower.py
@@ -53,7 +53,7 @@
         float,
         3600.0,
         unit="seconds",
-        minimum=1,
+        minimum=10,
         maximum=1e9,
         help="How long the log keeps a record, at the least.",
     )
--- a/tests/test_tables/test_tables_failures.py
+++ b/tests/test_tables/test_tables_failures.py
@@ -9,12 +9,14 @@
 
 import attrs
 import pytest
+from returns.result import Success
 
 from cicadacourse.membership import Membership
 from cicadacourse.tables import (
     STREAM,
     Edit,
     Fold,
+    Tables,
     TablesFollower,
     TablesSettings,
     publish_edit,
@@ -263,18 +265,32 @@
         await check_cut_from_peers(WithoutLog)
 
 
-async def test_faulty_records_disturb_nobody():
+async def check_faulty_records():
     async with fleet() as (cluster, core):
         await publish(core, make_edit("one", 0))
         faulty = Edit(edit_id="bad", base_version=1, routes="[rout x]", pools="")
         await core.append(STREAM, [b"?", b'{"v": 7}', encode(faulty)], 5)
         published = (await publish(core, make_edit("two", 1))).unwrap()
+        assert published.accepted
         await check_in_force(cluster, published.version)
         count = cluster.app_by_name["e1"].metrics.value
         assert count("tables_records_total", outcome="invalid") == 1
         assert count("tables_records_total", outcome="newer_version") == 1
 
 
+async def test_faulty_records_disturb_nobody():
+    await check_faulty_records()
+
+
+async def test_naively_without_checks_in_the_fold_faulty_tables_come_in_force(
+    monkeypatch,
+):
+    naive = "cicadacourse.tables._state.parse_tables"
+    monkeypatch.setattr(naive, lambda routes, pools: Success(Tables()))
+    with pytest.raises(AssertionError):
+        await check_faulty_records()
+
+
 async def disturb(cluster, core, rng):
     """Cuts, outages, freezes of links and restarts, one after the other."""
     name = rng.choice(NAMES)
