--- a/standins/engine/_session.py
+++ b/standins/engine/_session.py
@@ -7,7 +7,8 @@
 import attrs
 
 from cicadacourse.util.clock import now
-from standins.engine._answer import answer_slice
+from cicadacourse.util.tokens import count_tokens
+from standins.engine._answer import answer_slice, prompt_seed
 from standins.engine._messages import (
     STATE_FINISHED,
     STATE_RUNNING,
@@ -26,6 +27,7 @@
     :param first: position of the first token made here.
     :param produced: position behind the last token made.
     :param total: length of the whole answer, in tokens.
+    :param broken: whether a member of its group lost its slice.
     :param pinned: cached blocks that the session holds.
     """
 
@@ -48,6 +50,7 @@
     total: int = 0
     answer_seed: int = 0
     released: bool = False
+    broken: bool = False
     _waiters: list[asyncio.Future] = attrs.field(factory=list)
 
     @property
@@ -60,10 +63,19 @@
         """Whether the time limit has passed."""
         return self.age_s > self.time_limit_s
 
+    @property
+    def stopped(self) -> bool:
+        """Whether the session was cut off before its end."""
+        return (
+            self.released
+            or self.broken
+            or (self.state != STATE_FINISHED and self.timed_out)
+        )
+
     @property
     def prefilling(self) -> bool:
         """Whether prompt tokens wait to be processed."""
-        return self.prefill_left > 0 and not self.released and not self.timed_out
+        return self.prefill_left > 0 and not self.stopped
 
     @property
     def decoding(self) -> bool:
@@ -72,15 +84,28 @@
             self.state == STATE_RUNNING
             and self.prefill_left == 0
             and self.produced < self.total
-            and not self.released
-            and not self.timed_out
+            and not self.stopped
         )
 
     @property
     def ended(self) -> bool:
         """Whether no further token will be made."""
-        stopped = self.state == STATE_RUNNING and self.timed_out
-        return self.released or stopped or self.state == STATE_FINISHED
+        return self.stopped or self.state == STATE_FINISHED
+
+    def begin(self, request: GenerateRequest, prefill_left: int) -> None:
+        """Starts on a request.
+
+        :param prefill_left: prompt tokens that are still to be processed.
+        """
+        self.state = STATE_RUNNING
+        self.started_at = now()
+        self.time_limit_s = request.time_limit_s
+        self.request = request
+        self.priority = request.priority
+        self.prefill_left = prefill_left
+        self.answer_seed = prompt_seed(request.prompt)
+        self.first = self.produced = count_tokens(request.emitted)
+        self.total = request.max_tokens
 
     def text(self, start: int, stop: int) -> str:
         """Returns the answer's tokens from ``start`` up to ``stop``."""
