--- a/cicadacourse/cmd/check.py
+++ b/cicadacourse/cmd/check.py
@@ -8,11 +8,11 @@
 from returns.result import Failure, Result, Success
 
 from cicadacourse.cmd import EXIT_ERROR, EXIT_OK
+from cicadacourse.cmd._arguments import check_tables
 from cicadacourse.cmd._families import load_families
 from cicadacourse.cmd._output import print_json
 from cicadacourse.config import parse_settings
 from cicadacourse.errors import Error, ErrorKind
-from cicadacourse.tables import parse_tables
 
 
 def get_parser() -> argparse.ArgumentParser:
@@ -66,7 +66,7 @@
     if unread:
         return [error for errors in unread for error in errors]
     routes_text, pools_text = (text.unwrap() for text in texts)
-    result = parse_tables(routes_text, pools_text, str(routes), str(pools))
+    result = check_tables(routes_text, pools_text, str(routes), str(pools))
     return result.failure() if isinstance(result, Failure) else []
 
 
--- a/cicadacourse/cmd/publish.py
+++ b/cicadacourse/cmd/publish.py
@@ -22,13 +22,17 @@
     EXIT_UNKNOWN,
     EXIT_USAGE,
 )
+from cicadacourse.cmd._arguments import (
+    address_argument,
+    addresses_argument,
+    check_tables,
+)
 from cicadacourse.cmd._output import print_json, run_coroutine
 from cicadacourse.cmd._status import (
     fetch_first_status,
     fetch_versions,
     get_live_members,
 )
-from cicadacourse.config import parse_address, parse_addresses
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.platform import HttpLogClient
 from cicadacourse.tables import Edit, Fold, Published, publish_edit, read_to_end
@@ -64,7 +68,7 @@
         "5 not taken, 6 outcome unknown: run it again with the same --edit-id",
     )
     add = parser.add_argument
-    add("--log-address", required=True, type=parse_address, help="log, as IP:port")
+    add("--log-address", required=True, type=address_argument, help="log, as IP:port")
     add("--routes", required=True, type=pathlib.Path, help="table of routes, INI")
     add("--pools", required=True, type=pathlib.Path, help="table of pools, INI")
     add(
@@ -78,7 +82,7 @@
     add("--wait", action="store_true", help="return once in force on every instance")
     add(
         "--instances",
-        type=parse_addresses,
+        type=addresses_argument,
         default=(),
         metavar="ADDR,...",
         help="caller addresses of some instances to ask for the others",
@@ -107,6 +111,11 @@
         pools=pools,
         author=arguments.author or getpass.getuser(),
     )
+    match check_tables(routes, pools, str(arguments.routes), str(arguments.pools)):
+        case Failure(errors):
+            detail = "; ".join(error.detail for error in errors)
+            error = Error(ErrorKind.INVALID_TABLES, detail)
+            return _print_error(arguments, edit, error)
     return run_coroutine(_publish(arguments, edit))
 
 
--- a/cicadacourse/cmd/show.py
+++ b/cicadacourse/cmd/show.py
@@ -9,13 +9,13 @@
 from returns.result import Failure, Success
 
 from cicadacourse.cmd import EXIT_ERROR, EXIT_OK
+from cicadacourse.cmd._arguments import addresses_argument
 from cicadacourse.cmd._output import format_table, print_json, run_coroutine
 from cicadacourse.cmd._status import (
     fetch_first_status,
     fetch_versions,
     get_live_members,
 )
-from cicadacourse.config import parse_addresses
 from cicadacourse.util.http import HttpClient
 
 SUBJECTS = ("instances", "endpoints", "tables", "leases", "organisations")
@@ -34,7 +34,7 @@
     add(
         "--instances",
         required=True,
-        type=parse_addresses,
+        type=addresses_argument,
         metavar="ADDR,...",
         help="caller addresses of some instances; the first that answers is asked",
     )
--- a/cicadacourse/tables/_follower.py
+++ b/cicadacourse/tables/_follower.py
@@ -41,6 +41,7 @@
 
 PUBLISH_TIMEOUT_S = 30.0
 MAX_RETRY_DELAY_S = 1.0
+MIN_READ_INTERVAL_S = 0.02
 
 logger = get_logger("tables")
 
@@ -71,7 +72,7 @@
         unit="seconds",
         minimum=0.1,
         maximum=120,
-        help="Time limit of a read; more than read_wait_s.",
+        help="Time limit of a read; a read is held for half of it at the most.",
     )
     exchange_interval_s: float = option(
         float,
@@ -174,16 +175,16 @@
         await asyncio.sleep(self._settings.exchange_interval_s)
 
     async def _read_once(self) -> None:
+        timeout_s = self._settings.read_timeout_s
+        wait_s = min(self._settings.read_wait_s, timeout_s / 2)
         result = await self.app.get("log").read(
-            STREAM,
-            self._fold.position,
-            READ_LIMIT,
-            self._settings.read_wait_s,
-            self._settings.read_timeout_s,
+            STREAM, self._fold.position, READ_LIMIT, wait_s, timeout_s
         )
         match result:
             case Success(batch):
                 self._take(batch)
+                if not batch.records:
+                    await asyncio.sleep(MIN_READ_INTERVAL_S)
             case Failure(error):
                 await self._wait_after(error)
 
--- a/cicadacourse/tables/_restater.py
+++ b/cicadacourse/tables/_restater.py
@@ -28,6 +28,7 @@
 MAX_CHECK_INTERVAL_S = 10.0
 EXPIRED_SPREAD_S = 1.0
 APPEND_TIMEOUT_S = 5.0
+FRESH_S = 30.0
 
 logger = get_logger("tables")
 
@@ -82,10 +83,12 @@
                 await self._append(reason)
 
     def get_reason(self) -> str | None:
-        """Returns why a restatement is due, or None."""
+        """Returns why a restatement is due, or None; None while the log is not read."""
         seen = self._observation
         if seen is None or seen.snapshot.version == 0:
             return None
+        if now() - seen.seen_at > FRESH_S:
+            return None
         if seen.first_offset > seen.snapshot.restated_from:
             return REASON_EXPIRED
         log_now_ms = seen.time_ms + (now() - seen.seen_at) * 1000
--- a/tests/test_cmd/test_cmd_check.py
+++ b/tests/test_cmd/test_cmd_check.py
@@ -40,3 +40,16 @@
     (files / "e.ini").unlink()
     assert run_check(files) == 1
     assert f"{files}/e.ini" in capsys.readouterr().out
+
+
+def test_an_unknown_policy_is_an_error(files, capsys):
+    (files / "pools.ini").write_text(POOLS + "policy = defualt\n")
+    assert run_check(files) == 1
+    expected = "policy = 'defualt': expected a routing policy; did you mean 'default'?"
+    assert expected in capsys.readouterr().out
+
+
+def test_a_wrong_address_argument_names_what_was_expected(capsys):
+    with pytest.raises(SystemExit):
+        main(["show", "--instances", "somewhere"])
+    assert "expected IP numbers with ports" in capsys.readouterr().err
