--- a/cicadacourse/cmd/_status.py
+++ b/cicadacourse/cmd/_status.py
@@ -47,18 +47,42 @@
 
 
 async def fetch_versions(
-    http: HttpClient, members: Sequence[dict[str, Any]]
+    http: HttpClient, addresses: Sequence[str]
 ) -> dict[str, int | None]:
-    """Returns the version in force on each member; None where none answered."""
-    statuses = await asyncio.gather(
-        *(fetch_status(http, member["caller_address"]) for member in members)
-    )
-    return {
-        member["name"]: status.map(lambda body: body.get("tables_version")).value_or(
-            None
+    """Returns the version in force on each live instance; None where none answered.
+
+    It asks the instances at the addresses, those that they know, and so on, since
+    each may know too few. Empty if no instance answered.
+    """
+    versions_by_name: dict[str, int | None] = {}
+    asked: set[str] = set()
+    found = dict.fromkeys(addresses)
+    while found:
+        asked.update(found)
+        statuses = await asyncio.gather(
+            *(fetch_status(http, address) for address in found)
         )
-        for member, status in zip(members, statuses)
-    }
+        found = {}
+        for status in statuses:
+            for member in _take_status(status, versions_by_name):
+                if member["caller_address"] not in asked:
+                    found[member["caller_address"]] = None
+    return versions_by_name
+
+
+def _take_status(
+    status: Result[dict[str, Any], Error], versions_by_name: dict[str, int | None]
+) -> list[dict[str, Any]]:
+    """Notes an instance's version; returns the live members that it knows."""
+    match status:
+        case Success(body):
+            members = get_live_members(body)
+        case _:
+            return []
+    for member in members:
+        versions_by_name.setdefault(member["name"], None)
+    versions_by_name[body["instance"]] = body.get("tables_version")
+    return members
 
 
 def get_live_members(status: dict[str, Any]) -> list[dict[str, Any]]:
--- a/cicadacourse/cmd/publish.py
+++ b/cicadacourse/cmd/publish.py
@@ -28,11 +28,7 @@
     check_tables,
 )
 from cicadacourse.cmd._output import print_json, run_coroutine
-from cicadacourse.cmd._status import (
-    fetch_first_status,
-    fetch_versions,
-    get_live_members,
-)
+from cicadacourse.cmd._status import fetch_versions
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.platform import HttpLogClient
 from cicadacourse.tables import Edit, Fold, Published, publish_edit, read_to_end
@@ -176,12 +172,9 @@
 async def _get_force(
     http: HttpClient, addresses: tuple[str, ...], version: int
 ) -> _Force:
-    match await fetch_first_status(http, addresses):
-        case Failure(_):
-            return _Force([], list(addresses))
-        case Success(status):
-            members = get_live_members(status)
-    versions_by_name = await fetch_versions(http, members)
+    versions_by_name = await fetch_versions(http, addresses)
+    if not versions_by_name:
+        return _Force([], list(addresses))
     in_force = sorted(
         name for name, there in versions_by_name.items() if (there or 0) >= version
     )
--- a/cicadacourse/cmd/show.py
+++ b/cicadacourse/cmd/show.py
@@ -11,11 +11,7 @@
 from cicadacourse.cmd import EXIT_ERROR, EXIT_OK
 from cicadacourse.cmd._arguments import addresses_argument
 from cicadacourse.cmd._output import format_table, print_json, run_coroutine
-from cicadacourse.cmd._status import (
-    fetch_first_status,
-    fetch_versions,
-    get_live_members,
-)
+from cicadacourse.cmd._status import fetch_first_status, fetch_versions
 from cicadacourse.util.http import HttpClient
 
 SUBJECTS = ("instances", "endpoints", "tables", "leases", "organisations")
@@ -54,8 +50,7 @@
                 print(error.detail)
                 return EXIT_ERROR
             case Success(status):
-                members = get_live_members(status)
-        versions_by_name = await fetch_versions(http, members)
+                versions_by_name = await fetch_versions(http, arguments.instances)
     rows_by_subject = _get_rows(status, versions_by_name)
     wanted = SUBJECTS if arguments.subject == ALL else (arguments.subject,)
     shown = {subject: rows_by_subject[subject] for subject in wanted}
