Tell a slow log from a silent keeper

Cause: an instance that waited 2 s for its keeper decided itself, so each claim was appended twice while the log was slow (HastyClaims: 2 appends where 1 was needed). A keeper now answers 'pending' and is asked again with the same claim id; only silence makes an instance decide itself.

--- a/cicadacourse/claims/_messages.py
+++ b/cicadacourse/claims/_messages.py
@@ -5,23 +5,30 @@
 from cicadacourse.claims._model import ClaimKind, ClaimOutcome
 from cicadacourse.peers import message
 
+PENDING = "pending"
+
 
 @message("claims.ClaimRequest")
 class ClaimRequest:
     """Claims a key; repeated with the same claim id it is the same claim.
 
-    :param time_limit_s: how long the asking side waits.
+    :param time_limit_s: when the keeper gives the claim up.
+    :param wait_s: when the keeper answers that the claim is pending.
     """
 
     key: str
     claim_id: str
     request_id: str
-    time_limit_s: float
+    time_limit_s: float = 0.0
+    wait_s: float = 0.0
 
 
 @message("claims.ClaimReply")
 class ClaimReply:
-    """What became of a claim; status 0 stands for no recorded outcome."""
+    """What became of a claim, or that it is pending: ask again.
+
+    Status 0 stands for no recorded outcome.
+    """
 
     kind: str
     request_id: str = ""
@@ -37,7 +44,7 @@
     claim_id: str
     status: int
     body: bytes
-    time_limit_s: float
+    time_limit_s: float = 0.0
 
 
 @message("claims.OutcomeReply")
--- a/cicadacourse/claims/_service.py
+++ b/cicadacourse/claims/_service.py
@@ -5,15 +5,18 @@
 import asyncio
 import contextlib
 import uuid
-from typing import Any, AsyncIterator, Awaitable, Callable
+from typing import Any, AsyncIterator
 
+import attrs
 import cachetools
 from returns.result import Failure, Result, Success
 
 from cicadacourse.application import SERVICES, Application, Service
+from cicadacourse.claims._asker import Asker
 from cicadacourse.claims._fold import PartitionFold
 from cicadacourse.claims._keeper import Keeper
 from cicadacourse.claims._messages import (
+    PENDING,
     ClaimReply,
     ClaimRequest,
     OutcomeReply,
@@ -22,7 +25,6 @@
     read_reply,
 )
 from cicadacourse.claims._model import (
-    CLAIM_FALLBACKS,
     CLAIMS,
     ClaimKind,
     ClaimOutcome,
@@ -60,7 +62,9 @@
         )
         if self.key_horizon_s < self._settings.key_horizon_s:
             logger.warning("keys are taken for {} s only", self.key_horizon_s)
+        self._asker = Asker(app, self._settings.keeper_timeout_s)
         self._keepers_by_partition: dict[int, Keeper] = {}
+        self._deciding_by_claim: dict[str, asyncio.Task[Result[ClaimReply, Error]]] = {}
         self._claim_id_by_request: cachetools.LRUCache[tuple[str, str], str] = (
             cachetools.LRUCache(WON_CLAIMS_KEPT)
         )
@@ -72,8 +76,10 @@
         try:
             yield
         finally:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+            tasks = [task, *self._deciding_by_claim.values()]
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
             keepers = self._keepers_by_partition.values()
             await asyncio.gather(*(keeper.stop() for keeper in keepers))
 
@@ -95,15 +101,17 @@
         except ValueError as error:
             return Failure(Error(ErrorKind.BAD_REQUEST, str(error)))
         claim_id = uuid.uuid4().hex
-        result = await self._claim_somewhere(key, claim_id, request_id, deadline)
-        if isinstance(result, Failure):
-            self.app.metrics.count(CLAIMS, outcome=result.failure().label)
-            return result
-        outcome = result.unwrap()
+        request = ClaimRequest(key=key, claim_id=claim_id, request_id=request_id)
+        match await self._asker.ask(request, self._decide, deadline):
+            case Failure(error):
+                self.app.metrics.count(CLAIMS, outcome=error.label)
+                return Failure(attrs.evolve(error, run=Run.NOT_RUN))
+            case Success(reply):
+                outcome = read_reply(reply)
         self.app.metrics.count(CLAIMS, outcome=outcome.kind.value)
         if outcome.kind is ClaimKind.WON:
             self._claim_id_by_request[key, request_id] = claim_id
-        return result
+        return Success(outcome)
 
     async def record_outcome(
         self, key: str, request_id: str, status: int, body: bytes
@@ -123,25 +131,40 @@
             claim_id=claim_id,
             status=status,
             body=kept,
-            time_limit_s=OUTCOME_TIMEOUT_S,
         )
         deadline = now() + OUTCOME_TIMEOUT_S
-        result = await self._ask(key, request, self.on_outcome_request, deadline)
+        result = await self._asker.ask(request, self._decide_outcome, deadline)
         return result.map(lambda _: None)
 
     @handles(ClaimRequest)
     async def on_claim_request(self, request: ClaimRequest) -> ClaimReply:
-        """Decides a claim as the keeper of its partition."""
+        """Decides a claim as the keeper, or tells that it is pending."""
+        task = self._deciding_by_claim.get(request.claim_id)
+        if task is None:
+            task = asyncio.create_task(self._decide(request))
+            self._deciding_by_claim[request.claim_id] = task
+            task.add_done_callback(
+                lambda _: self._deciding_by_claim.pop(request.claim_id)
+            )
+        done, _ = await asyncio.wait({task}, timeout=request.wait_s)
+        return _unwrap(task.result()) if done else ClaimReply(kind=PENDING)
+
+    @handles(OutcomeRequest)
+    async def on_outcome_request(self, request: OutcomeRequest) -> OutcomeReply:
+        """Records an outcome as the keeper of its partition."""
+        return _unwrap(await self._decide_outcome(request))
+
+    async def _decide(self, request: ClaimRequest) -> Result[ClaimReply, Error]:
+        """Decides a claim by the log."""
         keeper = self._get_keeper(request.key)
         deadline = now() + request.time_limit_s
-        result = await keeper.claim(
+        outcome = await keeper.claim(
             request.key, request.claim_id, request.request_id, deadline
         )
-        return make_reply(_unwrap(result))
+        return outcome.map(make_reply)
 
-    @handles(OutcomeRequest)
-    async def on_outcome_request(self, request: OutcomeRequest) -> OutcomeReply:
-        """Records an outcome as the keeper of its partition."""
+    async def _decide_outcome(self, request: OutcomeRequest) -> Result[Any, Error]:
+        """Records an outcome in the log."""
         record = OutcomeRecord(
             key=request.key,
             claim_id=request.claim_id,
@@ -149,62 +172,9 @@
             body=request.body,
         )
         keeper = self._get_keeper(request.key)
-        _unwrap(await keeper.record_outcome(record, now() + request.time_limit_s))
-        return OutcomeReply()
-
-    async def _claim_somewhere(
-        self, key: str, claim_id: str, request_id: str, deadline: float
-    ) -> Result[ClaimOutcome, Error]:
-        request = ClaimRequest(
-            key=key,
-            claim_id=claim_id,
-            request_id=request_id,
-            time_limit_s=max(0.0, deadline - now()),
-        )
-        result = await self._ask(key, request, self.on_claim_request, deadline)
-        return result.map(read_reply)
-
-    async def _ask(
-        self,
-        key: str,
-        request: Any,
-        decide_here: Callable[[Any], Awaitable[Any]],
-        deadline: float,
-    ) -> Result[Any, Error]:
-        """Asks the keeper; decides here if this is the keeper or it is silent."""
-        address = self._find_keeper_address(key)
-        if address is not None:
-            result = await self._ask_peer(address, request, deadline)
-            if not _is_unreachable(result):
-                return result
-            self.app.metrics.count(CLAIM_FALLBACKS)
-        try:
-            async with asyncio.timeout_at(deadline):
-                return Success(await decide_here(request))
-        except CicadacourseError as error:
-            return Failure(error.error)
-        except TimeoutError:
-            detail = "the claim was not settled in time"
-            kind = ErrorKind.LOG_OUTCOME_UNKNOWN
-            return Failure(Error(kind, detail, run=Run.NOT_RUN))
-
-    async def _ask_peer(
-        self, address: str, request: Any, deadline: float
-    ) -> Result[Any, Error]:
-        time_left_s = max(0.0, deadline - now())
-        timeout_s = min(self._settings.keeper_timeout_s, time_left_s / 2)
-        return await self.app.get("peers").call(address, request, timeout_s)
-
-    def _find_keeper_address(self, key: str) -> str | None:
-        """Returns the keeper's address, or None if it is this instance."""
-        membership = self.app.find("membership")
-        if membership is None:
-            return None
-        stream = get_stream(get_partition(key))
-        keeper = membership.owner(stream)
-        if keeper.name == membership.self_member().name:
-            return None
-        return keeper.peer_address
+        deadline = now() + request.time_limit_s
+        recorded = await keeper.record_outcome(record, deadline)
+        return recorded.map(lambda _: OutcomeReply())
 
     def _get_keeper(self, key: str) -> Keeper:
         """Returns the keeper of a key's partition, which reads when first asked."""
@@ -232,13 +202,6 @@
                     await keeper.stop()
 
 
-def _is_unreachable(result: Result[Any, Error]) -> bool:
-    match result:
-        case Failure(error):
-            return error.kind is ErrorKind.PEER_UNREACHABLE
-    return False
-
-
 def _unwrap(result: Result[Any, Error]) -> Any:
     match result:
         case Failure(error):
--- a/cicadacourse/schema/claims.capnp
+++ b/cicadacourse/schema/claims.capnp
@@ -6,10 +6,11 @@
   claimId @1 :Text;
   requestId @2 :Text;
   timeLimitS @3 :Float64;
+  waitS @4 :Float64;
 }
 
 struct ClaimReply {
-  # Status 0 stands for no recorded outcome.
+  # Kind is won, lost, expired or pending; status 0 stands for no recorded outcome.
   kind @0 :Text;
   requestId @1 :Text;
   status @2 :UInt16;
--- a/tests/test_claims/test_claims_failures.py
+++ b/tests/test_claims/test_claims_failures.py
@@ -13,9 +13,11 @@
 from returns.result import Failure, Success
 
 from cicadacourse.claims import ClaimKind, ClaimOutcome, Claims, ClaimsSettings, Keeper
+from cicadacourse.claims._messages import ClaimRequest
 from cicadacourse.claims._model import get_partition, get_stream
 from cicadacourse.errors import ErrorKind, Run
 from cicadacourse.membership import Membership
+from cicadacourse.peers import handles
 from cicadacourse.util.clock import now
 from standins.log import LogCore
 from tests.log_service import instance_log
@@ -217,6 +219,32 @@
         assert not it.runs_by_key
 
 
+class HastyClaims(Claims):
+    """A naive asker: takes a keeper that waits for a slow log for a silent one."""
+
+    @handles(ClaimRequest)
+    async def on_claim_request(self, request):
+        return await super().on_claim_request(attrs.evolve(request, wait_s=60.0))
+
+
+async def check_slow_log(claims):
+    async with fleet(claims) as it:
+        it.core.faults.slow_s = 3.0
+        key = it.make_key()
+        await it.attempt(it.get_others(key)[0], key, "r1")
+        assert it.runs_by_key[key] == ["r1"]
+        assert it.core.appends == 1
+
+
+async def test_a_slow_log_makes_nobody_take_its_keeper_for_silent():
+    await check_slow_log(Claims)
+
+
+async def test_naively_taking_a_slow_keeper_for_silent_appends_twice():
+    with pytest.raises(AssertionError, match="appends"):
+        await check_slow_log(HastyClaims)
+
+
 async def check_two_keepers(keeper, monkeypatch):
     monkeypatch.setattr("cicadacourse.claims._service.Keeper", keeper)
     async with fleet() as it:
