Refuse a claim soon when the log takes too few appends

A claim waited for its whole time limit while the log refused appends, although nothing came of it; now it is refused after 5 s (15 s if its append stays unanswered), truthfully and with a reason of its own.

--- a/cicadacourse/claims/_appender.py
+++ b/cicadacourse/claims/_appender.py
@@ -17,6 +17,7 @@
 MAX_BATCH_RECORDS = 500
 APPEND_TIMEOUT_S = 5.0
 BUSY_DELAY_S = 0.1
+MAX_WAIT_S = 5.0
 REASON_BUSY = "log_rate_limit"
 
 
@@ -27,11 +28,12 @@
 class _Waiting:
     """A record that waits for its append.
 
+    :param last_start: when it is too late to begin the append.
     :param appended: completed with the record's offset, or with the error.
     """
 
     body: bytes
-    deadline: float
+    last_start: float
     appended: asyncio.Future[Result[int, Error]]
 
     def finish(self, result: Result[int, Error]) -> None:
@@ -59,11 +61,13 @@
     async def append(self, body: bytes, deadline: float) -> Result[int, Error]:
         """Appends one record with others; returns its offset.
 
-        Fails with ``LOG_UNAVAILABLE`` if it is surely not in the log, and with
-        ``LOG_OUTCOME_UNKNOWN`` if it may be or may come to be.
+        Fails with ``LOG_UNAVAILABLE`` if it is surely not in the log, as when the log
+        takes no more appends for ``MAX_WAIT_S``, and with ``LOG_OUTCOME_UNKNOWN`` if
+        it may be or may come to be.
         """
         appended = asyncio.get_running_loop().create_future()
-        self._waiting.append(_Waiting(body, deadline, appended))
+        last_start = min(deadline, now() + MAX_WAIT_S)
+        self._waiting.append(_Waiting(body, last_start, appended))
         if self._task is None or self._task.done():
             self._task = asyncio.create_task(self._append_all())
         return await appended
@@ -89,10 +93,12 @@
         """Takes what waits, and fails what has no time left."""
         batch = self._waiting[:MAX_BATCH_RECORDS]
         del self._waiting[:MAX_BATCH_RECORDS]
-        in_time = [waiting for waiting in batch if waiting.deadline > now()]
-        error = Error(ErrorKind.LOG_UNAVAILABLE, "the log takes too few appends")
+        in_time = [waiting for waiting in batch if waiting.last_start > now()]
+        error = Error(
+            ErrorKind.LOG_UNAVAILABLE, "the log takes too few appends", REASON_BUSY
+        )
         for waiting in batch:
-            if waiting.deadline <= now():
+            if waiting.last_start <= now():
                 waiting.finish(Failure(error))
         return in_time
 
--- a/cicadacourse/claims/_keeper.py
+++ b/cicadacourse/claims/_keeper.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import attrs
 from returns.result import Failure, Result, Success
 
 from cicadacourse.claims._appender import Appender
@@ -195,4 +196,4 @@
 def _get_error(error: Error, maybe_appended: bool) -> Error:
     """Returns the error of a claim that was not settled; its call did not run."""
     kind = ErrorKind.LOG_OUTCOME_UNKNOWN if maybe_appended else error.kind
-    return Error(kind, error.detail, run=Run.NOT_RUN, retry_after_s=error.retry_after_s)
+    return attrs.evolve(error, kind=kind, run=Run.NOT_RUN)
--- a/cicadacourse/claims/_model.py
+++ b/cicadacourse/claims/_model.py
@@ -73,6 +73,14 @@
         maximum=10,
         help="Least time between two appends to one partition.",
     )
+    settle_timeout_s: float = option(
+        float,
+        15.0,
+        unit="seconds",
+        minimum=0.1,
+        maximum=600,
+        help="How long a claim is tried before its request is refused.",
+    )
     keeper_idle_s: float = option(
         float,
         600.0,
--- a/cicadacourse/claims/_service.py
+++ b/cicadacourse/claims/_service.py
@@ -94,12 +94,14 @@
         in the log and ``LOG_OUTCOME_UNKNOWN`` if it may be, in which case later
         attempts with the key may lose to it.
 
-        :param deadline: when to give up, by the event loop's clock.
+        :param deadline: when to give up, by the event loop's clock; after
+            ``settle_timeout_s`` at the latest.
         """
         try:
             get_key_time_ms(key)
         except ValueError as error:
             return Failure(Error(ErrorKind.BAD_REQUEST, str(error)))
+        deadline = min(deadline, now() + self._settings.settle_timeout_s)
         claim_id = uuid.uuid4().hex
         request = ClaimRequest(key=key, claim_id=claim_id, request_id=request_id)
         match await self._asker.ask(request, self._decide, deadline):
--- a/cicadacourse/tables/_model.py
+++ b/cicadacourse/tables/_model.py
@@ -109,7 +109,8 @@
 class Tables:
     """Both tables in one version.
 
-    :param version: offset of the edit that brought it into force; 0 for none.
+    :param version: offset, plus one, of the edit that brought it into force; 0 for
+        none.
     :param edit_id: the id of that edit.
     :param author: who published it.
     """
--- a/tests/test_claims/test_claims_failures.py
+++ b/tests/test_claims/test_claims_failures.py
@@ -219,6 +219,17 @@
         assert not it.runs_by_key
 
 
+async def test_a_log_that_takes_too_few_appends_refuses_soon_and_truthfully():
+    async with fleet(appends_per_s=2) as it:
+        keys = [it.make_key(str(index)) for index in range(200)]
+        results = await asyncio.gather(*(it.attempt("e1", key, "r") for key in keys))
+        errors = [result.failure() for result in results if isinstance(result, Failure)]
+        assert errors and it.runs_by_key
+        assert {error.label for error in errors} == {"log_rate_limit"}
+        assert max(it.durations_s) < 10
+        it.check_at_most_once()
+
+
 class HastyClaims(Claims):
     """A naive asker: takes a keeper that waits for a slow log for a silent one."""
 
