--- a/cicadacourse/tables/_follower.py
+++ b/cicadacourse/tables/_follower.py
@@ -34,6 +34,9 @@
 from cicadacourse.util.logging import get_logger
 
 TABLES_VERSION = declare("tables_version", "Version of the tables in force.")
+TABLES_UNRESOLVED = declare(
+    "tables_unresolved", "1 if the log does not tell which tables are in force."
+)
 TABLES_RECORDS = declare("tables_records_total", "Records of tables, by outcome.")
 TABLES_READ_FAILURES = declare(
     "tables_read_failures_total", "Reads of the stream of tables that failed."
@@ -97,7 +100,7 @@
         self._fold = Fold()
         self._current = Tables()
         self._seen_log_end = False
-        self._log_failed = False
+        self._log_cannot_tell = False
         self._ready = False
         self._exchange = Exchange(
             app, lambda: self._fold.snapshot, self._adopt, self._random
@@ -189,7 +192,7 @@
                 await self._wait_after(error)
 
     async def _wait_after(self, error: Error) -> None:
-        self._log_failed = True
+        self._log_cannot_tell = True
         self.app.metrics.count(TABLES_READ_FAILURES, reason=error.label)
         self._update_ready()
         await asyncio.sleep(self._random.uniform(0.2, 1.0) * MAX_RETRY_DELAY_S)
@@ -198,10 +201,18 @@
         for outcome in self._fold.feed(batch):
             self._report(outcome)
         self._put_in_force()
-        if self._fold.resolved and self._fold.position >= batch.next_offset:
+        if self._fold.position >= batch.next_offset:
+            self._take_end(batch)
+        self._update_ready()
+
+    def _take_end(self, batch: Batch) -> None:
+        """Notes that the log's end is read, and whether it tells what is in force."""
+        self.app.metrics.set(TABLES_UNRESOLVED, not self._fold.resolved)
+        if self._fold.resolved:
             self._seen_log_end = True
             self._restater.observe(self._fold.snapshot, batch)
-        self._update_ready()
+        else:
+            self._log_cannot_tell = True
 
     def _adopt(self, snapshot: Snapshot) -> None:
         if self._fold.adopt(snapshot):
@@ -209,10 +220,12 @@
             self._update_ready()
 
     def _update_ready(self) -> None:
-        """Becomes ready at the log's end, or in an outage by a peer's tables."""
+        """Becomes ready at the log's end, or by a peer if the log can't tell."""
         if self._ready or self._current.version == 0:
             return
-        self._ready = self._seen_log_end or (self._log_failed and self._is_newest())
+        self._ready = self._seen_log_end or (
+            self._log_cannot_tell and self._is_newest()
+        )
 
     def _is_newest(self) -> bool:
         """Returns whether no peer is known to hold newer tables."""
--- a/tests/test_tables/test_tables_failures.py
+++ b/tests/test_tables/test_tables_failures.py
@@ -11,6 +11,7 @@
 import pytest
 from returns.result import Success
 
+from cicadacourse.errors import ErrorKind
 from cicadacourse.membership import Membership
 from cicadacourse.tables import (
     STREAM,
@@ -228,6 +229,27 @@
         assert not cluster.get("e1", "tables").ready()
 
 
+async def test_when_every_record_expired_unseen_peers_and_any_base_help():
+    async with fleet(retention_s=RETENTION_S) as (cluster, core):
+        await publish(core, make_edit("one", 0))
+        await check_in_force(cluster, 1)
+        for name in NAMES:
+            cluster.get(name, "log").cut = True
+        await publish(core, make_edit("unseen", 1))
+        await asyncio.sleep(2 * RETENTION_S)
+        for name in NAMES:
+            cluster.get(name, "log").cut = False
+        await cluster.start("e7")
+        await check_in_force(cluster, 1)
+        assert cluster.get("e7", "tables").ready()
+        unresolved = cluster.app_by_name["e7"].metrics.value("tables_unresolved")
+        assert unresolved == 1
+        refused = await publish(core, make_edit("two", 1))
+        assert refused.failure().kind is ErrorKind.NOT_READY
+        published = (await publish(core, make_edit("two", None))).unwrap()
+        await check_in_force(cluster, published.version)
+
+
 async def check_cut_from_log(follower):
     async with fleet(follower) as (cluster, core):
         await publish(core, make_edit("one", 0))
