--- a/tests/test_tables/test_tables_failures.py
+++ b/tests/test_tables/test_tables_failures.py
@@ -9,12 +9,15 @@
 
 import attrs
 import pytest
+from returns.result import Success
 
+from cicadacourse.errors import ErrorKind
 from cicadacourse.membership import Membership
 from cicadacourse.tables import (
     STREAM,
     Edit,
     Fold,
+    Tables,
     TablesFollower,
     TablesSettings,
     publish_edit,
@@ -226,6 +229,27 @@
         assert not cluster.get("e1", "tables").ready()
 
 
+async def test_when_every_record_expired_unseen_peers_and_any_base_help():
+    async with fleet(retention_s=RETENTION_S) as (cluster, core):
+        await publish(core, make_edit("one", 0))
+        await check_in_force(cluster, 1)
+        for name in NAMES:
+            cluster.get(name, "log").cut = True
+        await publish(core, make_edit("unseen", 1))
+        await asyncio.sleep(2 * RETENTION_S)
+        for name in NAMES:
+            cluster.get(name, "log").cut = False
+        await cluster.start("e7")
+        await check_in_force(cluster, 1)
+        assert cluster.get("e7", "tables").ready()
+        unresolved = cluster.app_by_name["e7"].metrics.value("tables_unresolved")
+        assert unresolved == 1
+        refused = await publish(core, make_edit("two", 1))
+        assert refused.failure().kind is ErrorKind.NOT_READY
+        published = (await publish(core, make_edit("two", None))).unwrap()
+        await check_in_force(cluster, published.version)
+
+
 async def check_cut_from_log(follower):
     async with fleet(follower) as (cluster, core):
         await publish(core, make_edit("one", 0))
@@ -263,18 +287,32 @@
         await check_cut_from_peers(WithoutLog)
 
 
-async def test_faulty_records_disturb_nobody():
+async def check_faulty_records():
     async with fleet() as (cluster, core):
         await publish(core, make_edit("one", 0))
         faulty = Edit(edit_id="bad", base_version=1, routes="[rout x]", pools="")
         await core.append(STREAM, [b"?", b'{"v": 7}', encode(faulty)], 5)
         published = (await publish(core, make_edit("two", 1))).unwrap()
+        assert published.accepted
         await check_in_force(cluster, published.version)
         count = cluster.app_by_name["e1"].metrics.value
         assert count("tables_records_total", outcome="invalid") == 1
         assert count("tables_records_total", outcome="newer_version") == 1
 
 
+async def test_faulty_records_disturb_nobody():
+    await check_faulty_records()
+
+
+async def test_naively_without_checks_in_the_fold_faulty_tables_come_in_force(
+    monkeypatch,
+):
+    naive = "cicadacourse.tables._state.parse_tables"
+    monkeypatch.setattr(naive, lambda routes, pools: Success(Tables()))
+    with pytest.raises(AssertionError):
+        await check_faulty_records()
+
+
 async def disturb(cluster, core, rng):
     """Cuts, outages, freezes of links and restarts, one after the other."""
     name = rng.choice(NAMES)
