--- a/bench/load/_fleet.py
+++ b/bench/load/_fleet.py
@@ -142,16 +142,9 @@
         member = self._members_by_name.pop(name)
         self.network.leave(member.peer_address)
 
-<<<<<<< HEAD
-    @property
-    def kv_used(self) -> int:
-        """KV memory that sessions hold on all engines, in tokens."""
-        return sum(engine.kv_used for engine in self.engines)
-=======
     async def kv_used(self) -> int:
         """Returns the KV memory that sessions hold on all engines, in tokens."""
         return sum([(await one.sessions()).kv_used for one in self.engines])
->>>>>>> routing
 
     def _add_engine(self, index: int, seed: int) -> None:
         name = f"engine{index:02}"
--- a/standins/engine/_core.py
+++ b/standins/engine/_core.py
@@ -75,6 +75,14 @@
         """How many sessions have begun since the engine was made."""
         return self._arrivals
 
+    @property
+    def kv_used(self) -> int:
+        """Memory that sessions hold, in tokens."""
+        return self._memory.kv_used
+
+    def _kv_used(self) -> int:
+        return self.kv_used
+
     def crash(self) -> None:
         """Loses all sessions and the cache and refuses connections."""
         for session in self._memory:
@@ -103,11 +111,6 @@
         async for line in read_lines(self, session, position):
             yield line
 
-    @property
-    def kv_used(self) -> int:
-        """KV memory that sessions hold now, in tokens."""
-        return self._memory.kv_used
-
     async def sessions(self) -> SessionList:
         """Lists every session that holds memory."""
         await self._enter()
--- a/tests/test_routing/test_routing_groups.py
+++ b/tests/test_routing/test_routing_groups.py
@@ -11,8 +11,9 @@
 from bench.load._fleet import POOL
 from bench.load._results import Fate
 from bench.load._run import _send
-from cicadacourse.routing import PromptClass, Work
-from cicadacourse.routing._groups import Groups, _split
+from cicadacourse.routing import PromptClass, Work, _slices
+from cicadacourse.routing._groups import Groups
+from cicadacourse.routing._slices import split
 
 HUGE_TOKENS = 1_000_000
 SETTLED_S = 40.0
@@ -84,11 +85,7 @@
     async with fleet.running():
         task = asyncio.create_task(_send(fleet.apps[0], huge("huge0")))
         await asyncio.sleep(after_s)
-<<<<<<< HEAD
-        held = [engine for engine in fleet.engines if engine.kv_used]
-=======
         held = [one for one in fleet.engines if (await one.sessions()).kv_used]
->>>>>>> routing
         if held:
             held[engine_index % len(held)].crash()
         result = await task
@@ -109,6 +106,23 @@
     assert held == 0
 
 
+async def fate_with_silent_member() -> Fate:
+    fleet = Fleet("default", engine_count=9, instance_count=3)
+    async with fleet.running():
+        task = asyncio.create_task(_send(fleet.apps[0], huge("huge0")))
+        await asyncio.sleep(3.0)
+        held = [one for one in fleet.engines if (await one.sessions()).kv_used]
+        held[0].faults.silence = True
+        return (await task).fate
+
+
+@pytest.mark.looptime
+async def test_a_member_that_goes_silent_is_given_up_in_time(monkeypatch):
+    assert await fate_with_silent_member() is Fate.COMPLETE
+    monkeypatch.setattr(_slices, "PREFILL_SLACK", 1e6)
+    assert await fate_with_silent_member() is Fate.LATE
+
+
 @pytest.mark.looptime
 @pytest.mark.parametrize("after_s", [0.01, 0.03, 3.0])
 async def test_a_group_whose_owner_dies_vanishes(after_s):
@@ -138,7 +152,7 @@
 
 def test_slices_join_to_the_prompt_and_keep_characters_whole():
     prompt = "aé€𝄞" * 1_000
-    texts = _split(prompt, [302, 502, 402])
+    texts = split(prompt, [302, 502, 402])
     assert "".join(texts) == prompt
     assert len(texts) == 4
     assert all(len(text.encode()) <= 4 * 501 for text in texts[:3])
