Count ejected engines when a pool loads

An engine that loads refuses work, may be ejected for that, and was then forgotten: its slot was given back and the last engine of the pool loaded too. With only serving engines counted test_an_engine_that_is_ejected_while_it_loads_still_counts fails.

--- a/cicadacourse/orders/_keeper.py
+++ b/cicadacourse/orders/_keeper.py
@@ -157,7 +157,7 @@
         leaves one when all slots are taken.
         """
         serving = 0
-        for endpoint in others:
+        for endpoint in self._tools.rng.sample(others, len(others)):
             timeout_s = self._tools.settings.order_timeout_s
             match await self._tools.client.state(endpoint, timeout_s):
                 case Success(EngineState(loading=False)):
--- a/cicadacourse/orders/_service.py
+++ b/cicadacourse/orders/_service.py
@@ -6,10 +6,12 @@
 import contextlib
 import random
 import secrets
+from collections import defaultdict
 from typing import Any, AsyncIterator, Awaitable, Callable
 
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.config import InstanceSettings
+from cicadacourse.endpoints import REASON_LEAVING, Endpoint
 from cicadacourse.orders._holder import LeaseHolder
 from cicadacourse.orders._keeper import EndpointKeeper, Target, Tools
 from cicadacourse.orders._loads import LoadSlots
@@ -115,14 +117,10 @@
             return {}
         tables = self.app.get("tables").current()
         targets_by_name = {}
-        for pool_name, pool in sorted(tables.pools_by_name.items()):
-            engines = [
-                endpoint
-                for endpoint in self.app.get("directory").endpoints(pool_name)
-                if endpoint.kind == KIND_ENGINE
-            ]
+        for pool_name, engines in self._find_engines_by_pool().items():
+            pool = tables.pools_by_name.get(pool_name)
             for endpoint in engines:
-                if not self._owns(endpoint.name):
+                if pool is None or not self._owns(endpoint.name):
                     continue
                 others = tuple(other for other in engines if other != endpoint)
                 targets_by_name[endpoint.name] = Target(
@@ -130,6 +128,17 @@
                 )
         return targets_by_name
 
+    def _find_engines_by_pool(self) -> dict[str, list[Endpoint]]:
+        """Returns the engines of each pool, ejected ones too.
+
+        An engine that loads refuses work and may be ejected for it.
+        """
+        engines_by_pool = defaultdict(list)
+        for endpoint, state in self.app.get("directory").all_endpoints():
+            if endpoint.kind == KIND_ENGINE and state != REASON_LEAVING:
+                engines_by_pool[endpoint.pool].append(endpoint)
+        return engines_by_pool
+
     def _owns(self, endpoint_name: str) -> bool:
         owner = self.app.get("membership").owner(endpoint_name)
         return owner is not None and owner.name == self._instance_name
--- a/tests/test_orders/fleet.py
+++ b/tests/test_orders/fleet.py
@@ -140,9 +140,12 @@
     def __init__(self, app, endpoints):
         super().__init__(app)
         self._endpoints = endpoints
+        self.states_by_name = {}
 
-    def endpoints(self, pool_name):
-        return list(self._endpoints)
+    def all_endpoints(self):
+        return [
+            (e, self.states_by_name.get(e.name, "serving")) for e in self._endpoints
+        ]
 
 
 class FixedMembership(Service):
@@ -175,6 +178,10 @@
     def tables(self):
         return self.app.get("tables")
 
+    @property
+    def directory(self):
+        return self.app.get("directory")
+
     @property
     def membership(self):
         return self.app.get("membership")
--- a/tests/test_orders/test_orders_loads.py
+++ b/tests/test_orders/test_orders_loads.py
@@ -100,6 +100,28 @@
         await until(lambda: fleet.engines[0].model.model_version == 2, TIMEOUT_S)
 
 
+async def test_an_engine_that_is_ejected_while_it_loads_still_counts():
+    fleet = Fleet(2, store=WeightStoreCore(loads_per_s=10, burst=10))
+    async with fleet.node("n1") as node:
+        node.tables.put(2, model_version=2)
+        for _ in range(1500):
+            await asyncio.sleep(0.1)
+            loading = [e.name for e in fleet.engines if e.model.loading]
+            node.directory.states_by_name = dict.fromkeys(loading, "ejected")
+            assert len(loading) < 2
+        assert {engine.model.model_version for engine in fleet.engines} == {2}
+
+
+async def test_a_leaving_engine_gets_no_orders():
+    fleet = Fleet(2, store=WeightStoreCore(loads_per_s=10, burst=10))
+    async with fleet.node("n1") as node:
+        node.directory.states_by_name = {"e0": "leaving"}
+        node.tables.put(2, model_version=2)
+        await until(lambda: fleet.engines[1].model.model_version == 2, TIMEOUT_S)
+        await asyncio.sleep(100)
+        assert fleet.engines[0].model.orders == []
+
+
 async def test_a_successor_waits_for_the_load_that_a_dead_holder_began():
     fleet = Fleet(2, store=WeightStoreCore(loads_per_s=10, burst=10))
     first, second = fleet.engines
