--- a/standins/engine/_core.py
+++ b/standins/engine/_core.py
@@ -75,6 +75,14 @@
         """How many sessions have begun since the engine was made."""
         return self._arrivals
 
+    @property
+    def kv_used(self) -> int:
+        """Memory that sessions hold, in tokens."""
+        return self._memory.kv_used
+
+    def _kv_used(self) -> int:
+        return self.kv_used
+
     def crash(self) -> None:
         """Loses all sessions and the cache and refuses connections."""
         for session in self._memory:
