--- a/cicadacourse/routing/_dispatch_client.py
+++ b/cicadacourse/routing/_dispatch_client.py
@@ -88,7 +88,6 @@
         request = GrantRequest(
             work=work,
             endpoint=endpoint_name,
-            holder=self._membership.self_member().name,
             time_left_s=max(0.0, deadline - now()),
         )
         address = self.dispatcher(endpoint_name).peer_address
--- a/cicadacourse/routing/_messages.py
+++ b/cicadacourse/routing/_messages.py
@@ -48,13 +48,11 @@
 class GrantRequest:
     """Asks for a grant, or asks again for the one that was asked for before.
 
-    :param holder: the instance that asks.
     :param time_left_s: seconds until the answer must be whole.
     """
 
     work: Work
     endpoint: str
-    holder: str
     time_left_s: float
 
 
--- a/cicadacourse/schema/dispatch.capnp
+++ b/cicadacourse/schema/dispatch.capnp
@@ -31,8 +31,7 @@
 struct GrantRequest {
   work @0 :Work;
   endpoint @1 :Text;
-  holder @2 :Text;
-  timeLeftS @3 :Float64;
+  timeLeftS @2 :Float64;
 }
 
 struct GrantReply {
--- a/tests/test_routing/test_routing_dispatch.py
+++ b/tests/test_routing/test_routing_dispatch.py
@@ -56,7 +56,6 @@
         request = GrantRequest(
             work=make_work("r", tokens=1_000),
             endpoint="engine00",
-            holder="h",
             time_left_s=900.0,
         )
         replies = [await peers.call(address, request, 2.0) for _ in range(2)]
