Keep the sessions of an owner that membership never heard of

Cause: seen in the demo with instances missing from the platform's list: each took the others for gone after 5 s and released their running sessions; 3 of 8 long requests failed. Ruled out: a false verdict of failure detection (no member was declared dead). Before: the new test's naive judge leaves 0 tokens held by a live, unlisted owner; after: its session runs on. Such sessions are freed by their time limits at the latest.

--- a/bench/load/_fleet.py
+++ b/bench/load/_fleet.py
@@ -5,10 +5,12 @@
 import contextlib
 from typing import AsyncIterator
 
+import attrs
+
 from cicadacourse.application import Application, Service
 from cicadacourse.config import InstanceSettings, PlatformSettings, Settings
 from cicadacourse.endpoints import Endpoint
-from cicadacourse.membership import Member
+from cicadacourse.membership import Member, MemberState
 from cicadacourse.peers import MemoryNetwork, MemoryPeers
 from cicadacourse.platform import KIND_ENGINE
 from cicadacourse.routing import Parts, Routing
@@ -36,16 +38,21 @@
         return self._members_by_name[self.app.settings.get(InstanceSettings).name]
 
     def members(self) -> list[Member]:
-        """Returns every instance."""
-        return list(self._members_by_name.values())
+        """Returns every instance but the dead."""
+        return [
+            member
+            for member in self._members_by_name.values()
+            if member.state is not MemberState.DEAD
+        ]
 
     def find(self, name: str) -> Member | None:
-        """Returns the instance of that name."""
+        """Returns the instance of that name, dead or not."""
         return self._members_by_name.get(name)
 
     def owner(self, key: str) -> Member:
         """Returns the instance that owns a key."""
-        return self._members_by_name[owner(key, self._members_by_name)]
+        names = [member.name for member in self.members()]
+        return self._members_by_name[owner(key, names)]
 
 
 class FixedTables(Service):
@@ -139,7 +146,8 @@
 
     def lose(self, name: str) -> None:
         """Makes an instance dead for the others, without a word."""
-        member = self._members_by_name.pop(name)
+        member = self._members_by_name[name]
+        self._members_by_name[name] = attrs.evolve(member, state=MemberState.DEAD)
         self.network.leave(member.peer_address)
 
     async def kv_used(self) -> int:
--- a/cicadacourse/sessions/_judge.py
+++ b/cicadacourse/sessions/_judge.py
@@ -28,7 +28,8 @@
     """Judges sessions by their time limits and by their owners' word.
 
     A view of membership alone never condemns a session at once: an owner that can be
-    reached is asked, and one that can't must be seen as gone for a while.
+    reached is asked, one that is dead must have been so for a while, and one that
+    membership never heard of keeps its sessions until they are overdue.
     """
 
     def __init__(self, app: Application) -> None:
@@ -51,7 +52,10 @@
 
     async def _judge_owner(self, owner: str, names: list[str]) -> dict[str, Orphaned]:
         member = self.app.get("membership").find(owner)
-        if member is None or member.state is MemberState.DEAD:
+        if member is None:
+            # Never heard of is not dead: its time limits free what it holds.
+            return {}
+        if member.state is MemberState.DEAD:
             gone = self._is_gone_for_long(owner)
             return dict.fromkeys(names, Orphaned.OWNER_GONE) if gone else {}
         self._gone_since_by_owner.pop(owner, None)
--- a/tests/test_sessions/test_sessions_release.py
+++ b/tests/test_sessions/test_sessions_release.py
@@ -8,7 +8,7 @@
 import pytest
 
 from bench.load import Fleet
-from bench.load._fleet import POOL
+from bench.load._fleet import POOL, FixedMembership
 from cicadacourse.routing import Outcome, Work
 from cicadacourse.sessions import HoldQuery, Sessions
 from cicadacourse.sessions._judge import Orphaned, OrphanJudge
@@ -136,6 +136,34 @@
     assert while_frozen == 0
 
 
+async def kv_used_of_an_owner_never_heard_of(monkeypatch) -> int:
+    find = FixedMembership.find
+    monkeypatch.setattr(
+        FixedMembership,
+        "find",
+        lambda self, name: None if name == "entry0" else find(self, name),
+    )
+    fleet = fleet_of()
+    async with fleet.running():
+        task = await begin(fleet, 0, "running")
+        await asyncio.sleep(SETTLED_S)
+        used = await fleet.kv_used()
+        task.cancel()
+    return used
+
+
+@pytest.mark.looptime
+async def test_an_owner_that_membership_never_heard_of_keeps_its_sessions(monkeypatch):
+    assert await kv_used_of_an_owner_never_heard_of(monkeypatch) > 0
+
+    async def condemn_the_unknown(self, owner, names):
+        known = self.app.get("membership").find(owner)
+        return {} if known else dict.fromkeys(names, Orphaned.OWNER_GONE)
+
+    monkeypatch.setattr(OrphanJudge, "_judge_owner", condemn_the_unknown)
+    assert await kv_used_of_an_owner_never_heard_of(monkeypatch) == 0
+
+
 @pytest.mark.looptime
 async def test_an_owner_that_started_anew_does_not_hold_its_old_sessions():
     fleet = fleet_of()
