--- a/cicadacourse/membership/_service.py
+++ b/cicadacourse/membership/_service.py
@@ -7,7 +7,6 @@
 import random
 from typing import Any, AsyncIterator, Coroutine
 
-import attrs
 import cachetools
 
 from cicadacourse.application import SERVICES, Application, Service
@@ -22,6 +21,7 @@
     SyncMembers,
 )
 from cicadacourse.membership._model import Member, MemberState
+from cicadacourse.membership._own import OwnRecord
 from cicadacourse.membership._prober import Prober
 from cicadacourse.membership._settings import (
     DEATHS,
@@ -60,15 +60,7 @@
         self._deltas = DeltaQueue()
         self._prober = Prober(self)
         self._syncer = Syncer(self)
-        self._own = Member(
-            name=instance.name,
-            peer_address=instance.peer_address,
-            caller_address=instance.caller_address,
-            region=instance.region,
-            failure_domain=instance.failure_domain,
-        )
-        self._fresh = True
-        self._superseded = False
+        self._own = OwnRecord(instance)
         self._last_tick: float | None = None
         self._dispatch_members: list[Member] | None = None
         self._owner_by_key: cachetools.LRUCache[str, Member] = cachetools.LRUCache(
@@ -94,11 +86,13 @@
 
     def self_member(self) -> Member:
         """Returns this instance's own record."""
-        return self._own
+        return self._own.member
 
     def members(self) -> list[Member]:
         """Returns all members but the dead, this one included, sorted by name."""
-        return sorted([self._own, *self.view.live()], key=lambda member: member.name)
+        return sorted(
+            [self._own.member, *self.view.live()], key=lambda member: member.name
+        )
 
     def dispatch_members(self) -> list[Member]:
         """Returns the members that may own keys, sorted by name: the alive ones.
@@ -113,12 +107,13 @@
                 for member in self.members()
                 if member.state is MemberState.ALIVE and self._may_own(member)
             ]
-            self._dispatch_members = alive or [self._own]
+            self._dispatch_members = alive or [self._own.member]
         return self._dispatch_members
 
     def find(self, name: str) -> Member | None:
         """Returns the record of a member, dead or not, or None if it is unknown."""
-        return self._own if name == self._own.name else self.view.find(name)
+        own = self._own.member
+        return own if name == own.name else self.view.find(name)
 
     def owner(self, key: str) -> Member:
         """Returns the member that owns a key, by rendezvous hashing."""
@@ -130,13 +125,13 @@
 
     def set_leaving(self) -> None:
         """Announces at once that this instance takes no new work."""
-        if self._own.state is MemberState.ALIVE:
+        if self._own.member.state is MemberState.ALIVE:
             self._change_own(state=MemberState.LEAVING)
             self._prober.announce()
 
     def set_tables_version(self, version: int) -> None:
         """Notes the version of the tables in force here, for others to hear."""
-        self._own = attrs.evolve(self._own, tables_version=version)
+        self._own.change(tables_version=version)
 
     @handles(Ping)
     async def on_ping(self, ping: Ping) -> Ack:
@@ -147,7 +142,7 @@
         if ping.target:
             reached = await self._prober.ping(ping.target, name="")
         deltas = self.deltas_for(ping.sender.name)
-        return Ack(sender=self._own, reached=reached, deltas=deltas)
+        return Ack(sender=self._own.member, reached=reached, deltas=deltas)
 
     @handles(SyncDigest)
     async def on_sync_digest(self, request: SyncDigest) -> SyncHashes:
@@ -166,7 +161,7 @@
     def hear(self, *members: Member) -> None:
         """Takes in records from others and passes on what is news."""
         for member in members:
-            if member.name == self._own.name:
+            if member.name == self._own.member.name:
                 self._hear_of_self(member)
                 continue
             known = self.view.find(member.name)
@@ -205,7 +200,7 @@
 
     def refreshed(self, heard_any: bool) -> None:
         """Ends a refresh; this instance may own keys again."""
-        self._fresh = self._fresh and not heard_any
+        self._own.is_fresh = self._own.is_fresh and not heard_any
         self.refreshing = False
         self._forget_owners()
 
@@ -240,30 +235,22 @@
 
     def _hear_of_self(self, heard: Member) -> None:
         """Refutes what others believe of this instance, unless it was replaced."""
-        if self._superseded or heard.incarnation < self._own.incarnation:
-            return
-        elsewhere = heard.peer_address != self._own.peer_address
-        if elsewhere and not self._fresh:
-            if heard.incarnation > self._own.incarnation:
-                logger.error("replaced by {}, standing back", heard.peer_address)
-                self._superseded = True
-                self._forget_owners()
-            return
-        wrong = heard.state in (MemberState.SUSPECT, MemberState.DEAD)
-        if wrong or self._fresh or heard.incarnation > self._own.incarnation:
-            if wrong:
+        if self._own.notice_replacement(heard):
+            logger.error("replaced by {}, standing back", heard.peer_address)
+            self._forget_owners()
+        elif self._own.must_refute(heard):
+            if heard.state is not MemberState.ALIVE:
                 self.app.metrics.count(REFUTATIONS)
             self._change_own(incarnation=heard.incarnation + 1)
 
     def _change_own(self, **changes: Any) -> None:
-        self._own = attrs.evolve(self._own, **changes)
-        self._deltas.put(self._own)
+        self._deltas.put(self._own.change(**changes))
         self._forget_owners()
 
     def _may_own(self, member: Member) -> bool:
-        if member.name != self._own.name:
+        if member.name != self._own.member.name:
             return True
-        return not self.refreshing and not self._superseded
+        return not self.refreshing and not self._own.is_replaced
 
     def _tell_change(self, known: Member | None, member: Member) -> None:
         self._forget_owners()
@@ -289,7 +276,8 @@
 
     async def _say_farewell(self) -> None:
         """Saves the others from finding out that an instance that left is gone."""
-        if self._own.state is not MemberState.LEAVING or self._superseded:
+        leaving = self._own.member.state is MemberState.LEAVING
+        if not leaving or self._own.is_replaced:
             return
         self._change_own(state=MemberState.DEAD)
         await asyncio.gather(*self._prober.announcements())
