--- a/tests/run.py
+++ b/tests/run.py
@@ -9,6 +9,7 @@
 ROOT = pathlib.Path(__file__).parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 PREFIX = "test: "
+WORKERS = "4"
 
 
 def known_red() -> list[str]:
@@ -23,7 +24,7 @@
     for test in red:
         print(f"known red, not run: {test}", flush=True)
     deselected = [f"--deselect={test}" for test in red]
-    command = [sys.executable, "-m", "pytest", *deselected]
+    command = [sys.executable, "-m", "pytest", "-n", WORKERS, *deselected]
     return subprocess.run(command, cwd=ROOT).returncode
 
 
