--- a/tests/test_sessions/test_sessions_release.py
+++ b/tests/test_sessions/test_sessions_release.py
@@ -8,9 +8,10 @@
 import pytest
 
 from bench.load import Fleet
-from bench.load._fleet import POOL
+from bench.load._fleet import POOL, FixedMembership
 from cicadacourse.routing import Outcome, Work
-from cicadacourse.sessions import Sessions
+from cicadacourse.sessions import HoldQuery, Sessions
+from cicadacourse.sessions._judge import Orphaned, OrphanJudge
 
 SETTLED_S = 30.0
 PROMPT = "x" * 40_000
@@ -58,7 +59,7 @@
 
     task = asyncio.create_task(read())
     await asyncio.sleep(1.0)
-    assert fleet.kv_used > 0
+    assert await fleet.kv_used() > 0
     return task
 
 
@@ -68,7 +69,7 @@
         task = await begin(fleet, 0, state)
         fleet.lose("entry0")
         await asyncio.sleep(SETTLED_S)
-        used = fleet.kv_used
+        used = await fleet.kv_used()
         task.cancel()
     return used
 
@@ -93,23 +94,74 @@
     async with fleet.running():
         task = await begin(fleet, 0, state)
         await asyncio.sleep(SETTLED_S)
-        assert fleet.kv_used > 0
+        assert await fleet.kv_used() > 0
         task.cancel()
 
 
+async def kv_used_while_frozen_and_after_death() -> tuple[int, int]:
+    """Freezes an owner that is not the dispatcher of the only engine."""
+    fleet = fleet_of(engines=1)
+    async with fleet.running():
+        membership = fleet.apps[0].get("membership")
+        dispatcher = membership.owner("engine00").name
+        index = (int(dispatcher.removeprefix("entry")) + 1) % 3
+        owner = fleet.apps[index].get("membership").self_member()
+        task = await begin(fleet, index, "running")
+        fleet.network.freeze(owner.peer_address)
+        await asyncio.sleep(SETTLED_S)
+        while_frozen = await fleet.kv_used()
+        fleet.lose(owner.name)
+        await asyncio.sleep(SETTLED_S)
+        after_death = await fleet.kv_used()
+        fleet.network.thaw(owner.peer_address)
+        task.cancel()
+    return while_frozen, after_death
+
+
 @pytest.mark.looptime
-async def test_sessions_of_a_frozen_owner_stay_until_it_is_seen_as_dead():
+async def test_sessions_of_a_frozen_owner_stay_until_it_is_seen_as_dead(monkeypatch):
+    while_frozen, after_death = await kv_used_while_frozen_and_after_death()
+    assert while_frozen > 0 and after_death == 0
+
+    async def condemn_the_silent(self, owner, names):
+        member = self.app.get("membership").find(owner)
+        address = member.peer_address if member else ""
+        query = HoldQuery(sessions=tuple(names))
+        answer = await self.app.get("peers").call(address, query, 2.0)
+        held = answer.map(lambda reply: reply.held).value_or(())
+        return dict.fromkeys(set(names).difference(held), Orphaned.NOT_HELD)
+
+    monkeypatch.setattr(OrphanJudge, "_judge_owner", condemn_the_silent)
+    while_frozen, _ = await kv_used_while_frozen_and_after_death()
+    assert while_frozen == 0
+
+
+async def kv_used_of_an_owner_never_heard_of(monkeypatch) -> int:
+    find = FixedMembership.find
+    monkeypatch.setattr(
+        FixedMembership,
+        "find",
+        lambda self, name: None if name == "entry0" else find(self, name),
+    )
     fleet = fleet_of()
     async with fleet.running():
         task = await begin(fleet, 0, "running")
-        fleet.network.freeze("10.0.0.1:7000")
-        await asyncio.sleep(SETTLED_S)
-        assert fleet.kv_used > 0
-        fleet.lose("entry0")
         await asyncio.sleep(SETTLED_S)
-        assert fleet.kv_used == 0
-        fleet.network.thaw("10.0.0.1:7000")
+        used = await fleet.kv_used()
         task.cancel()
+    return used
+
+
+@pytest.mark.looptime
+async def test_an_owner_that_membership_never_heard_of_keeps_its_sessions(monkeypatch):
+    assert await kv_used_of_an_owner_never_heard_of(monkeypatch) > 0
+
+    async def condemn_the_unknown(self, owner, names):
+        known = self.app.get("membership").find(owner)
+        return {} if known else dict.fromkeys(names, Orphaned.OWNER_GONE)
+
+    monkeypatch.setattr(OrphanJudge, "_judge_owner", condemn_the_unknown)
+    assert await kv_used_of_an_owner_never_heard_of(monkeypatch) == 0
 
 
 @pytest.mark.looptime
@@ -119,7 +171,7 @@
         task = await begin(fleet, 0, "running")
         fleet.apps[0].get("sessions")._held.clear()
         await asyncio.sleep(SETTLED_S)
-        assert fleet.kv_used == 0
+        assert await fleet.kv_used() == 0
         task.cancel()
 
 
@@ -134,9 +186,9 @@
         await client.reserve(endpoint, "s", "entry0", 1_000, 500.0, 2.0)
         await client.prefill(endpoint, "s", "x" * 400, 0, 2.0)
         await asyncio.sleep(480.0)
-        assert fleet.kv_used > 0
+        assert await fleet.kv_used() > 0
         await asyncio.sleep(20.0 + SETTLED_S)
-        assert fleet.kv_used == 0
+        assert await fleet.kv_used() == 0
 
 
 @pytest.mark.looptime
@@ -168,7 +220,7 @@
                 task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
         await asyncio.sleep(SETTLED_S)
-        assert fleet.kv_used == 0
+        assert await fleet.kv_used() == 0
         queues = [
             queue
             for app in fleet.apps
