--- a/cicadacourse/endpoints/_http.py
+++ b/cicadacourse/endpoints/_http.py
@@ -4,7 +4,6 @@
 
 import contextlib
 import json
-from collections import deque
 from typing import Any, AsyncIterator, Callable, TypeVar
 
 from returns.result import Failure, Result, Success
@@ -13,10 +12,8 @@
 from cicadacourse.application import SERVICES, Application
 from cicadacourse.config import InstanceSettings
 from cicadacourse.endpoints._answers import (
-    refusal_of,
     to_events,
     to_export,
-    to_line,
     to_load,
     to_nothing,
     to_session_list,
@@ -24,6 +21,7 @@
 )
 from cicadacourse.endpoints._client import EndpointClient, Lines
 from cicadacourse.endpoints._curl import HTTP_OK, AbortableCurlClient, BodyStream
+from cicadacourse.endpoints._lines import LineReader, to_error
 from cicadacourse.endpoints._model import (
     CacheEvent,
     Endpoint,
@@ -33,17 +31,15 @@
     KvExport,
     Order,
     SessionList,
-    StreamLine,
     WorkView,
 )
 from cicadacourse.endpoints._settings import EndpointSettings
-from cicadacourse.errors import CicadacourseError, Error, ErrorKind
+from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.util.tokens import count_tokens
 
 T = TypeVar("T")
 
 ANSWER_LIMIT_BYTES = 64 * 1024 * 1024
-HTTP_REFUSED = frozenset({400, 404, 409, 413, 422, 429, 503})
 
 
 @SERVICES.register("endpoint_client")
@@ -278,7 +274,7 @@
         async with stream.transfer(request, fresh_connection=once):
             content = await stream.read_all()
         if stream.error is not None or stream.status != HTTP_OK:
-            return Failure(_to_error(endpoint, stream, content))
+            return Failure(to_error(endpoint, stream, content))
         try:
             return Success(to_answer(json.loads(content) if content else {}))
         except (ValueError, KeyError, TypeError) as error:
@@ -291,50 +287,7 @@
     ) -> AsyncIterator[Lines]:
         stream = self._body_stream(self._settings.stream_buffer_bytes)
         async with stream.transfer(request):
-            yield _LineReader(endpoint, stream)
-
-
-class _LineReader:
-    """The lines of an engine's stream, read one by one."""
-
-    def __init__(self, endpoint: Endpoint, stream: BodyStream) -> None:
-        self._endpoint = endpoint
-        self._stream = stream
-        self._ready: deque[bytes] = deque()
-
-    def __aiter__(self) -> _LineReader:
-        return self
-
-    async def __anext__(self) -> StreamLine:
-        try:
-            if not self._ready:
-                await self._read()
-            return to_line(self._ready.popleft())
-        except (ValueError, KeyError, TypeError) as error:
-            detail = f"{self._endpoint.name}: wrong line: {error}"
-            raise CicadacourseError(
-                Error(ErrorKind.ENDPOINT_FAILED, detail, "wrong_answer")
-            ) from error
-
-    async def _read(self) -> None:
-        lines = await self._stream.read_lines()
-        if lines and self._stream.status == HTTP_OK:
-            self._ready.extend(lines)
-            return
-        if self._stream.error is None and self._stream.status == HTTP_OK:
-            raise StopAsyncIteration
-        content = b"".join(lines) + self._stream.rest + await self._stream.read_all()
-        raise CicadacourseError(_to_error(self._endpoint, self._stream, content))
-
-
-def _to_error(endpoint: Endpoint, stream: BodyStream, content: bytes) -> Error:
-    """Returns what a failed transfer says about whether the endpoint acted."""
-    detail = f"{endpoint.name}: {stream.error or stream.status}"
-    if not stream.connected:
-        return Error(ErrorKind.ENDPOINT_UNREACHABLE, detail)
-    if stream.error is None and stream.status in HTTP_REFUSED:
-        return refusal_of(endpoint, stream.status, content)
-    return Error(ErrorKind.ENDPOINT_FAILED, detail)
+            yield LineReader(endpoint, stream)
 
 
 def _to_fenced(error: Error) -> Error:
