--- a/bench/control/_capacity.py
+++ b/bench/control/_capacity.py
@@ -45,14 +45,14 @@
     :param calls_per_s: calls that it sends to other instances.
     :param sent_bytes_per_s: bytes on the wire one way, without TCP's own headers.
     :param cpu_ms_per_s: an upper bound; packing counts twice.
-    :param memory_kb: its state.
+    :param memory_kb: its state; None if it was not measured.
     """
 
     name: str
     calls_per_s: float
     sent_bytes_per_s: float
     cpu_ms_per_s: float
-    memory_kb: float
+    memory_kb: float | None
 
 
 class Slopes:
@@ -154,7 +154,7 @@
     role = _remote(slopes, "claim keeper", per_s, calls, sent)
     logic_ms = slopes.at(CLAIMS, "cpu_ms_per_claim", 0) * per_s
     cpu_ms = role.cpu_ms_per_s + logic_ms
-    return attrs.evolve(role, cpu_ms_per_s=cpu_ms, memory_kb=float("nan"))
+    return attrs.evolve(role, cpu_ms_per_s=cpu_ms, memory_kb=None)
 
 
 def _table_follower(slopes: Slopes) -> Role:
@@ -170,7 +170,7 @@
         calls,
         quiet_bytes + read_bytes,
         calls * slopes.call_cpu_ms() + change_ms,
-        float("nan"),
+        None,
     )
 
 
@@ -199,7 +199,7 @@
         0.0,
         records_per_s * record_bytes,
         records_per_s * cpu_us / 1000,
-        float("nan"),
+        None,
     )
 
 
--- a/bench/measure_control.py
+++ b/bench/measure_control.py
@@ -70,7 +70,8 @@
     print(f"  {'role':36}{'calls/s':>10}{'sent B/s':>12}{'CPU ms/s':>10}{'KB':>12}")
     for role in _capacity.roles(slopes):
         figures = f"{role.calls_per_s:>10.2f}{role.sent_bytes_per_s:>12.0f}"
-        figures += f"{role.cpu_ms_per_s:>10.2f}{role.memory_kb:>12.0f}"
+        memory = "-" if role.memory_kb is None else f"{role.memory_kb:.0f}"
+        figures += f"{role.cpu_ms_per_s:>10.2f}{memory:>12}"
         print(f"  {role.name:36}{figures}")
     claims_per_s = _capacity.claim_appends_per_s(slopes)
     leases_per_s = _capacity.lease_appends_per_s()
