Share the steps between attempts of calls and of streams; one curl client without a late timer

Cause: the same loop stood in both; each instance logged a traceback when it closed its curl clients, as closing a handle arms the client's timer again.

--- a/cicadacourse/endpoints/_curl.py
+++ b/cicadacourse/endpoints/_curl.py
@@ -7,14 +7,15 @@
 from typing import Any, AsyncIterator
 
 import pycurl
-from tornado.curl_httpclient import CurlAsyncHTTPClient
 from tornado.httpclient import HTTPRequest, HTTPResponse
 
+from cicadacourse.util.http import CurlClient
+
 MAX_LINE_BYTES = 16 * 1024 * 1024
 HTTP_OK = 200
 
 
-class AbortableCurlClient(CurlAsyncHTTPClient):
+class AbortableCurlClient(CurlClient):
     """The curl client, with transfers that can be given up at any time."""
 
     def abort(self, curl: pycurl.Curl) -> None:
@@ -24,11 +25,6 @@
         self._finish(curl, pycurl.E_ABORTED_BY_CALLBACK, "aborted")
         self._process_queue()
 
-    def _handle_timeout(self) -> None:
-        # Closing the handles sets the timer once more.
-        if self._multi is not None:
-            super()._handle_timeout()
-
     def resume(self, curl: pycurl.Curl) -> None:
         """Goes on with a transfer whose write function paused it."""
         with contextlib.suppress(pycurl.error):
--- a/cicadacourse/entry/_attempts.py
+++ b/cicadacourse/entry/_attempts.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from returns.result import Result
 
 from cicadacourse.endpoints import REASON_LEAVING, Endpoint
 from cicadacourse.entry._budget import RetryBudget
@@ -14,6 +15,7 @@
 from cicadacourse.entry._settings import ATTEMPTS, RETRIES_DENIED, EntrySettings
 from cicadacourse.errors import Error, ErrorKind, Run
 from cicadacourse.metrics import RETRIES
+from cicadacourse.routing import Grant, Work
 from cicadacourse.tables import KIND_CALL, Pool, Route
 from cicadacourse.util.clock import now
 
@@ -72,6 +74,21 @@
         self.may_have_run = True
         self.app.metrics.count(ATTEMPTS, pool=self.pool.name)
 
+    async def acquire(self, work: Work) -> Result[Grant, Error]:
+        """Returns a grant off the endpoints that failed, or the final error."""
+        acquired = await self.app.get("routing").acquire(
+            work, self.deadline, frozenset(self.excluded)
+        )
+        return acquired.alt(self.final)
+
+    async def prepare_another(self, endpoint: Endpoint, error: Error) -> Error | None:
+        """Backs off before another attempt, or returns the final error at once."""
+        self.note_failure(endpoint, error)
+        if not self.may_repeat(error):
+            return self.final(error)
+        await self.back_off()
+        return None
+
     def note_failure(self, endpoint: Endpoint, error: Error) -> None:
         """Keeps this request off an endpoint and tells the directory."""
         self.excluded.add(endpoint.name)
--- a/cicadacourse/entry/_call.py
+++ b/cicadacourse/entry/_call.py
@@ -39,12 +39,9 @@
     async def _run_attempts(self) -> Result[Any, Error]:
         while True:
             work = self._work(self._attempts.start())
-            acquired = await self.app.get("routing").acquire(
-                work, self._attempts.deadline, frozenset(self._attempts.excluded)
-            )
-            match acquired:
+            match await self._attempts.acquire(work):
                 case Failure(error):
-                    return Failure(self._attempts.final(error))
+                    return Failure(error)
                 case Success(grant):
                     pass
             answered = await self._claim_first(grant)
@@ -54,10 +51,9 @@
             if isinstance(result, Success):
                 return result
             error = result.failure()
-            self._attempts.note_failure(grant.endpoint, error)
-            if not self._attempts.may_repeat(error):
-                return Failure(self._attempts.final(error))
-            await self._attempts.back_off()
+            final = await self._attempts.prepare_another(grant.endpoint, error)
+            if final is not None:
+                return Failure(final)
 
     async def _claim_first(self, grant: Grant) -> Result[Any, Error] | None:
         """Claims the key under a grant, so that a key is not used up in vain."""
--- a/cicadacourse/entry/_generate.py
+++ b/cicadacourse/entry/_generate.py
@@ -15,13 +15,12 @@
 from cicadacourse.entry._sink import Sink, end_line, header_line, text_line
 from cicadacourse.entry._stall import STALLED, Progress, stall_guard
 from cicadacourse.errors import CicadacourseError, Error, ErrorKind
-from cicadacourse.routing import Grant, Outcome, Work
+from cicadacourse.routing import PREFIX_BLOCKS, Grant, Outcome, Work
 from cicadacourse.util.hashing import prefix_hashes
 
 if TYPE_CHECKING:
     from cicadacourse.application import Application
 
-MAX_PREFIX_BLOCKS = 64
 RESUMES_PER_ATTEMPT = 2
 PREFILL_SLACK = 4.0
 SILENCES_WHILE_DECODING = 3
@@ -60,23 +59,22 @@
                 return Failure(
                     self._attempts.final(Error(ErrorKind.STREAM_LOST, detail))
                 )
+        return await self._run_attempts()
+
+    async def _run_attempts(self) -> Result[None, Error]:
         while True:
             work = self._work(self._attempts.start())
-            acquired = await self.app.get("routing").acquire(
-                work, self._attempts.deadline, frozenset(self._attempts.excluded)
-            )
-            match acquired:
+            match await self._attempts.acquire(work):
                 case Failure(error):
-                    return Failure(self._attempts.final(error))
+                    return Failure(error)
                 case Success(grant):
                     pass
             error = await self._run_granted(work, grant)
             if error is None:
                 return Success(None)
-            self._attempts.note_failure(grant.endpoint, error)
-            if not self._attempts.may_repeat(error):
-                return Failure(self._attempts.final(error))
-            await self._attempts.back_off()
+            final = await self._attempts.prepare_another(grant.endpoint, error)
+            if final is not None:
+                return Failure(final)
 
     def _work(self, attempt: int) -> Work:
         emitted_tokens = self._check.position
@@ -88,7 +86,7 @@
             pool=self._attempts.pool.name,
             prompt_tokens=self._request.prompt_tokens + emitted_tokens,
             max_output_tokens=max(self._request.max_tokens - emitted_tokens, 0),
-            prefix=tuple(prefix_hashes(prompt, MAX_PREFIX_BLOCKS)),
+            prefix=tuple(prefix_hashes(prompt, PREFIX_BLOCKS)),
         )
 
     async def _continue_stream(self) -> bool:
--- a/cicadacourse/util/http.py
+++ b/cicadacourse/util/http.py
@@ -41,11 +41,20 @@
         return json.loads(self.body)
 
 
+class CurlClient(CurlAsyncHTTPClient):
+    """The curl client, closed without a late call of its timer."""
+
+    def _handle_timeout(self) -> None:
+        # Closing the handles sets the timer once more.
+        if self._multi is not None:
+            super()._handle_timeout()
+
+
 class HttpClient:
     """Makes calls to addresses given as ``IP:port``; made for one event loop."""
 
     def __init__(self) -> None:
-        self._curl: CurlAsyncHTTPClient | None = None
+        self._curl: CurlClient | None = None
 
     async def request(
         self,
@@ -86,11 +95,9 @@
             self._curl.close()
             self._curl = None
 
-    def _client(self) -> CurlAsyncHTTPClient:
+    def _client(self) -> CurlClient:
         if self._curl is None:
-            self._curl = CurlAsyncHTTPClient(
-                force_instance=True, max_clients=MAX_CONNECTIONS
-            )
+            self._curl = CurlClient(force_instance=True, max_clients=MAX_CONNECTIONS)
         return self._curl
 
 
--- a/standins/engine/_core.py
+++ b/standins/engine/_core.py
@@ -80,9 +80,6 @@
         """Memory that sessions hold, in tokens."""
         return self._memory.kv_used
 
-    def _kv_used(self) -> int:
-        return self.kv_used
-
     def crash(self) -> None:
         """Loses all sessions and the cache and refuses connections."""
         for session in self._memory:
