Let the stand-ins refuse for leaving, and prove what one such refusal does

Cause: that an endpoint's own word ends new work was only tested by telling the directory. Before (the word unheard, list 30 s behind): the leaving engine is asked again and again and some of 20 requests fail; after: it is asked once at the most and all 20 are answered.

--- a/standins/engine/_core.py
+++ b/standins/engine/_core.py
@@ -236,6 +236,8 @@
         """Refuses a session whose name is taken or that does not fit."""
         if self._memory.find(name) is not None:
             raise EngineRefusal(409)
+        if self.faults.leaving:
+            raise EngineRefusal(503, reason="leaving")
         if self.faults.refuse or self.model.loading:
             raise self._refuse_for_now()
         self._memory.check_fits(kv_tokens)
--- a/standins/engine/_faults.py
+++ b/standins/engine/_faults.py
@@ -19,6 +19,7 @@
     :param duplicated: each line is sent twice.
     :param cut_after_lines: streams break after that many lines; 0 for never.
     :param refuse: every new session is refused.
+    :param leaving: every new session is refused, with that reason.
     :param slow: factor on the time of each step.
     :param report_lag_s: age of reported load and cache events, in seconds.
     :param ignore_fencing: old fencing tokens are taken, whatever the engine says.
@@ -31,6 +32,7 @@
     duplicated: bool = False
     cut_after_lines: int = 0
     refuse: bool = False
+    leaving: bool = False
     slow: float = 1.0
     report_lag_s: float = REPORT_LAG_S
     ignore_fencing: bool = False
--- a/standins/service/_core.py
+++ b/standins/service/_core.py
@@ -22,12 +22,14 @@
 
     :param lose_answer: the call runs, then the connection breaks.
     :param fail_before_run: the call is refused and does not run.
+    :param leaving: the call is refused, with that reason, and does not run.
     :param slow_s: time that a call takes beyond the usual, in seconds.
     :param down: connections are refused.
     """
 
     lose_answer: bool = False
     fail_before_run: bool = False
+    leaving: bool = False
     slow_s: float = 0.0
     down: bool = False
 
@@ -70,6 +72,8 @@
         if self.faults.down:
             raise ConnectionRefusedError(self.name)
         await self.faults.pause()
+        if self.faults.leaving:
+            raise ServiceRefusal(503, reason="leaving")
         if self.faults.fail_before_run:
             raise ServiceRefusal(503, "not_run", 1.0)
         await asyncio.sleep(self.call_s + self.faults.slow_s)
--- a/tests/test_endpoints/test_endpoints_directory.py
+++ b/tests/test_endpoints/test_endpoints_directory.py
@@ -10,6 +10,7 @@
 from cicadacourse.endpoints import _directory
 from cicadacourse.events import ENDPOINTS_CHANGED
 from cicadacourse.util.clock import now
+from standins.engine import EngineCore
 from tests.entry_instance import POOLS, World, request_body, running_instance, serve
 
 
@@ -40,10 +41,10 @@
         world.listed.faults.lag_s = 1.9
         world.listed.mark_leaving("e0")
         await asyncio.sleep(3)
-        before = world.engines["e0"]._arrivals
+        before = world.engines["e0"].arrivals
         for _ in range(20):
             assert (await serve(app, request_body())).ended
-        assert world.engines["e0"]._arrivals == before
+        assert world.engines["e0"].arrivals == before
 
 
 @pytest.mark.looptime
@@ -66,6 +67,34 @@
         assert names(app) == ["e1", "e2"]
 
 
+@pytest.mark.looptime
+@pytest.mark.parametrize("hears", [True, False])
+async def test_one_refusal_for_leaving_ends_new_work_though_the_list_lags(
+    hears, monkeypatch
+):
+    if not hears:
+        monkeypatch.setattr(_directory, "REASON_LEAVING", "unheard")
+    world = World.make(engines=2)
+    refusals = 0
+    refuse = EngineCore._check_new
+
+    def count_refusals(core, *args):
+        nonlocal refusals
+        refusals += core.faults.leaving
+        refuse(core, *args)
+
+    monkeypatch.setattr(EngineCore, "_check_new", count_refusals)
+    async with running_instance(world) as app:
+        world.listed.faults.lag_s = 30
+        world.engines["e0"].faults.leaving = True
+        before = world.engines["e0"].arrivals
+        ended = [(await serve(app, request_body())).ended for _ in range(20)]
+        assert all(ended) == hears
+        assert world.engines["e0"].arrivals == before
+        assert ("e0" not in names(app)) == hears
+        assert (refusals <= 1) == hears
+
+
 @pytest.mark.looptime
 async def test_ejection_is_capped_and_backs_off():
     world = World.make(engines=6)
