Expect ejection of an endpoint whose refusals for leaving go unheard

Cause: the new test's naive variant also expected that the endpoint stays in the pool; three counted failures eject it, rightly. The check is now that it is gone in both variants, after one refusal at the most where the word is heard.

--- a/tests/test_endpoints/test_endpoints_directory.py
+++ b/tests/test_endpoints/test_endpoints_directory.py
@@ -91,7 +91,7 @@
         ended = [(await serve(app, request_body())).ended for _ in range(20)]
         assert all(ended) == hears
         assert world.engines["e0"].arrivals == before
-        assert ("e0" not in names(app)) == hears
+        assert "e0" not in names(app)
         assert (refusals <= 1) == hears
 
 
