--- a/bench/demo/_disturbances.py
+++ b/bench/demo/_disturbances.py
@@ -113,3 +113,20 @@
     await asyncio.sleep(OUTAGE_S)
     service.thaw()
     return {}
+
+
+@SCENARIOS.register("together")
+async def several_at_once(stage: Stage) -> dict[str, int]:
+    """Freezes an instance and kills an engine while the log loses answers."""
+    await asyncio.sleep(STEP_S)
+    log = stage.fleet.programs_by_name["log"]
+    set_fault(log, "lose_answer", 0.5)
+    frozen, killed = stage.entries[:2]
+    frozen.freeze()
+    programs(stage.fleet, "engine-")[0].kill()
+    await asyncio.sleep(STEP_S)
+    killed.kill()
+    await asyncio.sleep(FREEZE_S)
+    frozen.thaw()
+    set_fault(log, "lose_answer", 0.0)
+    return {}
--- a/cicadacourse/cmd/__init__.py
+++ b/cicadacourse/cmd/__init__.py
@@ -16,20 +16,33 @@
 EXIT_REFUSED = 5
 EXIT_UNKNOWN = 6
 
-COMMANDS = ("entry", "check", "publish", "show", "ask", "version")
+SUMMARY_BY_COMMAND = {
+    "entry": "run one entry instance",
+    "check": "check settings and tables",
+    "publish": "put new tables in force",
+    "show": "show instances, endpoints, tables, leases and organisations",
+    "ask": "send one request as a caller would",
+    "version": "print the version",
+}
 
 
 def get_parser() -> argparse.ArgumentParser:
     """Returns the parser of the whole command line.
 
-    Each module of :data:`COMMANDS` has ``get_parser()``, whose result is used as a
-    parent, and ``main(argv)``, which returns the exit status.
+    Each command is a module of this package with ``get_parser()`` and
+    ``main(argv)``, which returns the exit status.
     """
+    lines = [f"  {name:10} {text}" for name, text in SUMMARY_BY_COMMAND.items()]
     parser = argparse.ArgumentParser(
-        prog="cicadacourse", description="Serving layer for language-model engines."
+        prog="cicadacourse",
+        description="Serving layer for language-model engines.",
+        epilog="\n".join(["commands:", *lines, "", "each has --help"]),
+        formatter_class=argparse.RawDescriptionHelpFormatter,
     )
     parser.add_argument("--version", action="version", version=__version__)
-    parser.add_argument("command", choices=COMMANDS, help="what to do")
+    parser.add_argument(
+        "command", choices=SUMMARY_BY_COMMAND, metavar="command", help="what to do"
+    )
     parser.add_argument("rest", nargs=argparse.REMAINDER, help=argparse.SUPPRESS)
     return parser
 
