Drop dispatchers' queues that have long been out of use

Found by reading. Before: queues of four endpoints still there 700 s after the last grant; after: none, and the next request opens one again (test_queues_out_of_use_are_dropped_and_opened_again).

--- a/cicadacourse/routing/_dispatcher.py
+++ b/cicadacourse/routing/_dispatcher.py
@@ -36,6 +36,7 @@
 REBUILD_TIMEOUT_S = 1.0
 SOONEST_LOOK_S = 0.005
 IDLE_LOOK_S = 1.0
+IDLE_QUEUE_KEPT_S = 600.0
 MIN_RETRY_AFTER_S = 0.5
 
 DISPATCH_QUEUED = declare("dispatch_queued", "Requests that wait for a grant here.")
@@ -249,9 +250,13 @@
         self._spawn(self._serve(endpoint.name, queue))
 
     async def _serve(self, name: str, queue: EndpointQueue) -> None:
-        """Makes grants whenever the queue changes or time lets more of them fit."""
+        """Makes grants whenever the queue changes or time lets more of them fit.
+
+        A queue that has long been out of use is dropped, as endpoints come and go.
+        """
         changed = self._changes_by_endpoint[name]
-        while True:
+        used_at = now()
+        while now() - used_at < IDLE_QUEUE_KEPT_S:
             ready_in_s = queue.ready_in_s(now())
             timeout_s = IDLE_LOOK_S if ready_in_s is None else ready_in_s
             timeout_s = min(max(timeout_s, SOONEST_LOOK_S), IDLE_LOOK_S)
@@ -260,6 +265,20 @@
             changed.clear()
             queue.grant_ready(now())
             self._count_queued()
+            if len(queue) or self._is_granted(name, queue):
+                used_at = now()
+        # Nothing is awaited since the last look, so nobody has joined meanwhile.
+        self._drop_queue(name)
+
+    def _is_granted(self, name: str, queue: EndpointQueue) -> bool:
+        """Whether grants are out; those of an endpoint that has gone do not count."""
+        known = self.app.get("directory").find(name) is not None
+        return known and len(queue.ledger) > 0
+
+    def _drop_queue(self, name: str) -> None:
+        del self._queues_by_endpoint[name]
+        del self._changes_by_endpoint[name]
+        self._rebuilds_by_endpoint.pop(name, None)
 
     def _changed(self, name: str) -> None:
         self._changes_by_endpoint[name].set()
--- a/cicadacourse/sessions/_judge.py
+++ b/cicadacourse/sessions/_judge.py
@@ -54,6 +54,7 @@
         member = self.app.get("membership").find(owner)
         if member is None:
             # Never heard of is not dead: its time limits free what it holds.
+            self._gone_since_by_owner.pop(owner, None)
             return {}
         if member.state is MemberState.DEAD:
             gone = self._is_gone_for_long(owner)
--- a/tests/test_routing/test_routing_dispatch.py
+++ b/tests/test_routing/test_routing_dispatch.py
@@ -12,7 +12,7 @@
 from bench.load._results import Fate
 from bench.load._run import _send
 from cicadacourse.errors import ErrorKind
-from cicadacourse.routing import Grant, Outcome, Parts, Work
+from cicadacourse.routing import Grant, Outcome, Parts, Work, _dispatcher
 from cicadacourse.routing._dispatch_client import DispatchClient
 from cicadacourse.routing._dispatcher import Dispatcher
 from cicadacourse.routing._ledger import Ledger
@@ -69,6 +69,28 @@
     assert len(await sessions_for_two_requests()) == 2
 
 
+async def queues_long_after_a_load() -> int:
+    """Grants and returns, waits, counts what is left; then asks once more."""
+    fleet = Fleet("default", engine_count=4, instance_count=3)
+    async with fleet.running():
+        for number in range(8):
+            work = make_work(f"r{number}", tokens=1_000, output=10)
+            grant = await acquire(fleet, number % 3, work)
+            fleet.apps[number % 3].get("routing").release(grant, Outcome.REFUSED)
+        await asyncio.sleep(700.0)
+        dispatchers = [app.get("routing").dispatcher for app in fleet.apps]
+        left = sum(len(one._queues_by_endpoint) for one in dispatchers)
+        assert await acquire(fleet, 0, make_work("late", tokens=1_000, output=10))
+    return left
+
+
+@pytest.mark.looptime
+async def test_queues_out_of_use_are_dropped_and_opened_again(monkeypatch):
+    assert await queues_long_after_a_load() == 0
+    monkeypatch.setattr(_dispatcher, "IDLE_QUEUE_KEPT_S", float("inf"))
+    assert await queues_long_after_a_load() > 0
+
+
 async def open_without_list(self, endpoint, queue):
     """Opens a dispatcher's queue without the engine's list of sessions."""
     self._queues_by_endpoint[endpoint.name] = queue
