Serve pools whose policy is of a newer release by the default policy

Cause: the fold passes a policy that this instance does not know, and each request then ended as an internal error (UnknownNameError in the new test before). publish and check of the same release refuse such a name; a rolling upgrade meets it.

--- a/cicadacourse/routing/_service.py
+++ b/cicadacourse/routing/_service.py
@@ -31,7 +31,11 @@
 from cicadacourse.routing._policy import POLICIES, Policy
 from cicadacourse.routing._slices import prefill_group
 from cicadacourse.util.clock import now
+from cicadacourse.util.logging import get_logger
 
+logger = get_logger("routing")
+
+DEFAULT_POLICY = "default"
 RELEASE_TIMEOUT_S = 2.0
 
 GRANTS = declare("grants_total", "Grants made to this instance, by policy.")
@@ -169,8 +173,12 @@
                 sessions.hold(session)
 
     def _policy(self, name: str) -> Policy:
+        """Returns a pool's policy; for one of a newer release, the default."""
         if name not in self._policies_by_name:
-            self._policies_by_name[name] = POLICIES.get(name)(self.app)
+            known = name if name in POLICIES else DEFAULT_POLICY
+            if known != name:
+                logger.warning("no policy {}: its pools are served by {}", name, known)
+            self._policies_by_name[name] = POLICIES.get(known)(self.app)
         return self._policies_by_name[name]
 
 
--- a/tests/test_routing/test_routing_dispatch.py
+++ b/tests/test_routing/test_routing_dispatch.py
@@ -69,6 +69,13 @@
     assert len(await sessions_for_two_requests()) == 2
 
 
+@pytest.mark.looptime
+async def test_a_policy_of_a_newer_release_is_served_by_the_default():
+    fleet = Fleet("of-a-newer-release", engine_count=2, instance_count=3)
+    async with fleet.running():
+        assert (await acquire(fleet, 0, make_work("r", tokens=1_000))).session
+
+
 async def queues_long_after_a_load() -> int:
     """Grants and returns, waits, counts what is left; then asks once more."""
     fleet = Fleet("default", engine_count=4, instance_count=3)
