--- a/bench/control/_claims.py
+++ b/bench/control/_claims.py
@@ -12,8 +12,8 @@
 from cicadacourse.claims import Claims
 from cicadacourse.membership import Membership
 from standins.log import LogCore
-from tests.log_service import instance_log
-from tests.memory_cluster import MemoryCluster
+from standins.log_service import instance_log
+from standins.memory_cluster import MemoryCluster
 
 CLAIMS_PER_S = (5, 20, 80)
 _INSTANCES = 6
--- a/bench/control/_cluster.py
+++ b/bench/control/_cluster.py
@@ -9,7 +9,7 @@
 
 from cicadacourse.application import Application
 from cicadacourse.peers import MESSAGES
-from tests.memory_cluster import MemoryCluster
+from standins.memory_cluster import MemoryCluster
 
 T = TypeVar("T")
 
--- a/bench/control/_limits.py
+++ b/bench/control/_limits.py
@@ -10,7 +10,7 @@
 from cicadacourse.limits import Limits
 from cicadacourse.membership import Membership
 from cicadacourse.tables import Route
-from tests.memory_cluster import MemoryCluster
+from standins.memory_cluster import MemoryCluster
 
 SIZES = (100, 400, 1600)
 BUSY_SIZES = (4, 16, 64)
--- a/bench/control/_membership.py
+++ b/bench/control/_membership.py
@@ -10,7 +10,7 @@
 from cicadacourse.membership._messages import SyncMembers
 from cicadacourse.membership._view import View
 from cicadacourse.peers import decode, encode
-from tests.memory_cluster import MemoryCluster
+from standins.memory_cluster import MemoryCluster
 
 SIZES = (6, 24, 96, 390)
 CHANGE_SIZES = (6, 24, 96)
--- a/bench/control/_tables.py
+++ b/bench/control/_tables.py
@@ -16,8 +16,8 @@
 from cicadacourse.tables import Edit, Fold, TablesFollower, TablesSettings
 from cicadacourse.tables._records import encode as encode_edit
 from standins.log import LogCore
-from tests.log_service import instance_log
-from tests.memory_cluster import MemoryCluster
+from standins.log_service import instance_log
+from standins.memory_cluster import MemoryCluster
 
 ROUTES = (10, 40, 160)
 FOLLOWERS = (6, 12, 24)
--- a/tests/test_claims/test_claims_failures.py
+++ b/tests/test_claims/test_claims_failures.py
@@ -20,8 +20,8 @@
 from cicadacourse.peers import handles
 from cicadacourse.util.clock import now
 from standins.log import LogCore
-from tests.log_service import instance_log
-from tests.memory_cluster import memory_cluster
+from standins.log_service import instance_log
+from standins.memory_cluster import memory_cluster
 
 pytestmark = pytest.mark.looptime
 
--- a/tests/test_limits/load.py
+++ b/tests/test_limits/load.py
@@ -11,7 +11,7 @@
 from cicadacourse.membership import Membership
 from cicadacourse.tables import Route
 from cicadacourse.util.clock import now
-from tests.memory_cluster import memory_cluster
+from standins.memory_cluster import memory_cluster
 
 NAMES = ["e1", "e2", "e3", "e4", "e5", "e6"]
 RATE, BURST, SLICE_LIFE_S = 1000.0, 5000.0, 2.0
--- a/tests/test_membership/test_membership_cost.py
+++ b/tests/test_membership/test_membership_cost.py
@@ -8,7 +8,7 @@
 
 from bench.control._cluster import run_paused, start_joined, traffic
 from cicadacourse.membership import Membership
-from tests.memory_cluster import MemoryCluster
+from standins.memory_cluster import MemoryCluster
 from tests.test_membership import naive
 
 SMALL, LARGE = 6, 24
--- a/tests/test_membership/test_membership_failures.py
+++ b/tests/test_membership/test_membership_failures.py
@@ -9,7 +9,7 @@
 from cicadacourse.events import RESUMED_AFTER_PAUSE
 from cicadacourse.membership import Member, Membership, MemberState
 from cicadacourse.membership._syncer import Contact
-from tests.memory_cluster import memory_cluster
+from standins.memory_cluster import memory_cluster
 from tests.test_membership import naive
 
 SIX = ["e1", "e2", "e3", "e4", "e5", "e6"]
--- a/tests/test_membership/test_membership_histories.py
+++ b/tests/test_membership/test_membership_histories.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from cicadacourse.membership import Membership, MemberState
-from tests.memory_cluster import memory_cluster
+from standins.memory_cluster import memory_cluster
 from tests.test_membership import naive
 
 NAMES = ["e1", "e2", "e3", "e4", "e5", "e6"]
--- a/tests/test_membership/test_membership_service.py
+++ b/tests/test_membership/test_membership_service.py
@@ -8,7 +8,7 @@
 
 import cicadacourse.membership  # noqa: F401
 from cicadacourse.membership import MemberState
-from tests.memory_cluster import memory_cluster
+from standins.memory_cluster import memory_cluster
 
 SIX = ["e1", "e2", "e3", "e4", "e5", "e6"]
 
--- a/tests/test_peers/test_peers_memory.py
+++ b/tests/test_peers/test_peers_memory.py
@@ -14,7 +14,7 @@
 from cicadacourse.peers import MalformedMessage, decode, encode, handles
 from cicadacourse.peers._dispatch import FailureReply, Frame
 from cicadacourse.util.clock import now
-from tests.memory_cluster import memory_cluster
+from standins.memory_cluster import memory_cluster
 from tests.test_peers.echo_process import ACK, SENDER, ping
 
 REFUSAL = Error(ErrorKind.LIMIT_EXCEEDED, "no", "slow-down", retry_after_s=2.5)
--- a/tests/test_tables/test_tables_failures.py
+++ b/tests/test_tables/test_tables_failures.py
@@ -27,8 +27,8 @@
 from cicadacourse.tables._restater import DUE_SHARE
 from cicadacourse.util.clock import now
 from standins.log import LogCore
-from tests.log_service import instance_log
-from tests.memory_cluster import memory_cluster
+from standins.log_service import instance_log
+from standins.memory_cluster import memory_cluster
 from tests.test_tables.test_tables_fold import make_edit
 
 pytestmark = pytest.mark.looptime
