Drop the unused client of cache events; share the allowed clock skew of keys

Routing does not use cache events (see its design note), so the call, its answer type and their readers were dead code in the product; the engine stand-in still gives them. The allowed skew of a key's time stood in claims and in the entry. Behaviour is unchanged.

--- a/cicadacourse/endpoints/_answers.py
+++ b/cicadacourse/endpoints/_answers.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from cicadacourse.endpoints._model import (
-    CacheEvent,
     Endpoint,
     EngineLoad,
     EngineSession,
@@ -94,14 +93,6 @@
     )
 
 
-def to_events(answer: dict[str, Any]) -> tuple[CacheEvent, ...]:
-    """Reads cache events."""
-    return tuple(
-        CacheEvent(row["sequence"], row["kind"], row["block"])
-        for row in answer["events"]
-    )
-
-
 def to_state(answer: dict[str, Any]) -> EngineState:
     """Reads what an engine serves."""
     return EngineState(
--- a/cicadacourse/endpoints/_client.py
+++ b/cicadacourse/endpoints/_client.py
@@ -9,7 +9,6 @@
 
 from cicadacourse.application import Service
 from cicadacourse.endpoints._model import (
-    CacheEvent,
     Endpoint,
     EngineLoad,
     EngineState,
@@ -132,12 +131,6 @@
     ) -> Result[EngineLoad, Error]:
         """Returns the engine's load report, which lags."""
 
-    @abc.abstractmethod
-    async def cache_events(
-        self, endpoint: Endpoint, after: int, timeout_s: float
-    ) -> Result[tuple[CacheEvent, ...], Error]:
-        """Returns the cache events behind a sequence number; some may lack."""
-
     @abc.abstractmethod
     async def state(
         self, endpoint: Endpoint, timeout_s: float
--- a/cicadacourse/endpoints/_http.py
+++ b/cicadacourse/endpoints/_http.py
@@ -12,7 +12,6 @@
 from cicadacourse.application import SERVICES, Application
 from cicadacourse.config import InstanceSettings
 from cicadacourse.endpoints._answers import (
-    to_events,
     to_export,
     to_load,
     to_nothing,
@@ -23,7 +22,6 @@
 from cicadacourse.endpoints._curl import HTTP_OK, AbortableCurlClient, BodyStream
 from cicadacourse.endpoints._lines import LineReader, to_error
 from cicadacourse.endpoints._model import (
-    CacheEvent,
     Endpoint,
     EngineLoad,
     EngineState,
@@ -202,12 +200,6 @@
     ) -> Result[EngineLoad, Error]:
         return await self._ask(endpoint, "GET", "/load", timeout_s, None, to_load)
 
-    async def cache_events(
-        self, endpoint: Endpoint, after: int, timeout_s: float
-    ) -> Result[tuple[CacheEvent, ...], Error]:
-        path = f"/cache_events?after={after}"
-        return await self._ask(endpoint, "GET", path, timeout_s, None, to_events)
-
     async def state(
         self, endpoint: Endpoint, timeout_s: float
     ) -> Result[EngineState, Error]:
--- a/cicadacourse/endpoints/_model.py
+++ b/cicadacourse/endpoints/_model.py
@@ -131,19 +131,6 @@
     measured_at: float
 
 
-@attrs.frozen
-class CacheEvent:
-    """One change of an engine's prefix cache.
-
-    :param kind: ``stored`` or ``evicted``.
-    :param block: the prefix hash of the block.
-    """
-
-    sequence: int
-    kind: str
-    block: int
-
-
 @attrs.frozen
 class KvExport:
     """KV cache that an engine holds ready for import by another."""
--- a/cicadacourse/entry/_request.py
+++ b/cicadacourse/entry/_request.py
@@ -14,13 +14,13 @@
 import attrs
 from returns.result import Failure, Result, Success
 
+from cicadacourse.claims import MAX_KEY_SKEW_S
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.util.tokens import count_tokens
 
 MAX_TEXT_LENGTH = 128
 MAX_TIME_LIMIT_S = 86_400.0
 MAX_TOKENS = 10_000_000
-MAX_KEY_SKEW_S = 60.0
 DEFAULT_TIME_LIMIT_S = 60.0
 DEFAULT_MAX_TOKENS = 256
 
--- a/standins/direct.py
+++ b/standins/direct.py
@@ -11,7 +11,6 @@
 from cicadacourse.application import Application
 from cicadacourse.config import InstanceSettings
 from cicadacourse.endpoints import (
-    CacheEvent,
     Endpoint,
     EndpointClient,
     EngineLoad,
@@ -188,13 +187,6 @@
         answer = await _ask(endpoint, self._engine(endpoint).load, timeout_s)
         return answer.map(_to_load)
 
-    async def cache_events(
-        self, endpoint: Endpoint, after: int, timeout_s: float
-    ) -> Result[tuple[CacheEvent, ...], Error]:
-        core = self._engine(endpoint)
-        answer = await _ask(endpoint, lambda: core.cache_events(after), timeout_s)
-        return answer.map(_to_events)
-
     async def state(
         self, endpoint: Endpoint, timeout_s: float
     ) -> Result[EngineState, Error]:
@@ -287,12 +279,6 @@
     )
 
 
-def _to_events(events: tuple[engines.CacheEvent, ...]) -> tuple[CacheEvent, ...]:
-    return tuple(
-        CacheEvent(event.sequence, event.kind, event.block) for event in events
-    )
-
-
 def _to_state(state: engines.State) -> EngineState:
     return EngineState(
         model=state.model,
