--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Load, measurement and demo programs."""
+"""Measurements, the demo and the reference pages."""
--- /dev/null
+++ b/bench/control/_load.py
@@ -0,0 +1,63 @@
+"""Load reports: bytes and processor time by runs told, and receivers by instances."""
+
+from __future__ import annotations
+
+from bench.control._sample import Meter, Sample
+from cicadacourse.load import Role, Run, choose_receivers
+from cicadacourse.load._codec import decode_report, encode_report
+from cicadacourse.load._datagram import Datagram
+from cicadacourse.load._messages import LoadReport
+from cicadacourse.load._reports import to_report, to_run
+from cicadacourse.membership import Member
+
+RUNS = (1, 4, 16)
+INSTANCES = (6, 24, 96, 390)
+DOMAINS = "abcd"
+_REPORTS = 2000
+
+
+def measure(_: int) -> list[list[Sample]]:
+    """Returns the cost of a report by its runs, then its datagrams by instances."""
+    return [
+        [_measure_report(count) for count in RUNS],
+        [_measure_receivers(count) for count in INSTANCES],
+    ]
+
+
+def _measure_report(run_count: int) -> Sample:
+    runs = [
+        Run(f"engine-{index:03d}", Role.WRITE, 0.0, 5000, 0.02, 0.2)
+        for index in range(run_count)
+    ]
+    sent = Meter()
+    for _ in range(_REPORTS):
+        reports = tuple(to_report(run, 1.0) for run in runs)
+        body = encode_report(LoadReport("front-a-1", 7, 100, 50, reports))
+        datagram = Datagram(False, 1, 2, 3, body).pack()
+    sent_us = sent.cpu_ms() * 1000 / _REPORTS
+    received = Meter()
+    for _ in range(_REPORTS):
+        report = decode_report(Datagram.unpack(datagram).body)
+        tuple(to_run(item, 1.0) for item in report.runs)
+    figures = {
+        "datagram_bytes": float(len(datagram)),
+        "cpu_us_to_make": sent_us,
+        "cpu_us_to_read": received.cpu_ms() * 1000 / _REPORTS,
+    }
+    return Sample("a load report", "runs", run_count, figures)
+
+
+def _measure_receivers(count: int) -> Sample:
+    members = [
+        Member(f"front-{index:03d}", "1.2.3.4:5", failure_domain=DOMAINS[index % 4])
+        for index in range(count)
+    ]
+    receivers = choose_receivers(members[0], members)
+    figures = {
+        "sent_by_its_instance": float(len(receivers.direct) + len(receivers.relays)),
+        "sent_to_other_domains": float(
+            sum(item.failure_domain != "a" for item in receivers.direct)
+            + len(receivers.relays)
+        ),
+    }
+    return Sample("datagrams of a report", "instances", count, figures)
--- a/bench/reference.py
+++ b/bench/reference.py
@@ -15,7 +15,7 @@
 from cicadacourse.config import SECTIONS, options_by_name
 from cicadacourse.errors import ANSWERS_BY_KIND
 from cicadacourse.metrics import HELP_BY_NAME
-from cicadacourse.tables import Pool, Route
+from cicadacourse.tables import ROW_CLASS_BY_SECTION
 
 FOLDER = pathlib.Path(__file__).parent.parent / "docs" / "operators"
 NOTE = "Written by `make reference` from the code; do not edit.\n"
@@ -65,10 +65,10 @@
 
 
 def render_tables() -> str:
-    """Returns the page of every option of both tables."""
+    """Returns the page of every option of the tables."""
     lines = ["# Options of the tables", "", NOTE]
-    lines += render_options("route NAME", Route)
-    lines += render_options("pool NAME", Pool)
+    for section, cls in ROW_CLASS_BY_SECTION.items():
+        lines += render_options(section, cls)
     return "\n".join(lines)
 
 
--- a/cicadacourse/cmd/__init__.py
+++ b/cicadacourse/cmd/__init__.py
@@ -17,11 +17,10 @@
 EXIT_UNKNOWN = 6
 
 SUMMARY_BY_COMMAND = {
-    "serve": "run one instance on the users' platform",
-    "entry": "run one entry instance",
+    "serve": "run one instance",
     "check": "check settings and tables",
-    "publish": "put new tables in force",
-    "show": "show instances, endpoints, tables, leases and organisations",
+    "publish": "put new tables in force, or fetch those in force",
+    "show": "show instances, endpoints, routes and organisations",
     "ask": "send one request as a caller would",
     "explain": "tell one request's story from instances' logs",
     "version": "print the version",
--- a/cicadacourse/cmd/_arguments.py
+++ b/cicadacourse/cmd/_arguments.py
@@ -1,17 +1,18 @@
-"""What the commands' arguments share: parsers of values and checks of tables."""
+"""What the commands' arguments share: addresses, and the files of the tables."""
 
 from __future__ import annotations
 
 import argparse
+import pathlib
 from typing import Any, Callable
 
 from returns.result import Failure, Result, Success
 
+from cicadacourse.catalog import Catalog
+from cicadacourse.cmd._settings import read_text
 from cicadacourse.config import EXPECTED_BY_PARSER, parse_address, parse_addresses
-from cicadacourse.errors import Error, ErrorKind
-from cicadacourse.registry import suggest
-from cicadacourse.routing import POLICIES
-from cicadacourse.tables import Tables, parse_tables
+from cicadacourse.errors import Error
+from cicadacourse.tables import TableTexts, parse_tables
 
 
 def _argument(parse: Callable[[str], Any]) -> Callable[[str], Any]:
@@ -31,25 +32,29 @@
 addresses_argument = _argument(parse_addresses)
 
 
-def check_tables(
-    routes: str, pools: str, routes_file: str, pools_file: str
-) -> Result[Tables, list[Error]]:
-    """Parses both tables and checks also what only a whole program knows."""
-    match parse_tables(routes, pools, routes_file, pools_file):
-        case Failure(errors):
-            return Failure(errors)
-        case Success(tables):
-            errors = _check_policies(tables, pools_file)
-    return Failure(errors) if errors else Success(tables)
-
-
-def _check_policies(tables: Tables, file: str) -> list[Error]:
-    return [
-        Error(
-            ErrorKind.INVALID_TABLES,
-            f"{file}: [pool {pool.name}] policy = {pool.policy!r}: "
-            f"expected a routing policy{suggest(pool.policy, POLICIES)}",
+def add_table_arguments(parser: argparse.ArgumentParser, required: bool) -> None:
+    """Adds the arguments that name the files of the tables."""
+    add = parser.add_argument
+    add("--routes", type=pathlib.Path, required=required, help="table of routes, INI")
+    add("--pools", type=pathlib.Path, required=required, help="table of pools, INI")
+    add("--organisations", type=pathlib.Path, help="table of organisations, INI")
+
+
+def read_tables(arguments: argparse.Namespace) -> Result[Catalog, list[Error]]:
+    """Reads and checks the tables that the arguments name."""
+    paths = (arguments.routes, arguments.pools, arguments.organisations)
+    results = [Success("") if path is None else read_text(path) for path in paths]
+    unread = [item.failure() for item in results if isinstance(item, Failure)]
+    if unread:
+        return Failure([error for errors in unread for error in errors])
+    routes, pools, organisations = (item.unwrap() for item in results)
+    return parse_tables(
+        TableTexts(
+            routes=routes,
+            pools=pools,
+            organisations=organisations,
+            routes_file=str(arguments.routes),
+            pools_file=str(arguments.pools),
+            organisations_file=str(arguments.organisations),
         )
-        for pool in tables.pools_by_name.values()
-        if pool.policy not in POLICIES
-    ]
+    )
--- a/cicadacourse/cmd/_families.py
+++ b/cicadacourse/cmd/_families.py
@@ -6,19 +6,6 @@
 from typing import Sequence
 
 FAMILIES = (
-    "backing",
-    "peers",
-    "tables",
-    "membership",
-    "endpoints",
-    "limits",
-    "claims",
-    "orders",
-    "sessions",
-    "routing",
-    "entry",
-)
-PLATFORM_FAMILIES = (
     "peers",
     "membership",
     "catalog",
--- a/cicadacourse/cmd/_settings.py
+++ b/cicadacourse/cmd/_settings.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
-from cicadacourse.config import USUAL_SECTIONS, Settings, parse_settings
+from cicadacourse.config import Settings, parse_settings
 from cicadacourse.errors import Error, ErrorKind
 
 
@@ -18,11 +18,6 @@
         return Failure([Error(ErrorKind.INVALID_SETTINGS, f"{path}: {error}")])
 
 
-def read_settings(
-    path: pathlib.Path, required: tuple[str, ...] = USUAL_SECTIONS
-) -> Result[Settings, list[Error]]:
-    """Returns an instance's settings; their families must be loaded.
-
-    :param required: sections that must be there.
-    """
-    return read_text(path).bind(lambda text: parse_settings(str(path), text, required))
+def read_settings(path: pathlib.Path) -> Result[Settings, list[Error]]:
+    """Returns an instance's settings; their families must be loaded."""
+    return read_text(path).bind(lambda text: parse_settings(str(path), text))
--- a/cicadacourse/cmd/ask.py
+++ b/cicadacourse/cmd/ask.py
@@ -3,23 +3,16 @@
 from __future__ import annotations
 
 import argparse
-import asyncio
-import contextlib
-import json
 import pathlib
-import secrets
 import sys
-import time
-from typing import Any
 
 import attrs
+from returns.result import Failure, Success
 
-from cicadacourse.caller import COMPLETE, REFUSED, Caller, Reply
 from cicadacourse.cmd import EXIT_ERROR, EXIT_OK, EXIT_REFUSED, EXIT_UNKNOWN
-from cicadacourse.config import parse_addresses
-from cicadacourse.util.clock import BoottimeEventLoop
-
-EXIT_BY_OUTCOME = {COMPLETE: EXIT_OK, REFUSED: EXIT_REFUSED}
+from cicadacourse.cmd._arguments import addresses_argument
+from cicadacourse.cmd._output import print_json, run_coroutine
+from cicadacourse.platform import Caller, Question, Told
 
 
 def get_parser() -> argparse.ArgumentParser:
@@ -27,86 +20,91 @@
     parser = argparse.ArgumentParser(
         prog="cicadacourse ask",
         description="Look up an instance, send one request, print its answer.",
-        epilog="exit status: 0 complete, 1 no prompt, 2 usage, 5 refused (not run), "
-        "6 outcome unknown, or it ran and failed",
+        epilog="exit status: 0 complete, 1 no instance found or no body, 2 usage, "
+        "5 refused (not run), 6 outcome unknown, or it ran and failed",
     )
     add = parser.add_argument
     add(
-        "--addresses",
+        "--directories",
         required=True,
-        type=parse_addresses,
+        type=addresses_argument,
         metavar="ADDR,...",
-        help="caller addresses of some instances",
+        help="addresses at which instances are looked up",
     )
-    add("--organisation", required=True)
-    add("--route", required=True)
-    add("--max-tokens", type=int, help="output tokens, for generate routes")
+    add("--host", required=True, help="host of the route")
+    add("--path", required=True, help="path, with its query")
+    add("--method", default="POST", help="default POST")
+    add("--key", help="the organisation's key, unless the route is public")
+    add("--model", default="", help="for model engines: the model's name")
+    add("--prompt-tokens", type=int, help="for model engines: size of the prompt")
+    add("--max-tokens", type=int, default=256, help="for model engines, default 256")
     add("--time-limit-s", type=float, default=60.0, help="default 60")
-    add("--once", action="store_true", help="the request may not be repeated")
-    add(
-        "--key",
-        help="key of a request that may run once; 'new' makes one and prints it",
-    )
-    add("--json", action="store_true", help="print JSON")
-    source = parser.add_mutually_exclusive_group(required=True)
-    source.add_argument("--prompt")
-    source.add_argument("--prompt-file", type=pathlib.Path, metavar="FILE")
+    add("--json", action="store_true", help="print how it ended as JSON, not the body")
+    source = parser.add_mutually_exclusive_group()
+    source.add_argument("--body", default="")
+    source.add_argument("--body-file", type=pathlib.Path, metavar="FILE")
     return parser
 
 
-def new_key() -> str:
-    """Returns a key whose age every instance can tell."""
-    return f"{int(time.time())}-{secrets.token_hex(8)}"
-
-
 def main(argv: list[str]) -> int:
     """Sends the request and returns the exit status of its outcome."""
     arguments = get_parser().parse_args(argv)
     try:
-        fields = _fields(arguments)
-    except (OSError, UnicodeDecodeError) as error:
-        print(f"{arguments.prompt_file}: {error}", file=sys.stderr)
+        body = _read_body(arguments)
+    except OSError as error:
+        print(f"{arguments.body_file}: {error}", file=sys.stderr)
         return EXIT_ERROR
-    with asyncio.Runner(loop_factory=BoottimeEventLoop) as runner:
-        reply = runner.run(_ask(arguments.addresses, fields))
-    _print(reply, fields, arguments.json)
-    return EXIT_BY_OUTCOME.get(reply.outcome, EXIT_UNKNOWN)
-
-
-def _fields(arguments: argparse.Namespace) -> dict[str, Any]:
-    prompt = arguments.prompt
-    if prompt is None:
-        prompt = arguments.prompt_file.read_text()
-    fields: dict[str, Any] = {
-        "organisation": arguments.organisation,
-        "route": arguments.route,
-        "prompt": prompt,
-        "time_limit_s": arguments.time_limit_s,
-    }
-    if arguments.max_tokens is not None:
-        fields["max_tokens"] = arguments.max_tokens
-    if arguments.once:
-        fields["repeatable"] = False
-    if arguments.key:
-        fields["key"] = new_key() if arguments.key == "new" else arguments.key
-    return fields
-
-
-async def _ask(addresses: tuple[str, ...], fields: dict[str, Any]) -> Reply:
-    with contextlib.closing(Caller(addresses)) as caller:
-        return await caller.ask(fields)
-
-
-def _print(reply: Reply, fields: dict[str, Any], as_json: bool) -> None:
+    question = Question(
+        host=arguments.host,
+        path=arguments.path,
+        method=arguments.method,
+        body=body,
+        key=arguments.key,
+        model=arguments.model,
+        prompt_tokens=arguments.prompt_tokens,
+        max_output_tokens=arguments.max_tokens,
+        time_limit_s=arguments.time_limit_s,
+    )
+    return run_coroutine(_ask(arguments, question))
+
+
+def _read_body(arguments: argparse.Namespace) -> bytes:
+    if arguments.body_file is None:
+        return arguments.body.encode()
+    return arguments.body_file.read_bytes()
+
+
+async def _ask(arguments: argparse.Namespace, question: Question) -> int:
+    write = _ignore if arguments.json else _print_part
+    match await Caller(arguments.directories, write).ask(question):
+        case Failure(error):
+            print(error.detail, file=sys.stderr)
+            return EXIT_ERROR
+        case Success(told):
+            _print(told, arguments.json)
+            return _exit_status(told)
+
+
+def _ignore(_: bytes) -> None:
+    """Drops a part of the answer."""
+
+
+def _print_part(part: bytes) -> None:
+    sys.stdout.write(part.decode(errors="replace"))
+    sys.stdout.flush()
+
+
+def _print(told: Told, as_json: bool) -> None:
     if as_json:
-        print(json.dumps({**attrs.asdict(reply), "key": fields.get("key")}))
+        print_json(attrs.asdict(told))
         return
-    if reply.text:
-        print(reply.text)
-    if reply.result is not None:
-        print(json.dumps(reply.result))
-    if reply.outcome != COMPLETE:
-        detail = json.dumps(reply.error)
-        print(f"{reply.outcome}: {detail}", file=sys.stderr)
-    if fields.get("key"):
-        print(f"key: {fields['key']}", file=sys.stderr)
+    print()
+    if not told.is_complete:
+        detail = f"status {told.status or 'none'} {told.detail}".rstrip()
+        print(f"request {told.request_id}: {detail}", file=sys.stderr)
+
+
+def _exit_status(told: Told) -> int:
+    if told.is_complete:
+        return EXIT_OK
+    return EXIT_UNKNOWN if told.has_run else EXIT_REFUSED
--- a/cicadacourse/cmd/publish.py
+++ b/cicadacourse/cmd/publish.py
@@ -1,19 +1,18 @@
-"""``cicadacourse publish``: put new tables in force."""
+"""``cicadacourse publish``: put new tables in force, or fetch those in force."""
 
 from __future__ import annotations
 
 import argparse
 import asyncio
 import contextlib
-import getpass
 import pathlib
-import uuid
-from typing import Any
+import sys
+from typing import AsyncIterator
 
 import attrs
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Success
 
-from cicadacourse.backing import HttpLogClient
+from cicadacourse.catalog import Catalog
 from cicadacourse.cmd import (
     EXIT_CONFLICT,
     EXIT_ERROR,
@@ -21,17 +20,19 @@
     EXIT_OK,
     EXIT_REFUSED,
     EXIT_UNKNOWN,
-    EXIT_USAGE,
 )
 from cicadacourse.cmd._arguments import (
+    add_table_arguments,
     address_argument,
     addresses_argument,
-    check_tables,
+    read_tables,
 )
 from cicadacourse.cmd._output import print_json, run_coroutine
-from cicadacourse.cmd._status import fetch_versions
+from cicadacourse.cmd._status import fetch_first_status, versions_by_name
 from cicadacourse.errors import Error, ErrorKind
-from cicadacourse.tables import Edit, Fold, Published, publish_edit, read_to_end
+from cicadacourse.metrics import Metrics
+from cicadacourse.platform import Published, Publisher, StoreClient, StoreSettings
+from cicadacourse.tables import render_tables
 from cicadacourse.util.clock import now
 from cicadacourse.util.http import HttpClient
 
@@ -40,50 +41,60 @@
 
 EXITS_BY_KIND = {
     ErrorKind.INVALID_TABLES: EXIT_ERROR,
-    ErrorKind.NOT_READY: EXIT_REFUSED,
-    ErrorKind.LOG_UNAVAILABLE: EXIT_REFUSED,
-    ErrorKind.LOG_OUTCOME_UNKNOWN: EXIT_UNKNOWN,
+    ErrorKind.VERSION_CONFLICT: EXIT_CONFLICT,
+    ErrorKind.FORBIDDEN: EXIT_REFUSED,
+    ErrorKind.STORE_UNAVAILABLE: EXIT_REFUSED,
+    ErrorKind.STORE_OUTCOME_UNKNOWN: EXIT_UNKNOWN,
 }
 
 
 @attrs.frozen
-class _Force:
+class InForce:
     """Where a version is in force and where it is not, by instance name."""
 
-    in_force: list[str]
-    not_in_force: list[str]
+    in_force: tuple[str, ...] = ()
+    not_in_force: tuple[str, ...] = ()
 
 
 def get_parser() -> argparse.ArgumentParser:
     """Returns the parser of this command."""
     parser = argparse.ArgumentParser(
         prog="cicadacourse publish",
-        description="Put new tables of routes and pools in force.",
-        epilog="exit status: 0 accepted (and in force, with --wait), 1 faulty tables, "
-        "2 usage, 3 conflict, 4 accepted but not in force everywhere in time, "
-        "5 not taken, 6 outcome unknown: run it again with the same --edit-id",
+        description="Put new tables in force. All are replaced together.",
+        epilog="exit status: 0 in force in the store (and on every instance, with "
+        "--wait), 1 faulty tables, 2 usage, 3 another version is in force than --base, "
+        "4 not in force everywhere in time, 5 not taken, 6 outcome unknown: run it "
+        "again, which changes nothing if it was taken",
     )
     add = parser.add_argument
-    add("--log-address", required=True, type=address_argument, help="log, as IP:port")
-    add("--routes", required=True, type=pathlib.Path, help="table of routes, INI")
-    add("--pools", required=True, type=pathlib.Path, help="table of pools, INI")
+    add(
+        "--store",
+        required=True,
+        type=address_argument,
+        help="where operators reach the store",
+    )
+    add_table_arguments(parser, required=False)
+    add(
+        "--fetch",
+        type=pathlib.Path,
+        metavar="FOLDER",
+        help="write the tables in force into a folder, and publish nothing",
+    )
     add(
         "--base",
         type=_parse_base,
-        help="version that the edit is based on, or 'any' to replace whatever is in "
-        "force; by default the version in force now",
+        metavar="VERSION",
+        help="version that was edited, or 'any' to replace whatever is in force",
     )
-    add("--author", default=None, help="who publishes (default: the user's name)")
-    add("--edit-id", default=None, help="id of the edit (default: a random one)")
     add("--wait", action="store_true", help="return once in force on every instance")
     add(
         "--instances",
         type=addresses_argument,
         default=(),
         metavar="ADDR,...",
-        help="caller addresses of some instances to ask for the others",
+        help="metrics addresses of some instances, for --wait",
     )
-    add("--timeout-s", type=float, default=30.0, help="time limit in seconds")
+    add("--timeout-s", type=float, default=30.0, help="time limit of --wait, seconds")
     add("--json", action="store_true", help="print JSON")
     return parser
 
@@ -92,27 +103,20 @@
     """Publishes the tables; see the parser's epilog for the exit status."""
     parser = get_parser()
     arguments = parser.parse_args(argv)
+    if arguments.fetch:
+        return run_coroutine(_fetch(arguments))
+    if not (arguments.routes and arguments.pools):
+        parser.error("--routes and --pools are needed")
+    if arguments.base is None:
+        parser.error("--base is needed: the version that was edited, or 'any'")
     if arguments.wait and not arguments.instances:
         parser.error("--wait needs --instances")
-    try:
-        routes = arguments.routes.read_text(encoding="utf-8")
-        pools = arguments.pools.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        print(error)
-        return EXIT_USAGE
-    edit = Edit(
-        edit_id=arguments.edit_id or str(uuid.uuid4()),
-        base_version=None,
-        routes=routes,
-        pools=pools,
-        author=arguments.author or getpass.getuser(),
-    )
-    match check_tables(routes, pools, str(arguments.routes), str(arguments.pools)):
+    match read_tables(arguments):
         case Failure(errors):
             detail = "; ".join(error.detail for error in errors)
-            error = Error(ErrorKind.INVALID_TABLES, detail)
-            return _print_error(arguments, edit, error)
-    return run_coroutine(_publish(arguments, edit))
+            return _print_error(arguments, Error(ErrorKind.INVALID_TABLES, detail))
+        case Success(catalog):
+            return run_coroutine(_publish(arguments, catalog))
 
 
 def _parse_base(text: str) -> int | str:
@@ -123,91 +127,90 @@
     return int(text)
 
 
-async def _publish(arguments: argparse.Namespace, edit: Edit) -> int:
-    deadline = now() + arguments.timeout_s
-    with contextlib.closing(HttpClient()) as http:
-        log = HttpLogClient(arguments.log_address, http)
-        match await _append(log, arguments.base, edit, deadline):
+@contextlib.asynccontextmanager
+async def _publisher(arguments: argparse.Namespace) -> AsyncIterator[Publisher]:
+    settings = StoreSettings(address=arguments.store)
+    with contextlib.closing(StoreClient(settings, Metrics())) as store:
+        yield Publisher(store)
+
+
+async def _fetch(arguments: argparse.Namespace) -> int:
+    """Writes the tables in force; the version to edit is printed."""
+    async with _publisher(arguments) as publisher:
+        match await publisher.read():
             case Failure(error):
-                return _print_error(arguments, edit, error)
+                return _print_error(arguments, error)
+            case Success(stored):
+                pass
+    texts = render_tables(stored.catalog)
+    arguments.fetch.mkdir(parents=True, exist_ok=True)
+    for name, text in (
+        (texts.routes_file, texts.routes),
+        (texts.pools_file, texts.pools),
+        (texts.organisations_file, texts.organisations),
+    ):
+        (arguments.fetch / name).write_text(text, encoding="utf-8")
+    version = stored.catalog.version
+    if arguments.json:
+        print_json({"version": version})
+    else:
+        print(f"version {version} is in force; edit it and publish with --base")
+    return EXIT_OK
+
+
+async def _publish(arguments: argparse.Namespace, catalog: Catalog) -> int:
+    base = None if arguments.base == ANY_BASE else arguments.base
+    async with _publisher(arguments) as publisher:
+        match await publisher.publish(catalog, base):
+            case Failure(error):
+                return _print_error(arguments, error)
             case Success(published):
                 pass
-        force = None
-        if arguments.wait and published.accepted:
-            force = await _wait_in_force(
-                http, arguments.instances, published.version, deadline
-            )
-    _print_published(arguments, published, force)
-    if not published.accepted:
-        return EXIT_CONFLICT
-    return EXIT_NOT_IN_FORCE if force and force.not_in_force else EXIT_OK
-
-
-async def _append(
-    log: HttpLogClient, base: int | str | None, edit: Edit, deadline: float
-) -> Result[Published, Error]:
-    """Publishes the edit on the base that was asked for."""
-    fold = Fold()
-    if base is None:
-        first = await read_to_end(log, fold, deadline)
-        if isinstance(first, Failure):
-            return first
-        base = fold.snapshot.version
-    if base != ANY_BASE:
-        edit = attrs.evolve(edit, base_version=base)
-    return await publish_edit(log, edit, deadline, fold)
-
-
-async def _wait_in_force(
-    http: HttpClient, addresses: tuple[str, ...], version: int, deadline: float
-) -> _Force:
-    """Polls every live instance until the version is in force on all of them."""
-    while True:
-        force = await _get_force(http, addresses, version)
-        if not force.not_in_force or now() + POLL_INTERVAL_S >= deadline:
-            return force
-        await asyncio.sleep(POLL_INTERVAL_S)
-
-
-async def _get_force(
-    http: HttpClient, addresses: tuple[str, ...], version: int
-) -> _Force:
-    versions_by_name = await fetch_versions(http, addresses)
-    if not versions_by_name:
-        return _Force([], list(addresses))
-    in_force = sorted(
-        name for name, there in versions_by_name.items() if (there or 0) >= version
-    )
-    return _Force(in_force, sorted(set(versions_by_name) - set(in_force)))
+    found = InForce()
+    if arguments.wait:
+        found = await _wait_in_force(arguments, published.version)
+    _print_published(arguments, published, found)
+    return EXIT_NOT_IN_FORCE if found.not_in_force else EXIT_OK
 
 
-def _print_error(arguments: argparse.Namespace, edit: Edit, error: Error) -> int:
+async def _wait_in_force(arguments: argparse.Namespace, version: int) -> InForce:
+    """Polls an instance until it knows that the version is in force on all."""
+    deadline = now() + arguments.timeout_s
+    with contextlib.closing(HttpClient()) as http:
+        while True:
+            found = await _look(http, arguments.instances, version)
+            if not found.not_in_force or now() + POLL_INTERVAL_S >= deadline:
+                return found
+            await asyncio.sleep(POLL_INTERVAL_S)
+
+
+async def _look(http: HttpClient, addresses: tuple[str, ...], version: int) -> InForce:
+    match await fetch_first_status(http, addresses):
+        case Success(status):
+            versions = versions_by_name(status)
+        case _:
+            return InForce(not_in_force=addresses)
+    in_force = sorted(name for name, there in versions.items() if there >= version)
+    return InForce(tuple(in_force), tuple(sorted(set(versions) - set(in_force))))
+
+
+def _print_error(arguments: argparse.Namespace, error: Error) -> int:
     if arguments.json:
-        body: dict[str, Any] = {"accepted": False, "error": error.to_json()}
-        print_json({**body, "edit_id": edit.edit_id})
+        print_json({"accepted": False, "error": error.to_json()})
     else:
-        print(f"{error.kind.value}: {error.detail}")
-        if error.kind is ErrorKind.LOG_OUTCOME_UNKNOWN:
-            print(f"run it again with --edit-id {edit.edit_id}")
+        print(f"{error.kind.value}: {error.detail}", file=sys.stderr)
     return EXITS_BY_KIND.get(error.kind, EXIT_ERROR)
 
 
 def _print_published(
-    arguments: argparse.Namespace, published: Published, force: _Force | None
+    arguments: argparse.Namespace, published: Published, found: InForce
 ) -> None:
     if arguments.json:
-        body = attrs.asdict(published)
-        body.update(attrs.asdict(force) if force else {})
-        print_json(body)
+        print_json({**attrs.asdict(published), **attrs.asdict(found)})
         return
-    if published.accepted:
-        print(f"accepted: version {published.version}, edit {published.edit_id}")
-    else:
-        print(
-            f"conflict: in force is version {published.version}, "
-            f"edit {published.edit_id} by {published.author}"
-        )
-    if force is not None:
-        print(f"in force on: {', '.join(force.in_force) or 'none'}")
-        if force.not_in_force:
-            print(f"not in force on: {', '.join(force.not_in_force)}")
+    how = "accepted" if published.has_changed else "in force already"
+    print(f"{how}: version {published.version}")
+    if arguments.wait:
+        print(f"in force on: {', '.join(found.in_force) or 'none'}")
+    if found.not_in_force:
+        print(f"not in force on: {', '.join(found.not_in_force)}")
--- a/cicadacourse/cmd/serve.py
+++ b/cicadacourse/cmd/serve.py
@@ -16,7 +16,7 @@
 
 from cicadacourse.application import Application
 from cicadacourse.cmd import EXIT_ERROR, EXIT_OK, EXIT_USAGE
-from cicadacourse.cmd._families import PLATFORM_FAMILIES, load_families
+from cicadacourse.cmd._families import load_families
 from cicadacourse.cmd._settings import read_settings
 from cicadacourse.cmd._signals import termination
 from cicadacourse.config import InstanceSettings, Settings
@@ -32,10 +32,9 @@
 from cicadacourse.util.logging import FLUSH_PERIOD_S, JsonHandler, json_logging
 
 SETTINGS_VARIABLE = "CICADACOURSE_BOOT"
-REQUIRED_SECTIONS = ("instance", "store", "listen")
 SERVICES_IN_ORDER = (
     "store",
-    "platform_instance_list",
+    "contacts",
     "peers",
     "catalog",
     "membership",
@@ -75,8 +74,8 @@
     if path is None:
         print(f"no --settings and no ${SETTINGS_VARIABLE}", file=sys.stderr)
         return EXIT_USAGE
-    load_families(PLATFORM_FAMILIES)
-    match read_settings(pathlib.Path(path), REQUIRED_SECTIONS):
+    load_families()
+    match read_settings(pathlib.Path(path)):
         case Failure(errors):
             for error in errors:
                 print(error.detail, file=sys.stderr)
--- a/cicadacourse/cmd/show.py
+++ b/cicadacourse/cmd/show.py
@@ -4,17 +4,23 @@
 
 import argparse
 import contextlib
-from typing import Any
 
+import attrs
 from returns.result import Failure, Success
 
 from cicadacourse.cmd import EXIT_ERROR, EXIT_OK
 from cicadacourse.cmd._arguments import addresses_argument
 from cicadacourse.cmd._output import format_table, print_json, run_coroutine
-from cicadacourse.cmd._status import fetch_first_status, fetch_versions
+from cicadacourse.cmd._status import fetch_first_status
+from cicadacourse.gateway import InstanceStatus
 from cicadacourse.util.http import HttpClient
 
-SUBJECTS = ("instances", "endpoints", "tables", "leases", "organisations")
+FIELD_BY_SUBJECT = {
+    "instances": "members",
+    "endpoints": "endpoints",
+    "routes": "routes",
+    "organisations": "organisations",
+}
 ALL = "all"
 
 
@@ -22,17 +28,18 @@
     """Returns the parser of this command."""
     parser = argparse.ArgumentParser(
         prog="cicadacourse show",
-        description="Show instances, endpoints, tables, leases and organisations.",
+        description="Show instances with the version in force on each, endpoints, "
+        "routes and organisations.",
         epilog="exit status: 0 shown, 1 no instance answered, 2 usage",
     )
     add = parser.add_argument
-    add("subject", nargs="?", choices=(*SUBJECTS, ALL), default=ALL)
+    add("subject", nargs="?", choices=(*FIELD_BY_SUBJECT, ALL), default=ALL)
     add(
         "--instances",
         required=True,
         type=addresses_argument,
         metavar="ADDR,...",
-        help="caller addresses of some instances; the first that answers is asked",
+        help="metrics addresses of some instances; the first that answers is asked",
     )
     add("--json", action="store_true", help="print JSON")
     return parser
@@ -50,32 +57,24 @@
                 print(error.detail)
                 return EXIT_ERROR
             case Success(status):
-                versions_by_name = await fetch_versions(http, arguments.instances)
-    rows_by_subject = _get_rows(status, versions_by_name)
-    wanted = SUBJECTS if arguments.subject == ALL else (arguments.subject,)
-    shown = {subject: rows_by_subject[subject] for subject in wanted}
+                pass
     if arguments.json:
-        print_json({"instance": status.get("instance"), **shown})
+        print_json(attrs.asdict(status))
         return EXIT_OK
-    for subject, rows in shown.items():
-        print(f"{subject} (as {status.get('instance')} sees them)")
-        print(format_table(rows) if rows else "none")
-        print()
+    _print(status, arguments.subject)
     return EXIT_OK
 
 
-def _get_rows(
-    status: dict[str, Any], versions_by_name: dict[str, int | None]
-) -> dict[str, list[dict[str, Any]]]:
-    """Returns the rows to show by subject."""
-    tables = [
-        {"instance": name, "version": version, "answers": version is not None}
-        for name, version in sorted(versions_by_name.items())
-    ]
-    return {
-        "instances": status.get("members", []),
-        "endpoints": status.get("endpoints", []),
-        "tables": tables,
-        "leases": status.get("leases", []),
-        "organisations": status.get("organisations", []),
-    }
+def _print(status: InstanceStatus, wanted: str) -> None:
+    print(
+        f"{status.instance} has version {status.configuration_version} in force"
+        f" for {status.configuration_age_s:g} s"
+        f"{', and leaves' if status.is_leaving else ''}\n"
+    )
+    for subject, field in FIELD_BY_SUBJECT.items():
+        if wanted not in (subject, ALL):
+            continue
+        rows = [attrs.asdict(item) for item in getattr(status, field)]
+        print(f"{subject} (as {status.instance} sees them)")
+        print(format_table(rows) if rows else "none")
+        print()
--- a/cicadacourse/config.py
+++ b/cicadacourse/config.py
@@ -201,19 +201,6 @@
     log_level: str = option(str, "INFO", help="Lowest level that is logged.")
 
 
-@section("platform")
-class PlatformSettings:
-    """Where the platform's services are."""
-
-    log_address: str = option(parse_address, help="Address of the log service.")
-    instance_list_address: str = option(
-        parse_address, help="Address of the list of instances."
-    )
-    weight_store_address: str = option(
-        parse_address, "127.0.0.1:1", help="Address of the weight store."
-    )
-
-
 class Settings:
     """The settings of one instance: one object per section class."""
 
@@ -227,16 +214,11 @@
         return self._by_class[cls]
 
 
-USUAL_SECTIONS = ("instance", "platform")
+REQUIRED_SECTIONS = ("instance", "store", "listen")
 
 
-def parse_settings(
-    file: str, text: str, required: tuple[str, ...] = USUAL_SECTIONS
-) -> Result[Settings, list[Error]]:
-    """Parses and checks an instance's whole settings file.
-
-    :param required: sections that must be there.
-    """
+def parse_settings(file: str, text: str) -> Result[Settings, list[Error]]:
+    """Parses and checks an instance's whole settings file."""
     match read_ini(file, text):
         case Failure(errors):
             return Failure(errors)
@@ -254,7 +236,7 @@
                 sections.append(value)
             case Failure(found):
                 errors.extend(found)
-    for name in required:
+    for name in REQUIRED_SECTIONS:
         if name not in texts_by_section:
             detail = f"{file}: [{name}]: missing section"
             errors.append(Error(ErrorKind.INVALID_SETTINGS, detail))
--- a/cicadacourse/errors.py
+++ b/cicadacourse/errors.py
@@ -20,29 +20,27 @@
 
     BAD_REQUEST = "bad_request"
     TOO_LARGE = "too_large"
+    HEADERS_TOO_LARGE = "headers_too_large"
     UNKNOWN_ROUTE = "unknown_route"
     UNKNOWN_KEY = "unknown_key"
+    FORBIDDEN = "forbidden"
     NOT_READY = "not_ready"
     LEAVING = "leaving"
     LIMIT_EXCEEDED = "limit_exceeded"
     OVERLOADED = "overloaded"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     NO_ENDPOINT = "no_endpoint"
-    LOG_UNAVAILABLE = "log_unavailable"
-    LOG_OUTCOME_UNKNOWN = "log_outcome_unknown"
+    STORE_UNAVAILABLE = "store_unavailable"
+    STORE_OUTCOME_UNKNOWN = "store_outcome_unknown"
     PEER_UNREACHABLE = "peer_unreachable"
-    KEY_CLAIMED = "key_claimed"
-    KEY_EXPIRED = "key_expired"
     TIMED_OUT = "timed_out"
     OUTCOME_UNKNOWN = "outcome_unknown"
     ENDPOINT_UNREACHABLE = "endpoint_unreachable"
     ENDPOINT_REFUSED = "endpoint_refused"
     ENDPOINT_FAILED = "endpoint_failed"
-    STREAM_LOST = "stream_lost"
     INVALID_SETTINGS = "invalid_settings"
     INVALID_TABLES = "invalid_tables"
     VERSION_CONFLICT = "version_conflict"
-    FENCED = "fenced"
     INTERNAL = "internal"
 
 
@@ -63,29 +61,27 @@
 ANSWERS_BY_KIND: dict[ErrorKind, Answer] = {
     ErrorKind.BAD_REQUEST: Answer(400, Run.NOT_RUN, retry=False),
     ErrorKind.TOO_LARGE: Answer(413, Run.NOT_RUN, retry=False),
+    ErrorKind.HEADERS_TOO_LARGE: Answer(431, Run.NOT_RUN, retry=False),
     ErrorKind.UNKNOWN_ROUTE: Answer(404, Run.NOT_RUN, retry=False),
     ErrorKind.UNKNOWN_KEY: Answer(401, Run.NOT_RUN, retry=False),
+    ErrorKind.FORBIDDEN: Answer(403, Run.NOT_RUN, retry=False),
     ErrorKind.NOT_READY: Answer(503, Run.NOT_RUN, retry=True),
     ErrorKind.LEAVING: Answer(503, Run.NOT_RUN, retry=True),
     ErrorKind.LIMIT_EXCEEDED: Answer(429, Run.NOT_RUN, retry=True),
     ErrorKind.OVERLOADED: Answer(503, Run.NOT_RUN, retry=True),
     ErrorKind.DEADLINE_UNREACHABLE: Answer(503, Run.NOT_RUN, retry=True),
     ErrorKind.NO_ENDPOINT: Answer(503, Run.NOT_RUN, retry=True),
-    ErrorKind.LOG_UNAVAILABLE: Answer(503, Run.NOT_RUN, retry=True),
-    ErrorKind.LOG_OUTCOME_UNKNOWN: Answer(502, Run.UNKNOWN, retry=True),
+    ErrorKind.STORE_UNAVAILABLE: Answer(503, Run.NOT_RUN, retry=True),
+    ErrorKind.STORE_OUTCOME_UNKNOWN: Answer(502, Run.UNKNOWN, retry=True),
     ErrorKind.PEER_UNREACHABLE: Answer(503, Run.NOT_RUN, retry=True),
-    ErrorKind.KEY_CLAIMED: Answer(409, Run.UNKNOWN, retry=False),
-    ErrorKind.KEY_EXPIRED: Answer(410, Run.UNKNOWN, retry=False),
     ErrorKind.TIMED_OUT: Answer(504, Run.FAILED, retry=True),
     ErrorKind.OUTCOME_UNKNOWN: Answer(502, Run.UNKNOWN, retry=False),
     ErrorKind.ENDPOINT_UNREACHABLE: Answer(503, Run.NOT_RUN, retry=True),
     ErrorKind.ENDPOINT_REFUSED: Answer(503, Run.NOT_RUN, retry=True),
     ErrorKind.ENDPOINT_FAILED: Answer(502, Run.FAILED, retry=True),
-    ErrorKind.STREAM_LOST: Answer(502, Run.FAILED, retry=True),
     ErrorKind.INVALID_SETTINGS: Answer(422, Run.NOT_RUN, retry=False),
     ErrorKind.INVALID_TABLES: Answer(422, Run.NOT_RUN, retry=False),
     ErrorKind.VERSION_CONFLICT: Answer(409, Run.NOT_RUN, retry=False),
-    ErrorKind.FENCED: Answer(409, Run.NOT_RUN, retry=False),
     ErrorKind.INTERNAL: Answer(500, Run.UNKNOWN, retry=False),
 }
 
--- a/cicadacourse/events.py
+++ b/cicadacourse/events.py
@@ -11,9 +11,6 @@
 
 MEMBER_JOINED = "member-joined"
 MEMBER_LEFT = "member-left"
-TABLES_CHANGED = "tables-changed"
-ENDPOINTS_CHANGED = "endpoints-changed"
-LEAVING = "leaving"
 CATALOG_CHANGED = "catalog-changed"
 FLEET_CHANGED = "fleet-changed"
 LOAD_CHANGED = "load-changed"
@@ -25,9 +22,6 @@
     {
         MEMBER_JOINED,
         MEMBER_LEFT,
-        TABLES_CHANGED,
-        ENDPOINTS_CHANGED,
-        LEAVING,
         CATALOG_CHANGED,
         FLEET_CHANGED,
         LOAD_CHANGED,
--- a/cicadacourse/exchange/_model.py
+++ b/cicadacourse/exchange/_model.py
@@ -44,6 +44,7 @@
     :param prompt: None for requests to plain services.
     :param headers: all that are passed on unchanged.
     :param body: the whole body.
+    :param header_bytes: size of all its headers.
     """
 
     id: str
@@ -57,6 +58,7 @@
     prompt: Prompt | None
     headers: tuple[Header, ...]
     body: bytes
+    header_bytes: int = 0
 
 
 @attrs.frozen
--- a/cicadacourse/gateway/__init__.py
+++ b/cicadacourse/gateway/__init__.py
@@ -2,5 +2,24 @@
 
 from cicadacourse.gateway._service import Gateway
 from cicadacourse.gateway._settings import GatewaySettings
+from cicadacourse.gateway._status import (
+    PATH_STATUS,
+    EndpointStatus,
+    InstanceStatus,
+    MemberStatus,
+    OrganisationStatus,
+    RouteStatus,
+    describe,
+)
 
-__all__ = ["Gateway", "GatewaySettings"]
+__all__ = [
+    "EndpointStatus",
+    "Gateway",
+    "GatewaySettings",
+    "InstanceStatus",
+    "MemberStatus",
+    "OrganisationStatus",
+    "PATH_STATUS",
+    "RouteStatus",
+    "describe",
+]
--- a/cicadacourse/gateway/_call.py
+++ b/cicadacourse/gateway/_call.py
@@ -7,7 +7,7 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from cicadacourse.catalog import Catalog, Organisation, Route, RunKind
+from cicadacourse.catalog import CallerLimits, Catalog, Organisation, Route, RunKind
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.exchange import CallerRequest, Prompt
 from cicadacourse.placement import Need
@@ -124,10 +124,9 @@
         detail = "no configuration is known yet"
         wait_s = RETRY_AFTER_NOT_READY_S
         return Failure(Error(ErrorKind.NOT_READY, detail, retry_after_s=wait_s))
-    largest = catalog.limits.max_body_bytes
-    if len(request.body) > largest:
-        detail = f"the body is larger than {largest} bytes"
-        return Failure(Error(ErrorKind.TOO_LARGE, detail, reason="body_bytes"))
+    too_large = _find_excess(request, catalog.limits)
+    if too_large is not None:
+        return Failure(too_large)
     route = catalog.find_route(request.host, request.target)
     if route is None:
         detail = f"no route for {request.host}{request.target:.80}"
@@ -142,6 +141,17 @@
     return Success(Call(request, route, organisation, deadline, catalog.version))
 
 
+def _find_excess(request: CallerRequest, limits: CallerLimits) -> Error | None:
+    """Returns an error if a request is larger than the configuration allows."""
+    if request.header_bytes > limits.max_header_bytes:
+        detail = f"the headers are larger than {limits.max_header_bytes} bytes"
+        return Error(ErrorKind.HEADERS_TOO_LARGE, detail)
+    if len(request.body) > limits.max_body_bytes:
+        detail = f"the body is larger than {limits.max_body_bytes} bytes"
+        return Error(ErrorKind.TOO_LARGE, detail)
+    return None
+
+
 def size_class(prompt: Prompt | None) -> str:
     """Returns the label of a prompt's size in metrics, ``none`` for calls.
 
--- a/cicadacourse/membership/__init__.py
+++ b/cicadacourse/membership/__init__.py
@@ -1,14 +1,17 @@
 """Who the live instances are."""
 
-from cicadacourse.membership._callers import addresses_for_callers
+from cicadacourse.membership._callers import choose_for_callers
+from cicadacourse.membership._contacts import Contact, ContactSource
 from cicadacourse.membership._model import Member, MemberState
 from cicadacourse.membership._service import Membership
 from cicadacourse.membership._settings import MembershipSettings
 
 __all__ = [
+    "Contact",
+    "ContactSource",
     "Member",
     "MemberState",
     "Membership",
     "MembershipSettings",
-    "addresses_for_callers",
+    "choose_for_callers",
 ]
--- a/cicadacourse/membership/_callers.py
+++ b/cicadacourse/membership/_callers.py
@@ -5,21 +5,27 @@
 import random
 from typing import Iterable
 
-from cicadacourse.membership._model import Member, MemberState
-from cicadacourse.membership._spread import spread
+from cicadacourse.membership._model import Member
 
+# With fewer instances in its own failure domain a caller gets the others' too.
+MIN_NEAR = 2
 
-def addresses_for_callers(
-    members: Iterable[Member], self_member: Member, count: int, seed: int
+
+def choose_for_callers(
+    alive: Iterable[Member], failure_domain: str, count: int, chooser: random.Random
 ) -> list[Member]:
-    """Returns the members to name to a caller, spread over failure domains.
+    """Returns the members to name to a caller, in random order.
 
-    Dead, suspect and leaving members are left out, the asked one too if it leaves.
+    Load answered: callers keep an answer for seconds and draw from it. Those of their
+    own failure domain are named alone, as bytes between domains are dear, unless there
+    are so few that one failure would leave the caller without any.
 
+    :param alive: members that callers may be sent to.
+    :param failure_domain: the caller's; empty if it is not known.
     :param count: how many members at the most.
-    :param seed: orders the members; callers with other seeds get other ones.
     """
-    by_name = {member.name: member for member in members}
-    by_name[self_member.name] = self_member
-    alive = [item for item in by_name.values() if item.state is MemberState.ALIVE]
-    return spread(alive, count, random.Random(seed))
+    named = [member for member in alive if member.caller_address]
+    near = [member for member in named if member.failure_domain == failure_domain]
+    chosen = near if len(near) >= MIN_NEAR else named
+    chooser.shuffle(chosen)
+    return chosen[:count]
--- a/cicadacourse/membership/_model.py
+++ b/cicadacourse/membership/_model.py
@@ -27,7 +27,7 @@
     :param failure_domain: its failure domain.
     :param incarnation: grows each time the instance starts or refutes a suspicion.
     :param state: how it is seen now.
-    :param tables_version: the version of the tables in force on it, as last heard.
+    :param configuration_version: the version in force on it, as last heard.
     """
 
     name: str
@@ -37,4 +37,4 @@
     failure_domain: str = ""
     incarnation: int = 0
     state: MemberState = MemberState.ALIVE
-    tables_version: int = 0
+    configuration_version: int = 0
--- a/cicadacourse/membership/_service.py
+++ b/cicadacourse/membership/_service.py
@@ -1,4 +1,4 @@
-"""The service that other parts ask who is live and who owns a key."""
+"""The service that other parts ask who is live."""
 
 from __future__ import annotations
 
@@ -7,11 +7,14 @@
 import random
 from typing import Any, AsyncIterator, Coroutine
 
-import cachetools
-
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.config import InstanceSettings
-from cicadacourse.events import MEMBER_JOINED, MEMBER_LEFT, RESUMED_AFTER_PAUSE
+from cicadacourse.events import (
+    CATALOG_CHANGED,
+    MEMBER_JOINED,
+    MEMBER_LEFT,
+    RESUMED_AFTER_PAUSE,
+)
 from cicadacourse.logs import (
     MEMBER_CLEARED,
     MEMBER_DIED,
@@ -41,14 +44,12 @@
 from cicadacourse.membership._syncer import Syncer
 from cicadacourse.membership._view import View
 from cicadacourse.peers import handles
-from cicadacourse.util import hashing
 from cicadacourse.util.clock import now
 from cicadacourse.util.logging import get_logger
 
 logger = get_logger("membership")
 
 _TICK_S = 0.25
-_OWNERS_CACHED = 4096
 
 
 @SERVICES.register("membership")
@@ -70,11 +71,9 @@
         self._syncer = Syncer(self)
         self._own = OwnRecord(instance)
         self._last_tick: float | None = None
-        self._dispatch_members: list[Member] | None = None
-        self._owner_by_key: cachetools.LRUCache[str, Member] = cachetools.LRUCache(
-            _OWNERS_CACHED
-        )
+        self._alive_members: list[Member] | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
+        app.events.connect(CATALOG_CHANGED, self.note_configuration_version)
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
@@ -102,44 +101,36 @@
             [self._own.member, *self.view.live()], key=lambda member: member.name
         )
 
-    def dispatch_members(self) -> list[Member]:
-        """Returns the members that may own keys, sorted by name: the alive ones.
+    def alive_members(self) -> list[Member]:
+        """Returns the members that callers may be sent to, sorted by name.
 
         This instance is left out while it refreshes its view, at its start and after
         a pause, unless there is no other.
         """
         self.notice_pause()
-        if self._dispatch_members is None:
+        if self._alive_members is None:
             alive = [
                 member
                 for member in self.members()
-                if member.state is MemberState.ALIVE and self._may_own(member)
+                if member.state is MemberState.ALIVE and self._is_up_to_date(member)
             ]
-            self._dispatch_members = alive or [self._own.member]
-        return self._dispatch_members
+            self._alive_members = alive or [self._own.member]
+        return self._alive_members
 
     def find(self, name: str) -> Member | None:
         """Returns the record of a member, dead or not, or None if it is unknown."""
         own = self._own.member
         return own if name == own.name else self.view.find(name)
 
-    def owner(self, key: str) -> Member:
-        """Returns the member that owns a key, by rendezvous hashing."""
-        members = self.dispatch_members()
-        if key not in self._owner_by_key:
-            by_name = {member.name: member for member in members}
-            self._owner_by_key[key] = by_name[hashing.owner(key, by_name)]
-        return self._owner_by_key[key]
-
     def set_leaving(self) -> None:
         """Announces at once that this instance takes no new work."""
         if self._own.member.state is MemberState.ALIVE:
             self._change_own(state=MemberState.LEAVING)
             self._prober.announce()
 
-    def set_tables_version(self, version: int) -> None:
-        """Notes the version of the tables in force here, for others to hear."""
-        self._own.change(tables_version=version)
+    def note_configuration_version(self, version: int) -> None:
+        """Notes the version of the configuration in force here, for others to hear."""
+        self._own.change(configuration_version=version)
 
     @handles(Ping)
     async def on_ping(self, ping: Ping) -> Ack:
@@ -201,16 +192,16 @@
         self.pauses += 1
         self.app.metrics.count(PAUSES)
         self.refreshing = True
-        self._forget_owners()
+        self._note_change()
         self._prober.restart_suspicions()
         self.start_task(self._syncer.refresh())
         self.app.events.emit(RESUMED_AFTER_PAUSE)
 
     def refreshed(self, heard_any: bool) -> None:
-        """Ends a refresh; this instance may own keys again."""
+        """Ends a refresh; this instance counts as alive to itself again."""
         self._own.is_fresh = self._own.is_fresh and not heard_any
         self.refreshing = False
-        self._forget_owners()
+        self._note_change()
 
     def forget(self, name: str) -> None:
         """Drops a member that has been dead for long."""
@@ -245,7 +236,7 @@
         """Refutes what others believe of this instance, unless it was replaced."""
         if self._own.notice_replacement(heard):
             logger.error("replaced by {}, standing back", heard.peer_address)
-            self._forget_owners()
+            self._note_change()
         elif self._own.must_refute(heard):
             if heard.state is not MemberState.ALIVE:
                 self.app.metrics.count(REFUTATIONS)
@@ -253,15 +244,15 @@
 
     def _change_own(self, **changes: Any) -> None:
         self._deltas.put(self._own.change(**changes))
-        self._forget_owners()
+        self._note_change()
 
-    def _may_own(self, member: Member) -> bool:
+    def _is_up_to_date(self, member: Member) -> bool:
         if member.name != self._own.member.name:
             return True
         return not self.refreshing and not self._own.is_replaced
 
     def _tell_change(self, known: Member | None, member: Member) -> None:
-        self._forget_owners()
+        self._note_change()
         was_live = known is not None and known.state is not MemberState.DEAD
         is_live = member.state is not MemberState.DEAD
         self._log_suspicion(known, member)
@@ -281,9 +272,8 @@
         if was_suspect and member.state is MemberState.ALIVE:
             log(MEMBER_CLEARED, member=member.name, address=member.peer_address)
 
-    def _forget_owners(self) -> None:
-        self._dispatch_members = None
-        self._owner_by_key.clear()
+    def _note_change(self) -> None:
+        self._alive_members = None
         self._count_members()
 
     def _count_members(self) -> None:
--- a/cicadacourse/membership/_settings.py
+++ b/cicadacourse/membership/_settings.py
@@ -45,8 +45,8 @@
     sync_timeout_s: float = option(
         float, 2.0, unit="seconds", minimum=0.1, help="Time limit of a comparison."
     )
-    list_period_s: float = option(
-        float, 10.0, unit="seconds", minimum=0.5, help="The instance list is read."
+    contacts_period_s: float = option(
+        float, 10.0, unit="seconds", minimum=0.5, help="Further contacts are read."
     )
     forget_dead_s: float = option(
         float, 7200.0, unit="seconds", minimum=10, help="Dead members are kept."
--- a/cicadacourse/membership/_syncer.py
+++ b/cicadacourse/membership/_syncer.py
@@ -1,14 +1,13 @@
-"""Compares what two members know, and reads the instance list for contacts."""
+"""Compares what two members know, and reads further contacts."""
 
 from __future__ import annotations
 
 import asyncio
 from typing import TYPE_CHECKING
 
-import attrs
 from returns.result import Success
 
-from cicadacourse.backing import KIND_ENTRY
+from cicadacourse.membership._contacts import Contact
 from cicadacourse.membership._messages import SyncDigest, SyncHashes, SyncMembers
 from cicadacourse.membership._model import Member, MemberState
 from cicadacourse.membership._spread import spread
@@ -23,14 +22,6 @@
 _FAR_PARTNER_SHARE = 0.5
 
 
-@attrs.frozen
-class Contact:
-    """A name and an address to ask, which may be wrong."""
-
-    name: str
-    address: str
-
-
 class Syncer:
     """The anti-entropy of one instance."""
 
@@ -40,22 +31,22 @@
         self._listed: list[Contact] = []
 
     async def run(self) -> None:
-        """Compares with one partner per period and reads the list now and then."""
-        next_list = now()
+        """Compares with one partner per period and reads the contacts now and then."""
+        next_reading = now()
         while True:
             jitter = 0.75 + 0.5 * self._membership.random.random()
             await self._membership.sleep(self._settings.sync_period_s * jitter)
             self._membership.notice_pause()
-            if now() >= next_list:
-                next_list = now() + self._settings.list_period_s
-                await self._read_list()
+            if now() >= next_reading:
+                next_reading = now() + self._settings.contacts_period_s
+                await self._read_contacts()
                 await self._sync_with_some(self._strangers())
             await self._sync_with_some(self._partners())
 
     async def refresh(self) -> None:
-        """Hears from another member, then lets this instance own keys again."""
+        """Hears from another member what has changed before a start or in a pause."""
         while self._membership.refreshing:
-            await self._read_list()
+            await self._read_contacts()
             contacts = [*self._live_contacts(), *self._strangers()]
             if not contacts:
                 self._membership.refreshed(heard_any=False)
@@ -141,22 +132,18 @@
         return _contacts(self._membership.view.live())
 
     def _strangers(self) -> list[Contact]:
-        """Returns listed instances that are not known to be live."""
+        """Returns contacts that are not known to be live."""
         live = {member.name for member in self._membership.members()}
         return [contact for contact in self._listed if contact.name not in live]
 
-    async def _read_list(self) -> None:
-        """Notes the listed addresses; the list alone makes nobody a member."""
-        instance_list = self._membership.app.find("instance_list")
-        if instance_list is None:
+    async def _read_contacts(self) -> None:
+        """Notes further contacts; they alone make nobody a member."""
+        source = self._membership.app.find("contacts")
+        if source is None:
             return
-        match await instance_list.fetch(self._settings.sync_timeout_s):
-            case Success(rows):
-                self._listed = [
-                    Contact(row.name, row.address)
-                    for row in rows
-                    if row.kind == KIND_ENTRY
-                ]
+        match await source.fetch(self._settings.sync_timeout_s):
+            case Success(contacts):
+                self._listed = list(contacts)
 
 
 def _contacts(members: list[Member]) -> list[Contact]:
--- a/cicadacourse/membership/_view.py
+++ b/cicadacourse/membership/_view.py
@@ -72,23 +72,25 @@
     def merge(self, heard: Member, at: float) -> bool:
         """Takes in a record; returns whether it is news.
 
-        A version of the tables that rose alone is noted, but is no news: it travels
-        in its owner's own messages.
+        A version of the configuration that rose alone is noted, but is no news: it
+        travels in its owner's own messages.
         """
         entry = self._entry_by_name.get(heard.name)
         if entry is None:
             self._entry_by_name[heard.name] = Entry(heard, at)
             return True
         if is_newer(heard, entry.member):
-            version = heard.tables_version
+            version = heard.configuration_version
             if heard.incarnation == entry.member.incarnation:
-                version = max(version, entry.member.tables_version)
-            member = attrs.evolve(heard, tables_version=version)
+                version = max(version, entry.member.configuration_version)
+            member = attrs.evolve(heard, configuration_version=version)
             self._entry_by_name[heard.name] = Entry(member, at)
             return True
         if heard.incarnation == entry.member.incarnation:
-            version = max(heard.tables_version, entry.member.tables_version)
-            entry.member = attrs.evolve(entry.member, tables_version=version)
+            version = max(
+                heard.configuration_version, entry.member.configuration_version
+            )
+            entry.member = attrs.evolve(entry.member, configuration_version=version)
         return False
 
     def forget(self, name: str) -> None:
--- a/cicadacourse/platform/_caller_request.py
+++ b/cicadacourse/platform/_caller_request.py
@@ -30,6 +30,14 @@
         prompt=_read_prompt(headers),
         headers=_passed_headers(headers),
         body=body,
+        header_bytes=_header_bytes(headers),
+    )
+
+
+def _header_bytes(headers: HTTPHeaders) -> int:
+    """Returns the bytes of all header lines, each with a colon, a space and an end."""
+    return sum(
+        len(name) + len(value) + len(": \r\n") for name, value in headers.get_all()
     )
 
 
--- a/cicadacourse/platform/_ingress.py
+++ b/cicadacourse/platform/_ingress.py
@@ -14,6 +14,7 @@
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.config import InstanceSettings
 from cicadacourse.errors import Error, ErrorKind
+from cicadacourse.events import CATALOG_CHANGED
 from cicadacourse.exchange import CallerRequest
 from cicadacourse.logs import CALLER_LEFT, log
 from cicadacourse.platform._caller_reply import CallerReply
@@ -28,7 +29,10 @@
 # Above what any configuration allows callers; they bound a connection's memory.
 MAX_HEADER_BYTES = 131_072
 MAX_BODY_BYTES = 8_388_608
+# Until the configuration is known, and beyond what it says: a caller that keeps to the
+# limit must not meet a closed connection.
 IDLE_TIMEOUT_S = 120.0
+IDLE_MARGIN_S = 2.0
 LEAVE_POLL_S = 0.05
 # Look-ups' lifetimes without a request, after which no caller is expected.
 LEAVE_QUIET_TTLS = 1.0
@@ -51,6 +55,7 @@
         self._last_request = 0.0
         self._refuses = False
         self._server: HTTPServer | None = None
+        app.events.connect(CATALOG_CHANGED, self._configuration_changed)
 
     @property
     def in_progress(self) -> int:
@@ -69,6 +74,7 @@
         host, port = split_address(self._address)
         server.listen(port, host)
         self._server = server
+        self._configuration_changed()
         try:
             yield
         finally:
@@ -78,6 +84,18 @@
             await asyncio.gather(*self._tasks, return_exceptions=True)
             await server.close_all_connections()
 
+    def _configuration_changed(self, *_: Any) -> None:
+        """Bounds how long callers may stay idle or send headers, from now on.
+
+        The server has one limit for both, which holds the longer of them.
+        """
+        catalog = self.app.get("catalog").catalog
+        if catalog is None or self._server is None:
+            return
+        limits = catalog.limits
+        longest_s = max(limits.idle_timeout_s, limits.header_timeout_s)
+        self._server.conn_params.header_timeout = longest_s + IDLE_MARGIN_S
+
     async def leave(self) -> None:
         """Announces that this instance stops, and serves on until it is not needed.
 
--- a/cicadacourse/platform/_instances.py
+++ b/cicadacourse/platform/_instances.py
@@ -10,7 +10,6 @@
 from returns.result import Failure, Result, Success
 
 from cicadacourse.application import SERVICES, Application, Service
-from cicadacourse.backing import KIND_ENTRY, InstanceListClient, ListedInstance
 from cicadacourse.config import InstanceSettings, parse_address
 from cicadacourse.errors import Error
 from cicadacourse.logs import (
@@ -20,6 +19,7 @@
     INSTANCES_NOT_READ,
     log,
 )
+from cicadacourse.membership import Contact, ContactSource
 from cicadacourse.platform._names import TOPIC_INSTANCES
 from cicadacourse.platform._settings import ListenSettings
 from cicadacourse.platform._store import KeyedRecord, Store
@@ -29,14 +29,14 @@
 MAX_BACKOFF_S = 4.0
 
 
-@SERVICES.register("platform_instance_list")
-class StoredInstanceList(Service, InstanceListClient):
+@SERVICES.register("contacts")
+class StoredContacts(Service, ContactSource):
     """Puts this instance's address into the store once and reads the others'.
 
     What it returns may be stale; membership finds out who lives.
     """
 
-    name = "instance_list"
+    name = "contacts"
 
     def __init__(self, app: Application) -> None:
         super().__init__(app)
@@ -55,11 +55,9 @@
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
 
-    async def fetch(
-        self, timeout_s: float
-    ) -> Result[tuple[ListedInstance, ...], Error]:
+    async def fetch(self, timeout_s: float) -> Result[tuple[Contact, ...], Error]:
         """Returns the stored instances, and the seeds that are none of them."""
-        found: dict[str, ListedInstance] = {}
+        found: dict[str, Contact] = {}
         try:
             async with asyncio.timeout(timeout_s):
                 match await self._store.newest(TOPIC_INSTANCES):
@@ -78,12 +76,12 @@
             tuple(r for r in rows if r.address != self._instance.peer_address)
         )
 
-    def _seed_rows(self) -> list[ListedInstance]:
+    def _seed_rows(self) -> list[Contact]:
         """Returns the seeds at their peer ports, which are the same everywhere."""
         rows = []
         for seed in self._seeds:
             address = f"{seed.rpartition(':')[0]}:{self._peer_port}"
-            rows.append(ListedInstance(name=address, kind=KIND_ENTRY, address=address))
+            rows.append(Contact(address, address))
         return rows
 
     async def _announce(self) -> None:
@@ -100,7 +98,7 @@
             backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
 
 
-def _decode(records: tuple[KeyedRecord, ...]) -> dict[str, ListedInstance]:
+def _decode(records: tuple[KeyedRecord, ...]) -> dict[str, Contact]:
     found = {}
     for record in records:
         try:
@@ -108,5 +106,5 @@
         except (ValueError, KeyError, TypeError) as error:
             log(ENDPOINT_ENTRY_REFUSED, entry=record.key, reason=repr(error))
             continue
-        found[record.key] = ListedInstance(record.key, KIND_ENTRY, address)
+        found[record.key] = Contact(record.key, address)
     return found
--- a/cicadacourse/platform/_probes.py
+++ b/cicadacourse/platform/_probes.py
@@ -1,4 +1,4 @@
-"""What the platform and look-ups ask of an instance: readiness, addresses, metrics."""
+"""What is asked of an instance: readiness, addresses, metrics, and its own status."""
 
 from __future__ import annotations
 
@@ -7,19 +7,20 @@
 import random
 from typing import AsyncIterator
 
+import attrs
 import tornado.web
 from tornado.httpserver import HTTPServer
 
 from cicadacourse.application import SERVICES, Application, Service
+from cicadacourse.gateway import PATH_STATUS, describe
 from cicadacourse.logs import NOT_READY, READY, log
-from cicadacourse.membership import Member, MemberState
+from cicadacourse.membership import Member, choose_for_callers
 from cicadacourse.platform._names import PATH_READY, PATH_RESOLVE
 from cicadacourse.platform._settings import ListenSettings
 from cicadacourse.util.addresses import split_address
 
 MAX_ADDRESSES = 64
-# With fewer instances in its own failure domain a caller gets the others' too.
-MIN_NEAR_ADDRESSES = 2
+PATH_METRICS = "/metrics"
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -34,15 +35,19 @@
         super().__init__(app)
         self._settings = app.settings.get(ListenSettings)
         self._was_ready = False
+        self._random = random.Random()
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Listens at the three addresses while the instance runs."""
         settings = self._settings
         servers = [
-            _listen(settings.ready_address, PATH_READY, _ReadyHandler, self),
-            _listen(settings.directory_address, PATH_RESOLVE, _ResolveHandler, self),
-            _listen(settings.metrics_address, "/metrics", _MetricsHandler, self),
+            self._listen(settings.ready_address, {PATH_READY: _ReadyHandler}),
+            self._listen(settings.directory_address, {PATH_RESOLVE: _ResolveHandler}),
+            self._listen(
+                settings.metrics_address,
+                {PATH_METRICS: _MetricsHandler, PATH_STATUS: _StatusHandler},
+            ),
         ]
         try:
             yield
@@ -50,6 +55,19 @@
             for server in servers:
                 server.stop()
 
+    def _listen(
+        self, address: str, handler_by_path: dict[str, type[_Handler]]
+    ) -> HTTPServer:
+        arguments = {"probes": self}
+        application = tornado.web.Application(
+            [(path, handler, arguments) for path, handler in handler_by_path.items()],
+            log_function=lambda _: None,
+        )
+        server = HTTPServer(application)
+        host, port = split_address(address)
+        server.listen(port, host)
+        return server
+
     def is_ready(self) -> bool:
         """Returns whether this instance takes requests now."""
         ready = self.app.get("catalog").is_known and not self.app.get("gateway").leaving
@@ -60,11 +78,10 @@
 
     def addresses(self, failure_domain: str) -> list[str]:
         """Returns where a caller in a failure domain may connect, in random order."""
-        members = [item for item in self._members() if item.caller_address]
-        near = [item for item in members if item.failure_domain == failure_domain]
-        chosen = near if len(near) >= MIN_NEAR_ADDRESSES else members
-        random.shuffle(chosen)
-        return [item.caller_address for item in chosen[:MAX_ADDRESSES]]
+        chosen = choose_for_callers(
+            self._members(), failure_domain, MAX_ADDRESSES, self._random
+        )
+        return [item.caller_address for item in chosen]
 
     @property
     def ttl_s(self) -> float:
@@ -73,13 +90,11 @@
 
     def _members(self) -> list[Member]:
         membership = self.app.get("membership")
+        alive = membership.alive_members()
+        if self.is_ready():
+            return alive
         own = membership.self_member()
-        others = [
-            item
-            for item in membership.members()
-            if item.state is MemberState.ALIVE and item.name != own.name
-        ]
-        return [*others, own] if self.is_ready() or not others else others
+        return [item for item in alive if item.name != own.name] or [own]
 
 
 class _Handler(tornado.web.RequestHandler):
@@ -117,13 +132,8 @@
         self.finish(body)
 
 
-def _listen(
-    address: str, path: str, handler: type[_Handler], probes: Probes
-) -> HTTPServer:
-    application = tornado.web.Application(
-        [(path, handler, {"probes": probes})], log_function=lambda _: None
-    )
-    server = HTTPServer(application)
-    host, port = split_address(address)
-    server.listen(port, host)
-    return server
+class _StatusHandler(_Handler):
+    def get(self) -> None:
+        """Answers what this instance believes, for ``cicadacourse show``."""
+        self.set_header("Content-Type", "application/json")
+        self.finish(json.dumps(attrs.asdict(describe(self.probes.app))))
--- /dev/null
+++ b/cicadacourse/platform/_publisher.py
@@ -0,0 +1,126 @@
+"""Puts the operators' tables into the store, for an operator's command."""
+
+from __future__ import annotations
+
+import json
+from typing import Any, Mapping
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from cicadacourse.catalog import Catalog
+from cicadacourse.errors import Error, ErrorKind
+from cicadacourse.platform._configuration_writer import encode_configuration
+from cicadacourse.platform._desired_state import decode_configuration
+from cicadacourse.platform._names import KEY_CONFIGURATION, TOPIC_CONFIGURATION
+from cicadacourse.platform._store import StoreClient
+
+
+@attrs.frozen
+class Stored:
+    """The configuration that the store holds.
+
+    :param catalog: what was decoded of it; version 0 if there is none.
+    :param raw: as it was read, with fields that the project does not know.
+    :param end: the end of its topic, which grows with each write.
+    """
+
+    catalog: Catalog
+    raw: Mapping[str, Any]
+    end: int
+
+
+@attrs.frozen
+class Published:
+    """What became of an edit.
+
+    :param version: the version in force now.
+    :param has_changed: False if the same tables were in force already.
+    """
+
+    version: int
+    has_changed: bool
+
+
+class Publisher:
+    """Reads and replaces the stored configuration; of rival edits one wins."""
+
+    def __init__(self, store: StoreClient) -> None:
+        self._store = store
+
+    async def read(self) -> Result[Stored, Error]:
+        """Returns the configuration that is stored now."""
+        match await self._store.newest(TOPIC_CONFIGURATION):
+            case Success(batch):
+                values = {item.key: item.value for item in batch.records}
+                return _decode(values.get(KEY_CONFIGURATION), batch.end)
+            case failure:
+                return failure
+
+    async def publish(
+        self, catalog: Catalog, base: int | None
+    ) -> Result[Published, Error]:
+        """Puts tables in force on top of a version.
+
+        A repeat of an edit whose answer was lost finds its tables in force and changes
+        nothing.
+
+        :param base: the version that was edited, or None to replace whatever there is.
+        :returns: VERSION_CONFLICT if another version is in force, STORE_OUTCOME_UNKNOWN
+            if the edit may or may not have been taken.
+        """
+        match await self.read():
+            case Success(Stored() as stored):
+                pass
+            case failure:
+                return failure
+        in_force = stored.catalog.version
+        if in_force and _is_same(catalog, stored):
+            return Success(Published(in_force, has_changed=False))
+        if base is not None and base != in_force:
+            return Failure(_conflict(in_force))
+        return await self._replace(stored, attrs.evolve(catalog, version=in_force + 1))
+
+    async def _replace(
+        self, stored: Stored, catalog: Catalog
+    ) -> Result[Published, Error]:
+        value = encode_configuration(catalog, stored.raw)
+        match await self._store.put(
+            TOPIC_CONFIGURATION, KEY_CONFIGURATION, value, expected_end=stored.end
+        ):
+            case Success(_):
+                return Success(Published(catalog.version, has_changed=True))
+            case Failure(error) if error.kind is ErrorKind.VERSION_CONFLICT:
+                return await self._tell_conflict()
+            case failure:
+                return failure
+
+    async def _tell_conflict(self) -> Result[Published, Error]:
+        """Returns a conflict that names the version that won."""
+        match await self.read():
+            case Success(Stored() as stored):
+                return Failure(_conflict(stored.catalog.version))
+            case failure:
+                return failure
+
+
+def _is_same(catalog: Catalog, stored: Stored) -> bool:
+    """Returns whether tables would read as the stored ones, once they are written."""
+    edited = attrs.evolve(catalog, version=stored.catalog.version)
+    written = decode_configuration(encode_configuration(edited, stored.raw))
+    return written == Success(stored.catalog)
+
+
+def _conflict(version: int) -> Error:
+    detail = f"version {version} is in force"
+    return Error(ErrorKind.VERSION_CONFLICT, detail)
+
+
+def _decode(value: bytes | None, end: int) -> Result[Stored, Error]:
+    if value is None:
+        return Success(Stored(Catalog(version=0), {}, end))
+    match decode_configuration(value):
+        case Success(catalog):
+            return Success(Stored(catalog, json.loads(value), end))
+        case failure:
+            return failure
--- a/cicadacourse/platform/_store.py
+++ b/cicadacourse/platform/_store.py
@@ -14,15 +14,31 @@
 
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.errors import Error, ErrorKind
+from cicadacourse.metrics import Metrics
 from cicadacourse.platform._names import PATH_APPEND, PATH_NEWEST, PATH_READ
 from cicadacourse.platform._settings import STORE_CALLS, StoreSettings
 from cicadacourse.util.http import HttpAnswer, HttpClient, HttpError
 
 _OK = 200
+_BAD_REQUEST = 400
+_FORBIDDEN = 403
 _GONE = 410
+_NOT_AT_END = 412
+_TOO_MANY_CALLS = 429
+_BUSY = 503
+_FULL = 507
 _ENDS = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
 _PART = 0
+# After any other status an append may have been taken.
+KIND_BY_STATUS = {
+    _BAD_REQUEST: ErrorKind.BAD_REQUEST,
+    _FORBIDDEN: ErrorKind.FORBIDDEN,
+    _NOT_AT_END: ErrorKind.VERSION_CONFLICT,
+    _TOO_MANY_CALLS: ErrorKind.STORE_UNAVAILABLE,
+    _BUSY: ErrorKind.STORE_UNAVAILABLE,
+    _FULL: ErrorKind.STORE_UNAVAILABLE,
+}
 # Stops a listing that never ends.
 _MAX_PAGES = 64
 
@@ -53,22 +69,21 @@
     is_trimmed: bool = False
 
 
-@SERVICES.register("store")
-class Store(Service):
-    """Calls the store; each call has a time limit and is counted."""
+class StoreClient:
+    """Calls the store; each call has a time limit and is counted.
 
-    name = "store"
+    :param settings: where the store is, and its time limits.
+    :param metrics: counts the calls.
+    """
 
-    def __init__(self, app: Application) -> None:
-        super().__init__(app)
-        self.settings = app.settings.get(StoreSettings)
+    def __init__(self, settings: StoreSettings, metrics: Metrics) -> None:
+        self.settings = settings
+        self._metrics = metrics
         self._http = HttpClient()
 
-    @contextlib.asynccontextmanager
-    async def running(self) -> AsyncIterator[None]:
-        """Keeps connections to the store while the instance runs."""
-        with contextlib.closing(self._http):
-            yield
+    def close(self) -> None:
+        """Closes every connection."""
+        self._http.close()
 
     async def read(
         self, topic: str, offset: int, wait_s: float
@@ -117,12 +132,20 @@
             if not found.has_more:
                 return Success(KeyedBatch(tuple(records), end))
             query["after"] = found.records[-1].key
-        return Failure(Error(ErrorKind.LOG_UNAVAILABLE, f"{topic} has no last page"))
+        return Failure(Error(ErrorKind.STORE_UNAVAILABLE, f"{topic} has no last page"))
+
+    async def put(
+        self, topic: str, key: str, value: bytes, expected_end: int | None = None
+    ) -> Result[None, Error]:
+        """Appends a key's new value; a Failure leaves open whether it was taken.
 
-    async def put(self, topic: str, key: str, value: bytes) -> Result[None, Error]:
-        """Appends a key's new value; a Failure leaves open whether it was taken."""
+        :param expected_end: only if the topic still ends there; VERSION_CONFLICT if it
+            does not.
+        """
         body = _pack_record(key, value)
         query = {"topic": topic, "part": _PART}
+        if expected_end is not None:
+            query["at"] = expected_end
         timeout_s = self.settings.timeout_s
         match await self._call("POST", PATH_APPEND, query, timeout_s, body):
             case Success(_):
@@ -144,20 +167,40 @@
                 method, self.settings.address, target, timeout_s, body
             )
         except HttpError as error:
-            self.app.metrics.count(STORE_CALLS, call=path, outcome="unreachable")
-            return Failure(Error(ErrorKind.LOG_OUTCOME_UNKNOWN, str(error)))
-        self.app.metrics.count(STORE_CALLS, call=path, outcome=str(answer.status))
+            self._metrics.count(STORE_CALLS, call=path, outcome="unreachable")
+            kind = ErrorKind.STORE_UNAVAILABLE
+            if error.sent:
+                kind = ErrorKind.STORE_OUTCOME_UNKNOWN
+            return Failure(Error(kind, str(error)))
+        self._metrics.count(STORE_CALLS, call=path, outcome=str(answer.status))
         if answer.status in (_OK, _GONE):
             return Success(answer)
-        detail = f"{path} answered {answer.status}"
-        return Failure(Error(ErrorKind.LOG_UNAVAILABLE, detail))
+        kind = KIND_BY_STATUS.get(answer.status, ErrorKind.STORE_OUTCOME_UNKNOWN)
+        return Failure(Error(kind, f"{path} answered {answer.status}"))
 
     def _parsed(self, path: str, answer: HttpAnswer, parse: Any) -> Result[Any, Error]:
         try:
             return Success(parse(answer.body))
         except (ValueError, KeyError, TypeError, struct.error) as error:
             detail = f"{path}: malformed answer: {error!r}"
-            return Failure(Error(ErrorKind.LOG_UNAVAILABLE, detail))
+            return Failure(Error(ErrorKind.STORE_UNAVAILABLE, detail))
+
+
+@SERVICES.register("store")
+class Store(Service, StoreClient):
+    """The instance's client of the store."""
+
+    name = "store"
+
+    def __init__(self, app: Application) -> None:
+        Service.__init__(self, app)
+        StoreClient.__init__(self, app.settings.get(StoreSettings), app.metrics)
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Keeps connections to the store while the instance runs."""
+        with contextlib.closing(self):
+            yield
 
 
 @attrs.frozen
--- a/cicadacourse/schema/membership.capnp
+++ b/cicadacourse/schema/membership.capnp
@@ -11,7 +11,7 @@
   failureDomain @4 :Text;
   incarnation @5 :UInt64;
   state @6 :State;
-  tablesVersion @7 :UInt64;
+  configurationVersion @7 :UInt64;
 }
 
 struct Ping {
--- a/cicadacourse/tables/__init__.py
+++ b/cicadacourse/tables/__init__.py
@@ -1,30 +1,25 @@
-"""The tables of routes and pools: model, parser, fold and follower."""
+"""The operators' tables as INI texts: read and checked into a catalogue, and back."""
 
-from cicadacourse.tables._fold import Fold
-from cicadacourse.tables._follower import TablesFollower, TablesSettings
-from cicadacourse.tables._model import KIND_CALL, KIND_GENERATE, Pool, Route, Tables
 from cicadacourse.tables._parser import parse_tables
-from cicadacourse.tables._publisher import Published, publish_edit, read_to_end
-from cicadacourse.tables._records import STREAM, Edit, Restate
-from cicadacourse.tables._state import Outcome, OutcomeKind, Snapshot
+from cicadacourse.tables._render import render_tables
+from cicadacourse.tables._rows import (
+    ROW_CLASS_BY_SECTION,
+    EngineRow,
+    LimitsRow,
+    OrganisationRow,
+    PoolRow,
+    RouteRow,
+)
+from cicadacourse.tables._texts import TableTexts
 
 __all__ = [
-    "Edit",
-    "Fold",
-    "KIND_CALL",
-    "KIND_GENERATE",
-    "Outcome",
-    "OutcomeKind",
-    "Pool",
-    "Published",
-    "Restate",
-    "Route",
-    "STREAM",
-    "Snapshot",
-    "Tables",
-    "TablesFollower",
-    "TablesSettings",
+    "EngineRow",
+    "LimitsRow",
+    "OrganisationRow",
+    "PoolRow",
+    "ROW_CLASS_BY_SECTION",
+    "RouteRow",
+    "TableTexts",
     "parse_tables",
-    "publish_edit",
-    "read_to_end",
+    "render_tables",
 ]
--- a/cicadacourse/tables/_parser.py
+++ b/cicadacourse/tables/_parser.py
@@ -1,109 +1,209 @@
-"""Reads and checks the INI text of both tables."""
+"""Reads and checks the INI texts of the tables."""
 
 from __future__ import annotations
 
+from typing import Any
+
 import attrs
 from returns.result import Failure, Result, Success
 
+from cicadacourse.catalog import (
+    CallerLimits,
+    Catalog,
+    EngineProfile,
+    Organisation,
+    Pool,
+    Route,
+)
 from cicadacourse.config import EXPECTED_BY_PARSER, parse_name, parse_section, read_ini
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.registry import suggest
-from cicadacourse.tables._model import Pool, Route, Tables
-
-MAX_TABLE_BYTES = 1_000_000
+from cicadacourse.tables._rows import (
+    EngineRow,
+    LimitsRow,
+    OrganisationRow,
+    PoolRow,
+    RouteRow,
+)
+from cicadacourse.tables._texts import TableTexts
 
-ROUTES_FILE = "routes.ini"
-POOLS_FILE = "pools.ini"
+MAX_TABLE_BYTES = 4_000_000
+_LIMITS = "limits"
 
 
-def parse_tables(
-    routes: str,
-    pools: str,
-    routes_file: str = ROUTES_FILE,
-    pools_file: str = POOLS_FILE,
-) -> Result[Tables, list[Error]]:
-    """Parses both tables and checks that they fit each other.
+def parse_tables(texts: TableTexts) -> Result[Catalog, list[Error]]:
+    """Parses all tables and checks that they fit each other.
 
-    :param routes: text with a section ``[route NAME]`` per route.
-    :param pools: text with a section ``[pool NAME]`` per pool.
-    :param routes_file: the file's name, for messages.
-    :param pools_file: the file's name, for messages.
-    :returns: tables without a version, or every error found, each naming file,
+    :returns: a catalogue of version 0, or every error found, each naming file,
         section, option, value and what was expected.
     """
-    errors: list[Error] = []
-    routes_by_name = _parse_rows(Route, "route", routes_file, routes, errors)
-    pools_by_name = _parse_rows(Pool, "pool", pools_file, pools, errors)
-    if not errors:
-        errors.extend(_check_pools(routes_by_name, pools_by_name, routes_file))
-    if errors:
-        return Failure([attrs.evolve(e, kind=ErrorKind.INVALID_TABLES) for e in errors])
-    return Success(Tables(routes_by_name=routes_by_name, pools_by_name=pools_by_name))
-
-
-def _parse_rows(
-    cls: type, word: str, file: str, text: str, errors: list[Error]
-) -> dict[str, object]:
-    """Parses the sections of one table; adds what is wrong to ``errors``."""
-    if len(text.encode()) > MAX_TABLE_BYTES:
-        errors.append(_error(file, f"expected at most {MAX_TABLE_BYTES} bytes"))
-        return {}
-    match read_ini(file, text):
-        case Failure(found):
-            errors.extend(found)
-            return {}
-        case Success(texts_by_section):
-            pass
-    rows_by_name: dict[str, object] = {}
-    for section, texts_by_option in texts_by_section.items():
-        name = _parse_title(section, word, file, errors)
-        match parse_section(cls, file, section, texts_by_option):
+    parser = _Parser(texts)
+    catalog = parser.parse()
+    if parser.errors:
+        invalid = ErrorKind.INVALID_TABLES
+        return Failure([attrs.evolve(error, kind=invalid) for error in parser.errors])
+    return Success(catalog)
+
+
+class _Parser:
+    """Collects rows by word and name, and what is wrong with them."""
+
+    def __init__(self, texts: TableTexts) -> None:
+        self.errors: list[Error] = []
+        self._texts = texts
+
+    def parse(self) -> Catalog:
+        texts = self._texts
+        routes = self._rows({"route": RouteRow}, texts.routes_file, texts.routes)
+        pools = self._rows(
+            {"pool": PoolRow, "engine": EngineRow}, texts.pools_file, texts.pools
+        )
+        others = self._rows(
+            {"organisation": OrganisationRow, _LIMITS: LimitsRow},
+            texts.organisations_file,
+            texts.organisations,
+        )
+        self._check_engines(pools["pool"], pools["engine"])
+        self._check_routes(routes["route"], pools["pool"])
+        self._check_keys(others["organisation"])
+        if self.errors:
+            return Catalog(version=0)
+        limits = others[_LIMITS].get("", LimitsRow())
+        return Catalog(
+            version=0,
+            routes=tuple(_route(*item) for item in routes["route"].items()),
+            pools=tuple(
+                _pool(name, row, pools["engine"]) for name, row in pools["pool"].items()
+            ),
+            organisations=tuple(
+                Organisation(name, row.keys, row.priority)
+                for name, row in others["organisation"].items()
+            ),
+            limits=CallerLimits(**attrs.asdict(limits)),
+        )
+
+    def _rows(
+        self, class_by_word: dict[str, type], file: str, text: str
+    ) -> dict[str, dict[str, Any]]:
+        """Parses one file; returns its rows by name for each word."""
+        rows_by_word: dict[str, dict[str, Any]] = {word: {} for word in class_by_word}
+        if len(text.encode()) > MAX_TABLE_BYTES:
+            self._error(file, f"expected at most {MAX_TABLE_BYTES} bytes")
+            return rows_by_word
+        match read_ini(file, text):
             case Failure(found):
-                errors.extend(found)
-            case Success(row) if name:
-                if name in rows_by_name:
-                    errors.append(_error(file, f"[{section}]: is there twice"))
-                rows_by_name[name] = attrs.evolve(row, name=name)
-    return rows_by_name
-
-
-def _parse_title(section: str, word: str, file: str, errors: list[Error]) -> str:
-    """Returns the name in a section's title, or an empty one if it is wrong."""
-    first, _, name = section.partition(" ")
-    if first != word:
-        hint = suggest(first, [word])
-        errors.append(_error(file, f"[{section}]: expected [{word} NAME]{hint}"))
-        return ""
-    try:
-        return parse_name(name.strip())
-    except ValueError:
-        expected = EXPECTED_BY_PARSER[parse_name]
-        errors.append(_error(file, f"[{section}]: expected {expected}"))
-        return ""
-
-
-def _check_pools(
-    routes_by_name: dict[str, Route], pools_by_name: dict[str, Pool], file: str
-) -> list[Error]:
-    """Checks that routes name pools that exist and agree on their pool's kind."""
-    errors = []
-    first_by_pool: dict[str, Route] = {}
-    for route in routes_by_name.values():
-        where = f"[route {route.name}]"
-        if route.pool not in pools_by_name:
-            hint = suggest(route.pool, pools_by_name)
-            detail = f"{where} pool = {route.pool!r}: expected a pool's name{hint}"
-            errors.append(_error(file, detail))
-            continue
-        first = first_by_pool.setdefault(route.pool, route)
-        if first.kind != route.kind:
-            detail = (
-                f"{where} kind = {route.kind!r}: expected {first.kind!r}, "
-                f"as [route {first.name}] has with the same pool {route.pool!r}"
-            )
-            errors.append(_error(file, detail))
-    return errors
-
-
-def _error(file: str, detail: str) -> Error:
-    return Error(ErrorKind.INVALID_TABLES, f"{file}: {detail}")
+                self.errors.extend(found)
+                return rows_by_word
+            case Success(texts_by_section):
+                pass
+        for section, texts_by_option in texts_by_section.items():
+            word, _, name = section.partition(" ")
+            if not self._check_title(file, section, class_by_word):
+                continue
+            match parse_section(class_by_word[word], file, section, texts_by_option):
+                case Failure(found):
+                    self.errors.extend(found)
+                case Success(row):
+                    if name.strip() in rows_by_word[word]:
+                        self._error(file, f"[{section}]: is there twice")
+                    rows_by_word[word][name.strip()] = row
+        return rows_by_word
+
+    def _check_title(
+        self, file: str, section: str, class_by_word: dict[str, type]
+    ) -> bool:
+        word, _, name = section.partition(" ")
+        if word not in class_by_word:
+            known = [f"[{item}{_title_rest(item)}]" for item in class_by_word]
+            hint = suggest(word, class_by_word)
+            self._error(file, f"[{section}]: expected {' or '.join(known)}{hint}")
+            return False
+        if word == _LIMITS:
+            if name:
+                self._error(file, f"[{section}]: expected [{_LIMITS}]")
+            return not name
+        try:
+            parse_name(name.strip())
+        except ValueError:
+            expected = EXPECTED_BY_PARSER[parse_name]
+            self._error(file, f"[{section}]: expected {expected}")
+            return False
+        return True
+
+    def _check_engines(
+        self, pools: dict[str, PoolRow], engines: dict[str, EngineRow]
+    ) -> None:
+        for name, pool in pools.items():
+            if pool.engine and pool.engine not in engines:
+                self._error(
+                    self._texts.pools_file,
+                    f"[pool {name}] engine = {pool.engine!r}: expected an engine's"
+                    f" name{suggest(pool.engine, engines)}",
+                )
+
+    def _check_routes(
+        self, routes: dict[str, RouteRow], pools: dict[str, PoolRow]
+    ) -> None:
+        """Checks that pools exist and that no two routes match alike."""
+        name_by_match: dict[tuple[str, str], str] = {}
+        for name, route in routes.items():
+            for share in route.pool:
+                if share.pool not in pools:
+                    self._route_error(
+                        name,
+                        f"pool = {share.pool!r}: expected a pool's name"
+                        f"{suggest(share.pool, pools)}",
+                    )
+            match = (route.host.lower(), route.path_prefix)
+            first = name_by_match.setdefault(match, name)
+            if first != name:
+                self._route_error(
+                    name, f"path_prefix: [route {first}] has the same host and prefix"
+                )
+
+    def _check_keys(self, organisations: dict[str, OrganisationRow]) -> None:
+        name_by_key: dict[str, str] = {}
+        for name, organisation in organisations.items():
+            for key in organisation.keys:
+                first = name_by_key.setdefault(key, name)
+                if first != name:
+                    self._error(
+                        self._texts.organisations_file,
+                        f"[organisation {name}] keys: one of them is also a key of"
+                        f" [organisation {first}]",
+                    )
+
+    def _route_error(self, route: str, detail: str) -> None:
+        self._error(self._texts.routes_file, f"[route {route}] {detail}")
+
+    def _error(self, file: str, detail: str) -> None:
+        self.errors.append(Error(ErrorKind.INVALID_TABLES, f"{file}: {detail}"))
+
+
+def _title_rest(word: str) -> str:
+    return "" if word == _LIMITS else " NAME"
+
+
+def _route(name: str, row: RouteRow) -> Route:
+    return Route(
+        name=name,
+        host=row.host,
+        path_prefix=row.path_prefix,
+        kind=row.kind,
+        shares=row.pool,
+        timeout_s=row.timeout_s,
+        target_s=row.timeout_s if row.target_s is None else row.target_s,
+        gap_target_s=row.gap_target_s,
+        priority=row.priority,
+        max_attempts=row.max_attempts,
+        is_public=row.public,
+        is_resumable=row.resumable,
+    )
+
+
+def _pool(name: str, row: PoolRow, engines: dict[str, EngineRow]) -> Pool:
+    engine = engines.get(row.engine)
+    profile = None
+    if engine is not None:
+        profile = EngineProfile(**attrs.asdict(engine, recurse=False))
+    return Pool(name, row.health_path, row.max_connections, profile)
--- /dev/null
+++ b/cicadacourse/tables/_render.py
@@ -0,0 +1,90 @@
+"""Writes a catalogue as INI texts, so that operators can edit what is in force."""
+
+from __future__ import annotations
+
+import configparser
+import io
+from typing import Any
+
+import attrs
+
+from cicadacourse.catalog import Catalog, EngineProfile, Organisation, Pool, Route
+from cicadacourse.tables._texts import TableTexts
+
+Rows = dict[str, dict[str, Any]]
+
+
+def render_tables(catalog: Catalog) -> TableTexts:
+    """Returns texts that :func:`parse_tables` reads as the same catalogue."""
+    routes = {f"route {item.name}": _route(item) for item in catalog.routes}
+    organisations = {
+        f"organisation {item.name}": _organisation(item)
+        for item in catalog.organisations
+    }
+    limits = {"limits": attrs.asdict(catalog.limits)}
+    return TableTexts(
+        routes=_render(routes),
+        pools=_render(_pools(catalog.pools)),
+        organisations=_render(organisations | limits),
+    )
+
+
+def _route(route: Route) -> dict[str, Any]:
+    return {
+        "host": route.host,
+        "path_prefix": route.path_prefix,
+        "kind": route.kind.value,
+        "pool": ", ".join(f"{item.pool} {item.weight!r}" for item in route.shares),
+        "timeout_s": route.timeout_s,
+        "target_s": route.target_s,
+        "gap_target_s": route.gap_target_s,
+        "priority": route.priority,
+        "max_attempts": route.max_attempts,
+        "public": route.is_public,
+        "resumable": route.is_resumable,
+    }
+
+
+def _organisation(organisation: Organisation) -> dict[str, Any]:
+    return {
+        "keys": ", ".join(organisation.keys),
+        "priority": organisation.priority,
+    }
+
+
+def _pools(pools: tuple[Pool, ...]) -> Rows:
+    """Returns the rows of pools, and one of an engine for each kind of engine."""
+    rows: Rows = {}
+    name_by_profile: dict[EngineProfile, str] = {}
+    for pool in pools:
+        engine = None
+        if pool.engine is not None:
+            engine = name_by_profile.setdefault(pool.engine, pool.name)
+        rows[f"pool {pool.name}"] = {
+            "engine": engine,
+            "health_path": pool.health_path,
+            "max_connections": pool.max_connections,
+        }
+    for profile, name in name_by_profile.items():
+        row = attrs.asdict(profile, recurse=False)
+        rows[f"engine {name}"] = row | {"models": ", ".join(profile.models)}
+    return rows
+
+
+def _render(rows: Rows) -> str:
+    writer = configparser.ConfigParser(interpolation=None, default_section="")
+    for section, row in rows.items():
+        writer[section] = {
+            name: _text(value)
+            for name, value in row.items()
+            if value is not None and value != ""
+        }
+    text = io.StringIO()
+    writer.write(text)
+    return text.getvalue()
+
+
+def _text(value: Any) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    return str(value)
--- /dev/null
+++ b/cicadacourse/tables/_rows.py
@@ -0,0 +1,210 @@
+"""The rows of the tables: each option with its type, default, unit and bounds."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import attrs
+
+from cicadacourse.catalog import CallerLimits, PoolShare, RunKind
+from cicadacourse.config import EXPECTED_BY_PARSER, option, parse_bool, parse_name
+
+MAX_TIMEOUT_S = 3600.0
+_DEFAULT_LIMITS = CallerLimits()
+
+
+def parse_path_prefix(text: str) -> str:
+    """Parses a path with a slash at both ends.
+
+    >>> parse_path_prefix("/ask/")
+    '/ask/'
+    """
+    if not (text.startswith("/") and text.endswith("/")):
+        raise ValueError(text)
+    return text
+
+
+def parse_run_kind(text: str) -> RunKind:
+    """Parses what may be repeated of a route's requests."""
+    return RunKind(text)
+
+
+def parse_pool_shares(text: str) -> tuple[PoolShare, ...]:
+    """Parses one pool, or several with their weights.
+
+    >>> parse_pool_shares("old 3, new 1")[1]
+    PoolShare(pool='new', weight=1.0)
+    """
+    shares = tuple(_parse_pool_share(part) for part in text.split(","))
+    if not any(share.weight for share in shares):
+        raise ValueError(text)
+    return shares
+
+
+def _parse_pool_share(text: str) -> PoolShare:
+    pool, _, weight = text.strip().partition(" ")
+    share = PoolShare(parse_name(pool), float(weight or 1.0))
+    if not 0 <= share.weight < math.inf:
+        raise ValueError(text)
+    return share
+
+
+def parse_names(text: str) -> tuple[str, ...]:
+    """Parses names separated by commas or white space."""
+    return tuple(parse_name(part) for part in text.replace(",", " ").split())
+
+
+def parse_keys(text: str) -> tuple[str, ...]:
+    """Parses keys separated by commas or white space."""
+    return tuple(text.replace(",", " ").split())
+
+
+EXPECTED_BY_PARSER.update(
+    {
+        parse_path_prefix: "a path with a slash at both ends",
+        parse_run_kind: "safe, unsafe or stream",
+        parse_pool_shares: "a pool's name, or several with weights as 'old 3, new 1'",
+        parse_names: "names separated by commas",
+        parse_keys: "keys separated by commas",
+    }
+)
+
+
+@attrs.frozen(kw_only=True)
+class RouteRow:
+    """One route, section ``[route NAME]``."""
+
+    host: str = option(parse_name, help="Host that callers name.")
+    path_prefix: str = option(
+        parse_path_prefix, help="The longest prefix of a request's path decides."
+    )
+    kind: RunKind = option(
+        parse_run_kind, help="What may be repeated: safe and resumable stream may."
+    )
+    pool: tuple[PoolShare, ...] = option(
+        parse_pool_shares, help="Pool that serves it, or several with weights."
+    )
+    timeout_s: float = option(
+        float, 30.0, unit="seconds", minimum=0.001, maximum=MAX_TIMEOUT_S
+    )
+    target_s: float | None = option(
+        float,
+        None,
+        unit="seconds",
+        minimum=0.001,
+        maximum=MAX_TIMEOUT_S,
+        help="Latency objective: whole answer, or a stream's first event;"
+        " the timeout if it is left out.",
+    )
+    gap_target_s: float | None = option(
+        float,
+        None,
+        unit="seconds",
+        minimum=0.001,
+        maximum=MAX_TIMEOUT_S,
+        help="Longest pause between a stream's events that is in time.",
+    )
+    priority: int = option(int, 0, minimum=0, maximum=100, help="Rank, 0 first.")
+    max_attempts: int = option(
+        int, 1, minimum=1, maximum=100, help="Endpoints that a request may be sent to."
+    )
+    public: bool = option(parse_bool, False, help="Served without a key.")
+    resumable: bool = option(
+        parse_bool, False, help="A stream may go on at another endpoint."
+    )
+
+
+@attrs.frozen(kw_only=True)
+class PoolRow:
+    """One pool, section ``[pool NAME]``."""
+
+    engine: str = option(str, "", help="Kind of its engines; empty for plain services.")
+    health_path: str = option(str, "/health", help="Path of the health probe.")
+    max_connections: int = option(
+        int, 0, minimum=0, help="Connections to one endpoint, 0 if not bounded."
+    )
+
+
+@attrs.frozen(kw_only=True)
+class EngineRow:
+    """How fast a kind of engine works and what it holds, section ``[engine NAME]``."""
+
+    slots: int = option(int, minimum=1, help="Requests in progress at once.")
+    kv_tokens: int = option(int, unit="tokens", minimum=1, help="Size of its memory.")
+    steps_per_pass: int = option(
+        int, 1, minimum=1, help="Tokens made for each stream in one pass."
+    )
+    step_s: float = option(float, unit="seconds", minimum=0, help="One token step.")
+    step_per_writer_s: float = option(
+        float, 0.0, unit="seconds", minimum=0, help="Added to a step by each stream."
+    )
+    step_per_1k_context_s: float = option(
+        float,
+        0.0,
+        unit="seconds",
+        minimum=0,
+        help="Added to a step by each thousand tokens of context.",
+    )
+    read_tokens_per_s: float = option(
+        float, unit="tokens per second", minimum=1, help="Reading of prompts."
+    )
+    read_per_1m_pairs_s: float = option(
+        float,
+        0.0,
+        unit="seconds",
+        minimum=0,
+        help="Added for each million pairs of a token and one before it.",
+    )
+    chunk_tokens: int = option(
+        int, 2048, unit="tokens", minimum=1, help="Read in one step at the most."
+    )
+    hop_s: float = option(
+        float,
+        0.0,
+        unit="seconds",
+        minimum=0,
+        help="Added to a step while a prompt is spread over engines.",
+    )
+    models: tuple[str, ...] = option(parse_names, (), help="Models that it serves.")
+
+
+@attrs.frozen(kw_only=True)
+class OrganisationRow:
+    """One organisation, section ``[organisation NAME]``."""
+
+    keys: tuple[str, ...] = option(parse_keys, (), help="Its callers' keys.")
+    priority: int | None = option(
+        int,
+        None,
+        minimum=0,
+        maximum=100,
+        help="Rank that goes before its routes' rank.",
+    )
+
+
+@attrs.frozen(kw_only=True)
+class LimitsRow:
+    """What a caller may send, section ``[limits]`` of the organisations' table."""
+
+    max_header_bytes: int = option(
+        int, _DEFAULT_LIMITS.max_header_bytes, unit="bytes", minimum=256
+    )
+    max_body_bytes: int = option(
+        int, _DEFAULT_LIMITS.max_body_bytes, unit="bytes", minimum=0
+    )
+    header_timeout_s: float = option(
+        float, _DEFAULT_LIMITS.header_timeout_s, unit="seconds", minimum=0.1
+    )
+    idle_timeout_s: float = option(
+        float, _DEFAULT_LIMITS.idle_timeout_s, unit="seconds", minimum=0.1
+    )
+
+
+ROW_CLASS_BY_SECTION: dict[str, type[Any]] = {
+    "route NAME": RouteRow,
+    "pool NAME": PoolRow,
+    "engine NAME": EngineRow,
+    "organisation NAME": OrganisationRow,
+    "limits": LimitsRow,
+}
--- /dev/null
+++ b/cicadacourse/tables/_texts.py
@@ -0,0 +1,29 @@
+"""The texts of all tables, with the names of their files."""
+
+from __future__ import annotations
+
+import attrs
+
+ROUTES_FILE = "routes.ini"
+POOLS_FILE = "pools.ini"
+ORGANISATIONS_FILE = "organisations.ini"
+
+
+@attrs.frozen(kw_only=True)
+class TableTexts:
+    """INI texts of the tables, which are published together.
+
+    :param routes: a section ``[route NAME]`` for each route.
+    :param pools: a section ``[pool NAME]`` for each pool, and ``[engine NAME]`` for
+        each kind of engine that pools name.
+    :param organisations: a section ``[organisation NAME]`` for each organisation, and
+        one ``[limits]`` for what callers may send.
+    :param routes_file: the file's name, for messages; so are the other two.
+    """
+
+    routes: str
+    pools: str
+    organisations: str = ""
+    routes_file: str = ROUTES_FILE
+    pools_file: str = POOLS_FILE
+    organisations_file: str = ORGANISATIONS_FILE
--- a/cicadacourse/util/hashing.py
+++ b/cicadacourse/util/hashing.py
@@ -1,4 +1,4 @@
-"""Rendezvous hashing and hashes of prompt prefixes."""
+"""Rendezvous hashing."""
 
 from __future__ import annotations
 
@@ -6,8 +6,6 @@
 
 import xxhash
 
-PREFIX_BLOCK_BYTES = 4096
-
 
 def score(key: str, name: str) -> int:
     """Returns the rendezvous score of a name for a key, 64 bits."""
@@ -21,25 +19,3 @@
     True
     """
     return sorted(names, key=lambda name: (score(key, name), name), reverse=True)
-
-
-def owner(key: str, names: Iterable[str]) -> str | None:
-    """Returns the name that owns a key, or None if there are no names."""
-    best = max(names, key=lambda name: (score(key, name), name), default=None)
-    return best
-
-
-def prefix_hashes(prompt: bytes, limit: int) -> list[int]:
-    """Returns the chained hashes of a prompt's first whole blocks.
-
-    :param prompt: the prompt in UTF-8.
-    :param limit: how many blocks at the most.
-    """
-    hashes = []
-    state = xxhash.xxh3_64()
-    whole_blocks = min(limit, len(prompt) // PREFIX_BLOCK_BYTES)
-    for index in range(whole_blocks):
-        start = index * PREFIX_BLOCK_BYTES
-        state.update(prompt[start : start + PREFIX_BLOCK_BYTES])
-        hashes.append(state.intdigest())
-    return hashes
--- a/cicadacourse/util/logging.py
+++ b/cicadacourse/util/logging.py
@@ -14,10 +14,6 @@
 import logbook
 from logbook.compat import RedirectLoggingHandler
 
-FORMAT = (
-    "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name} "
-    "[{record.channel}] {record.message}"
-)
 FLUSH_PERIOD_S = 0.2
 MAX_WAITING_LINES = 4000
 LINES_PER_PERIOD = 200
@@ -32,17 +28,6 @@
     return logbook.Logger(part)
 
 
-def set_up_logging(level: str) -> None:
-    """Sends the log of the whole process to standard error.
-
-    :param level: the lowest level that is written, such as ``INFO``.
-    """
-    handler = logbook.StreamHandler(
-        sys.stderr, level=level.upper(), format_string=FORMAT
-    )
-    handler.push_application()
-
-
 class LineWriter:
     """Writes lines from a bounded queue in a thread, so that no caller waits.
 
--- a/soak/_instances.py
+++ b/soak/_instances.py
@@ -56,6 +56,7 @@
     store_link: Proxy
     caller_port: int = attrs.field(factory=free_port)
     ready_port: int = attrs.field(factory=free_port)
+    metrics_port: int = attrs.field(factory=free_port)
     disturbance: Disturbance = attrs.field(factory=Disturbance)
     bad_exits: list[int] = attrs.field(factory=list)
     late_exits: int = 0
@@ -84,7 +85,7 @@
             store=self.store_link.address,
             ready=self.ready_port,
             directory=free_port(),
-            metrics=free_port(),
+            metrics=self.metrics_port,
             ttl_s=DIRECTORY_TTL_S,
         )
         self._settings.write_text(text)
--- a/tests/test_platform/test_platform_path.py
+++ b/tests/test_platform/test_platform_path.py
@@ -10,8 +10,10 @@
 import attrs
 import capnp
 import logbook
+import pytest
 
 from cicadacourse.logs import ENDPOINT_BACK, ENDPOINT_SET_ASIDE
+from cicadacourse.platform import _ingress
 from cicadacourse.util.clock import now
 from standins.callers import event_ids, read_answer
 from standins.platform import (
@@ -109,6 +111,32 @@
         assert (await it.caller.ask("/book/1", body=bytes(4000))).status == 200
 
 
+async def test_refuses_headers_above_the_configured_limit_before_it_runs() -> None:
+    async with setting() as it:
+        it.fleet.configure(make_configuration(2, limits={"maxHeaderBytes": 600}))
+        catalog = it.instance.app.get("catalog")
+        await until(lambda: catalog.catalog.version == 2)
+        answer = await it.caller.ask("/book/1", X_Long="x" * 600)
+        assert answer.status == 431
+        assert it.runs() == 0
+        assert (await it.caller.ask("/book/1")).status == 200
+
+
+async def test_closes_a_connection_that_is_idle_for_longer_than_configured(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(_ingress, "IDLE_MARGIN_S", 0.05)
+    limits = {"idleTimeoutMs": 100, "headerTimeoutMs": 100}
+    async with setting() as it:
+        it.fleet.configure(make_configuration(2, limits=limits))
+        catalog = it.instance.app.get("catalog")
+        await until(lambda: catalog.catalog.version == 2)
+        reader, writer = await it.caller.open("/book/1")
+        assert (await read_answer(reader)).status == 200
+        assert await reader.read() == b""
+        writer.close()
+
+
 async def test_answers_a_malformed_prompt_size_and_serves_on() -> None:
     async with setting() as it:
         assert (await it.caller.ask("/ask/x", "many,few")).status == 400
--- /dev/null
+++ b/tests/test_platform/test_platform_store_client.py
@@ -0,0 +1,101 @@
+"""The store's client: what it says of failed calls, and that it sends appends once."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+from typing import AsyncIterator
+
+import pytest
+
+from cicadacourse.errors import ErrorKind
+from cicadacourse.metrics import Metrics
+from cicadacourse.platform import StoreClient, StoreSettings
+from tests.scripted_server import Script, scripted_server
+
+TOPIC = "keyed.notes"
+EMPTY_PAGE = (200, {"items": [], "hasMore": False, "end": 0})
+
+
+@contextlib.asynccontextmanager
+async def client_of(address: str) -> AsyncIterator[StoreClient]:
+    """Yields a client of the store at an address."""
+    settings = StoreSettings(address=address, timeout_s=5.0)
+    with contextlib.closing(StoreClient(settings, Metrics())) as store:
+        yield store
+
+
+async def failed_put(script: Script) -> ErrorKind:
+    """Returns how the client tells of one append that fails."""
+    with scripted_server(script) as address:
+        async with client_of(address) as store:
+            return (await store.put(TOPIC, "k", b"v")).failure().kind
+
+
+@pytest.mark.parametrize(
+    ("answer", "kind"),
+    [
+        ((503, {}), ErrorKind.STORE_UNAVAILABLE),
+        ((429, {}), ErrorKind.STORE_UNAVAILABLE),
+        ((507, {}), ErrorKind.STORE_UNAVAILABLE),
+        ((403, {}), ErrorKind.FORBIDDEN),
+        ((412, {"end": 3}), ErrorKind.VERSION_CONFLICT),
+        ((500, {}), ErrorKind.STORE_OUTCOME_UNKNOWN),
+        (None, ErrorKind.STORE_OUTCOME_UNKNOWN),
+    ],
+)
+async def test_an_append_is_unavailable_only_if_it_surely_took_no_effect(
+    answer: tuple[int, object] | None, kind: ErrorKind
+) -> None:
+    assert await failed_put(lambda *request: answer) is kind
+
+
+async def test_an_append_to_nobody_took_no_effect() -> None:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        address = "127.0.0.1:%d" % probe.getsockname()[1]
+        async with client_of(address) as store:
+            error = (await store.put(TOPIC, "k", b"v")).failure()
+    assert error.kind is ErrorKind.STORE_UNAVAILABLE
+
+
+@pytest.mark.parametrize(
+    "answer", [(503, {}), (200, {"items": [{}]}), (200, []), (200, 3), None]
+)
+async def test_a_read_that_is_malformed_or_fails_is_a_failure(
+    answer: tuple[int, object] | None,
+) -> None:
+    with scripted_server(lambda *request: answer) as address:
+        async with client_of(address) as store:
+            assert (await store.newest(TOPIC)).failure().kind in (
+                ErrorKind.STORE_UNAVAILABLE,
+                ErrorKind.STORE_OUTCOME_UNKNOWN,
+            )
+
+
+async def count_appends_after_a_cut() -> int:
+    """Counts how often one append is sent if its used connection dies."""
+    appends = []
+
+    def script(method: str, uri: str, body: bytes) -> tuple[int, object] | None:
+        if method == "POST":
+            appends.append(body)
+            return None
+        return EMPTY_PAGE
+
+    with scripted_server(script) as address:
+        async with client_of(address) as store:
+            (await store.newest(TOPIC)).unwrap()
+            await store.put(TOPIC, "k", b"v")
+    return len(appends)
+
+
+async def test_an_append_whose_connection_dies_is_sent_once() -> None:
+    assert await count_appends_after_a_cut() == 1
+
+
+async def test_naively_on_a_reused_connection_curl_sends_it_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("cicadacourse.util.http._get_preparation", lambda method: None)
+    assert await count_appends_after_a_cut() == 2
