--- a/bench/control/_load.py
+++ b/bench/control/_load.py
@@ -32,13 +32,20 @@
     sent = Meter()
     for _ in range(_REPORTS):
         reports = tuple(to_report(run, 1.0) for run in runs)
-        body = encode_report(LoadReport("front-a-1", 7, 100, 50, reports))
+        report = LoadReport(
+            sender="front-a-1",
+            catalog_version=7,
+            registry_offset=100,
+            store_age_ms=50,
+            runs=reports,
+        )
+        body = encode_report(report)
         datagram = Datagram(False, 1, 2, 3, body).pack()
     sent_us = sent.cpu_ms() * 1000 / _REPORTS
     received = Meter()
     for _ in range(_REPORTS):
-        report = decode_report(Datagram.unpack(datagram).body)
-        tuple(to_run(item, 1.0) for item in report.runs)
+        read = decode_report(Datagram.unpack(datagram).body)
+        tuple(to_run(item, 1.0) for item in read.runs)
     figures = {
         "datagram_bytes": float(len(datagram)),
         "cpu_us_to_make": sent_us,
