Begin a long prompt once the other instances' choices are heard

Load: long prompts that wait on several instances, all of which see at once that engines have come free. An engine reads the newest part first, and its own prompt last.

The stand-in engine read parts in order of arrival, so replays did not show it: now the newest is first.

Changed: an instance notes and tells its choice, hears the others' for 20 ms and gives way to one whose parts are read sooner, else by name; and no part is put on an engine that has more than 0.05 s of reading left (0.5 before).

Run: 317 tests passed, lint clean.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -18,6 +18,7 @@
 from cicadacourse.catalog import Endpoint
 from cicadacourse.load import LoadBook, Run
 from cicadacourse.placement import (
+    CONFIRM_S,
     Candidate,
     EngineChoice,
     Need,
@@ -25,6 +26,8 @@
     choose_engines,
     choose_places,
     choose_start,
+    is_long,
+    must_give_way,
     place_prompt,
 )
 from cicadacourse.util.clock import now
@@ -37,6 +40,7 @@
 WAIT_S = 6.0
 TIME_LEFT_S = 12.0
 HOLD_S = 20.0
+CONFIRMS = True
 
 
 @attrs.frozen
@@ -180,13 +184,20 @@
             kind.output_tokens,
             kind.gap_s,
         )
-        choice = await self._place(need, instance)
-        if choice is None:
+        placed = await self._place(need, instance)
+        if placed is None:
             self.outcomes.append(Outcome(kind.name, float("inf"), 0.0, False))
             return
-        await self._run(kind, need, choice, instance, arrived)
+        choice, runs, numbers = placed
+        try:
+            await self._run(kind, need, choice, runs, arrived)
+        finally:
+            self._forget(instance, numbers)
 
-    async def _place(self, need: Need, instance: int) -> EngineChoice | None:
+    async def _place(
+        self, need: Need, instance: int
+    ) -> tuple[EngineChoice, list[Run], list[int]] | None:
+        """Returns a choice with its runs, noted under their numbers."""
         queue = self.queues[instance]
         waiter = queue.make(need, PROFILE, now())
         queue.add(waiter)
@@ -195,23 +206,42 @@
                 if queue.is_next(waiter):
                     choice = self.policy(left, self._candidates(instance))
                     if choice is not None:
-                        return choice
+                        noted = await self._confirm(left, choice, instance)
+                        if noted is not None:
+                            return noted
                 await asyncio.sleep(self.recheck_random.uniform(*RECHECK_S))
         finally:
             queue.remove(waiter)
         return None
 
+    async def _confirm(
+        self, need: Need, choice: EngineChoice, instance: int
+    ) -> tuple[EngineChoice, list[Run], list[int]] | None:
+        """Notes the runs of a choice, unless it must give way to another's."""
+        book = self.books[instance]
+        runs = list(place_prompt(need, choice).runs)
+        numbers = [book.add(run) for run in runs]
+        self._tell(instance)
+        if CONFIRMS and is_long(need, PROFILE):
+            await asyncio.sleep(CONFIRM_S)
+            if must_give_way(str(instance), runs, book):
+                self._forget(instance, numbers)
+                return None
+        return choice, runs, numbers
+
+    def _forget(self, instance: int, numbers: Sequence[int]) -> None:
+        for number in numbers:
+            self.books[instance].remove(number)
+        self._tell(instance)
+
     async def _run(
         self,
         kind: PromptKind,
         need: Need,
         choice: EngineChoice,
-        instance: int,
+        runs: Sequence[Run],
         arrived: float,
     ) -> None:
-        runs = place_prompt(need, choice).runs
-        numbers = [self.books[instance].add(run) for run in runs]
-        self._tell(instance)
         engine = self.engine_by_id[choice.writer.endpoint.id]
         tickets = {plan.endpoint.id: plan.tokens for plan in choice.tickets}
         helpers = []
@@ -232,9 +262,6 @@
             for helper, ticket in helpers:
                 if ticket:
                     helper.release(ticket)
-            for number in numbers:
-                self.books[instance].remove(number)
-            self._tell(instance)
         self.outcomes.append(_outcome(kind, arrived, times))
 
     def _candidates(self, instance: int) -> list[Candidate]:
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -69,28 +69,28 @@
             if self.attempts.failed and not self._may_repeat(pool):
                 return self.attempts.final_error()
             need = self.call.need(pool, now(), self.attempts.failed)
-            match await self._placer.place(need):
-                case Failure(error):
-                    failed = self.attempts.may_have_run
-                    return self.attempts.final_error() if failed else error
-                case Success(placement):
-                    if await self._attempt(placement):
-                        return None
+            async with self._placer.placed(need) as result:
+                match result:
+                    case Failure(error):
+                        failed = self.attempts.may_have_run
+                        return self.attempts.final_error() if failed else error
+                    case Success(placement):
+                        if await self._attempt(placement):
+                            return None
 
     async def _attempt(self, placement: Placement) -> bool:
         """Tries one endpoint; returns whether the answer is written."""
-        with self.app.get("load").noted(*placement.runs):
-            if not placement.tickets:
-                return await self._send(placement, ())
-            reservations: Reservations = self.app.get("reservations")
-            try:
-                async with reservations.held(
-                    self.call.request.id, placement.endpoint, placement.tickets
-                ) as tickets:
-                    return await self._send(placement, tickets)
-            except MemoryRefused as refusal:
-                self._outcomes.note_no_memory(placement, refusal)
-                return False
+        if not placement.tickets:
+            return await self._send(placement, ())
+        reservations: Reservations = self.app.get("reservations")
+        try:
+            async with reservations.held(
+                self.call.request.id, placement.endpoint, placement.tickets
+            ) as tickets:
+                return await self._send(placement, tickets)
+        except MemoryRefused as refusal:
+            self._outcomes.note_no_memory(placement, refusal)
+            return False
 
     async def _send(self, placement: Placement, tickets: tuple[Ticket, ...]) -> bool:
         """Sends the request and passes the answer on; returns whether it is written."""
--- a/cicadacourse/load/_book.py
+++ b/cicadacourse/load/_book.py
@@ -74,6 +74,15 @@
             self._others_by_instance.pop(instance, None)
         self._by_endpoint = None
 
+    def others_at(self, endpoint: str) -> list[tuple[str, Run]]:
+        """Returns other instances' runs at an endpoint, each with its instance."""
+        return [
+            (instance, run)
+            for instance, runs in self._others_by_instance.items()
+            for run in runs
+            if run.endpoint == endpoint
+        ]
+
     def load_of(self, endpoint: str, now: float) -> EndpointLoad:
         """Returns what is in progress at an endpoint at a time."""
         runs = self._index().get(endpoint)
--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -138,6 +138,11 @@
     "No endpoint of `pool` has room, or a long prompt waits its turn; `usable` are"
     " known and not set aside.",
 )
+PLACE_GIVEN_UP = _declare(
+    "placement",
+    "place given up to another instance",
+    "Both chose the same engines at once; the request waits again.",
+)
 ENDPOINT_SET_ASIDE = _declare(
     "placement",
     "endpoint set aside",
--- a/cicadacourse/placement/_engines.py
+++ b/cicadacourse/placement/_engines.py
@@ -32,8 +32,9 @@
 MAX_FIRST_ENGINES = 4
 # Slots left free for requests of other instances that are not yet known of here.
 SPARE_SLOTS = 1
-# Reading that may be left on an engine when a part of a long prompt is put there.
-START_BACKLOG_S = 0.5
+# Reading that may be left on an engine when a part of a long prompt is put there. An
+# engine reads the newest part first, so more would put off what it reads already.
+START_BACKLOG_S = 0.05
 
 
 def choose_engines(
--- a/cicadacourse/placement/_queue.py
+++ b/cicadacourse/placement/_queue.py
@@ -49,14 +49,16 @@
     :param need: what it asks, as of its arrival.
     :param is_long: whether it is a prompt that engines read in parts.
     :param since: when it arrived, loop time in seconds.
-    :ivar place: set once there is one.
+    :ivar place: set once there is one; made anew each time that it waits.
     """
 
     need: Need
     rank: Rank
     is_long: bool
     since: float
-    place: asyncio.Future[Placement]
+    place: asyncio.Future[Placement] = attrs.field(
+        factory=lambda: asyncio.get_running_loop().create_future()
+    )
 
     def need_at(self, at: float) -> Need:
         """Returns what it asks at a time."""
@@ -79,8 +81,7 @@
         due += min(MAX_YIELD_S, YIELD_SHARE * read_s)
         due += min(MAX_CROWD_S, CROWD_STEP_S * crowd)
         rank = Rank(need.priority, due, next(self._numbers))
-        place = asyncio.get_running_loop().create_future()
-        return Waiter(need, rank, has_parts, at, place)
+        return Waiter(need, rank, has_parts, at)
 
     def _count_crowd(self, need: Need, has_parts: bool) -> int:
         """Returns how many of an organisation's requests already stand in a line."""
--- a/cicadacourse/placement/_service.py
+++ b/cicadacourse/placement/_service.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
-from typing import Any
+from typing import Any, AsyncIterator
 
 from returns.result import Failure, Result, Success
 
@@ -14,9 +15,16 @@
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.events import FLEET_CHANGED, LOAD_CHANGED
 from cicadacourse.load import LoadShare
-from cicadacourse.logs import ENDPOINT_BACK, ENDPOINT_SET_ASIDE, REQUEST_WAITS, log
+from cicadacourse.logs import (
+    ENDPOINT_BACK,
+    ENDPOINT_SET_ASIDE,
+    PLACE_GIVEN_UP,
+    REQUEST_WAITS,
+    log,
+)
 from cicadacourse.metrics import declare
 from cicadacourse.placement._calls import choose_endpoint
+from cicadacourse.placement._contention import CONFIRM_S, must_give_way
 from cicadacourse.placement._health import EndpointHealth
 from cicadacourse.placement._model import Candidate, Need, Placement
 from cicadacourse.placement._placements import place_call, place_prompt
@@ -49,32 +57,45 @@
         self.health = EndpointHealth()
         self._keeper: CatalogKeeper = app.get("catalog")
         self._load: LoadShare = app.get("load")
-        self._failure_domain = app.settings.get(InstanceSettings).failure_domain
+        instance = app.settings.get(InstanceSettings)
+        self._own_name = instance.name
+        self._failure_domain = instance.failure_domain
         self._queue = WaitQueue()
         self._is_scheduled = False
         self._recheck: asyncio.TimerHandle | None = None
         app.events.connect(LOAD_CHANGED, self._schedule)
         app.events.connect(FLEET_CHANGED, self._endpoint_changed)
 
-    async def place(self, need: Need) -> Result[Placement, Error]:
-        """Returns a place, at once or when one is free before the need expires.
+    @contextlib.asynccontextmanager
+    async def placed(self, need: Need) -> AsyncIterator[Result[Placement, Error]]:
+        """Yields a place, at once or when one is free before the need expires.
 
-        The caller notes the placement's runs before it next awaits.
+        The place's runs are noted as in progress while it is open.
         """
         pool = self._find_pool(need.pool)
         if pool is None:
             detail = f"pool {need.pool} is not in the configuration"
-            return Failure(_no_endpoint(detail))
+            yield Failure(_no_endpoint(detail))
+            return
         if self._is_hopeless(need, pool):
             detail = f"no engines of pool {need.pool} can read the prompt in time"
-            return Failure(
-                Error(
-                    ErrorKind.DEADLINE_UNREACHABLE,
-                    detail,
-                    retry_after_s=RETRY_AFTER_FULL_S,
-                )
-            )
+            yield Failure(_unreachable(detail))
+            return
         waiter = self._queue.make(need, pool.engine, now())
+        while True:
+            result = await self._find(waiter, pool)
+            if isinstance(result, Failure):
+                yield result
+                return
+            placement = result.unwrap()
+            with self._load.noted(*placement.runs):
+                if await self._is_kept(waiter, placement):
+                    yield result
+                    return
+
+    async def _find(self, waiter: Waiter, pool: Pool) -> Result[Placement, Error]:
+        """Returns a place as soon as it is the waiter's turn and there is one."""
+        need = waiter.need_at(now())
         if self._queue.is_next(waiter):
             placement = self._try(need, pool, self._candidates(pool.name))
             if placement is not None:
@@ -83,6 +104,24 @@
             return Failure(_no_endpoint(f"pool {need.pool} has no live endpoint"))
         return await self._wait(waiter)
 
+    async def _is_kept(self, waiter: Waiter, placement: Placement) -> bool:
+        """Returns whether a place is kept once the others' choices are heard."""
+        if not waiter.is_long or not self._has_others():
+            return True
+        await asyncio.sleep(CONFIRM_S)
+        if not must_give_way(self._own_name, placement.runs, self._load.book):
+            return True
+        log(
+            PLACE_GIVEN_UP,
+            request=waiter.need.request_id,
+            endpoint=placement.endpoint.id,
+            helpers=[item.id for item in placement.helpers],
+        )
+        return False
+
+    def _has_others(self) -> bool:
+        return len(self.app.get("membership").members()) > 1
+
     def usable(self, pool: str) -> list[Endpoint]:
         """Returns the endpoints of a pool that take new work and are not set aside."""
         ready = self._keeper.fleet.ready(pool)
@@ -157,7 +196,8 @@
         ]
 
     async def _wait(self, waiter: Waiter) -> Result[Placement, Error]:
-        need = waiter.need
+        need = waiter.need_at(now())
+        waiter.place = asyncio.get_running_loop().create_future()
         log(
             REQUEST_WAITS,
             request=need.request_id,
@@ -224,5 +264,11 @@
         self.app.metrics.set(WAITING, self._queue.count(pool), pool=pool)
 
 
+def _unreachable(detail: str) -> Error:
+    return Error(
+        ErrorKind.DEADLINE_UNREACHABLE, detail, retry_after_s=RETRY_AFTER_FULL_S
+    )
+
+
 def _no_endpoint(detail: str) -> Error:
     return Error(ErrorKind.NO_ENDPOINT, detail, retry_after_s=RETRY_AFTER_NO_ENDPOINT_S)
--- a/standins/platform/_engine.py
+++ b/standins/platform/_engine.py
@@ -230,14 +230,17 @@
         return self.used_tokens + stream.kept_tokens <= self.profile.kv_tokens
 
     def _read_in_pass(self) -> float:
-        """Reads what one pass allows and returns the seconds of the pass."""
+        """Reads what one pass allows and returns the seconds of the pass.
+
+        Parts of others' prompts go before own prompts, the newest of them first.
+        """
         writers = [item for item in self._streams if item.is_writing]
         context = sum(item.prompt_tokens + _written(item) for item in writers)
         steps = self.profile.steps_per_pass if writers else 1
         budget = steps * self.profile.chunk_tokens
         read_s = 0.0
         own = [item.own_part for item in self._streams if not item.is_writing]
-        for part in [*self._help, *own]:
+        for part in [*reversed(self._help), *own]:
             if budget <= 0 or part.left_s <= 0:
                 continue
             rate = part.tokens / part.left_s if part.tokens else 0.0
