--- a/bench/control/_capacity.py
+++ b/bench/control/_capacity.py
@@ -57,10 +57,6 @@
         """Returns what one unit of size adds."""
         return self._by_key[matter, figure].per_unit
 
-    def call_cpu_ms(self) -> float:
-        """Returns a call's processor time on both sides together."""
-        return self.at(CALL, "cpu_us_per_call_both_sides", 0) / 1000
-
     def call_overhead_bytes(self) -> float:
         """Returns a call's bytes on the wire beyond its two messages."""
         return self.at(CALL, "wire_bytes_over_messages", 0)
--- a/cicadacourse/load/_service.py
+++ b/cicadacourse/load/_service.py
@@ -23,11 +23,12 @@
     REGISTRY_HEARD,
 )
 from cicadacourse.load._book import LoadBook
-from cicadacourse.load._codec import decode_report, encode_report
+from cicadacourse.load._codec import encode_report
 from cicadacourse.load._datagram import Datagram, hash_of
+from cicadacourse.load._inbox import Inbox
 from cicadacourse.load._messages import LoadReport
 from cicadacourse.load._model import Run
-from cicadacourse.load._reports import MAX_AGE_MS, to_ms, to_report, to_run
+from cicadacourse.load._reports import MAX_AGE_MS, to_ms, to_report
 from cicadacourse.load._settings import (
     OWN_RUNS,
     REPORTS_REFUSED,
@@ -45,20 +46,6 @@
 EXPIRY_PERIOD_S = 0.5
 
 
-@attrs.define
-class _Sender:
-    """The last report of one instance.
-
-    :ivar body: the report while nobody has read it, else None.
-    """
-
-    name: str
-    started_ms: int = 0
-    sequence: int = 0
-    heard_at: float = 0.0
-    body: bytes | None = None
-
-
 class _Receiver(asyncio.DatagramProtocol):
     def __init__(self, share: LoadShare) -> None:
         self._share = share
@@ -84,8 +71,9 @@
         self._instance = app.settings.get(InstanceSettings)
         self._started_ms = int(time.time() * MS_PER_S)
         self._sequence = 0
-        self._sender_by_hash: dict[int, _Sender] = {}
-        self._unread: list[_Sender] = []
+        self._inbox = Inbox(
+            self._book, self._instance.name, self._settings.expiry_s, self._note_refused
+        )
         self._next_expiry = 0.0
         self._own_hash = hash_of(self._instance.name)
         self._transport: asyncio.DatagramTransport | None = None
@@ -111,8 +99,7 @@
     @property
     def book(self) -> LoadBook:
         """All known runs; reports that came since it was last asked for are read."""
-        if self._unread:
-            self._read_reports()
+        self._inbox.read_all()
         return self._book
 
     @contextlib.contextmanager
@@ -141,69 +128,28 @@
         """Takes one datagram; a malformed, old or repeated one changes nothing."""
         try:
             datagram = Datagram.unpack(data)
-            if not self._is_newer(datagram):
-                return
-            sender = self._sender_of(datagram)
+            sender = self._inbox.take(datagram, now())
         except MalformedMessage as error:
             self._note_refused(str(source), error)
             return
-        self._note(datagram, sender)
+        if sender is None:
+            return
+        self._tell_freshness(sender, datagram)
         self.app.events.emit(LOAD_CHANGED)
         if datagram.is_relayed:
             self._pass_on(datagram)
 
-    def _sender_of(self, datagram: Datagram) -> _Sender:
-        """Returns the record of a report's sender; the first one bears its name."""
-        known = self._sender_by_hash.get(datagram.sender_hash)
-        if known is not None:
-            return known
-        sender = _Sender(decode_report(datagram.body).sender)
-        self._sender_by_hash[datagram.sender_hash] = sender
-        return sender
-
-    def _note(self, datagram: Datagram, sender: _Sender) -> None:
-        """Keeps a report, and tells how fresh its sender's tables are."""
-        if sender.body is None:
-            self._unread.append(sender)
-        sender.body = datagram.body
-        sender.started_ms = datagram.started_ms
-        sender.sequence = datagram.sequence
-        sender.heard_at = now()
+    def _tell_freshness(self, sender: str, datagram: Datagram) -> None:
+        """Tells other parts how fresh a sender's tables are."""
         events = self.app.events
-        events.emit(CATALOG_VERSION_HEARD, sender.name, datagram.catalog_version)
+        events.emit(CATALOG_VERSION_HEARD, sender, datagram.catalog_version)
         age_s = datagram.store_age_ms / MS_PER_S
-        events.emit(REGISTRY_HEARD, sender.name, datagram.registry_offset, age_s)
-
-    def _read_reports(self) -> None:
-        """Reads what nobody has read yet into the book."""
-        senders, self._unread = self._unread, []
-        for sender in senders:
-            body, sender.body = sender.body, None
-            if body is not None:
-                self._read_report(sender, body)
-
-    def _read_report(self, sender: _Sender, body: bytes) -> None:
-        try:
-            report = decode_report(body)
-            runs = tuple(to_run(item, sender.heard_at) for item in report.runs)
-        except (MalformedMessage, ValueError) as error:
-            self._note_refused(sender.name, error)
-            return
-        self._book.replace_others(sender.name, runs)
+        events.emit(REGISTRY_HEARD, sender, datagram.registry_offset, age_s)
 
     def _note_refused(self, source: str, error: Exception) -> None:
         self.app.metrics.count(REPORTS_REFUSED)
         log(REPORT_REFUSED, source=source, reason=str(error))
 
-    def _is_newer(self, datagram: Datagram) -> bool:
-        if datagram.sender_hash == self._own_hash:
-            return False
-        known = self._sender_by_hash.get(datagram.sender_hash)
-        if known is None or now() - known.heard_at > self._settings.expiry_s:
-            return True
-        order = (datagram.started_ms, datagram.sequence)
-        return order > (known.started_ms, known.sequence)
-
     def _pass_on(self, datagram: Datagram) -> None:
         """Sends another's report to the instances of the own failure domain."""
         body = attrs.evolve(datagram, is_relayed=False).pack()
@@ -280,14 +226,9 @@
             return
         self._next_expiry = now() + EXPIRY_PERIOD_S
         expiry_s = self._settings.expiry_s * self._period_factor()
-        for key, sender in list(self._sender_by_hash.items()):
-            if now() - sender.heard_at > expiry_s:
-                del self._sender_by_hash[key]
-                self._forget(sender.name)
+        for name in self._inbox.silent_since(now() - expiry_s):
+            self._forget(name)
 
     def _forget(self, name: str) -> None:
-        sender = self._sender_by_hash.pop(hash_of(name), None)
-        if sender is not None:
-            sender.body = None
-        self._book.replace_others(name, ())
+        self._inbox.forget(name)
         self.app.events.emit(LOAD_CHANGED)
--- a/cicadacourse/platform/_feed.py
+++ b/cicadacourse/platform/_feed.py
@@ -19,9 +19,10 @@
     TOPIC_CONFIGURATION,
     TOPIC_ENDPOINTS,
 )
+from cicadacourse.platform._records import KeyedRecord
 from cicadacourse.platform._registry import decode_endpoint
 from cicadacourse.platform._settings import StoreSettings
-from cicadacourse.platform._store import KeyedRecord, Store
+from cicadacourse.platform._store import Store
 
 
 class ConfigurationListener(TopicListener):
--- a/cicadacourse/platform/_follower.py
+++ b/cicadacourse/platform/_follower.py
@@ -13,8 +13,9 @@
 from cicadacourse.errors import Error
 from cicadacourse.logs import RECORDS_TRIMMED, STORE_LOST, STORE_REGAINED, log
 from cicadacourse.metrics import Metrics
+from cicadacourse.platform._records import KeyedBatch, KeyedRecord
 from cicadacourse.platform._settings import STORE_REACHABLE
-from cicadacourse.platform._store import KeyedBatch, KeyedRecord, Store
+from cicadacourse.platform._store import Store
 from cicadacourse.util.clock import now
 
 # How soon this instance notices that it has to read itself.
--- a/cicadacourse/platform/_instances.py
+++ b/cicadacourse/platform/_instances.py
@@ -21,8 +21,9 @@
 )
 from cicadacourse.membership import Contact, ContactSource
 from cicadacourse.platform._names import TOPIC_INSTANCES
+from cicadacourse.platform._records import KeyedRecord
 from cicadacourse.platform._settings import ListenSettings
-from cicadacourse.platform._store import KeyedRecord, Store
+from cicadacourse.platform._store import Store
 
 # Between tries to announce this instance, doubled each time.
 FIRST_BACKOFF_S = 0.5
--- a/cicadacourse/platform/_store.py
+++ b/cicadacourse/platform/_store.py
@@ -2,20 +2,24 @@
 
 from __future__ import annotations
 
-import base64
 import contextlib
-import json
 import struct
 from typing import Any, AsyncIterator
 from urllib.parse import urlencode
 
-import attrs
 from returns.result import Failure, Result, Success
 
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.metrics import Metrics
 from cicadacourse.platform._names import PATH_APPEND, PATH_NEWEST, PATH_READ
+from cicadacourse.platform._records import (
+    KeyedBatch,
+    KeyedRecord,
+    pack_record,
+    parse_batch,
+    parse_page,
+)
 from cicadacourse.platform._settings import STORE_CALLS, StoreSettings
 from cicadacourse.util.http import HttpAnswer, HttpClient, HttpError
 
@@ -27,8 +31,6 @@
 _TOO_MANY_CALLS = 429
 _BUSY = 503
 _FULL = 507
-_ENDS = struct.Struct(">QQ")
-_LENGTH = struct.Struct(">I")
 _PART = 0
 # After any other status an append may have been taken.
 KIND_BY_STATUS = {
@@ -43,32 +45,6 @@
 _MAX_PAGES = 64
 
 
-@attrs.frozen
-class KeyedRecord:
-    """One record of a keyed topic.
-
-    :param key: the key; empty if the record's bytes can't be read.
-    :param value: the value, or None if the key was dropped.
-    """
-
-    key: str
-    value: bytes | None
-
-
-@attrs.frozen
-class KeyedBatch:
-    """Records of a topic.
-
-    :param records: in order.
-    :param end: the offset to read on from.
-    :param is_trimmed: whether records before these were deleted unread.
-    """
-
-    records: tuple[KeyedRecord, ...]
-    end: int
-    is_trimmed: bool = False
-
-
 class StoreClient:
     """Calls the store; each call has a time limit and is counted.
 
@@ -100,7 +76,7 @@
             case Success(answer) if answer.status == _GONE:
                 return Success(KeyedBatch((), offset, is_trimmed=True))
             case Success(answer):
-                return self._parsed(PATH_READ, answer, _parse_batch)
+                return self._parsed(PATH_READ, answer, parse_batch)
             case failure:
                 return failure
 
@@ -121,7 +97,7 @@
         for _ in range(_MAX_PAGES):
             match await self._call("GET", PATH_NEWEST, query, timeout_s):
                 case Success(answer):
-                    page = self._parsed(PATH_NEWEST, answer, _parse_page)
+                    page = self._parsed(PATH_NEWEST, answer, parse_page)
                 case failure:
                     return failure
             if isinstance(page, Failure):
@@ -142,7 +118,7 @@
         :param expected_end: only if the topic still ends there; VERSION_CONFLICT if it
             does not.
         """
-        body = _pack_record(key, value)
+        body = pack_record(key, value)
         query = {"topic": topic, "part": _PART}
         if expected_end is not None:
             query["at"] = expected_end
@@ -201,53 +177,3 @@
         """Keeps connections to the store while the instance runs."""
         with contextlib.closing(self):
             yield
-
-
-@attrs.frozen
-class _Page:
-    records: tuple[KeyedRecord, ...]
-    end: int
-    has_more: bool
-
-
-def _parse_page(body: bytes) -> _Page:
-    page = json.loads(body)
-    records = tuple(
-        KeyedRecord(item["key"], base64.b64decode(item["value"]))
-        for item in page["items"]
-    )
-    return _Page(records, int(page["end"]), bool(page["hasMore"]) and bool(records))
-
-
-def _parse_batch(body: bytes) -> KeyedBatch:
-    """Parses the end, the first kept offset, and records by their lengths.
-
-    >>> _parse_batch(bytes(7) + b"\\x02" + bytes(8) + b"\\x00\\x00\\x00\\x03\\x01ab")
-    KeyedBatch(records=(KeyedRecord(key='a', value=b'b'),), end=2, is_trimmed=False)
-    """
-    end, _ = _ENDS.unpack_from(body)
-    at = _ENDS.size
-    records = []
-    while at < len(body):
-        (length,) = _LENGTH.unpack_from(body, at)
-        at += _LENGTH.size
-        if at + length > len(body):
-            raise ValueError("a record is cut short")
-        records.append(_unpack_record(body[at : at + length]))
-        at += length
-    return KeyedBatch(tuple(records), end)
-
-
-def _unpack_record(body: bytes) -> KeyedRecord:
-    """Splits a record into key and value; no value drops the key."""
-    key_end = 1 + body[0] if body else 0
-    if not body or key_end > len(body):
-        return KeyedRecord("", b"")
-    key = body[1:key_end].decode(errors="replace")
-    return KeyedRecord(key, body[key_end:] or None)
-
-
-def _pack_record(key: str, value: bytes) -> bytes:
-    packed_key = key.encode()
-    content = bytes([len(packed_key)]) + packed_key + value
-    return _LENGTH.pack(len(content)) + content
--- a/tests/test_platform/test_platform_follower.py
+++ b/tests/test_platform/test_platform_follower.py
@@ -13,7 +13,7 @@
 from cicadacourse.metrics import Metrics
 from cicadacourse.platform import StoreSettings
 from cicadacourse.platform._follower import TopicFollower, TopicListener
-from cicadacourse.platform._store import KeyedBatch, KeyedRecord
+from cicadacourse.platform._records import KeyedBatch, KeyedRecord
 from cicadacourse.util.clock import now
 
 WAIT_S = 1.5
