--- a/cicadacourse/load/_service.py
+++ b/cicadacourse/load/_service.py
@@ -185,7 +185,7 @@
             return
         datagram = self.make_datagram()
         own = self.app.get("membership").self_member()
-        receivers = choose_receivers(own, others)
+        receivers = choose_receivers(own, others, datagram.sequence)
         for member in receivers.direct:
             self._send(datagram.pack(), member)
         relayed = attrs.evolve(datagram, is_relayed=True).pack()
