--- a/cicadacourse/placement/_service.py
+++ b/cicadacourse/placement/_service.py
@@ -40,8 +40,8 @@
 RETRY_AFTER_NO_ENDPOINT_S = 1.0
 # A stream of usual length frees its slot within about this time.
 RETRY_AFTER_FULL_S = 0.5
-# While long prompts wait, engines get through their reading without any event here.
-# Instances look at unlike times, so that two seldom choose the same engines at once.
+# Long prompts that wait are looked at this often and not when the load changes, which
+# all instances hear at once: at unlike times two seldom choose the same engines.
 RECHECK_S = (0.02, 0.06)
 # Timers may fire early by the clock's resolution.
 TIMER_SLACK_S = 0.002
@@ -93,6 +93,7 @@
                 if await self._is_kept(waiter, placement):
                     yield result
                     return
+            await asyncio.sleep(random.uniform(*RECHECK_S))
 
     async def _find(self, waiter: Waiter, pool: Pool) -> Result[Placement, Error]:
         """Returns a place as soon as it is the waiter's turn and there is one."""
@@ -231,10 +232,10 @@
         """Looks for places once, however much has changed in this turn."""
         if len(self._queue) and not self._is_scheduled:
             self._is_scheduled = True
-            asyncio.get_running_loop().call_soon(self._place_waiters)
+            asyncio.get_running_loop().call_soon(self._place_scheduled)
 
     def _recheck_later(self) -> None:
-        """Looks for places again soon, as long as a long prompt waits."""
+        """Looks for places for long prompts again soon, as long as one waits."""
         if self._recheck is None and self._queue.has_long():
             delay_s = random.uniform(*RECHECK_S)
             self._recheck = asyncio.get_running_loop().call_later(
@@ -243,14 +244,20 @@
 
     def _on_recheck(self) -> None:
         self._recheck = None
-        self._schedule()
+        self._place_first(is_long=True)
         self._recheck_later()
 
-    def _place_waiters(self) -> None:
-        """Gives the first waiter that fits a place; its run then calls again."""
+    def _place_scheduled(self) -> None:
+        """Gives a place to the first short request that fits; its run calls again."""
         self._is_scheduled = False
+        self._place_first(is_long=False)
+
+    def _place_first(self, is_long: bool) -> None:
+        """Gives a place to the first waiter of a line that fits."""
         candidates_by_pool: dict[str, list[Candidate]] = {}
         for waiter in self._queue:
+            if waiter.is_long != is_long:
+                continue
             pool = self._find_pool(waiter.need.pool)
             if pool is None:
                 continue
