Hear an instance that started anew though its clock went back

Reports are ordered by the start of their sender, in the time of day, which may jump back by many seconds on the users' platform (clock_step): the reports of an instance that was restarted after such a jump were ignored for 2.8 s, so that others placed requests as if it did nothing. Found by reading. A report of another start now counts as later if the former start has told nothing for 0.3 s; the former start itself is never heard again. Test seen failing first.

--- a/cicadacourse/load/_inbox.py
+++ b/cicadacourse/load/_inbox.py
@@ -12,15 +12,20 @@
 from cicadacourse.load._reports import to_run
 from cicadacourse.peers import MalformedMessage
 
+# A process takes longer to start anew, and a datagram less to arrive.
+MIN_RESTART_S = 0.3
+
 
 @attrs.define
 class _Sender:
     """The last report of one instance.
 
+    :ivar former_start_ms: the start before the one that it bears, 0 if unknown.
     :ivar body: the report while nobody has read it, else None.
     """
 
     name: str
+    former_start_ms: int = 0
     started_ms: int = 0
     sequence: int = 0
     heard_at: float = 0.0
@@ -61,6 +66,8 @@
         if sender.body is None:
             self._unread.append(sender)
         sender.body = datagram.body
+        if sender.started_ms != datagram.started_ms:
+            sender.former_start_ms = sender.started_ms
         sender.started_ms = datagram.started_ms
         sender.sequence = datagram.sequence
         sender.heard_at = at
@@ -92,8 +99,19 @@
         known = self._sender_by_hash.get(datagram.sender_hash)
         if known is None or at - known.heard_at > self._expiry_s:
             return True
-        order = (datagram.started_ms, datagram.sequence)
-        return order > (known.started_ms, known.sequence)
+        if datagram.started_ms == known.started_ms:
+            return datagram.sequence > known.sequence
+        return self._is_new_start(datagram, known, at)
+
+    def _is_new_start(self, datagram: Datagram, known: _Sender, at: float) -> bool:
+        """Returns whether a report of another start is of a later one.
+
+        The time of day may have jumped back, but no start follows another this soon.
+        """
+        if datagram.started_ms == known.former_start_ms:
+            return False
+        is_later = datagram.started_ms > known.started_ms
+        return is_later or at - known.heard_at > MIN_RESTART_S
 
     def _sender_of(self, datagram: Datagram) -> _Sender:
         """Returns the record of a report's sender; the first one bears its name."""
--- a/tests/test_load/test_load_sharing.py
+++ b/tests/test_load/test_load_sharing.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import looptime
 import pytest
 
 from cicadacourse.load import LoadBook, LoadShare, Role, Run, choose_receivers
 from cicadacourse.load._datagram import Datagram
+from cicadacourse.load._inbox import Inbox
 from cicadacourse.membership import Member
 from cicadacourse.peers import MalformedMessage
 from tests.test_gateway.test_gateway_histories import make_app
@@ -132,3 +134,17 @@
     share.hear(b"", "test")
     assert share.book.load_of("e", 0.0).writers == (0 if is_first else 1)
     assert share.app.metrics.value("load_reports_refused_total") == 2
+
+
+async def test_an_instance_that_started_anew_is_heard_though_its_clock_went_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The time of day orders starts, and may have jumped back by then."""
+    inbox = Inbox(LoadBook(), "one", expiry_s=2.8, refused=lambda *_: None)
+    former = make_app("other").get("load").make_datagram()
+    monkeypatch.setattr(time, "time", lambda: former.started_ms / 1000 - 2400)
+    anew = make_app("other").get("load").make_datagram()
+    assert inbox.take(former, at=10.0) == "other"
+    assert inbox.take(anew, at=10.01) is None
+    assert inbox.take(anew, at=10.5) == "other"
+    assert inbox.take(former, at=10.51) is None
