--- a/bench/replay.py
+++ b/bench/replay.py
@@ -152,6 +152,15 @@
         return sum(own) / len(own) if own else 1.0
 
 
+@attrs.frozen
+class _Placed:
+    """A choice of engines with its runs, noted in an instance's book."""
+
+    choice: EngineChoice
+    runs: list[Run]
+    numbers: list[int]
+
+
 class _World:
     """Engines, and what each instance believes to be in progress on them."""
 
@@ -190,16 +199,13 @@
         if placed is None:
             self.outcomes.append(Outcome(kind.name, float("inf"), 0.0, False))
             return
-        choice, runs, numbers = placed
         try:
-            await self._run(kind, need, choice, runs, arrived, instance)
+            await self._run(kind, need, placed, arrived, instance)
         finally:
-            self._forget(instance, numbers)
+            self._forget(instance, placed.numbers)
 
-    async def _place(
-        self, need: Need, instance: int
-    ) -> tuple[EngineChoice, list[Run], list[int]] | None:
-        """Returns a choice with its runs, noted under their numbers."""
+    async def _place(self, need: Need, instance: int) -> _Placed | None:
+        """Returns a place, or None if there was none in time."""
         queue = self.queues[instance]
         waiter = queue.make(need, PROFILE, now())
         queue.add(waiter)
@@ -218,7 +224,7 @@
 
     async def _confirm(
         self, need: Need, choice: EngineChoice, instance: int
-    ) -> tuple[EngineChoice, list[Run], list[int]] | None:
+    ) -> _Placed | None:
         """Notes the runs of a choice, unless it must give way to another's."""
         book = self.books[instance]
         runs = list(place_prompt(need, choice).runs)
@@ -229,7 +235,7 @@
             if must_give_way(str(instance), runs, book, now()):
                 self._forget(instance, numbers)
                 return None
-        return choice, runs, numbers
+        return _Placed(choice, runs, numbers)
 
     def _forget(self, instance: int, numbers: Sequence[int]) -> None:
         for number in numbers:
@@ -240,11 +246,11 @@
         self,
         kind: PromptKind,
         need: Need,
-        choice: EngineChoice,
-        runs: Sequence[Run],
+        placed: _Placed,
         arrived: float,
         instance: int,
     ) -> None:
+        choice = placed.choice
         engine = self.engine_by_id[choice.writer.endpoint.id]
         tickets = {plan.endpoint.id: plan.tokens for plan in choice.tickets}
         helpers = []
@@ -258,7 +264,7 @@
         try:
             async for _ in engine.run(need.prompt_tokens, need.output_tokens, helpers):
                 times.append(now())
-                self._note_writing(runs, instance)
+                self._note_writing(placed.runs, instance)
         except EngineRefusal:
             times = []
         finally:
