Take only what others told as read once it should be

Of its own requests an instance knows whether their prompts are read, so a short prompt that an engine has not read for long still closes that engine for parts of others; the slack holds for what other instances told. Tests for both sides.

--- a/bench/replay.py
+++ b/bench/replay.py
@@ -288,7 +288,7 @@
 
     def _tell(self, instance: int) -> None:
         """Lets the other instances hear of one's runs after a delay."""
-        runs = [attrs.evolve(run) for run in self.books[instance].own()]
+        runs = [attrs.evolve(run, is_told=True) for run in self.books[instance].own()]
         loop = asyncio.get_running_loop()
         for other, book in enumerate(self.books):
             if other != instance:
--- a/cicadacourse/load/_model.py
+++ b/cicadacourse/load/_model.py
@@ -34,6 +34,7 @@
     :param read_s: seconds of reading that it brings to the engine.
     :param gap_s: the longest pause that its stream bears, 0 if it is none.
     :param is_read: whether that reading is done.
+    :param is_told: whether another instance told of it, late and perhaps not again.
     """
 
     endpoint: str
@@ -43,6 +44,7 @@
     read_s: float = 0.0
     gap_s: float = 0.0
     is_read: bool = False
+    is_told: bool = False
 
     @property
     def is_part(self) -> bool:
@@ -51,6 +53,8 @@
         return self.role is Role.READ or is_long
 
     def is_unread(self, at: float) -> bool:
-        """Returns whether its reading is probably not yet done at a time."""
+        """Returns whether its reading is not yet done at a time, as far as is known."""
+        if self.is_read or not self.is_told:
+            return not self.is_read
         slack_s = PART_SLACK_S if self.is_part else SHORT_SLACK_S
-        return not self.is_read and at < self.started + self.read_s + slack_s
+        return at < self.started + self.read_s + slack_s
--- a/cicadacourse/load/_reports.py
+++ b/cicadacourse/load/_reports.py
@@ -39,4 +39,5 @@
         read_s=report.read_ms / MS_PER_S,
         gap_s=report.gap_ms / MS_PER_S,
         is_read=report.is_read,
+        is_told=True,
     )
--- a/tests/test_load/test_load_sharing.py
+++ b/tests/test_load/test_load_sharing.py
@@ -148,3 +148,13 @@
     assert inbox.take(anew, at=10.01) is None
     assert inbox.take(anew, at=10.5) == "other"
     assert inbox.take(former, at=10.51) is None
+
+
+@pytest.mark.parametrize(("is_told", "unread"), [(False, 1), (True, 0)])
+def test_only_what_others_told_counts_as_read_once_it_should_be(
+    is_told: bool, unread: int
+) -> None:
+    book = LoadBook()
+    book.add(Run("e", Role.WRITE, started=0.0, read_s=0.02, is_told=is_told))
+    assert book.load_of("e", now=0.1).unread_writers == 1
+    assert book.load_of("e", now=0.3).unread_writers == unread
--- a/tests/test_placement/test_placement_contention.py
+++ b/tests/test_placement/test_placement_contention.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import attrs
 import logbook
 import looptime
 from hypothesis import given
@@ -82,7 +83,8 @@
     None
 ):
     """Replays 80 instances: one prompt gave way 90 times to parts that were overdue."""
-    book = book_of_others({"a": parts([1, 2], read_s=0.1)}, "b")
+    overdue = [attrs.evolve(run, is_told=True) for run in parts([1, 2], read_s=0.1)]
+    book = book_of_others({"a": overdue}, "b")
     runs = parts([1, 3])
     for run in runs:
         run.started = 0.06
