Leave with status 0 when asked twice; bear connections that break while set up

Two restarts overlapped, and the second SIGTERM came after the handlers were taken away. Signals are ignored from then on. Found by reading: an error of the library while a connection is set up ended its task, and calls waited for their time limit; now it counts as a lost connection and is tried again. Whether that was the cause isn't shown: open. A task that fails is logged with its error, and the soak shows whole lines.

--- a/cicadacourse/cmd/_signals.py
+++ b/cicadacourse/cmd/_signals.py
@@ -12,7 +12,11 @@
 
 @contextlib.contextmanager
 def termination() -> Iterator[asyncio.Event]:
-    """Yields an event that SIGTERM or SIGINT sets."""
+    """Yields an event that SIGTERM or SIGINT sets.
+
+    Afterwards the process is about to end, and a further signal must not change its exit
+    status.
+    """
     loop = asyncio.get_running_loop()
     terminated = asyncio.Event()
     for number in STOP_SIGNALS:
@@ -22,3 +26,4 @@
     finally:
         for number in STOP_SIGNALS:
             loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
--- a/cicadacourse/peers/_capnp.py
+++ b/cicadacourse/peers/_capnp.py
@@ -164,7 +164,12 @@
     def _start(self, coroutine: Any) -> None:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._task_ended)
+
+    def _task_ended(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.error("task failed", exc_info=task.exception())
 
 
 def _listening_socket(address: str) -> socket.socket:
--- a/cicadacourse/peers/_connection.py
+++ b/cicadacourse/peers/_connection.py
@@ -68,14 +68,13 @@
         while not self._is_over():
             try:
                 stream = await self._connect()
-            except (OSError, TimeoutError) as error:
+                await self._use(stream)
+                backoff_s = _FIRST_BACKOFF_S
+            except (OSError, TimeoutError, capnp.KjException) as error:
                 self._fail(error)
                 await asyncio.sleep(backoff_s)
                 backoff_s = min(2 * backoff_s, self._settings.reconnect_max_s)
                 self._ready = _silent_future()
-                continue
-            backoff_s = _FIRST_BACKOFF_S
-            await self._use(stream)
 
     async def _connect(self) -> Any:
         host, port = split_address(self.address)
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -22,6 +22,8 @@
 LATE_SLACK_S = 1.0
 # A change is in force, and a key that was taken away is dead, after this long.
 CONFIGURATION_BOUND_S = 5.0
+# Enough of a line to show the exception that it tells of.
+MAX_SHOWN = 1500
 _BROKEN_OUTPUT = ("Traceback", "never retrieved", "was destroyed")
 
 
@@ -127,7 +129,7 @@
             self.broken.append(f"{instance.name} left with status {status}")
         for line in instance.output.read_text(errors="replace").splitlines():
             if any(text in line for text in _BROKEN_OUTPUT):
-                self.broken.append(f"{instance.name} wrote: {line[:200]}")
+                self.broken.append(f"{instance.name} wrote: {line[:MAX_SHOWN]}")
             elif line.startswith("{"):
                 self._check_line(instance, line)
 
--- a/tests/test_peers/test_peers_capnp.py
+++ b/tests/test_peers/test_peers_capnp.py
@@ -170,3 +170,17 @@
         assert bool(no_delay) == bool(protocol)
         writer.close()
         answering.close()
+
+
+async def test_a_connection_that_breaks_while_it_is_set_up_is_tried_again(monkeypatch):
+    make = capnp.TwoPartyClient
+
+    def break_once(*_, **__):
+        monkeypatch.setattr(capnp, "TwoPartyClient", make)
+        raise capnp.KjException("reset while it was set up")
+
+    async with running_pair() as (peers, address):
+        monkeypatch.setattr(capnp, "TwoPartyClient", break_once)
+        result = await peers.call(address, ping(), 3.0)
+        assert "reset while it was set up" in result.failure().detail
+        await call_until_reached(peers, address)
