--- a/cicadacourse/cmd/_signals.py
+++ b/cicadacourse/cmd/_signals.py
@@ -14,8 +14,8 @@
 def termination() -> Iterator[asyncio.Event]:
     """Yields an event that SIGTERM or SIGINT sets.
 
-    Afterwards the process is about to end, and a further signal must not change its exit
-    status.
+    Afterwards the process is about to end, and further signals must not change its
+    exit status.
     """
     loop = asyncio.get_running_loop()
     terminated = asyncio.Event()
