--- a/cicadacourse/membership/_service.py
+++ b/cicadacourse/membership/_service.py
@@ -243,7 +243,13 @@
             if heard.state is not MemberState.ALIVE:
                 self.app.metrics.count(REFUTATIONS)
             self._change_own(incarnation=heard.incarnation + 1)
-            self._prober.announce()
+            if self._is_running:
+                self._prober.announce()
+
+    @property
+    def _is_running(self) -> bool:
+        """Whether it may start tasks; probes still arrive for a while after its end."""
+        return self._last_tick is not None
 
     def _change_own(self, **changes: Any) -> None:
         self._deltas.put(self._own.change(**changes))
--- a/tests/test_membership/test_membership_service.py
+++ b/tests/test_membership/test_membership_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+import attrs
 import logbook
 import pytest
 
@@ -55,6 +56,18 @@
         assert states(cluster, "e3") == {MemberState.DEAD}
 
 
+async def test_a_service_that_has_ended_starts_nothing_when_it_is_suspected():
+    """Replays soak seed 337: calls were begun after the connections had ended."""
+    async with running() as cluster:
+        await asyncio.sleep(20)
+        ended = cluster.get("e3", "membership")
+        await cluster.stop("e3")
+        suspected = attrs.evolve(ended.self_member(), state=MemberState.SUSPECT)
+        ended.hear(suspected)
+        assert ended.self_member().incarnation > suspected.incarnation
+        assert not ended._tasks
+
+
 async def test_what_is_believed_of_a_member_is_logged_with_each_change():
     with logbook.TestHandler() as handler:
         async with running() as cluster:
