--- a/standins/platform/_store.py
+++ b/standins/platform/_store.py
@@ -16,6 +16,8 @@
 _END_AND_FIRST = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
 PAGE_RECORDS = 500
+BYTES_PER_KB = 1024
+DEFAULT_READ_KB = 1024
 OPERATORS_TOPICS = frozenset({"keyed.op", "keyed.servers"})
 
 
@@ -130,10 +132,18 @@
         record = bytes([len(key_bytes)]) + key_bytes + (value or b"")
         self.append(topic, _LENGTH.pack(len(record)) + record, by_system=False)
 
-    async def read(self, topic: str, offset: int, wait_s: float) -> bytes:
+    async def read(
+        self,
+        topic: str,
+        offset: int,
+        wait_s: float,
+        max_bytes: int = DEFAULT_READ_KB * BYTES_PER_KB,
+    ) -> bytes:
         """Returns the end offset, the first offset and the records from an offset.
 
         :param wait_s: the seconds to wait for a record if there is none yet.
+        :param max_bytes: the records of one response have at most this size, except
+            that it always holds the first one.
         :raises Refusal: if the record at the offset is deleted.
         """
         log = self._log_by_topic[topic]
@@ -143,6 +153,9 @@
             await self._wait_for_records(log, offset, wait_s)
         body = _END_AND_FIRST.pack(log.end_offset, log.first_offset)
         for record in log.records[offset - log.first_offset :]:
+            has_record = len(body) > _END_AND_FIRST.size
+            if has_record and len(body) + len(record) > max_bytes:
+                break
             body += _LENGTH.pack(len(record)) + record
         return body
 
--- a/standins/platform/_store_http.py
+++ b/standins/platform/_store_http.py
@@ -6,7 +6,7 @@
 
 from cicadacourse.util.clock import MS_PER_S
 from standins._http import CoreHandler
-from standins.platform._store import StoreCore
+from standins.platform._store import BYTES_PER_KB, DEFAULT_READ_KB, StoreCore
 
 
 class _StoreHandler(CoreHandler):
@@ -46,8 +46,9 @@
     async def get(self) -> None:
         """Responds with the records from an offset as raw bytes."""
         wait_s = int(self.query("waitMs", "0")) / MS_PER_S
+        max_kb = int(self.query("maxKb", str(DEFAULT_READ_KB)))
         body = await self.core.read(
-            self.query("topic"), int(self.query("from")), wait_s
+            self.query("topic"), int(self.query("from")), wait_s, max_kb * BYTES_PER_KB
         )
         self.set_header("Content-Type", "application/octet-stream")
         self.finish(body)
--- a/tests/test_platform/test_platform_store_client.py
+++ b/tests/test_platform/test_platform_store_client.py
@@ -11,6 +11,8 @@
 from cicadacourse.errors import ErrorKind
 from cicadacourse.metrics import Metrics
 from cicadacourse.platform import StoreClient, StoreSettings
+from standins.platform import Fleet
+from standins.ports import next_host
 from tests.scripted_server import Script, scripted_server
 
 TOPIC = "keyed.notes"
@@ -99,3 +101,24 @@
 ) -> None:
     monkeypatch.setattr("cicadacourse.util.http._get_curl_setup", lambda method: None)
     assert await count_appends_on_a_broken_connection() == 2
+
+
+async def test_a_read_that_is_cut_at_its_size_limit_skips_no_record() -> None:
+    """The end offset of a response is the topic's, not that of the records in it.
+
+    An instance that had fallen behind took it for the offset of its next read, and so
+    skipped the newest configurations.
+    """
+    fleet = Fleet(next_host())
+    values = [bytes([number]) * 250_000 for number in range(1, 11)]
+    async with fleet.running(), client_of(fleet.store_address) as store:
+        for value in values:
+            fleet.store.put("keyed.op", "config", value)
+        read: list[bytes | None] = []
+        offset = 0
+        while len(read) < len(values):
+            batch = (await store.read("keyed.op", offset, 0.0)).unwrap()
+            assert batch.records
+            read += [record.value for record in batch.records]
+            offset = batch.end
+        assert read == values
