Store: read on where a response that was cut at its size limit ends

A read of a topic names the topic's end offset; the client took it for the offset of its next read, although a response holds 1,024 KB at most. A registry of more than 1,024 KB would have lost endpoints likewise.

The next read now starts after the records received, at once if the topic goes on; a listener hears that a topic was read only when its end was reached, so a registry that was read in part does not count as read.

--- a/cicadacourse/platform/_follower.py
+++ b/cicadacourse/platform/_follower.py
@@ -41,7 +41,10 @@
         """Receives records in the order in which they were appended."""
 
     def on_read(self, end: int) -> None:
-        """Called after each read with the offset reached, also without new records."""
+        """Called when the topic was read to its end, also without new records.
+
+        :param end: the offset reached.
+        """
 
     def on_recovered(self) -> None:
         """Called when a read succeeds again after a failure."""
@@ -86,7 +89,8 @@
                     backoff_s = FIRST_BACKOFF_S
                     self._record_success()
                     self._apply(batch)
-                    self._last_delay_s = self.delay_s if batch.records else 0.0
+                    is_paced = batch.records and not batch.has_more
+                    self._last_delay_s = self.delay_s if is_paced else 0.0
                     await asyncio.sleep(self._last_delay_s)
                 case Failure(error):
                     self._record_failure(error.detail)
@@ -125,7 +129,8 @@
         elif batch.records:
             self.listener.on_records(batch.records)
         self._offset = batch.end
-        self.listener.on_read(batch.end)
+        if not batch.has_more:
+            self.listener.on_read(batch.end)
 
     def _record_success(self) -> None:
         self.metrics.set(STORE_REACHABLE, 1, topic=self.topic)
--- a/cicadacourse/platform/_records.py
+++ b/cicadacourse/platform/_records.py
@@ -31,11 +31,14 @@
     :param records: in the order in which they were appended, if they are consecutive.
     :param end: the offset at which the next read starts.
     :param is_trimmed: whether records were deleted before they were read.
+    :param has_more: whether the topic goes on after ``end``, as the store bounds the
+        size of a response.
     """
 
     records: tuple[KeyedRecord, ...]
     end: int
     is_trimmed: bool = False
+    has_more: bool = False
 
 
 @attrs.frozen
@@ -64,16 +67,21 @@
     return Page(records, int(page["end"]), bool(page["hasMore"]) and bool(records))
 
 
-def parse_batch(body: bytes) -> KeyedBatch:
-    """Parses a batch: the end offset, the first kept offset, length-prefixed records.
+def parse_batch(body: bytes, offset: int) -> KeyedBatch:
+    """Parses a batch: the topic's end offset, its first one, length-prefixed records.
 
-    >>> parse_batch(bytes(7) + b"\\x02" + bytes(8) + b"\\x00\\x00\\x00\\x03\\x01ab")
-    KeyedBatch(records=(KeyedRecord(key='a', value=b'b'),), end=2, is_trimmed=False)
+    The topic may go on after the records of the batch.
 
+    >>> record = b"\\x00\\x00\\x00\\x03\\x01ab"
+    >>> batch = parse_batch(bytes(7) + b"\\x09" + bytes(8) + record, offset=4)
+    >>> batch.records, batch.end, batch.has_more
+    ((KeyedRecord(key='a', value=b'b'),), 5, True)
+
+    :param offset: the offset of the first record.
     :raises ValueError: if a record is truncated; struct.error if an offset or a length
         is.
     """
-    end, _ = _ENDS.unpack_from(body)
+    topic_end, _ = _ENDS.unpack_from(body)
     position = _ENDS.size
     records = []
     while position < len(body):
@@ -83,7 +91,8 @@
             raise ValueError("a record is truncated")
         records.append(_unpack_record(body[position : position + length]))
         position += length
-    return KeyedBatch(tuple(records), end)
+    end = offset + len(records)
+    return KeyedBatch(tuple(records), end, has_more=end < topic_end)
 
 
 def _unpack_record(body: bytes) -> KeyedRecord:
--- a/cicadacourse/platform/_store.py
+++ b/cicadacourse/platform/_store.py
@@ -80,7 +80,9 @@
             case Success(response) if response.status == _GONE:
                 return Success(KeyedBatch((), offset, is_trimmed=True))
             case Success(response):
-                return self._parse(PATH_READ, response, parse_batch)
+                return self._parse(
+                    PATH_READ, response, lambda body: parse_batch(body, offset)
+                )
             case failure:
                 return failure
 
