Configuration: know and log how recent the evidence for the version in force is

An instance now keeps evidence by version: its own reads of the topic to its end, as of the time when the read began (a long poll without records: as of the end of its wait), and the other instances' load reports, which carry the age of their evidence. Reads of the configuration end at least every 0.35 of the bound for superseded configurations (option superseded_bound_ms, from the platform's configApplyMs), and an instance whose evidence is older than 0.65 of it reads for itself, also if its neighbours' reads of the registry are recent. 'configuration superseded' is logged when a newer version is heard of, and 'request refused' has the version in force, the newest one known and the age of the evidence. Decisions do not change yet.

--- a/cicadacourse/catalog/__init__.py
+++ b/cicadacourse/catalog/__init__.py
@@ -2,6 +2,7 @@
 
 from cicadacourse.catalog._endpoint import Endpoint, EndpointState
 from cicadacourse.catalog._engine import EngineProfile
+from cicadacourse.catalog._freshness import ConfigurationFreshness
 from cicadacourse.catalog._model import (
     CallerLimits,
     Catalog,
@@ -13,11 +14,14 @@
 )
 from cicadacourse.catalog._registry import EndpointRegistry
 from cicadacourse.catalog._service import CatalogService
+from cicadacourse.catalog._settings import CatalogSettings
 
 __all__ = [
     "CallerLimits",
     "Catalog",
     "CatalogService",
+    "CatalogSettings",
+    "ConfigurationFreshness",
     "Endpoint",
     "EndpointState",
     "EngineProfile",
--- a/cicadacourse/catalog/_service.py
+++ b/cicadacourse/catalog/_service.py
@@ -6,23 +6,28 @@
 import contextlib
 
 from cicadacourse.application import SERVICES, Application, Service
+from cicadacourse.catalog._freshness import NEVER, ConfigurationFreshness
 from cicadacourse.catalog._model import Catalog
 from cicadacourse.catalog._registry import EndpointRegistry
-from cicadacourse.events import CATALOG_CHANGED
-from cicadacourse.logs import CONFIGURATION_IN_FORCE, log
+from cicadacourse.catalog._settings import CatalogSettings
+from cicadacourse.events import (
+    CATALOG_CHANGED,
+    CATALOG_CONFIRMED,
+    CATALOG_VERSION_RECEIVED,
+)
+from cicadacourse.logs import CONFIGURATION_IN_FORCE, CONFIGURATION_SUPERSEDED, log
 from cicadacourse.metrics import declare
 from cicadacourse.util.clock import now
 
 VERSION = declare("catalog_version", "Version of the configuration in force.")
 
-NEVER = float("-inf")
-
 
 @SERVICES.register("catalog")
 class CatalogService(Service):
     """Holds the catalogue and the registry; the platform's adapter updates both.
 
     :ivar catalog: the newest version received, or None before the first.
+    :ivar freshness: how recent the evidence is that it is the newest one.
     :ivar registry: the registered endpoints.
     :ivar registry_offset: the offset in the registry's log as of its last change.
     :ivar registry_read_at: when this instance last read the registry itself, loop time
@@ -35,12 +40,16 @@
     def __init__(self, app: Application) -> None:
         super().__init__(app)
         self.catalog: Catalog | None = None
+        settings = app.settings.get(CatalogSettings)
+        self.freshness = ConfigurationFreshness(settings.superseded_bound_s)
         self.registry = EndpointRegistry()
         self.registry_offset = 0
         self.registry_read_at = NEVER
         self.in_force_since = 0.0
         self._is_registry_known = False
         self._both_known = asyncio.Event()
+        app.events.connect(CATALOG_VERSION_RECEIVED, self._hear_of)
+        app.events.connect(CATALOG_CONFIRMED, self._confirm)
 
     @property
     def is_known(self) -> bool:
@@ -69,6 +78,28 @@
         if self.catalog is not None and self._is_registry_known:
             self._both_known.set()
 
+    def _hear_of(self, instance: str, version: int) -> None:
+        """Records that another instance has a version in force."""
+        if self.freshness.hear_of(version, now()):
+            log(
+                CONFIGURATION_SUPERSEDED,
+                version=self.freshness.version,
+                newer=version,
+                source=instance,
+            )
+
+    def _confirm(self, version: int, age_s: float) -> None:
+        """Records that no newer version existed some seconds ago."""
+        self.freshness.confirm(version, now() - age_s, now())
+
+    def confirm_in_force(self, at_s: float) -> None:
+        """Records that the version in force was the newest one at some time.
+
+        :param at_s: loop time in seconds.
+        """
+        if self.catalog is not None:
+            self.freshness.confirm(self.catalog.version, at_s, now())
+
     def apply_if_newer(self, catalog: Catalog, source: str) -> bool:
         """Puts a version in force if it is newer; returns whether it was.
 
@@ -78,6 +109,7 @@
             return False
         self.catalog = catalog
         self.in_force_since = now()
+        self.freshness.put_in_force(catalog.version, now())
         self.app.metrics.set(VERSION, catalog.version)
         log(
             CONFIGURATION_IN_FORCE,
--- a/cicadacourse/events.py
+++ b/cicadacourse/events.py
@@ -21,6 +21,8 @@
 LOAD_CHANGED = "load-changed"
 # The reporting instance's name, and the version in force on it.
 CATALOG_VERSION_RECEIVED = "catalog-version-received"
+# A version, and how many seconds ago it was surely the newest one.
+CATALOG_CONFIRMED = "catalog-confirmed"
 # The reporting instance's name, its offset in the registry, and how many seconds ago it
 # last read the registry.
 REGISTRY_OFFSET_RECEIVED = "registry-offset-received"
@@ -33,6 +35,7 @@
         CATALOG_CHANGED,
         ENDPOINT_CHANGED,
         LOAD_CHANGED,
+        CATALOG_CONFIRMED,
         CATALOG_VERSION_RECEIVED,
         REGISTRY_OFFSET_RECEIVED,
         RESUMED_AFTER_PAUSE,
--- a/cicadacourse/gateway/_service.py
+++ b/cicadacourse/gateway/_service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 
 from returns.result import Failure, Success
 
@@ -10,7 +11,11 @@
 from cicadacourse.catalog import CatalogService
 from cicadacourse.errors import Error
 from cicadacourse.exchange import CallerRequest, EndpointClient, Reply
-from cicadacourse.gateway._admission import AdmittedRequest, admit, size_class
+from cicadacourse.gateway._admission import (
+    AdmittedRequest,
+    admit,
+    size_class,
+)
 from cicadacourse.gateway._attempts import Attempts
 from cicadacourse.gateway._forward import Forwarder
 from cicadacourse.gateway._settings import (
@@ -121,6 +126,7 @@
 
     async def _refuse(self, request: CallerRequest, reply: Reply, error: Error) -> None:
         self.app.metrics.count(REFUSALS, reason=error.label)
+        freshness = self.app.get("catalog").freshness
         log(
             REQUEST_REFUSED,
             request=request.id,
@@ -129,5 +135,14 @@
             detail=error.detail,
             retry_after_s=error.retry_after_s,
             age_s=round(now() - request.arrived, 4),
+            configuration=freshness.version,
+            newest_configuration=freshness.newest_version,
+            confirmed_age_s=_finite_age_s(freshness.confirmed_at),
         )
         await reply.refuse(error)
+
+
+def _finite_age_s(at_s: float) -> float | None:
+    """Returns the seconds since a loop time, None if that is never."""
+    age_s = now() - at_s
+    return round(age_s, 1) if math.isfinite(age_s) else None
--- a/cicadacourse/load/_datagram.py
+++ b/cicadacourse/load/_datagram.py
@@ -16,6 +16,12 @@
 from cicadacourse.peers import MalformedMessage
 
 _FRAME = struct.Struct(">BQQQQQI")
+_CONFIGURATION_AGE = struct.Struct(">I")
+# Bits of the first byte. Instances of earlier releases send no configuration age.
+_RELAYED = 1
+_HAS_CONFIGURATION_AGE = 2
+# Stands for an age that is not known.
+UNKNOWN_AGE_MS = 2**32 - 1
 
 
 @attrs.frozen
@@ -31,6 +37,8 @@
     :param registry_offset: offset of the last registry change that the sender knows.
     :param store_age_ms: milliseconds since the sender itself read the registry.
     :param body: the encoded report.
+    :param configuration_age_ms: milliseconds since the sender knew that no version was
+        newer than ``catalog_version``.
     """
 
     is_relayed: bool
@@ -41,6 +49,7 @@
     registry_offset: int
     store_age_ms: int
     body: bytes
+    configuration_age_ms: int = UNKNOWN_AGE_MS
 
     def pack(self) -> bytes:
         """Returns the bytes of the datagram.
@@ -48,8 +57,9 @@
         >>> Datagram.unpack(Datagram(True, 1, 2, 3, 4, 5, 6, b"x").pack()).sequence
         3
         """
+        flags = _HAS_CONFIGURATION_AGE | (_RELAYED if self.is_relayed else 0)
         frame = _FRAME.pack(
-            self.is_relayed,
+            flags,
             self.sender_hash,
             self.started_ms,
             self.sequence,
@@ -57,7 +67,7 @@
             self.registry_offset,
             self.store_age_ms,
         )
-        return frame + self.body
+        return frame + _CONFIGURATION_AGE.pack(self.configuration_age_ms) + self.body
 
     @classmethod
     def unpack(cls, data: bytes) -> Datagram:
@@ -67,8 +77,15 @@
         """
         if len(data) < _FRAME.size:
             raise MalformedMessage("a datagram is too short")
-        is_relayed, *fields = _FRAME.unpack_from(data)
-        return cls(bool(is_relayed), *fields, data[_FRAME.size :])
+        flags, *fields = _FRAME.unpack_from(data)
+        is_relayed = bool(flags & _RELAYED)
+        rest = data[_FRAME.size :]
+        if not flags & _HAS_CONFIGURATION_AGE:
+            return cls(is_relayed, *fields, rest)
+        if len(rest) < _CONFIGURATION_AGE.size:
+            raise MalformedMessage("a datagram is too short")
+        (age_ms,) = _CONFIGURATION_AGE.unpack_from(rest)
+        return cls(is_relayed, *fields, rest[_CONFIGURATION_AGE.size :], age_ms)
 
 
 def hash_of(name: str) -> int:
--- a/cicadacourse/load/_service.py
+++ b/cicadacourse/load/_service.py
@@ -17,13 +17,14 @@
 from cicadacourse.catalog import CatalogService
 from cicadacourse.config import InstanceSettings
 from cicadacourse.events import (
+    CATALOG_CONFIRMED,
     CATALOG_VERSION_RECEIVED,
     LOAD_CHANGED,
     MEMBER_LEFT,
     REGISTRY_OFFSET_RECEIVED,
 )
 from cicadacourse.load._codec import encode_report
-from cicadacourse.load._datagram import Datagram, hash_of
+from cicadacourse.load._datagram import UNKNOWN_AGE_MS, Datagram, hash_of
 from cicadacourse.load._inbox import Inbox
 from cicadacourse.load._messages import LoadReport
 from cicadacourse.load._model import Assignment
@@ -149,6 +150,9 @@
         """Emits events that say how fresh a sender's configuration and registry are."""
         events = self.app.events
         events.emit(CATALOG_VERSION_RECEIVED, sender, datagram.catalog_version)
+        if datagram.configuration_age_ms != UNKNOWN_AGE_MS:
+            age_s = datagram.configuration_age_ms / MS_PER_S
+            events.emit(CATALOG_CONFIRMED, datagram.catalog_version, age_s)
         age_s = datagram.store_age_ms / MS_PER_S
         events.emit(REGISTRY_OFFSET_RECEIVED, sender, datagram.registry_offset, age_s)
 
@@ -235,6 +239,9 @@
             body=encode_report(
                 LoadReport(sender=self._instance.name, runs=assignments)
             ),
+            configuration_age_ms=to_ms(
+                now_s - catalog_service.freshness.confirmed_at, UNKNOWN_AGE_MS
+            ),
         )
 
     def _remove_expired(self) -> None:
--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -84,6 +84,12 @@
     "configuration in force",
     "`version` is in force from now on; `source` is the store or an instance.",
 )
+CONFIGURATION_SUPERSEDED = _declare(
+    "catalog",
+    "configuration superseded",
+    "The instance `source` has the version `newer`; `version` is in force here until"
+    " the newer one arrives.",
+)
 CONFIGURATION_REFUSED = _declare(
     "catalog",
     "configuration refused",
@@ -231,7 +237,9 @@
     "gateway",
     "request refused",
     "The caller received `status`, `reason` and, if set, the delay `retry_after_s`"
-    " before a retry.",
+    " before a retry. `configuration` was in force, `newest_configuration` is the"
+    " newest one that this instance had heard of, and `confirmed_age_s` is the time"
+    " since it knew that there was no newer one.",
     True,
 )
 STREAM_ABORTED = _declare(
--- a/cicadacourse/platform/_feed.py
+++ b/cicadacourse/platform/_feed.py
@@ -23,6 +23,13 @@
 from cicadacourse.platform._registry import decode_endpoint
 from cicadacourse.platform._settings import StoreSettings
 from cicadacourse.platform._store import Store
+from cicadacourse.util.clock import now
+
+# Shares of the bound for superseded configurations. Reads of the configuration end at
+# least this often, so that an instance knows that it has the newest one.
+CONFIGURATION_LONG_POLL_SHARE = 0.35
+# An instance whose evidence of that is older reads the configuration itself.
+MAX_CONFIRMATION_AGE_SHARE = 0.65
 
 
 class ConfigurationListener(TopicListener):
@@ -32,7 +39,8 @@
         from the store; None if there is none.
     """
 
-    def __init__(self, catalog_service: CatalogService) -> None:
+    def __init__(self, app: Application, catalog_service: CatalogService) -> None:
+        self._app = app
         self._catalog_service = catalog_service
         self.value: bytes | None = None
 
@@ -46,6 +54,11 @@
             if record.key == KEY_CONFIGURATION and record.value is not None:
                 self.apply(record.value, "store")
 
+    def on_read(self, end: int, as_of: float) -> None:
+        """Records that the version in force was the newest one, and reports it."""
+        self._catalog_service.confirm_in_force(as_of)
+        self._app.get("load").notify_change()
+
     def apply(self, value: bytes, source: str) -> None:
         """Decodes one version and puts it in force if it is newer.
 
@@ -83,7 +96,7 @@
             else:
                 self._apply(record.key, record.value)
 
-    def on_read(self, end: int) -> None:
+    def on_read(self, end: int, as_of: float) -> None:
         """Records up to which offset the registry was read."""
         self._registry_feed.record_read(end)
 
@@ -108,15 +121,19 @@
         catalog_service: CatalogService = app.get("catalog")
         store: Store = app.get("store")
         self.read_delegation = ReadDelegation(settings.delegate_age_s)
-        self._configuration = ConfigurationListener(catalog_service)
+        self._configuration = ConfigurationListener(app, catalog_service)
+        self._freshness = catalog_service.freshness
         self._registry_feed = RegistryFeed(app, catalog_service, settings.lapse_hold_s)
         self._configuration_follower = TopicFollower(
             store,
             TOPIC_CONFIGURATION,
             self._configuration,
             app.metrics,
-            wait_s=settings.configuration_wait_s,
-            is_store_reader=self.is_store_reader,
+            wait_s=min(
+                settings.configuration_wait_s,
+                CONFIGURATION_LONG_POLL_SHARE * self._freshness.bound_s,
+            ),
+            is_store_reader=self._is_configuration_reader,
         )
         self._registry_follower = TopicFollower(
             store,
@@ -140,6 +157,15 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _is_configuration_reader(self) -> bool:
+        """Returns whether this instance reads the configuration from the store now.
+
+        It does if the neighbours that should read it have not confirmed it lately.
+        """
+        age_s = now() - self._freshness.confirmed_at
+        max_age_s = MAX_CONFIRMATION_AGE_SHARE * self._freshness.bound_s
+        return age_s > max_age_s or self.is_store_reader()
+
     @property
     def configuration(self) -> bytes | None:
         """The bytes of the version in force, None if there is none."""
--- a/cicadacourse/platform/_follower.py
+++ b/cicadacourse/platform/_follower.py
@@ -40,10 +40,12 @@
     def on_records(self, records: Sequence[KeyedRecord]) -> None:
         """Receives records in the order in which they were appended."""
 
-    def on_read(self, end: int) -> None:
+    def on_read(self, end: int, as_of: float) -> None:
         """Called when the topic was read to its end, also without new records.
 
         :param end: the offset reached.
+        :param as_of: the time at which the topic surely ended there, loop time in
+            seconds. The response may have been in transit since.
         """
 
     def on_recovered(self) -> None:
@@ -76,6 +78,7 @@
     _snapshot_timeout_s: float = FIRST_SNAPSHOT_TIMEOUT_S
     _last_delay_s: float = 0.0
     _is_snapshot_read: bool = True
+    _read_started_at: float = 0.0
 
     async def run(self) -> None:
         """Follows the topic until it is cancelled."""
@@ -109,6 +112,7 @@
         )
 
     async def _read_next(self) -> Result[KeyedBatch, Error]:
+        self._read_started_at = now()
         # Decided before the read, as ``advance_to`` may set the offset during it.
         self._is_snapshot_read = self._offset is None
         if self._offset is None:
@@ -116,8 +120,7 @@
             self._snapshot_timeout_s = SNAPSHOT_TIMEOUT_GROWTH * timeout_s
             return await self.store.read_newest(self.topic, timeout_s)
         self._snapshot_timeout_s = FIRST_SNAPSHOT_TIMEOUT_S
-        wait_s = max(0.0, self.wait_s - self._last_delay_s)
-        return await self.store.read(self.topic, self._offset, wait_s)
+        return await self.store.read(self.topic, self._offset, self._poll_wait_s())
 
     def _apply(self, batch: KeyedBatch) -> None:
         if batch.is_trimmed:
@@ -130,7 +133,19 @@
             self.listener.on_records(batch.records)
         self._offset = batch.end
         if not batch.has_more:
-            self.listener.on_read(batch.end)
+            self.listener.on_read(batch.end, self._as_of(batch))
+
+    def _as_of(self, batch: KeyedBatch) -> float:
+        """Returns a time at which the topic surely ended where the batch does.
+
+        The store holds a long poll without records for the whole wait.
+        """
+        if self._is_snapshot_read or batch.records:
+            return self._read_started_at
+        return min(now(), self._read_started_at + self._poll_wait_s())
+
+    def _poll_wait_s(self) -> float:
+        return max(0.0, self.wait_s - self._last_delay_s)
 
     def _record_success(self) -> None:
         self.metrics.set(STORE_REACHABLE, 1, topic=self.topic)
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -43,9 +43,17 @@
 
 
 def make_instance(
-    fleet: Fleet, name: str, host: str, seeds: tuple[str, ...] = (), domain: str = "a"
+    fleet: Fleet,
+    name: str,
+    host: str,
+    seeds: tuple[str, ...] = (),
+    domain: str = "a",
+    sections: tuple[Any, ...] = (),
 ) -> Instance:
-    """Returns an instance that is not yet running."""
+    """Returns an instance that is not yet running.
+
+    :param sections: further sections of its settings.
+    """
     ports = [free_port(host) for _ in range(4)]
     settings = Settings(
         InstanceSettings(
@@ -72,6 +80,7 @@
         ),
         MembershipSettings(probe_period_s=0.1, sync_period_s=0.3),
         LoadSettings(idle_period_s=0.1),
+        *sections,
     )
     app = Application(settings)
     app.add_services(*SERVICES_IN_ORDER)
--- a/tests/test_load/test_load_sharing.py
+++ b/tests/test_load/test_load_sharing.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import struct
 import time
 
+import attrs
 import looptime
 import pytest
 
 from cicadacourse.load import Assignment, LoadService, LoadTable, Role, choose_receivers
-from cicadacourse.load._datagram import Datagram
+from cicadacourse.load._datagram import UNKNOWN_AGE_MS, Datagram
 from cicadacourse.load._inbox import Inbox
 from cicadacourse.membership import Member
 from cicadacourse.peers import MalformedMessage
@@ -58,6 +60,16 @@
         Datagram.unpack(whole[:-1])
 
 
+def test_a_report_of_an_earlier_release_has_no_configuration_age() -> None:
+    """Instances of both releases run side by side while a release is rolled out."""
+    earlier = struct.pack(">BQQQQQI", 1, 2, 3, 4, 5, 6, 7) + b"body"
+    datagram = Datagram.unpack(earlier)
+    assert (datagram.is_relayed, datagram.body) == (True, b"body")
+    assert datagram.configuration_age_ms == UNKNOWN_AGE_MS
+    aged = attrs.evolve(datagram, configuration_age_ms=1500)
+    assert Datagram.unpack(aged.pack()) == aged
+
+
 def test_the_latest_report_replaces_an_instances_assignments() -> None:
     table = LoadTable()
     assignment = Assignment("e", Role.DECODE, started=0.0, context_tokens=10, gap_s=0.2)
