Never deny a request by a configuration that may be out of date, nor serve by one long superseded

Cause: admission took the version in force for the truth, whatever its age. Instances that the store ignored, or whose links were full, held versions up to 33 versions and 13 s old (front-dk-east-c-19: version 22, 9.0 s old, while 48 was in force), knew from reports that newer ones existed, and answered 404 or 401 within 0.4 ms. The evidence: 'configuration' and 'configuration_age_s' of the request sent lines beside the refusals, and the routes refused, which came with versions that they had not yet. Such answers are final: callers don't repeat a 401 or 404.

Now a denial (401, 404, 413, 431) needs evidence, from within 0.8 of the bound for superseded configurations, that no newer version existed; and no newer one may be known. A request that lacks this waits up to 0.4 s for the newer version or for evidence, then gets 503 with Retry-After 0.3 s, reason configuration_superseded, and goes to another instance. Requests that the version allows are served, as the store may be down for all, until a newer one has been known for half of the bound; then they get the same 503, and the instance is not ready.

--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -7,7 +7,14 @@
 import attrs
 from returns.result import Failure, Result, Success
 
-from cicadacourse.catalog import CallerLimits, Catalog, Organisation, Route, RouteKind
+from cicadacourse.catalog import (
+    CallerLimits,
+    Catalog,
+    ConfigurationFreshness,
+    Organisation,
+    Route,
+    RouteKind,
+)
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.exchange import CallerRequest, Prompt
 from cicadacourse.placement import PlacementRequest
@@ -34,6 +41,18 @@
 # In most cases an instance receives its first configuration within this time of its
 # start.
 RETRY_AFTER_NOT_READY_S = 1.5
+# Most instances have the newest configuration, so another one can decide at once.
+RETRY_AFTER_SUPERSEDED_S = 0.3
+REASON_SUPERSEDED = "configuration_superseded"
+# The errors by which a configuration denies a request for good.
+DENIALS = frozenset(
+    {
+        ErrorKind.UNKNOWN_ROUTE,
+        ErrorKind.UNKNOWN_KEY,
+        ErrorKind.TOO_LARGE,
+        ErrorKind.HEADERS_TOO_LARGE,
+    }
+)
 
 
 @attrs.frozen
@@ -165,6 +184,33 @@
     )
 
 
+def may_decide(
+    result: Result[AdmittedRequest, Error],
+    freshness: ConfigurationFreshness,
+    now_s: float,
+) -> bool:
+    """Returns whether the configuration is recent enough for a result of :func:`admit`.
+
+    :param now_s: the present, loop time in seconds.
+    """
+    match result:
+        case Failure(error) if error.kind in DENIALS:
+            return freshness.may_deny(now_s)
+        case Success(_):
+            return freshness.may_serve(now_s)
+    return True
+
+
+def superseded_error(freshness: ConfigurationFreshness) -> Error:
+    """Returns the error of a request on which the configuration may not decide."""
+    return Error(
+        ErrorKind.NOT_READY,
+        f"version {freshness.version} of the configuration may be out of date",
+        reason=REASON_SUPERSEDED,
+        retry_after_s=RETRY_AFTER_SUPERSEDED_S,
+    )
+
+
 def _check_size(request: CallerRequest, limits: CallerLimits) -> Error | None:
     """Returns an error if the headers or the body exceed the limits, else None."""
     if request.header_bytes > limits.max_header_bytes:
--- a/cicadacourse/gateway/_service.py
+++ b/cicadacourse/gateway/_service.py
@@ -5,7 +5,7 @@
 import asyncio
 import math
 
-from returns.result import Failure, Success
+from returns.result import Failure, Result, Success
 
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.catalog import CatalogService
@@ -14,7 +14,9 @@
 from cicadacourse.gateway._admission import (
     AdmittedRequest,
     admit,
+    may_decide,
     size_class,
+    superseded_error,
 )
 from cicadacourse.gateway._attempts import Attempts
 from cicadacourse.gateway._forward import Forwarder
@@ -33,6 +35,9 @@
 # How long a request waits for the first configuration and registry. In most cases a
 # starting instance has both within this time.
 MAX_START_WAIT_S = 1.2
+# How long a request waits for a newer configuration if the one in force may be out of
+# date. A newer one or evidence that there is none mostly arrives within this time.
+MAX_NEWS_WAIT_S = 0.4
 
 
 @SERVICES.register("gateway")
@@ -58,14 +63,29 @@
 
     async def handle(self, request: CallerRequest, reply: Reply) -> None:
         """Serves one request; returns when its response has been written."""
-        catalog_service: CatalogService = self.app.get("catalog")
-        is_known = await catalog_service.wait_until_known(MAX_START_WAIT_S)
-        match admit(request, catalog_service.catalog if is_known else None):
+        match await self._admit(request):
             case Failure(error):
                 await self._refuse(request, reply, error)
             case Success(admitted):
                 await self._serve(admitted, reply)
 
+    async def _admit(self, request: CallerRequest) -> Result[AdmittedRequest, Error]:
+        """Admits a request by a configuration that is recent enough to decide on it.
+
+        Waits for a short time if the one in force is not.
+        """
+        catalog_service: CatalogService = self.app.get("catalog")
+        freshness = catalog_service.freshness
+        if not await catalog_service.wait_until_known(MAX_START_WAIT_S):
+            return admit(request, None)
+        wait_until = now() + MAX_NEWS_WAIT_S
+        result = admit(request, catalog_service.catalog)
+        while not may_decide(result, freshness, now()):
+            if not await freshness.wait_for_news(wait_until - now()):
+                return Failure(superseded_error(freshness))
+            result = admit(request, catalog_service.catalog)
+        return result
+
     async def _serve(self, admitted: AdmittedRequest, reply: Reply) -> None:
         attempts = Attempts(admitted.route)
         client: EndpointClient = self.app.get("endpoint_caller")
--- a/cicadacourse/platform/_probes.py
+++ b/cicadacourse/platform/_probes.py
@@ -12,12 +12,14 @@
 from tornado.httpserver import HTTPServer
 
 from cicadacourse.application import SERVICES, Application, Service
+from cicadacourse.catalog import CatalogService
 from cicadacourse.gateway import PATH_STATUS, get_instance_status
 from cicadacourse.logs import NOT_READY, READY, log
 from cicadacourse.membership import Member, choose_for_callers
 from cicadacourse.platform._names import PATH_READY, PATH_RESOLVE
 from cicadacourse.platform._settings import ListenSettings
 from cicadacourse.util.addresses import split_address
+from cicadacourse.util.clock import now
 
 # Limit of the addresses in the response to a look-up.
 MAX_ADDRESSES = 64
@@ -71,7 +73,12 @@
 
     def is_ready(self) -> bool:
         """Returns whether this instance accepts requests now; logs each change."""
-        ready = self.app.get("catalog").is_known and not self.app.get("gateway").leaving
+        catalog_service: CatalogService = self.app.get("catalog")
+        ready = (
+            catalog_service.is_known
+            and catalog_service.freshness.may_serve(now())
+            and not self.app.get("gateway").leaving
+        )
         if ready != self._was_ready:
             self._was_ready = ready
             log(READY if ready else NOT_READY)
--- a/tests/test_platform/test_platform_freshness.py
+++ b/tests/test_platform/test_platform_freshness.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import pytest
 
+from cicadacourse.catalog import CatalogSettings
 from cicadacourse.events import CATALOG_VERSION_RECEIVED
-from standins.platform import StoreFaults
+from standins.platform import StoreFaults, make_configuration
 from standins.ports import next_host
 from tests.platform_fleet import (
     Caller,
@@ -15,6 +18,10 @@
     running_instance,
 )
 
+SHORT_BOUND = CatalogSettings(superseded_bound_ms=400)
+# Longer than the bound and the reads that were in progress.
+LONGER_THAN_BOUND_S = 0.9
+
 
 def report_newer_version(instance: Instance) -> None:
     """Reports a newer version that the instance can't fetch from anyone."""
@@ -41,3 +48,54 @@
             response = await caller.request(path, key=key)
             assert response.status == 503
             assert float(response.headers["retry-after"]) < 1.0
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"), [("/nowhere/x", "k-acme", 404), ("/book/x", "new", 401)]
+)
+async def test_a_request_is_not_denied_by_an_instance_that_hears_of_no_versions(
+    path: str, key: str, status: int
+) -> None:
+    """An instance that reaches neither the store nor another one may be behind.
+
+    What its version allows is served on: the store may be down for every instance.
+    """
+    async with running_fleet() as fleet:
+        instance = make_instance(fleet, "one", next_host(), sections=(SHORT_BOUND,))
+        async with running_instance(instance):
+            caller = Caller(instance)
+            assert (await caller.request(path, key=key)).status == status
+            fleet.store.faults = StoreFaults(outage="silent")
+            await asyncio.sleep(LONGER_THAN_BOUND_S)
+            assert (await caller.request(path, key=key)).status == 503
+            assert (await caller.request("/book/x")).status == 200
+
+
+async def test_nothing_is_served_by_a_version_that_was_superseded_long_ago() -> None:
+    """Keys that were taken away were served by instances versions behind."""
+    async with running_fleet() as fleet:
+        instance = make_instance(fleet, "one", next_host(), sections=(SHORT_BOUND,))
+        async with running_instance(instance):
+            caller = Caller(instance)
+            fleet.store.faults = StoreFaults(outage="silent")
+            report_newer_version(instance)
+            assert (await caller.request("/book/x")).status == 200
+            await asyncio.sleep(LONGER_THAN_BOUND_S)
+            assert (await caller.request("/book/x")).status == 503
+            assert fleet.count_runs(caller.sent_ids[-1]) == 0
+            assert not instance.app.get("probes").is_ready()
+
+
+async def test_a_denial_waits_for_the_version_that_allows_the_request() -> None:
+    """A request for a new route may reach an instance before the route does."""
+    async with running_fleet() as fleet:
+        instance = make_instance(fleet, "one", next_host())
+        async with running_instance(instance):
+            caller = Caller(instance)
+            fleet.store.faults = StoreFaults(delay_s=0.15)
+            configuration = make_configuration(2)
+            new_route = {**configuration["routes"][1], "pathPrefix": "/new/"}
+            configuration["routes"].append({**new_route, "name": "new"})
+            fleet.configure(configuration)
+            report_newer_version(instance)
+            assert (await caller.request("/new/x")).status == 200
