Config and registry: types of section classes

section() is a dataclass transform, so that mypy knows the constructors of the section classes, and Settings.get() returns an object of the class it is given. mypy had taken it to return the class itself. suggest() takes an iterable of names. The types only; tests/test_config.py passes.

--- a/cicadacourse/config.py
+++ b/cicadacourse/config.py
@@ -4,7 +4,7 @@
 
 import configparser
 import ipaddress
-from typing import Any, Callable, TypeVar
+from typing import Any, Callable, TypeVar, dataclass_transform
 
 import attrs
 from returns.result import Failure, Result, Success
@@ -12,7 +12,7 @@
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.registry import Registry, suggest
 
-S = TypeVar("S", bound=type)
+S = TypeVar("S")
 
 SECTIONS: Registry[type] = Registry("section")
 
@@ -67,14 +67,17 @@
     }
 
 
-def section(name: str) -> Callable[[S], S]:
+@dataclass_transform(kw_only_default=True, frozen_default=True)
+def section(name: str) -> Callable[[type[S]], type[S]]:
     """Returns a decorator that registers a section's class under its name.
 
     The decorator makes it a frozen attrs class, whose fields are the options.
     """
 
-    def decorate(cls: S) -> S:
-        return SECTIONS.register(name)(attrs.frozen(kw_only=True)(cls))
+    def decorate(cls: type[S]) -> type[S]:
+        section_class = attrs.frozen(kw_only=True)(cls)
+        SECTIONS.register(name)(section_class)
+        return section_class
 
     return decorate
 
@@ -249,8 +252,8 @@
     :returns: the settings, or every error found.
     """
     match read_ini(file, text):
-        case Failure(errors):
-            return Failure(errors)
+        case Failure() as failure:
+            return failure
         case Success(texts_by_section):
             pass
     errors: list[Error] = []
--- a/cicadacourse/registry.py
+++ b/cicadacourse/registry.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import difflib
-from typing import Callable, Generic, Iterator, TypeVar
+from typing import Callable, Generic, Iterable, Iterator, TypeVar
 
 T = TypeVar("T")
 
@@ -68,7 +68,7 @@
         return iter(self.names())
 
 
-def suggest(name: str, known: object) -> str:
+def suggest(name: str, known: Iterable[str]) -> str:
     """Returns ``; did you mean …?`` with the most similar known name, or no text."""
     nearest = difflib.get_close_matches(name, list(known), n=1)
     return f"; did you mean {nearest[0]!r}?" if nearest else ""
