Metrics: create histograms apart from counters and gauges

Only a histogram has buckets, which a dictionary of options hid from mypy. aioprometheus declares one type for the values of all kinds of metrics, hence the one ignore: value() is read for counters and gauges, which hold numbers. No behaviour changes.

--- a/cicadacourse/metrics.py
+++ b/cicadacourse/metrics.py
@@ -43,7 +43,8 @@
         if metric is None:
             return 0
         try:
-            return metric.get(labels)
+            # aioprometheus has one type for the values of all kinds of metrics.
+            return metric.get(labels)  # type: ignore[return-value]  # numbers only
         except KeyError:
             return 0
 
@@ -54,16 +55,22 @@
     def _get(self, name: str, cls: type[Metric]) -> Any:
         metric = self._by_name.get(name)
         if metric is None:
-            options = {"buckets": LATENCY_BUCKETS_S} if cls is Histogram else {}
-            metric = cls(
-                f"cicadacourse_{name}",
-                HELP_BY_NAME[name],
-                registry=self._registry,
-                **options,
-            )
+            metric = self._create(name, cls)
             self._by_name[name] = metric
         return metric
 
+    def _create(self, name: str, cls: type[Metric]) -> Metric:
+        full_name = f"cicadacourse_{name}"
+        help_text = HELP_BY_NAME[name]
+        if cls is Histogram:
+            return Histogram(
+                full_name,
+                help_text,
+                registry=self._registry,
+                buckets=LATENCY_BUCKETS_S,
+            )
+        return cls(full_name, help_text, registry=self._registry)
+
 
 HELP_BY_NAME: dict[str, str] = {}
 
