Peers: types of message classes and of the codec

message() is a dataclass transform; without it mypy reported 51 unknown keyword arguments of message classes, in peers, membership, load and feed. The two ignores of the codec pass overrides by field name to cattrs, whose own options mypy takes them for. The base class of the server comes from a schema file that is loaded at run time and has no static type. tests/test_peers passes.

--- a/cicadacourse/peers/_base.py
+++ b/cicadacourse/peers/_base.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import abc
-from typing import Any, Awaitable, Callable, TypeVar
+from typing import Any, Awaitable, Callable, TypeVar, dataclass_transform
 
 import attrs
 from returns.result import Result
@@ -12,7 +12,7 @@
 from cicadacourse.errors import Error
 from cicadacourse.registry import Registry
 
-M = TypeVar("M", bound=type)
+M = TypeVar("M")
 H = TypeVar("H", bound=Callable[..., Awaitable[Any]])
 
 MESSAGES: Registry[type] = Registry("message")
@@ -20,7 +20,8 @@
 _HANDLED_MESSAGE = "_cicadacourse_handled_message"
 
 
-def message(name: str) -> Callable[[M], M]:
+@dataclass_transform(kw_only_default=True, frozen_default=True)
+def message(name: str) -> Callable[[type[M]], type[M]]:
     """Returns a decorator that registers a message and makes it a frozen attrs class.
 
     :param name: the schema file and the struct, such as ``membership.Ping``: the struct
@@ -28,9 +29,10 @@
         in camel case.
     """
 
-    def decorate(cls: M) -> M:
-        message_class = MESSAGES.register(name)(attrs.frozen(kw_only=True)(cls))
-        message_class.message_name = name
+    def decorate(cls: type[M]) -> type[M]:
+        message_class = attrs.frozen(kw_only=True)(cls)
+        MESSAGES.register(name)(message_class)
+        setattr(message_class, "message_name", name)
         return message_class
 
     return decorate
--- a/cicadacourse/peers/_capnp.py
+++ b/cicadacourse/peers/_capnp.py
@@ -35,7 +35,11 @@
 _LISTEN_BACKLOG = 256
 
 
-class _PeerServer(load_schema("common").Peer.Server):
+# The class exists only once the schema file is loaded, so it has no static type.
+_SchemaPeerServer: Any = load_schema("common").Peer.Server
+
+
+class _PeerServer(_SchemaPeerServer):
     """Answers the calls of one connection."""
 
     def __init__(self, peers: CapnpPeers) -> None:
@@ -149,6 +153,7 @@
     async def _serve(self, stream: Any) -> None:
         """Serves one connection of a peer until it ends."""
         task = asyncio.current_task()
+        assert task is not None
         self._tasks.add(task)
         limit_words = self._settings.max_message_bytes // 4
         server = capnp.TwoPartyServer(
--- a/cicadacourse/peers/_codec.py
+++ b/cicadacourse/peers/_codec.py
@@ -11,7 +11,7 @@
 import importlib.resources
 import types
 import typing
-from typing import Any
+from typing import Any, Callable
 
 import attrs
 import capnp
@@ -107,7 +107,9 @@
         field.name: override(rename=_to_camel_case(field.name))
         for field in _fields(cls)
     }
-    convert = make_dict_unstructure_fn(cls, _converter, **renames)
+    convert: Callable[[Any], dict[str, Any]] = make_dict_unstructure_fn(
+        cls, _converter, **renames  # type: ignore[arg-type]  # keys are field names
+    )
     optional_scalars = [
         (_to_camel_case(field.name), _presence_field(field.name))
         for field in _fields(cls)
@@ -129,7 +131,9 @@
         field.name: override(rename=_to_camel_case(field.name))
         for field in _fields(cls)
     }
-    convert = make_dict_structure_fn(cls, _converter, **renames)
+    convert: Callable[[dict[str, Any], type], Any] = make_dict_structure_fn(
+        cls, _converter, **renames  # type: ignore[arg-type]  # keys are field names
+    )
     optional_scalars = [
         (_to_camel_case(field.name), _presence_field(field.name))
         for field in _fields(cls)
--- a/cicadacourse/peers/_dispatch.py
+++ b/cicadacourse/peers/_dispatch.py
@@ -156,7 +156,8 @@
             case Failure(error):
                 return self._refuse(error)
             case Success(reply_frame):
-                return reply_frame
+                pass
+        return reply_frame
 
     async def call(self, request: Any, timeout_s: float) -> Result[Any, Error]:
         """Calls the handler of a message.
