Platform: failures are returned as failures, without another result's type

The publisher and the hand client returned what was not a Success, which mypy types as the result of the call before. It was always a Failure, so behaviour is as before.

--- a/cicadacourse/platform/_caller.py
+++ b/cicadacourse/platform/_caller.py
@@ -103,7 +103,7 @@
             match await self._look_up(spec.host):
                 case Success(addresses):
                     pass
-                case failure:
+                case Failure() as failure:
                     return failure
             attempts += 1
             address = random.choice(addresses)
--- a/cicadacourse/platform/_endpoint_client.py
+++ b/cicadacourse/platform/_endpoint_client.py
@@ -191,7 +191,7 @@
             if isinstance(part, h11.EndOfMessage):
                 self._is_complete = True
                 self._connection.end_exchange(self._keep_alive_s)
-            elif part.data:
+            elif isinstance(part, h11.Data) and part.data:
                 return bytes(part.data)
         return b""
 
--- a/cicadacourse/platform/_publisher.py
+++ b/cicadacourse/platform/_publisher.py
@@ -13,6 +13,7 @@
 from cicadacourse.platform._configuration_reader import decode_configuration
 from cicadacourse.platform._configuration_writer import encode_configuration
 from cicadacourse.platform._names import KEY_CONFIGURATION, TOPIC_CONFIGURATION
+from cicadacourse.platform._records import KeyedBatch
 from cicadacourse.platform._store import StoreClient
 
 
@@ -54,11 +55,12 @@
         :returns: a Failure if the store can't be read or the configuration is invalid.
         """
         match await self._store.read_newest(TOPIC_CONFIGURATION):
-            case Success(batch):
-                values = {item.key: item.value for item in batch.records}
-                return _decode(values.get(KEY_CONFIGURATION), batch.end)
-            case failure:
+            case Success(KeyedBatch() as batch):
+                pass
+            case Failure() as failure:
                 return failure
+        values = {item.key: item.value for item in batch.records}
+        return _decode(values.get(KEY_CONFIGURATION), batch.end)
 
     async def publish(
         self, catalog: Catalog, base_version: int | None
@@ -76,7 +78,7 @@
         match await self.read():
             case Success(StoredConfiguration() as stored):
                 pass
-            case failure:
+            case Failure() as failure:
                 return failure
         in_force = stored.catalog.version
         if in_force and _is_unchanged(catalog, stored):
@@ -92,20 +94,20 @@
         match await self._store.put(
             TOPIC_CONFIGURATION, KEY_CONFIGURATION, value, expected_end=stored.end
         ):
-            case Success(_):
-                return Success(PublishOutcome(catalog.version, has_changed=True))
             case Failure(error) if error.kind is ErrorKind.VERSION_CONFLICT:
                 return await self._read_conflict()
-            case failure:
+            case Failure() as failure:
                 return failure
+        return Success(PublishOutcome(catalog.version, has_changed=True))
 
     async def _read_conflict(self) -> Result[PublishOutcome, Error]:
         """Returns a conflict that names the version in force."""
         match await self.read():
             case Success(StoredConfiguration() as stored):
-                return Failure(_conflict(stored.catalog.version))
-            case failure:
+                pass
+            case Failure() as failure:
                 return failure
+        return Failure(_conflict(stored.catalog.version))
 
 
 def _is_unchanged(catalog: Catalog, stored: StoredConfiguration) -> bool:
@@ -124,7 +126,8 @@
     if value is None:
         return Success(StoredConfiguration(Catalog(version=0), {}, end))
     match decode_configuration(value):
-        case Success(catalog):
-            return Success(StoredConfiguration(catalog, json.loads(value), end))
-        case failure:
+        case Success(Catalog() as catalog):
+            pass
+        case Failure() as failure:
             return failure
+    return Success(StoredConfiguration(catalog, json.loads(value), end))
