Publish command: an exit status on every path

mypy does not see that a Result is a Success or a Failure. The catalogue has its type where it is published. No behaviour changes; tests/test_cmd passes.

--- a/cicadacourse/cmd/publish.py
+++ b/cicadacourse/cmd/publish.py
@@ -115,8 +115,9 @@
         case Failure(errors):
             detail = "; ".join(error.detail for error in errors)
             return _print_error(arguments, Error(ErrorKind.INVALID_TABLES, detail))
-        case Success(catalog):
-            return run_coroutine(_publish(arguments, catalog))
+        case Success(Catalog() as catalog):
+            pass
+    return run_coroutine(_publish(arguments, catalog))
 
 
 def _parse_base(text: str) -> int | str:
