Load: types of a decoded run and of a datagram's frame

The rows that Cap'n Proto reads have a protocol in place of object, and the frame is a tuple of seven integers, so that mypy counts the arguments of a Datagram. No behaviour changes; tests/test_load passes.

--- a/cicadacourse/load/_codec.py
+++ b/cicadacourse/load/_codec.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from typing import Protocol
+
 import capnp
 
 from cicadacourse.load._messages import AssignmentReport, LoadReport
@@ -48,7 +50,19 @@
         raise MalformedMessage("not a load report") from error
 
 
-def _decode_assignment(row: object) -> AssignmentReport:
+class _Run(Protocol):
+    """The struct ``Run`` of the schema, as it is read."""
+
+    endpoint: str
+    role: str
+    contextTokens: int
+    readMs: int
+    gapMs: int
+    ageMs: int
+    isRead: bool
+
+
+def _decode_assignment(row: _Run) -> AssignmentReport:
     if row.role not in _ROLES:
         raise MalformedMessage(f"unknown role {row.role!r:.20}")
     return AssignmentReport(
--- a/cicadacourse/load/_datagram.py
+++ b/cicadacourse/load/_datagram.py
@@ -67,8 +67,8 @@
         """
         if len(data) < _FRAME.size:
             raise MalformedMessage("a datagram is too short")
-        is_relayed, *fields = _FRAME.unpack_from(data)
-        return cls(bool(is_relayed), *fields, data[_FRAME.size :])
+        frame: tuple[int, int, int, int, int, int, int] = _FRAME.unpack_from(data)
+        return cls(bool(frame[0]), *frame[1:], data[_FRAME.size :])
 
 
 def hash_of(name: str) -> int:
