--- a/cicadacourse/platform/_store.py
+++ b/cicadacourse/platform/_store.py
@@ -82,7 +82,7 @@
             case Success(response):
                 return self._parse(PATH_READ, response, parse_batch)
             case failure:
-                return failure
+                return Failure(failure.failure())
 
     async def read_newest(
         self, topic: str, timeout_s: float | None = None
@@ -103,7 +103,7 @@
                 case Success(response):
                     page = self._parse(PATH_NEWEST, response, parse_page)
                 case failure:
-                    return failure
+                    return Failure(failure.failure())
             if isinstance(page, Failure):
                 return page
             current = page.unwrap()
@@ -135,7 +135,7 @@
             case Success(_):
                 return Success(None)
             case failure:
-                return failure
+                return Failure(failure.failure())
 
     async def _call(
         self,
