--- a/cicadacourse/cmd/ask.py
+++ b/cicadacourse/cmd/ask.py
@@ -84,9 +84,9 @@
         case Failure(error):
             print(error.detail, file=sys.stderr)
             return EXIT_ERROR
-        case Success(outcome):
+        case Success(RequestOutcome() as outcome):
             _print(outcome, arguments.json)
-            return _exit_status(outcome)
+    return _exit_status(outcome)
 
 
 def _discard_part(_: bytes) -> None:
