--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 	$(BIN)/black --check -q cicadacourse standins bench soak tests
 	$(BIN)/isort --check -q cicadacourse standins bench soak tests
 	$(BIN)/flake8 cicadacourse standins bench soak tests
+	$(BIN)/mypy
 	$(BIN)/lint-imports --no-cache
 
 format: venv
