--- a/cicadacourse/load/_datagram.py
+++ b/cicadacourse/load/_datagram.py
@@ -77,7 +77,8 @@
         """
         if len(data) < _FRAME.size:
             raise MalformedMessage("a datagram is too short")
-        flags, *fields = _FRAME.unpack_from(data)
+        frame: tuple[int, int, int, int, int, int, int] = _FRAME.unpack_from(data)
+        flags, fields = frame[0], frame[1:]
         is_relayed = bool(flags & _RELAYED)
         rest = data[_FRAME.size :]
         if not flags & _HAS_CONFIGURATION_AGE:
--- a/cicadacourse/platform/_store.py
+++ b/cicadacourse/platform/_store.py
@@ -84,7 +84,7 @@
                     PATH_READ, response, lambda body: parse_batch(body, offset)
                 )
             case failure:
-                return failure
+                return Failure(failure.failure())
 
     async def read_newest(
         self, topic: str, timeout_s: float | None = None
@@ -105,7 +105,7 @@
                 case Success(response):
                     page = self._parse(PATH_NEWEST, response, parse_page)
                 case failure:
-                    return failure
+                    return Failure(failure.failure())
             if isinstance(page, Failure):
                 return page
             current = page.unwrap()
@@ -137,7 +137,7 @@
             case Success(_):
                 return Success(None)
             case failure:
-                return failure
+                return Failure(failure.failure())
 
     async def _call(
         self,
