Log fetches from other instances that fail

An operator could not see why instances stayed versions behind: a fetch that timed out left no line. The new event `fetch failed` names the subject, the source and the reason, at most once a second for each subject and source.

--- a/cicadacourse/feed/_relay.py
+++ b/cicadacourse/feed/_relay.py
@@ -11,7 +11,7 @@
 import random
 from typing import Any, AsyncIterator, Coroutine
 
-from returns.result import Success
+from returns.result import Failure, Success
 
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.catalog import CatalogService, Endpoint, EndpointState
@@ -30,7 +30,7 @@
     FetchRegistry,
     Registry,
 )
-from cicadacourse.logs import REGISTRY_FETCHED, log
+from cicadacourse.logs import FETCH_FAILED, REGISTRY_FETCHED, log
 from cicadacourse.membership import Member
 from cicadacourse.peers import handles
 from cicadacourse.util.clock import now
@@ -42,6 +42,8 @@
 # new version after this delay.
 CROSS_DOMAIN_FETCH_DELAY_S = 0.3
 FETCH_TIMEOUT_S = 0.3
+# An instance that is behind asks others up to many times a second.
+FAILURE_LOG_INTERVAL_S = 1.0
 CONFIGURATION = "configuration"
 REGISTRY = "registry"
 
@@ -58,6 +60,7 @@
         self._catalog_service: CatalogService = app.get("catalog")
         self._version_by_instance: dict[str, int] = {}
         self._task_by_subject: dict[str, asyncio.Task[None]] = {}
+        self._failure_logged_at: dict[tuple[str, str], float] = {}
         app.events.connect(CATALOG_VERSION_RECEIVED, self._version_received)
         app.events.connect(REGISTRY_OFFSET_RECEIVED, self._registry_offset_received)
         app.events.connect(CATALOG_CHANGED, self._configuration_changed)
@@ -138,6 +141,10 @@
         match await self._call(source, request):
             case Success(Configuration(value=value)) if value:
                 self._feed.apply_configuration(value, source.name)
+            case Success(_):
+                self._log_failure(CONFIGURATION, source.name, "the reply is empty")
+            case Failure(error):
+                self._log_failure(CONFIGURATION, source.name, error.detail)
 
     def _configuration_changed(self, version: int) -> None:
         if version >= max(self._version_by_instance.values(), default=0):
@@ -165,6 +172,14 @@
                 log(REGISTRY_FETCHED, source=instance, offset=offset)
                 endpoints = [_to_endpoint(record) for record in records]
                 self._feed.apply_registry(endpoints, offset)
+            case Failure(error):
+                self._log_failure(REGISTRY, instance, error.detail)
+
+    def _log_failure(self, subject: str, source: str, reason: str) -> None:
+        logged_at = self._failure_logged_at.get((subject, source), float("-inf"))
+        if now() - logged_at >= FAILURE_LOG_INTERVAL_S:
+            self._failure_logged_at[subject, source] = now()
+            log(FETCH_FAILED, subject=subject, source=source, reason=reason)
 
     async def _call(self, member: Member, request: Any) -> Any:
         peers = self.app.get("peers")
--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -120,6 +120,13 @@
     "registry fetched",
     "All registry entries were received from the instance `source`.",
 )
+FETCH_FAILED = _declare(
+    "relay",
+    "fetch failed",
+    "The `subject` (configuration or registry) was not received from the instance"
+    " `source` because of `reason`; at most one line a second for each of both.",
+    True,
+)
 STORE_LOST = _declare(
     "store",
     "store lost",
