Send neighbours what changed in a configuration, not all of it

Instances stayed up to 33 versions and 10 s behind on links of 10 Mbit/s and refused proper requests. Each version of 231 KB went whole to some 26 neighbours, 6 to 10 s of the link of the instance that had it first.

FetchConfiguration now carries the version that the asking instance holds, and the reply a delta from it. A version that it does not hold is replaced whole, compressed; a delta that does not apply is logged and the whole is asked for, within 0.6 s, as 262,144 bytes take 0.42 s on a half-busy link. If the whole is larger than 128 KiB, the source sends it only to an instance that asks without a version, since 0.3 s would not do. Replies and requests of the earlier release are still understood.

--- a/cicadacourse/feed/__init__.py
+++ b/cicadacourse/feed/__init__.py
@@ -6,11 +6,13 @@
 """
 
 from cicadacourse.feed._delegation import STORE_READERS_PER_DOMAIN, ReadDelegation
+from cicadacourse.feed._history import ConfigurationHistory
 from cicadacourse.feed._registry_feed import RegistryFeed
 from cicadacourse.feed._relay import Relay
 from cicadacourse.feed._source import TableFeed
 
 __all__ = [
+    "ConfigurationHistory",
     "ReadDelegation",
     "RegistryFeed",
     "STORE_READERS_PER_DOMAIN",
--- a/cicadacourse/feed/_relay.py
+++ b/cicadacourse/feed/_relay.py
@@ -11,6 +11,7 @@
 import random
 from typing import Any, AsyncIterator, Coroutine
 
+import attrs
 from returns.result import Failure, Success
 
 from cicadacourse.application import SERVICES, Application, Service
@@ -22,6 +23,8 @@
     REGISTRY_OFFSET_RECEIVED,
 )
 from cicadacourse.feed._delegation import ReadDelegation
+from cicadacourse.feed._delta import apply_delta
+from cicadacourse.feed._history import NO_VERSION
 from cicadacourse.feed._source import TableFeed
 from cicadacourse.load import (
     Configuration,
@@ -42,6 +45,12 @@
 # new version after this delay.
 CROSS_DOMAIN_FETCH_DELAY_S = 0.3
 FETCH_TIMEOUT_S = 0.3
+# The largest configuration that the store accepts, 262,144 bytes that can hardly be
+# compressed, takes 0.42 s on a link of 10 Mbit/s that is half busy.
+WHOLE_FETCH_TIMEOUT_S = 0.6
+# The most bytes that cross such a link within ``FETCH_TIMEOUT_S``, with a reserve. An
+# instance that holds a version waits no longer; a larger reply must be asked for.
+MAX_UNASKED_WHOLE_BYTES = 131_072
 # An instance that is behind asks others up to many times a second.
 FAILURE_LOG_INTERVAL_S = 1.0
 CONFIGURATION = "configuration"
@@ -77,9 +86,22 @@
             await asyncio.gather(*tasks, return_exceptions=True)
 
     @handles(FetchConfiguration)
-    async def on_fetch_configuration(self, _: FetchConfiguration) -> Configuration:
-        """Returns the configuration in force here, empty if there is none."""
-        return Configuration(value=self._feed.configuration or b"")
+    async def on_fetch_configuration(
+        self, request: FetchConfiguration
+    ) -> Configuration:
+        """Returns what leads from the asking instance's version to the one in force."""
+        history = self._feed.configuration_history
+        reply = Configuration(version=history.version)
+        if not request.takes_delta:
+            return attrs.evolve(reply, value=history.value or b"")
+        if request.version >= history.version:
+            return reply
+        if (delta := history.delta(request.version)) is not None:
+            return attrs.evolve(reply, base_version=request.version, delta=delta)
+        whole = history.delta(NO_VERSION) or b""
+        if len(whole) > MAX_UNASKED_WHOLE_BYTES:
+            return reply
+        return attrs.evolve(reply, delta=whole)
 
     @handles(FetchRegistry)
     async def on_fetch_registry(self, _: FetchRegistry) -> Registry:
@@ -137,14 +159,55 @@
             await self._fetch_configuration_from(source)
 
     async def _fetch_configuration_from(self, source: Member) -> None:
-        request = FetchConfiguration(sender=self._own_name)
-        match await self._call(source, request):
-            case Success(Configuration(value=value)) if value:
+        """Fetches what is new, or the whole version if that can't be applied."""
+        for held_version in sorted({self._held_version(), NO_VERSION}, reverse=True):
+            match await self._call_for_configuration(source, held_version):
+                case Failure(error):
+                    self._log_failure(CONFIGURATION, source.name, error.detail)
+                    return
+                case Success(reply) if self._is_outdated(reply):
+                    return
+                case Success(reply):
+                    pass
+            try:
+                value = self._read_configuration(reply)
+            except ValueError as error:
+                self._log_failure(CONFIGURATION, source.name, str(error))
+            else:
                 self._feed.apply_configuration(value, source.name)
-            case Success(_):
-                self._log_failure(CONFIGURATION, source.name, "the reply is empty")
-            case Failure(error):
-                self._log_failure(CONFIGURATION, source.name, error.detail)
+                return
+
+    async def _call_for_configuration(self, source: Member, held_version: int) -> Any:
+        request = FetchConfiguration(
+            sender=self._own_name, version=held_version, takes_delta=True
+        )
+        is_whole = held_version == NO_VERSION
+        timeout_s = WHOLE_FETCH_TIMEOUT_S if is_whole else FETCH_TIMEOUT_S
+        return await self._call(source, request, timeout_s)
+
+    def _held_version(self) -> int:
+        return self._feed.configuration_history.version
+
+    def _is_outdated(self, reply: Configuration) -> bool:
+        """Returns whether a reply is of a version that is not newer than the own one.
+
+        A reply without a version comes from an earlier release.
+        """
+        return NO_VERSION < reply.version <= self._own_version()
+
+    def _read_configuration(self, reply: Configuration) -> bytes:
+        """Returns the bytes of the version that a reply holds.
+
+        :raises ValueError: if the reply has none, or a delta that can't be applied.
+        """
+        if reply.delta:
+            base = self._feed.configuration_history.find(reply.base_version)
+            if base is None:
+                raise ValueError(f"version {reply.base_version} is no longer held")
+            return apply_delta(base, reply.delta)
+        if not reply.value:
+            raise ValueError("the reply is empty")
+        return reply.value
 
     def _configuration_changed(self, version: int) -> None:
         if version >= max(self._version_by_instance.values(), default=0):
@@ -165,7 +228,9 @@
         member = self._find_member(instance)
         if member is None:
             return
-        match await self._call(member, FetchRegistry(sender=self._own_name)):
+        match await self._call(
+            member, FetchRegistry(sender=self._own_name), FETCH_TIMEOUT_S
+        ):
             case Success(Registry(offset=offset, endpoints=records)):
                 if offset <= self._catalog_service.registry_offset:
                     return
@@ -181,9 +246,9 @@
             self._failure_logged_at[subject, source] = now()
             log(FETCH_FAILED, subject=subject, source=source, reason=reason)
 
-    async def _call(self, member: Member, request: Any) -> Any:
+    async def _call(self, member: Member, request: Any, timeout_s: float) -> Any:
         peers = self.app.get("peers")
-        return await peers.call(member.peer_address, request, FETCH_TIMEOUT_S)
+        return await peers.call(member.peer_address, request, timeout_s)
 
     def _start_fetch(self, subject: str, coroutine: Coroutine[Any, Any, None]) -> None:
         """Starts a fetch unless one of the same subject is in progress."""
--- a/cicadacourse/feed/_source.py
+++ b/cicadacourse/feed/_source.py
@@ -8,6 +8,7 @@
 from cicadacourse.application import Service
 from cicadacourse.catalog import Endpoint
 from cicadacourse.feed._delegation import ReadDelegation
+from cicadacourse.feed._history import ConfigurationHistory
 from cicadacourse.membership import Membership, MemberState
 from cicadacourse.util.clock import now
 
@@ -19,14 +20,12 @@
 
     :ivar read_delegation: decides whether this instance reads the store or leaves it to
         its neighbours.
+    :ivar configuration_history: the bytes of the configuration in force, and of some
+        before it.
     """
 
     read_delegation: ReadDelegation
-
-    @property
-    @abc.abstractmethod
-    def configuration(self) -> bytes | None:
-        """The bytes of the configuration in force, None if there is none."""
+    configuration_history: ConfigurationHistory
 
     @abc.abstractmethod
     def apply_configuration(self, value: bytes, source: str) -> None:
--- a/cicadacourse/load/_messages.py
+++ b/cicadacourse/load/_messages.py
@@ -38,16 +38,30 @@
 
 @message("load.FetchConfiguration")
 class FetchConfiguration:
-    """Asks an instance for the configuration in force there."""
+    """Asks an instance for the configuration in force there.
+
+    ``version`` is the one that the asking instance holds, 0 for none. Instances that
+    don't set ``takes_delta`` are of an earlier release.
+    """
 
     sender: str
+    version: int = 0
+    takes_delta: bool = False
 
 
 @message("load.Configuration")
 class Configuration:
-    """The bytes of a configuration, empty if the instance has none."""
+    """A configuration as a delta, or whole for an instance that takes no delta.
+
+    ``version`` is the one in force at the source, 0 for none. ``delta`` leads to it
+    from ``base_version``, or holds it whole if that is 0; it is empty if the source has
+    no newer version, or if the asking instance must ask without a version.
+    """
 
     value: bytes = b""
+    version: int = 0
+    base_version: int = 0
+    delta: bytes = b""
 
 
 @message("load.Endpoint")
--- a/cicadacourse/platform/_feed.py
+++ b/cicadacourse/platform/_feed.py
@@ -10,7 +10,12 @@
 
 from cicadacourse.application import SERVICES, Application
 from cicadacourse.catalog import CatalogService, Endpoint
-from cicadacourse.feed import ReadDelegation, RegistryFeed, TableFeed
+from cicadacourse.feed import (
+    ConfigurationHistory,
+    ReadDelegation,
+    RegistryFeed,
+    TableFeed,
+)
 from cicadacourse.logs import CONFIGURATION_REFUSED, ENDPOINT_ENTRY_REFUSED, log
 from cicadacourse.platform._configuration_reader import decode_configuration
 from cicadacourse.platform._follower import TopicFollower, TopicListener
@@ -26,15 +31,16 @@
 
 
 class ConfigurationListener(TopicListener):
-    """Puts newer configurations in force and keeps the bytes of the newest.
+    """Puts newer configurations in force.
 
-    :ivar value: the bytes of the version in force, for instances that don't read it
-        from the store; None if there is none.
+    :param history: receives the bytes of each, for instances that don't read the store.
     """
 
-    def __init__(self, catalog_service: CatalogService) -> None:
+    def __init__(
+        self, catalog_service: CatalogService, history: ConfigurationHistory
+    ) -> None:
         self._catalog_service = catalog_service
-        self.value: bytes | None = None
+        self._history = history
 
     def on_snapshot(self, records: Sequence[KeyedRecord]) -> None:
         """Applies the newest configuration."""
@@ -56,7 +62,7 @@
                 log(CONFIGURATION_REFUSED, reason=error.detail)
             case Success(catalog):
                 if self._catalog_service.apply_if_newer(catalog, source):
-                    self.value = value
+                    self._history.put(catalog.version, value)
 
 
 class RegistryListener(TopicListener):
@@ -108,7 +114,10 @@
         catalog_service: CatalogService = app.get("catalog")
         store: Store = app.get("store")
         self.read_delegation = ReadDelegation(settings.delegate_age_s)
-        self._configuration = ConfigurationListener(catalog_service)
+        self.configuration_history = ConfigurationHistory()
+        self._configuration = ConfigurationListener(
+            catalog_service, self.configuration_history
+        )
         self._registry_feed = RegistryFeed(app, catalog_service, settings.lapse_hold_s)
         self._configuration_follower = TopicFollower(
             store,
@@ -140,11 +149,6 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
-    @property
-    def configuration(self) -> bytes | None:
-        """The bytes of the version in force, None if there is none."""
-        return self._configuration.value
-
     def apply_configuration(self, value: bytes, source: str) -> None:
         """Applies a version that was received from another instance."""
         self._configuration.apply(value, source)
--- a/cicadacourse/schema/load.capnp
+++ b/cicadacourse/schema/load.capnp
@@ -21,13 +21,21 @@
 }
 
 struct FetchConfiguration {
-  # Asks for the configuration in force at the other instance.
+  # Asks for the configuration in force at the other instance. version is the one that
+  # the sender holds, 0 for none.
   sender @0 :Text;
+  version @1 :UInt64;
+  takesDelta @2 :Bool;
 }
 
 struct Configuration {
-  # The bytes of the configuration as the operator wrote them; empty if there is none.
+  # value holds the bytes of the configuration as the operator wrote them, for a sender
+  # that takes no delta; empty if there is none. Otherwise delta leads from baseVersion
+  # (0: from empty bytes) to version, the one in force at the instance.
   value @0 :Data;
+  version @1 :UInt64;
+  baseVersion @2 :UInt64;
+  delta @3 :Data;
 }
 
 struct Endpoint {
