Don't read versions from the store that another instance has read

An instance that had fetched a version from a neighbour, and then had to read the store, read every version from where it had last read itself, up to four of 231 KB a read.

The reply now names the offset before which no record is newer; the configuration's follower goes on from there, also if it was in the middle of a read from an older offset. The registry's follower still reads on after the records that it applied last, as its removals depend on consecutive records; the attribute is_newest_sufficient tells them apart. Without the change in the follower, the new test read from 0 and 2 instead of 1 and 7; without the offset in the relay, the other one stayed at offset 0.

--- a/cicadacourse/feed/_relay.py
+++ b/cicadacourse/feed/_relay.py
@@ -91,7 +91,8 @@
     ) -> Configuration:
         """Returns what leads from the asking instance's version to the one in force."""
         history = self._feed.configuration_history
-        reply = Configuration(version=history.version)
+        offset = self._feed.configuration_offset
+        reply = Configuration(version=history.version, offset=offset)
         if not request.takes_delta:
             return attrs.evolve(reply, value=history.value or b"")
         if request.version >= history.version:
@@ -174,7 +175,7 @@
             except ValueError as error:
                 self._log_failure(CONFIGURATION, source.name, str(error))
             else:
-                self._feed.apply_configuration(value, source.name)
+                self._feed.apply_configuration(value, source.name, reply.offset)
                 return
 
     async def _call_for_configuration(self, source: Member, held_version: int) -> Any:
--- a/cicadacourse/feed/_source.py
+++ b/cicadacourse/feed/_source.py
@@ -27,12 +27,22 @@
     read_delegation: ReadDelegation
     configuration_history: ConfigurationHistory
 
+    @property
     @abc.abstractmethod
-    def apply_configuration(self, value: bytes, source: str) -> None:
+    def configuration_offset(self) -> int:
+        """Offset before which no record has a newer version than that in force.
+
+        It is 0 if it is not known.
+        """
+
+    @abc.abstractmethod
+    def apply_configuration(self, value: bytes, source: str, offset: int = 0) -> None:
         """Applies a configuration that was fetched from another instance.
 
         :param value: bytes of the configuration.
         :param source: name of that instance.
+        :param offset: offset before which no record has a newer version; the records
+            before it are not read any more.
         """
 
     @abc.abstractmethod
--- a/cicadacourse/load/_messages.py
+++ b/cicadacourse/load/_messages.py
@@ -55,13 +55,16 @@
 
     ``version`` is the one in force at the source, 0 for none. ``delta`` leads to it
     from ``base_version``, or holds it whole if that is 0; it is empty if the source has
-    no newer version, or if the asking instance must ask without a version.
+    no newer version, or if the asking instance must ask without a version. No record
+    of the store before ``offset`` holds a newer version than that in force at the
+    source; 0 if it did not read the store.
     """
 
     value: bytes = b""
     version: int = 0
     base_version: int = 0
     delta: bytes = b""
+    offset: int = 0
 
 
 @message("load.Endpoint")
--- a/cicadacourse/platform/_feed.py
+++ b/cicadacourse/platform/_feed.py
@@ -52,17 +52,20 @@
             if record.key == KEY_CONFIGURATION and record.value is not None:
                 self.apply(record.value, "store")
 
-    def apply(self, value: bytes, source: str) -> None:
+    def apply(self, value: bytes, source: str) -> bool:
         """Decodes one version and puts it in force if it is newer.
 
         :param source: ``store``, or the name of the instance that sent it.
+        :returns: whether it could be decoded.
         """
         match decode_configuration(value):
             case Failure(error):
                 log(CONFIGURATION_REFUSED, reason=error.detail)
+                return False
             case Success(catalog):
                 if self._catalog_service.apply_if_newer(catalog, source):
                     self._history.put(catalog.version, value)
+        return True
 
 
 class RegistryListener(TopicListener):
@@ -125,6 +128,7 @@
             self._configuration,
             app.metrics,
             wait_s=settings.configuration_wait_s,
+            is_newest_sufficient=True,
             is_store_reader=self.is_store_reader,
         )
         self._registry_follower = TopicFollower(
@@ -149,9 +153,15 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
-    def apply_configuration(self, value: bytes, source: str) -> None:
+    @property
+    def configuration_offset(self) -> int:
+        """The offset up to which the configuration was read, here or elsewhere."""
+        return self._configuration_follower.offset or 0
+
+    def apply_configuration(self, value: bytes, source: str, offset: int = 0) -> None:
         """Applies a version that was received from another instance."""
-        self._configuration.apply(value, source)
+        if self._configuration.apply(value, source) and offset:
+            self._configuration_follower.advance_to(offset)
 
     def apply_registry(self, endpoints: Sequence[Endpoint], offset: int) -> None:
         """Applies the whole registry of another instance, read up to an offset."""
--- a/cicadacourse/platform/_follower.py
+++ b/cicadacourse/platform/_follower.py
@@ -57,6 +57,10 @@
     :param metrics: shows whether the topic is followed.
     :param wait_s: the longest time from the end of a read to the end of the next one.
     :param delay_s: delay after a read that returned records; part of ``wait_s``.
+    :param is_newest_sufficient: whether the newest record makes all earlier ones
+        superfluous. Records that another instance has read are then never applied
+        again. Otherwise the listener needs consecutive records: after an older snapshot
+        all that follow it.
     :param is_store_reader: returns whether this instance reads the topic now; other
         instances may read it instead.
     """
@@ -67,8 +71,10 @@
     metrics: Metrics
     wait_s: float
     delay_s: float = 0.0
+    is_newest_sufficient: bool = False
     is_store_reader: Callable[[], bool] = lambda: True
     _offset: int | None = None
+    _read_from: int | None = None
     _lost_since: float | None = None
     _snapshot_timeout_s: float = FIRST_SNAPSHOT_TIMEOUT_S
     _last_delay_s: float = 0.0
@@ -93,6 +99,11 @@
                     await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
                     backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
 
+    @property
+    def offset(self) -> int | None:
+        """The offset of the next read, None if that is of a snapshot."""
+        return self._offset
+
     def advance_to(self, offset: int) -> None:
         """Skips the records before an offset, as another instance has read them."""
         self._offset = max(self._offset or 0, offset)
@@ -107,6 +118,7 @@
     async def _read_next(self) -> Result[KeyedBatch, Error]:
         # Decided before the read, as ``advance_to`` may set the offset during it.
         self._is_snapshot_read = self._offset is None
+        self._read_from = self._offset
         if self._offset is None:
             timeout_s = min(self.store.settings.timeout_s, self._snapshot_timeout_s)
             self._snapshot_timeout_s = SNAPSHOT_TIMEOUT_GROWTH * timeout_s
@@ -118,15 +130,25 @@
     def _apply(self, batch: KeyedBatch) -> None:
         if batch.is_trimmed:
             log(RECORDS_TRIMMED, topic=self.topic)
-            self._offset = None
+            self._offset = self._next_offset(None)
             return
         if self._is_snapshot_read:
             self.listener.on_snapshot(batch.records)
         elif batch.records:
             self.listener.on_records(batch.records)
-        self._offset = batch.end
+        self._offset = self._next_offset(batch.end)
         self.listener.on_read(batch.end)
 
+    def _next_offset(self, end: int | None) -> int | None:
+        """Returns where to read on after a read that ended at an offset.
+
+        :param end: None if a snapshot must be read.
+        """
+        is_advanced = self._offset != self._read_from
+        if not (self.is_newest_sufficient and is_advanced):
+            return end
+        return max(self._offset, end or 0)
+
     def _record_success(self) -> None:
         self.metrics.set(STORE_REACHABLE, 1, topic=self.topic)
         if self._lost_since is None:
--- a/cicadacourse/schema/load.capnp
+++ b/cicadacourse/schema/load.capnp
@@ -31,11 +31,13 @@
 struct Configuration {
   # value holds the bytes of the configuration as the operator wrote them, for a sender
   # that takes no delta; empty if there is none. Otherwise delta leads from baseVersion
-  # (0: from empty bytes) to version, the one in force at the instance.
+  # (0: from empty bytes) to version, the one in force at the instance. The store's
+  # records before offset hold no newer version.
   value @0 :Data;
   version @1 :UInt64;
   baseVersion @2 :UInt64;
   delta @3 :Data;
+  offset @4 :UInt64;
 }
 
 struct Endpoint {
--- a/tests/test_feed/test_feed_relay.py
+++ b/tests/test_feed/test_feed_relay.py
@@ -262,6 +262,22 @@
         assert reply.value == value_of(2)
 
 
+async def test_who_fetches_a_version_does_not_read_older_ones_from_the_store():
+    async with running_pair((1,), ()) as pair:
+        assert pair.asker.get("feed").configuration_offset == 0
+        pair.source.get("feed").apply_configuration(value_of(2), "test", offset=9)
+        await pair.fetch(2)
+        assert pair.asker.get("feed").configuration_offset == 9
+
+
+async def test_the_offset_of_a_version_that_can_not_be_read_is_ignored():
+    async with running_pair((1,), (2,)) as pair:
+        pair.replies = [Configuration(version=2, value=b"odd", offset=9)]
+        await pair.fetch(2)
+        assert pair.replies == []
+        assert pair.asker.get("feed").configuration_offset == 0
+
+
 async def test_reports_during_a_fetch_start_no_second_one():
     async with running_pair((1,), (1, 2)) as pair:
         for _ in range(5):
--- a/tests/test_platform/test_platform_follower.py
+++ b/tests/test_platform/test_platform_follower.py
@@ -8,6 +8,7 @@
 
 import attrs
 import looptime
+import pytest
 from returns.result import Result, Success
 
 from cicadacourse.metrics import Metrics
@@ -27,17 +28,22 @@
     :param times: loop times in seconds.
     :param snapshot_s: how long a read of a snapshot takes.
     :ivar read_ends: when each read ended, loop time in seconds.
+    :ivar read_offsets: where each read started, None for a snapshot.
+    :param read_s: how long a read takes that returns records.
     """
 
     times: Sequence[float]
     settings: StoreSettings = StoreSettings(address="127.0.0.1:1")
     read_ends: list[float] = attrs.field(factory=list)
     snapshot_s: float = 0.0
+    read_offsets: list[int | None] = attrs.field(factory=list)
+    read_s: float = 0.0
 
     async def read_newest(
         self, topic: str, timeout_s: float
     ) -> Result[KeyedBatch, object]:
         """Returns an empty snapshot after ``snapshot_s``."""
+        self.read_offsets.append(None)
         await asyncio.sleep(self.snapshot_s)
         return Success(KeyedBatch((), 0))
 
@@ -45,9 +51,11 @@
         self, topic: str, offset: int, wait_s: float
     ) -> Result[KeyedBatch, object]:
         """Returns the records from an offset; waits for a first one."""
+        self.read_offsets.append(offset)
         deadline = now() + wait_s
         while len(self._appended()) <= offset and now() < deadline:
             await asyncio.sleep(0.01)
+        await asyncio.sleep(self.read_s)
         appended = self._appended()
         self.read_ends.append(now())
         records = tuple(KeyedRecord("k", b"v") for _ in appended[offset:])
@@ -124,3 +132,44 @@
     """A snapshot that was applied as ordinary records would not remove missing keys."""
     with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
         assert runner.run(_count_snapshots_if_advanced_during_the_first()) == 1
+
+
+async def _offsets_if_advanced_during_a_read(is_newest_sufficient: bool) -> list:
+    """Returns where reads start if another instance was faster during the first two.
+
+    The first is of a snapshot, whose end is 0, the second returns two records.
+    """
+    store = FakeStore([1.0, 1.0], snapshot_s=0.5, read_s=0.5)
+    follower = TopicFollower(
+        store,
+        "t",
+        SnapshotCounter(),
+        Metrics(),
+        wait_s=WAIT_S,
+        is_newest_sufficient=is_newest_sufficient,
+    )
+    task = asyncio.create_task(follower.run())
+    for offset in (1, 7):
+        await asyncio.sleep(0.2)
+        follower.advance_to(offset)
+        await asyncio.sleep(1.0)
+    await asyncio.sleep(0.5)
+    task.cancel()
+    return store.read_offsets[:3]
+
+
+@pytest.mark.parametrize(
+    "is_newest_sufficient, offsets",
+    [(True, [None, 1, 7]), (False, [None, 0, 2])],
+    ids=["configuration", "registry"],
+)
+def test_a_read_that_ends_after_another_instance_was_faster(
+    is_newest_sufficient: bool, offsets: list
+) -> None:
+    """The configuration is read on where the other instance has read to.
+
+    The registry is read on after the older snapshot or records that were applied.
+    """
+    with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+        read = runner.run(_offsets_if_advanced_during_a_read(is_newest_sufficient))
+    assert read == offsets
