Read the newest configuration after a failed read, not all that were missed

An instance whose read timed out began again from the same offset, each time with up to four versions of 231 KB: 'timed out after 2900 milliseconds with 147373 out of 231564 bytes received'.

After a failed read, the follower of the configuration reads the newest record, unless another instance has read further since; the registry's goes on reading each record. Without the change, the new test read from 0 instead of the newest record. The cost: a read that failed for another reason is followed by one of the whole configuration.

--- a/cicadacourse/platform/_follower.py
+++ b/cicadacourse/platform/_follower.py
@@ -58,9 +58,9 @@
     :param wait_s: the longest time from the end of a read to the end of the next one.
     :param delay_s: delay after a read that returned records; part of ``wait_s``.
     :param is_newest_sufficient: whether the newest record makes all earlier ones
-        superfluous. Records that another instance has read are then never applied
-        again. Otherwise the listener needs consecutive records: after an older snapshot
-        all that follow it.
+        superfluous. After a read that failed, only the newest ones are then read, and
+        records that another instance has read are never applied again. Otherwise the
+        listener needs consecutive records: after an older snapshot all that follow it.
     :param is_store_reader: returns whether this instance reads the topic now; other
         instances may read it instead.
     """
@@ -117,16 +117,30 @@
 
     async def _read_next(self) -> Result[KeyedBatch, Error]:
         # Decided before the read, as ``advance_to`` may set the offset during it.
-        self._is_snapshot_read = self._offset is None
+        self._is_snapshot_read = self._offset is None or self._may_have_missed_many()
         self._read_from = self._offset
         if self._offset is None:
             timeout_s = min(self.store.settings.timeout_s, self._snapshot_timeout_s)
             self._snapshot_timeout_s = SNAPSHOT_TIMEOUT_GROWTH * timeout_s
             return await self.store.read_newest(self.topic, timeout_s)
         self._snapshot_timeout_s = FIRST_SNAPSHOT_TIMEOUT_S
+        if self._is_snapshot_read:
+            return await self.store.read_newest(self.topic)
         wait_s = max(0.0, self.wait_s - self._last_delay_s)
         return await self.store.read(self.topic, self._offset, wait_s)
 
+    def _may_have_missed_many(self) -> bool:
+        """Returns whether to read the newest record instead of all that were missed.
+
+        After a failure there may be many. If another instance has read further since,
+        few are left.
+        """
+        return (
+            self.is_newest_sufficient
+            and self._lost_since is not None
+            and self._offset == self._read_from
+        )
+
     def _apply(self, batch: KeyedBatch) -> None:
         if batch.is_trimmed:
             log(RECORDS_TRIMMED, topic=self.topic)
--- a/tests/test_feed/relay_cluster.py
+++ b/tests/test_feed/relay_cluster.py
@@ -36,9 +36,11 @@
         await asyncio.sleep(wait_s + self.settings.read_timeout_s)
         return Failure(Error(ErrorKind.STORE_UNAVAILABLE, "no response"))
 
-    async def read_newest(self, topic: str, timeout_s: float) -> Result[Any, Error]:
+    async def read_newest(
+        self, topic: str, timeout_s: float | None = None
+    ) -> Result[Any, Error]:
         """Fails after the time limit."""
-        await asyncio.sleep(timeout_s)
+        await asyncio.sleep(timeout_s or self.settings.timeout_s)
         return Failure(Error(ErrorKind.STORE_UNAVAILABLE, "no response"))
 
 
--- a/tests/test_platform/test_platform_follower.py
+++ b/tests/test_platform/test_platform_follower.py
@@ -9,8 +9,9 @@
 import attrs
 import looptime
 import pytest
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
+from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.metrics import Metrics
 from cicadacourse.platform import StoreSettings
 from cicadacourse.platform._follower import TopicFollower, TopicListener
@@ -30,6 +31,7 @@
     :ivar read_ends: when each read ended, loop time in seconds.
     :ivar read_offsets: where each read started, None for a snapshot.
     :param read_s: how long a read takes that returns records.
+    :param failing_reads: how many reads, other than of a snapshot, fail at first.
     """
 
     times: Sequence[float]
@@ -38,9 +40,10 @@
     snapshot_s: float = 0.0
     read_offsets: list[int | None] = attrs.field(factory=list)
     read_s: float = 0.0
+    failing_reads: int = 0
 
     async def read_newest(
-        self, topic: str, timeout_s: float
+        self, topic: str, timeout_s: float | None = None
     ) -> Result[KeyedBatch, object]:
         """Returns an empty snapshot after ``snapshot_s``."""
         self.read_offsets.append(None)
@@ -52,6 +55,10 @@
     ) -> Result[KeyedBatch, object]:
         """Returns the records from an offset; waits for a first one."""
         self.read_offsets.append(offset)
+        if self.failing_reads:
+            self.failing_reads -= 1
+            await asyncio.sleep(0.5)
+            return Failure(Error(ErrorKind.STORE_UNAVAILABLE, "no response"))
         deadline = now() + wait_s
         while len(self._appended()) <= offset and now() < deadline:
             await asyncio.sleep(0.01)
@@ -173,3 +180,50 @@
     with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
         read = runner.run(_offsets_if_advanced_during_a_read(is_newest_sufficient))
     assert read == offsets
+
+
+async def _offsets_after_a_failure(
+    is_newest_sufficient: bool, advanced_to: int | None = None
+) -> list:
+    """Returns where reads start if the one after the first snapshot fails.
+
+    :param advanced_to: where another instance has read to after it.
+    """
+    store = FakeStore([], failing_reads=1)
+    follower = TopicFollower(
+        store,
+        "t",
+        SnapshotCounter(),
+        Metrics(),
+        wait_s=WAIT_S,
+        is_newest_sufficient=is_newest_sufficient,
+    )
+    task = asyncio.create_task(follower.run())
+    await asyncio.sleep(0.52)
+    if advanced_to is not None:
+        follower.advance_to(advanced_to)
+    await asyncio.sleep(1.0)
+    task.cancel()
+    return store.read_offsets[:3]
+
+
+@pytest.mark.parametrize(
+    "is_newest_sufficient, advanced_to, offsets",
+    [
+        (True, None, [None, 0, None]),
+        (True, 7, [None, 0, 7]),
+        (False, None, [None, 0, 0]),
+    ],
+    ids=["configuration", "configuration fetched meanwhile", "registry"],
+)
+def test_what_is_read_after_a_read_that_failed(
+    is_newest_sufficient: bool, advanced_to: int | None, offsets: list
+) -> None:
+    """The newest configuration is read instead of all versions that were missed.
+
+    Reading each of these took longer than the time limit on a slow link, and began
+    again from nothing after it. Removals from the registry need each record.
+    """
+    with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+        read = runner.run(_offsets_after_a_failure(is_newest_sufficient, advanced_to))
+    assert read == offsets
