--- a/cicadacourse/feed/_relay.py
+++ b/cicadacourse/feed/_relay.py
@@ -11,7 +11,7 @@
 import random
 from typing import Any, AsyncIterator, Coroutine
 
-from returns.result import Success
+from returns.result import Failure, Success
 
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.catalog import CatalogService, Endpoint, EndpointState
@@ -22,6 +22,8 @@
     REGISTRY_OFFSET_RECEIVED,
 )
 from cicadacourse.feed._delegation import ReadDelegation
+from cicadacourse.feed._delta import apply_delta
+from cicadacourse.feed._history import NO_VERSION
 from cicadacourse.feed._source import TableFeed
 from cicadacourse.load import (
     Configuration,
@@ -30,7 +32,7 @@
     FetchRegistry,
     Registry,
 )
-from cicadacourse.logs import REGISTRY_FETCHED, log
+from cicadacourse.logs import FETCH_FAILED, REGISTRY_FETCHED, log
 from cicadacourse.membership import Member
 from cicadacourse.peers import handles
 from cicadacourse.util.clock import now
@@ -42,6 +44,14 @@
 # new version after this delay.
 CROSS_DOMAIN_FETCH_DELAY_S = 0.3
 FETCH_TIMEOUT_S = 0.3
+# The largest configuration that the store accepts, 262,144 bytes that can hardly be
+# compressed, takes 0.42 s on a link of 10 Mbit/s that is half busy.
+WHOLE_FETCH_TIMEOUT_S = 0.6
+# The most bytes that cross such a link within ``FETCH_TIMEOUT_S``, with a reserve. An
+# instance that holds a version waits no longer; a larger reply must be asked for.
+MAX_UNASKED_WHOLE_BYTES = 131_072
+# An instance that is behind asks others up to many times a second.
+FAILURE_LOG_INTERVAL_S = 1.0
 CONFIGURATION = "configuration"
 REGISTRY = "registry"
 
@@ -58,6 +68,7 @@
         self._catalog_service: CatalogService = app.get("catalog")
         self._version_by_instance: dict[str, int] = {}
         self._task_by_subject: dict[str, asyncio.Task[None]] = {}
+        self._failure_logged_at: dict[tuple[str, str], float] = {}
         app.events.connect(CATALOG_VERSION_RECEIVED, self._version_received)
         app.events.connect(REGISTRY_OFFSET_RECEIVED, self._registry_offset_received)
         app.events.connect(CATALOG_CHANGED, self._configuration_changed)
@@ -74,9 +85,35 @@
             await asyncio.gather(*tasks, return_exceptions=True)
 
     @handles(FetchConfiguration)
-    async def on_fetch_configuration(self, _: FetchConfiguration) -> Configuration:
-        """Returns the configuration in force here, empty if there is none."""
-        return Configuration(value=self._feed.configuration or b"")
+    async def on_fetch_configuration(
+        self, request: FetchConfiguration
+    ) -> Configuration:
+        """Returns what leads from the asking instance's version to the one in force."""
+        history = self._feed.configuration_history
+        version, offset = history.version, self._feed.configuration_offset
+        value, delta, base_version = b"", b"", NO_VERSION
+        if not request.takes_delta:
+            value = history.value or b""
+        elif request.version < version:
+            base_version, delta = self._choose_delta(request.version)
+        return Configuration(
+            value=value,
+            version=version,
+            base_version=base_version,
+            delta=delta,
+            offset=offset,
+        )
+
+    def _choose_delta(self, held_version: int) -> tuple[int, bytes]:
+        """Returns the base of a delta to the version in force, and the delta.
+
+        The delta is empty if the whole version is so large that it must be asked for.
+        """
+        history = self._feed.configuration_history
+        if (delta := history.delta(held_version)) is not None:
+            return held_version, delta
+        whole = history.delta(NO_VERSION) or b""
+        return NO_VERSION, whole if len(whole) <= MAX_UNASKED_WHOLE_BYTES else b""
 
     @handles(FetchRegistry)
     async def on_fetch_registry(self, _: FetchRegistry) -> Registry:
@@ -134,10 +171,55 @@
             await self._fetch_configuration_from(source)
 
     async def _fetch_configuration_from(self, source: Member) -> None:
-        request = FetchConfiguration(sender=self._own_name)
-        match await self._call(source, request):
-            case Success(Configuration(value=value)) if value:
-                self._feed.apply_configuration(value, source.name)
+        """Fetches what is new, or the whole version if that can't be applied."""
+        for held_version in sorted({self._held_version(), NO_VERSION}, reverse=True):
+            match await self._call_for_configuration(source, held_version):
+                case Failure(error):
+                    self._log_failure(CONFIGURATION, source.name, error.detail)
+                    return
+                case Success(reply) if self._is_outdated(reply):
+                    return
+                case Success(reply):
+                    pass
+            try:
+                value = self._read_configuration(reply)
+            except ValueError as error:
+                self._log_failure(CONFIGURATION, source.name, str(error))
+            else:
+                self._feed.apply_configuration(value, source.name, reply.offset)
+                return
+
+    async def _call_for_configuration(self, source: Member, held_version: int) -> Any:
+        request = FetchConfiguration(
+            sender=self._own_name, version=held_version, takes_delta=True
+        )
+        is_whole = held_version == NO_VERSION
+        timeout_s = WHOLE_FETCH_TIMEOUT_S if is_whole else FETCH_TIMEOUT_S
+        return await self._call(source, request, timeout_s)
+
+    def _held_version(self) -> int:
+        return self._feed.configuration_history.version
+
+    def _is_outdated(self, reply: Configuration) -> bool:
+        """Returns whether a reply is of a version that is not newer than the own one.
+
+        A reply without a version comes from an earlier release.
+        """
+        return NO_VERSION < reply.version <= self._own_version()
+
+    def _read_configuration(self, reply: Configuration) -> bytes:
+        """Returns the bytes of the version that a reply holds.
+
+        :raises ValueError: if the reply has none, or a delta that can't be applied.
+        """
+        if reply.delta:
+            base = self._feed.configuration_history.find(reply.base_version)
+            if base is None:
+                raise ValueError(f"version {reply.base_version} is no longer held")
+            return apply_delta(base, reply.delta)
+        if not reply.value:
+            raise ValueError("the reply is empty")
+        return reply.value
 
     def _configuration_changed(self, version: int) -> None:
         if version >= max(self._version_by_instance.values(), default=0):
@@ -158,17 +240,27 @@
         member = self._find_member(instance)
         if member is None:
             return
-        match await self._call(member, FetchRegistry(sender=self._own_name)):
+        match await self._call(
+            member, FetchRegistry(sender=self._own_name), FETCH_TIMEOUT_S
+        ):
             case Success(Registry(offset=offset, endpoints=records)):
                 if offset <= self._catalog_service.registry_offset:
                     return
                 log(REGISTRY_FETCHED, source=instance, offset=offset)
                 endpoints = [_to_endpoint(record) for record in records]
                 self._feed.apply_registry(endpoints, offset)
+            case Failure(error):
+                self._log_failure(REGISTRY, instance, error.detail)
+
+    def _log_failure(self, subject: str, source: str, reason: str) -> None:
+        logged_at = self._failure_logged_at.get((subject, source), float("-inf"))
+        if now() - logged_at >= FAILURE_LOG_INTERVAL_S:
+            self._failure_logged_at[subject, source] = now()
+            log(FETCH_FAILED, subject=subject, source=source, reason=reason)
 
-    async def _call(self, member: Member, request: Any) -> Any:
+    async def _call(self, member: Member, request: Any, timeout_s: float) -> Any:
         peers = self.app.get("peers")
-        return await peers.call(member.peer_address, request, FETCH_TIMEOUT_S)
+        return await peers.call(member.peer_address, request, timeout_s)
 
     def _start_fetch(self, subject: str, coroutine: Coroutine[Any, Any, None]) -> None:
         """Starts a fetch unless one of the same subject is in progress."""
--- a/cicadacourse/feed/_source.py
+++ b/cicadacourse/feed/_source.py
@@ -8,6 +8,7 @@
 from cicadacourse.application import Service
 from cicadacourse.catalog import Endpoint
 from cicadacourse.feed._delegation import ReadDelegation
+from cicadacourse.feed._history import ConfigurationHistory
 from cicadacourse.membership import Membership, MemberState
 from cicadacourse.util.clock import now
 
@@ -19,21 +20,29 @@
 
     :ivar read_delegation: decides whether this instance reads the store or leaves it to
         its neighbours.
+    :ivar configuration_history: the bytes of the configuration in force, and of some
+        before it.
     """
 
     read_delegation: ReadDelegation
+    configuration_history: ConfigurationHistory
 
     @property
     @abc.abstractmethod
-    def configuration(self) -> bytes | None:
-        """The bytes of the configuration in force, None if there is none."""
+    def configuration_offset(self) -> int:
+        """Offset before which no record has a newer version than that in force.
+
+        It is 0 if it is not known.
+        """
 
     @abc.abstractmethod
-    def apply_configuration(self, value: bytes, source: str) -> None:
+    def apply_configuration(self, value: bytes, source: str, offset: int = 0) -> None:
         """Applies a configuration that was fetched from another instance.
 
         :param value: bytes of the configuration.
         :param source: name of that instance.
+        :param offset: offset before which no record has a newer version; the records
+            before it are not read any more.
         """
 
     @abc.abstractmethod
--- a/cicadacourse/platform/_feed.py
+++ b/cicadacourse/platform/_feed.py
@@ -10,7 +10,12 @@
 
 from cicadacourse.application import SERVICES, Application
 from cicadacourse.catalog import CatalogService, Endpoint
-from cicadacourse.feed import ReadDelegation, RegistryFeed, TableFeed
+from cicadacourse.feed import (
+    ConfigurationHistory,
+    ReadDelegation,
+    RegistryFeed,
+    TableFeed,
+)
 from cicadacourse.logs import CONFIGURATION_REFUSED, ENDPOINT_ENTRY_REFUSED, log
 from cicadacourse.platform._configuration_reader import decode_configuration
 from cicadacourse.platform._follower import TopicFollower, TopicListener
@@ -33,43 +38,50 @@
 
 
 class ConfigurationListener(TopicListener):
-    """Puts newer configurations in force and keeps the bytes of the newest.
+    """Puts newer configurations in force.
 
-    :ivar value: the bytes of the version in force, for instances that don't read it
-        from the store; None if there is none.
+    :param history: receives the bytes of each, for instances that don't read the store.
     """
 
-    def __init__(self, app: Application, catalog_service: CatalogService) -> None:
-        self._app = app
+    def __init__(
+        self, catalog_service: CatalogService, history: ConfigurationHistory
+    ) -> None:
         self._catalog_service = catalog_service
-        self.value: bytes | None = None
+        self._history = history
 
     def on_snapshot(self, records: Sequence[KeyedRecord]) -> None:
         """Applies the newest configuration."""
         self.on_records(records)
 
     def on_records(self, records: Sequence[KeyedRecord]) -> None:
-        """Applies configurations in the order in which they were written."""
-        for record in records:
+        """Applies the newest configuration that can be decoded.
+
+        Versions increase from record to record, and each replaces the one before it.
+        """
+        for record in reversed(records):
             if record.key == KEY_CONFIGURATION and record.value is not None:
-                self.apply(record.value, "store")
+                if self.apply(record.value, "store"):
+                    return
 
     def on_read(self, end: int, as_of: float) -> None:
         """Records that the version in force was the newest one, and reports it."""
         self._catalog_service.confirm_in_force(as_of)
-        self._app.get("load").notify_change()
+        self._catalog_service.app.get("load").notify_change()
 
-    def apply(self, value: bytes, source: str) -> None:
+    def apply(self, value: bytes, source: str) -> bool:
         """Decodes one version and puts it in force if it is newer.
 
         :param source: ``store``, or the name of the instance that sent it.
+        :returns: whether it could be decoded.
         """
         match decode_configuration(value):
             case Failure(error):
                 log(CONFIGURATION_REFUSED, reason=error.detail)
+                return False
             case Success(catalog):
                 if self._catalog_service.apply_if_newer(catalog, source):
-                    self.value = value
+                    self._history.put(catalog.version, value)
+        return True
 
 
 class RegistryListener(TopicListener):
@@ -121,8 +133,11 @@
         catalog_service: CatalogService = app.get("catalog")
         store: Store = app.get("store")
         self.read_delegation = ReadDelegation(settings.delegate_age_s)
-        self._configuration = ConfigurationListener(app, catalog_service)
         self._freshness = catalog_service.freshness
+        self.configuration_history = ConfigurationHistory()
+        self._configuration = ConfigurationListener(
+            catalog_service, self.configuration_history
+        )
         self._registry_feed = RegistryFeed(app, catalog_service, settings.lapse_hold_s)
         self._configuration_follower = TopicFollower(
             store,
@@ -133,6 +148,7 @@
                 settings.configuration_wait_s,
                 CONFIGURATION_LONG_POLL_SHARE * self._freshness.bound_s,
             ),
+            is_newest_sufficient=True,
             is_store_reader=self._is_configuration_reader,
         )
         self._registry_follower = TopicFollower(
@@ -167,13 +183,14 @@
         return age_s > max_age_s or self.is_store_reader()
 
     @property
-    def configuration(self) -> bytes | None:
-        """The bytes of the version in force, None if there is none."""
-        return self._configuration.value
+    def configuration_offset(self) -> int:
+        """The offset up to which the configuration was read, here or elsewhere."""
+        return self._configuration_follower.offset or 0
 
-    def apply_configuration(self, value: bytes, source: str) -> None:
+    def apply_configuration(self, value: bytes, source: str, offset: int = 0) -> None:
         """Applies a version that was received from another instance."""
-        self._configuration.apply(value, source)
+        if self._configuration.apply(value, source) and offset:
+            self._configuration_follower.advance_to(offset)
 
     def apply_registry(self, endpoints: Sequence[Endpoint], offset: int) -> None:
         """Applies the whole registry of another instance, read up to an offset."""
--- a/cicadacourse/platform/_follower.py
+++ b/cicadacourse/platform/_follower.py
@@ -62,6 +62,10 @@
     :param metrics: shows whether the topic is followed.
     :param wait_s: the longest time from the end of a read to the end of the next one.
     :param delay_s: delay after a read that returned records; part of ``wait_s``.
+    :param is_newest_sufficient: whether the newest record makes all earlier ones
+        superfluous. After a read that failed, only the newest ones are then read, and
+        records that another instance has read are never applied again. Otherwise the
+        listener needs consecutive records: after an older snapshot all that follow it.
     :param is_store_reader: returns whether this instance reads the topic now; other
         instances may read it instead.
     """
@@ -72,8 +76,10 @@
     metrics: Metrics
     wait_s: float
     delay_s: float = 0.0
+    is_newest_sufficient: bool = False
     is_store_reader: Callable[[], bool] = lambda: True
     _offset: int | None = None
+    _read_from: int | None = None
     _lost_since: float | None = None
     _snapshot_timeout_s: float = FIRST_SNAPSHOT_TIMEOUT_S
     _last_delay_s: float = 0.0
@@ -100,6 +106,11 @@
                     await asyncio.sleep(backoff_s * random.uniform(0.5, 1.0))
                     backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
 
+    @property
+    def offset(self) -> int | None:
+        """The offset of the next read, None if that is of a snapshot."""
+        return self._offset
+
     def advance_to(self, offset: int) -> None:
         """Skips the records before an offset, as another instance has read them."""
         self._offset = max(self._offset or 0, offset)
@@ -114,27 +125,52 @@
     async def _read_next(self) -> Result[KeyedBatch, Error]:
         self._read_started_at = now()
         # Decided before the read, as ``advance_to`` may set the offset during it.
-        self._is_snapshot_read = self._offset is None
+        self._is_snapshot_read = self._offset is None or self._may_have_missed_many()
+        self._read_from = self._offset
         if self._offset is None:
             timeout_s = min(self.store.settings.timeout_s, self._snapshot_timeout_s)
             self._snapshot_timeout_s = SNAPSHOT_TIMEOUT_GROWTH * timeout_s
             return await self.store.read_newest(self.topic, timeout_s)
         self._snapshot_timeout_s = FIRST_SNAPSHOT_TIMEOUT_S
+        if self._is_snapshot_read:
+            return await self.store.read_newest(self.topic)
         return await self.store.read(self.topic, self._offset, self._poll_wait_s())
 
+    def _may_have_missed_many(self) -> bool:
+        """Returns whether to read the newest record instead of all that were missed.
+
+        After a failure there may be many. If another instance has read further since,
+        few are left.
+        """
+        return (
+            self.is_newest_sufficient
+            and self._lost_since is not None
+            and self._offset == self._read_from
+        )
+
     def _apply(self, batch: KeyedBatch) -> None:
         if batch.is_trimmed:
             log(RECORDS_TRIMMED, topic=self.topic)
-            self._offset = None
+            self._offset = self._next_offset(None)
             return
         if self._is_snapshot_read:
             self.listener.on_snapshot(batch.records)
         elif batch.records:
             self.listener.on_records(batch.records)
-        self._offset = batch.end
+        self._offset = self._next_offset(batch.end)
         if not batch.has_more:
             self.listener.on_read(batch.end, self._as_of(batch))
 
+    def _next_offset(self, end: int | None) -> int | None:
+        """Returns where to read on after a read that ended at an offset.
+
+        :param end: None if a snapshot must be read.
+        """
+        is_advanced = self._offset is not None and self._offset != self._read_from
+        if not (self.is_newest_sufficient and is_advanced):
+            return end
+        return max(self._offset or 0, end or 0)
+
     def _as_of(self, batch: KeyedBatch) -> float:
         """Returns a time at which the topic surely ended where the batch does.
 
