explain: order log lines by date and time

For a request that was sent before midnight and ended after it, explain showed the end first and left out related events before midnight, as lines were ordered by their time of day. The order is now that of the whole time stamp. Lines without a date were skipped before and still are; a test says so.

The test failed before, with and without a prefix: 'request ended' came first and 'store lost' was missing.

--- a/cicadacourse/cmd/explain.py
+++ b/cicadacourse/cmd/explain.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import datetime
 import json
 import pathlib
 import sys
@@ -42,7 +43,7 @@
 class Line:
     """One log line.
 
-    :param seconds: the time at which it was logged, in seconds since midnight UTC.
+    :param seconds: the time at which it was logged, in seconds since the epoch.
     :param fields: all fields of the line.
     """
 
@@ -103,10 +104,11 @@
 def parse_lines(texts: Iterable[str]) -> list[Line]:
     """Parses log lines and sorts them by time; skips texts that are not log lines.
 
-    A log line may have other text before its JSON object.
+    A log line may have other text before its JSON object. Its time has a date and is in
+    UTC unless it has an offset.
 
-    >>> parse_lines(['x {"time":"2026-01-01T00:01:00.5Z","event":"e"}'])[0].seconds
-    60.5
+    >>> parse_lines(['x {"time":"1970-01-02T00:01:00.5Z","event":"e"}'])[0].seconds
+    86460.5
     """
     lines = []
     for text in texts:
@@ -115,11 +117,12 @@
             continue
         try:
             fields = json.loads(text[start:])
-            hours, minutes, seconds = fields["time"][11:].rstrip("Z").split(":")
-        except (ValueError, KeyError, TypeError):
+            time = datetime.datetime.fromisoformat(fields["time"])
+        except (ValueError, TypeError):
             continue
-        time_of_day_s = int(hours) * 3600 + int(minutes) * 60 + float(seconds)
-        lines.append(Line(time_of_day_s, fields))
+        if time.tzinfo is None:
+            time = time.replace(tzinfo=datetime.timezone.utc)
+        lines.append(Line(time.timestamp(), fields))
     return sorted(lines, key=lambda line: line.seconds)
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -127,6 +127,25 @@
     assert "e1 failed" in shown[-1]
 
 
+@pytest.mark.parametrize("prefix", ["", "front-a-1 | "])
+def test_explain_orders_lines_across_midnight(prefix: str) -> None:
+    """Lines of a request that ends after midnight were shown before its first ones."""
+    times = ["2025-12-31T23:59:58.9Z", "2025-12-31T23:59:59.9Z", "2026-01-01T00:00:00Z"]
+    events = ["store lost", "request sent", "request ended"]
+    rows = [
+        {"time": time, "instance": "a", "event": event, "request": "r1"}
+        for time, event in zip(times, events)
+    ]
+    del rows[0]["request"]
+    lines = explain.parse_lines(prefix + json.dumps(row) for row in reversed(rows))
+    assert [line.event for line in explain.select_lines("r1", lines)] == events
+
+
+def test_explain_skips_lines_without_a_date() -> None:
+    texts = ['{"time":"00:00:01Z","event":"e"}', '{"time":7,"event":"e"}']
+    assert explain.parse_lines(texts) == []
+
+
 def test_cause_of_a_request_without_an_end_is_the_restart_of_its_instance() -> None:
     rows = [LOG_LINES[2], {**LOG_LINES[0], "time": "2026-01-01T00:00:09.0Z"}]
     rows[1]["event"] = "instance started"
