Logging: the line that reports a loss has the common fields

explain never showed `log lines were dropped`, though it lists it among the related events: the line had no time, and explain starts a line at its `{"time"`. An operator was told "no end was logged" without the reason that lines had been dropped. The line is now built by the same function as all others, with time, level, instance, part and event first.

The test failed before: the line's first field was `instance`.

--- a/cicadacourse/cmd/explain.py
+++ b/cicadacourse/cmd/explain.py
@@ -13,11 +13,14 @@
 
 from cicadacourse import logs
 from cicadacourse.cmd import EXIT_ERROR, EXIT_OK
-from cicadacourse.util.logging import LINES_DROPPED
+from cicadacourse.util.logging import FLUSH_PERIOD_S, LINES_DROPPED
 
 EXIT_NOT_FOUND = EXIT_ERROR
 # Context events are shown from this long before the first line of the request.
 CONTEXT_S = 5.0
+# A loss of lines is shown up to this long after the last line of the request: it is
+# logged at the end of the flush period, late if the instance is busy.
+LOSS_CONTEXT_S = 5 * FLUSH_PERIOD_S
 # A first event this long after its estimate is reported as late.
 LATE_BY_S = 0.3
 _COMMON_FIELDS = frozenset({"time", "level", "instance", "part", "event", "request"})
@@ -130,7 +133,8 @@
     """Returns the lines of a request and the context events of its instances.
 
     Context events are included from :data:`CONTEXT_S` seconds before the first line of
-    the request to its last line, and only if they name none or one of its endpoints.
+    the request to its last line, and only if they name none or one of its endpoints;
+    losses of lines up to :data:`LOSS_CONTEXT_S` after it, as its end may be among them.
     """
     request_lines = [line for line in lines if line.fields.get("request") == request]
     if not request_lines:
@@ -141,12 +145,13 @@
     }
     first = request_lines[0].seconds - CONTEXT_S
     last = request_lines[-1].seconds
+    last_loss = last + LOSS_CONTEXT_S
     return [
         line
         for line in lines
         if line.fields.get("request") == request
         or (
-            first <= line.seconds <= last
+            first <= line.seconds <= (last_loss if _is_loss(line) else last)
             and line.instance in instances
             and _is_context(line, endpoints)
         )
@@ -242,6 +247,10 @@
         return "-"
 
 
+def _is_loss(line: Line) -> bool:
+    return line.event == LINES_DROPPED
+
+
 def _is_context(line: Line, endpoints: set[str]) -> bool:
     if line.event not in CONTEXT_EVENTS:
         return False
--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -5,7 +5,7 @@
 the caller sent; ``reason`` is a label from a closed list, or the text of an error.
 
 Not declared here are the free-text lines of libraries, of exceptions and of the level
-debug, and the line that reports lost lines, which has no ``time``.
+debug, and the line that reports lost lines, which the handler writes itself.
 """
 
 from __future__ import annotations
--- a/cicadacourse/util/logging.py
+++ b/cicadacourse/util/logging.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import datetime
 import json
 import logging
 import os
@@ -119,30 +120,40 @@
             self._lines = []
 
     def _format(self, record: logbook.LogRecord) -> bytes:
-        line = {
-            "time": f"{record.time:%Y-%m-%dT%H:%M:%S.%f}Z",
-            "level": record.level_name.lower(),
-            **self._constants,
-            "part": record.channel,
-            "event": record.message,
-            **record.extra,
-        }
+        fields = dict(record.extra)
         if record.exc_info:
-            line["error"] = record.formatted_exception
-        return json.dumps(line, default=str, separators=(",", ":")).encode() + b"\n"
+            fields["error"] = record.formatted_exception
+        level = record.level_name.lower()
+        return self._to_line(record.time, level, record.channel, record.message, fields)
 
     def _loss_line(self) -> bytes:
-        line = {
-            **self._constants,
-            "level": "warning",
-            "part": "log",
-            "event": LINES_DROPPED,
+        fields = {
             "suppressed": self.suppressed_count,
             "unwritten": self._writer.dropped_count,
         }
         self.suppressed_count = 0
         self._writer.dropped_count = 0
-        return json.dumps(line, separators=(",", ":")).encode() + b"\n"
+        time = datetime.datetime.now(datetime.timezone.utc)
+        return self._to_line(time, "warning", "log", LINES_DROPPED, fields)
+
+    def _to_line(
+        self,
+        time: datetime.datetime,
+        level: str,
+        part: str | None,
+        event: str,
+        fields: dict[str, Any],
+    ) -> bytes:
+        """Returns a line with its common fields first; ``time`` is in UTC."""
+        line = {
+            "time": f"{time:%Y-%m-%dT%H:%M:%S.%f}Z",
+            "level": level,
+            **self._constants,
+            "part": part,
+            "event": event,
+            **fields,
+        }
+        return json.dumps(line, default=str, separators=(",", ":")).encode() + b"\n"
 
 
 @contextlib.contextmanager
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -9,8 +9,9 @@
 import pytest
 
 from cicadacourse.cmd import explain
-from cicadacourse.logs import REQUEST_ENDED, REQUEST_REFUSED, log
+from cicadacourse.logs import REQUEST_ENDED, REQUEST_REFUSED, REQUEST_SENT, log
 from cicadacourse.util.logging import (
+    LINES_DROPPED,
     LINES_PER_PERIOD,
     MAX_QUEUED_CHUNKS,
     JsonHandler,
@@ -55,6 +56,24 @@
     assert collector.lines[-1]["suppressed"] == 50
 
 
+def test_line_of_a_loss_has_the_common_fields_and_is_shown_by_explain() -> None:
+    """It was skipped by ``explain``, which starts a line at its time."""
+    collector = Collector()
+    handler = JsonHandler(collector, "INFO", instance="one")
+    with handler.applicationbound():
+        log(REQUEST_SENT, request="r1")
+        for _ in range(LINES_PER_PERIOD):
+            log(REQUEST_ENDED, request="r1")
+    handler.flush()
+    common_fields = ["time", "level", "instance", "part", "event"]
+    assert list(collector.lines[-1])[:5] == list(collector.lines[0])[:5]
+    assert list(collector.lines[-1])[:5] == common_fields
+    lines = explain.parse_lines(json.dumps(line) for line in collector.lines)
+    last = explain.select_lines("r1", lines)[-1]
+    assert (last.event, last.instance) == (LINES_DROPPED, "one")
+    assert last.fields["suppressed"] == 1
+
+
 def test_stalled_reader_does_not_block_and_lost_lines_are_counted() -> None:
     """Nobody reads the pipe, so it fills up; logging must go on without waiting."""
     reader, writer = os.pipe()
