Settings: reject an unknown log level

Any text was accepted as log_level; `serve` then ended with logbook's LookupError, and `check` accepted the file. The level is now checked when settings are read, in either case of letters, with the usual message. logbook's NOTSET, which is no level of a line, is not accepted any more; trace logs as much.

Two cases of the test failed before: no error was found for 'INF' and '3'.

--- a/cicadacourse/config.py
+++ b/cicadacourse/config.py
@@ -125,8 +125,19 @@
     return tuple(parse_address(part) for part in text.replace(",", " ").split())
 
 
+def parse_log_level(text: str) -> str:
+    """Parses the name of a level of the log, in upper or lower case.
+
+    :raises ValueError: if it is none of :data:`LOG_LEVELS`.
+    """
+    if text.lower() not in LOG_LEVELS:
+        raise ValueError(text)
+    return text
+
+
 MAX_PORT = 65535
 MAX_NAME_LENGTH = 64
+LOG_LEVELS = ("critical", "error", "warning", "notice", "info", "debug", "trace")
 
 EXPECTED_BY_PARSER: dict[Callable[[str], Any], str] = {
     int: "a whole number",
@@ -136,6 +147,7 @@
     parse_name: "a name of letters, digits, '-', '_' and '.'",
     parse_address: "an IP address and a port, such as 127.0.0.1:7000",
     parse_addresses: "IP addresses with ports, separated by commas",
+    parse_log_level: f"{', '.join(LOG_LEVELS[:-1])} or {LOG_LEVELS[-1]}",
 }
 
 
@@ -223,7 +235,9 @@
     failure_domain: str = option(parse_name, help="Failure domain of this instance.")
     caller_address: str = option(parse_address, help="Where callers connect.")
     peer_address: str = option(parse_address, help="Where other instances connect.")
-    log_level: str = option(str, "INFO", help="Lowest level that is logged.")
+    log_level: str = option(
+        parse_log_level, "INFO", help="Lowest level that is logged."
+    )
 
 
 class Settings:
