ask: exit with 5 for each refusal that did not run

docs/operators/index.md gives exit status 5 to a refusal that did not run and 6 to an unknown outcome. ask exited with 6 for 401, 404, 413 and other refusals that a retry does not change, as only 408, 421, 429 and 503 counted as not run. An operator had to assume that the request may have run.

An error response without an endpoint's signature whose body says `"run": "not_run"` is now a refusal: exit status 5, `has_run` false, and the detail instead of the body. It is not retried. Signed responses, other bodies, and 502 or 504 keep 6.

--- a/cicadacourse/platform/_caller.py
+++ b/cicadacourse/platform/_caller.py
@@ -13,7 +13,7 @@
 import h11
 from returns.result import Failure, Result, Success
 
-from cicadacourse.errors import Error, ErrorKind
+from cicadacourse.errors import Error, ErrorKind, Execution
 from cicadacourse.platform import _names as names
 from cicadacourse.util.clock import MS_PER_S, now
 from cicadacourse.util.connection import HttpConnection, HttpConnectionError
@@ -24,10 +24,11 @@
 # Delay before the next attempt if the response has no Retry-After header, or if no
 # connection was made.
 RETRY_DELAY_S = 0.2
-# Statuses of requests that have not run and will not run, so that a retry is safe.
+# Statuses of requests that have not run and will not run and that a retry may help.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 _OK = 200
 _MULTIPLE_CHOICES = 300
+_BAD_REQUEST = 400
 
 
 @attrs.frozen(kw_only=True)
@@ -80,9 +81,11 @@
 class Caller:
     """Looks up instances and sends requests; retries only what surely did not run.
 
+    A refusal that a retry would not change, such as a 404, is not retried.
+
     :param directories: addresses of look-up services, tried in this order.
     :param write: called with each part of the response body as it is received, unless
-        the status is one of ``NOT_RUN_STATUSES``.
+        the request did not run.
     """
 
     def __init__(
@@ -109,7 +112,7 @@
             address = random.choice(addresses)
             outcome, retry_after_s = await self._send(address, spec, deadline)
             outcome = attrs.evolve(outcome, attempts=attempts, seconds=now() - started)
-            if outcome.has_run or now() + retry_after_s >= deadline:
+            if not _is_retryable(outcome) or now() + retry_after_s >= deadline:
                 return Success(outcome)
             await asyncio.sleep(retry_after_s)
 
@@ -171,19 +174,43 @@
         if not isinstance(response, h11.Response):
             raise HttpConnectionError("no response head was received")
         outcome = attrs.evolve(outcome, status=response.status_code)
-        has_run = outcome.status not in NOT_RUN_STATUSES
+        may_be_refusal = _may_be_refusal(response)
         body = b""
         while isinstance(part := await connection.receive(), h11.Data):
-            if has_run:
-                self._write(bytes(part.data))
-            else:
+            if may_be_refusal:
                 body += part.data
-        outcome = attrs.evolve(
-            outcome, is_whole=True, has_run=has_run, detail=_read_detail(body)
-        )
+            else:
+                self._write(bytes(part.data))
+        has_run = outcome.status not in NOT_RUN_STATUSES and not _says_not_run(body)
+        if has_run and body:
+            self._write(body)
+        detail = "" if has_run else _read_detail(body)
+        outcome = attrs.evolve(outcome, is_whole=True, has_run=has_run, detail=detail)
         return outcome, _retry_after_s(response)
 
 
+def _is_retryable(outcome: RequestOutcome) -> bool:
+    """Returns whether a request that did not run may succeed if it is sent again."""
+    return not outcome.has_run and outcome.status in (0, *NOT_RUN_STATUSES)
+
+
+def _may_be_refusal(response: h11.Response) -> bool:
+    """Returns False for responses that only an endpoint gives, which it signs."""
+    if response.status_code in NOT_RUN_STATUSES:
+        return True
+    signature = names.HEADER_SIGNATURE.lower().encode()
+    is_signed = any(name == signature for name, _ in response.headers)
+    return response.status_code >= _BAD_REQUEST and not is_signed
+
+
+def _says_not_run(body: bytes) -> bool:
+    """Returns whether a body is that of a refusal by an instance, before it ran."""
+    try:
+        return json.loads(body)["run"] == Execution.NOT_RUN.value
+    except (ValueError, KeyError, TypeError):
+        return False
+
+
 def _headers(
     spec: RequestSpec, request_id: str, time_left_s: float
 ) -> list[tuple[str, str]]:
