Store client: an append that is answered 410 has failed

put reported success for a 410, as any call took 410 as read does, where it says that the records were deleted. The store's page gives an append no 410, so whether it took effect is unknown: it is STORE_OUTCOME_UNKNOWN, as for other statuses that are not listed. Only read accepts 410 now; read_newest failed before as its body could not be parsed, and fails by the status now.

The new case of the test failed before: put returned Success.

--- a/cicadacourse/platform/_store.py
+++ b/cicadacourse/platform/_store.py
@@ -4,7 +4,7 @@
 
 import contextlib
 import struct
-from typing import Any, AsyncIterator
+from typing import Any, AsyncIterator, Collection
 from urllib.parse import urlencode
 
 from returns.result import Failure, Result, Success
@@ -76,7 +76,9 @@
             "waitMs": int(wait_s * 1000),
         }
         timeout_s = wait_s + self.settings.read_timeout_s
-        match await self._call("GET", PATH_READ, query, timeout_s):
+        match await self._call(
+            "GET", PATH_READ, query, timeout_s, accepted=(_OK, _GONE)
+        ):
             case Success(response) if response.status == _GONE:
                 return Success(KeyedBatch((), offset, is_trimmed=True))
             case Success(response):
@@ -144,7 +146,9 @@
         query: dict[str, Any],
         timeout_s: float,
         body: bytes | None = None,
+        accepted: Collection[int] = (_OK,),
     ) -> Result[HttpResponse, Error]:
+        """Makes one call, which fails if the response has no accepted status."""
         target = f"{path}?{urlencode(query)}"
         try:
             response = await self._http.request(
@@ -157,7 +161,7 @@
                 kind = ErrorKind.STORE_OUTCOME_UNKNOWN
             return Failure(Error(kind, str(error)))
         self._metrics.count(STORE_CALLS, call=path, outcome=str(response.status))
-        if response.status in (_OK, _GONE):
+        if response.status in accepted:
             return Success(response)
         kind = KIND_BY_STATUS.get(response.status, ErrorKind.STORE_OUTCOME_UNKNOWN)
         return Failure(Error(kind, f"{path} answered with status {response.status}"))
--- a/tests/test_platform/test_platform_store_client.py
+++ b/tests/test_platform/test_platform_store_client.py
@@ -7,6 +7,7 @@
 from typing import AsyncIterator
 
 import pytest
+from returns.result import Failure
 
 from cicadacourse.errors import ErrorKind
 from cicadacourse.metrics import Metrics
@@ -41,6 +42,7 @@
         ((403, {}), ErrorKind.FORBIDDEN),
         ((412, {"end": 3}), ErrorKind.VERSION_CONFLICT),
         ((500, {}), ErrorKind.STORE_OUTCOME_UNKNOWN),
+        ((410, {"first": 3}), ErrorKind.STORE_OUTCOME_UNKNOWN),
         (None, ErrorKind.STORE_OUTCOME_UNKNOWN),
     ],
 )
@@ -59,6 +61,13 @@
     assert error.kind is ErrorKind.STORE_UNAVAILABLE
 
 
+async def test_only_a_read_of_deleted_records_is_trimmed() -> None:
+    with scripted_server(lambda *request: (410, {"first": 3})) as address:
+        async with client_of(address) as store:
+            assert (await store.read(TOPIC, 1, 0.0)).unwrap().is_trimmed
+            assert isinstance(await store.read_newest(TOPIC), Failure)
+
+
 @pytest.mark.parametrize(
     "response", [(503, {}), (200, {"items": [{}]}), (200, []), (200, 3), None]
 )
