Tables: refuse health_path, which nothing applied

health_path of a pool was parsed, documented, published and fetched, and no part of the program ever used it: endpoints are not probed, and probes would have a price. The tables now refuse it, with the reason and what to do. The pools of a catalogue have no such field any more. healthPath of the platform's rows is ignored on reading, malformed or not, and kept on writing like other unknown fields; a pool that is new in the tables gets none, where it had the default /health.

Both new cases failed before: the table was accepted, and a pool with a malformed healthPath was dropped.

--- a/cicadacourse/catalog/_model.py
+++ b/cicadacourse/catalog/_model.py
@@ -78,14 +78,12 @@
     """One row of the table of pools: a set of interchangeable endpoints.
 
     :param name: unique name.
-    :param health_path: the path of the endpoints' health probe.
     :param max_connections: the maximum number of connections to one endpoint, 0 if it
         is not bounded.
     :param engine: the engines' time model, or None for plain services.
     """
 
     name: str
-    health_path: str = "/health"
     max_connections: int = 0
     engine: EngineProfile | None = None
 
--- a/cicadacourse/config.py
+++ b/cicadacourse/config.py
@@ -161,9 +161,7 @@
     """
     specs = options_by_name(cls)
     errors = [
-        _option_error(
-            file, section_name, name, text, f"unknown option{suggest(name, specs)}"
-        )
+        _option_error(file, section_name, name, text, _describe_unknown(cls, name))
         for name, text in texts_by_option.items()
         if name not in specs
     ]
@@ -185,6 +183,18 @@
     return Success(cls(**values))
 
 
+def _describe_unknown(cls: type, name: str) -> str:
+    """Says what to do about an option that the section does not have.
+
+    A section's class may say in ``REASON_BY_REMOVED_OPTION`` why it lacks an option
+    that it once had.
+    """
+    reason = getattr(cls, "REASON_BY_REMOVED_OPTION", {}).get(name)
+    if reason is not None:
+        return f"removed, as {reason}; delete this line"
+    return f"unknown option{suggest(name, options_by_name(cls))}"
+
+
 def _parse_option(spec: Option, text: str) -> Result[Any, str]:
     """Parses one value and checks its bounds; a failure says what was expected."""
     expected = f"expected {spec.expected}{f' in {spec.unit}' if spec.unit else ''}"
--- a/cicadacourse/platform/_configuration_reader.py
+++ b/cicadacourse/platform/_configuration_reader.py
@@ -112,7 +112,6 @@
     engine = row.get("engine")
     return Pool(
         name=fields.string(row, "name"),
-        health_path=fields.string(row, "healthPath", "/health"),
         max_connections=int(fields.integer(row, "maxConns", 0)),
         engine=_engine(engine) if engine else None,
     )
--- a/cicadacourse/platform/_configuration_writer.py
+++ b/cicadacourse/platform/_configuration_writer.py
@@ -109,7 +109,6 @@
 def _pool(pool: Pool) -> Row:
     return {
         "name": pool.name,
-        "healthPath": pool.health_path,
         "maxConns": pool.max_connections,
         "engine": None if pool.engine is None else _engine(pool.engine),
     }
--- a/cicadacourse/tables/_parser.py
+++ b/cicadacourse/tables/_parser.py
@@ -214,4 +214,4 @@
     profile = None
     if engine is not None:
         profile = EngineProfile(**attrs.asdict(engine, recurse=False))
-    return Pool(name, row.health_path, row.max_connections, profile)
+    return Pool(name, row.max_connections, profile)
--- a/cicadacourse/tables/_render.py
+++ b/cicadacourse/tables/_render.py
@@ -65,7 +65,6 @@
             engine = name_by_profile.setdefault(pool.engine, pool.name)
         rows[f"pool {pool.name}"] = {
             "engine": engine,
-            "health_path": pool.health_path,
             "max_connections": pool.max_connections,
         }
     for profile, name in name_by_profile.items():
--- a/cicadacourse/tables/_rows.py
+++ b/cicadacourse/tables/_rows.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import Any
+from typing import Any, ClassVar
 
 import attrs
 
@@ -129,8 +129,11 @@
 class PoolRow:
     """One pool, section ``[pool NAME]``."""
 
+    REASON_BY_REMOVED_OPTION: ClassVar[dict[str, str]] = {
+        "health_path": "endpoints are not probed"
+    }
+
     engine: str = option(str, "", help="Kind of its engines; empty for plain services.")
-    health_path: str = option(str, "/health", help="Path of the health probe.")
     max_connections: int = option(
         int, 0, minimum=0, help="Connections to one endpoint, 0 if not bounded."
     )
--- a/tests/test_platform/test_platform_configuration.py
+++ b/tests/test_platform/test_platform_configuration.py
@@ -5,6 +5,7 @@
 import json
 
 from cicadacourse.platform._configuration_reader import decode_configuration
+from cicadacourse.platform._configuration_writer import encode_configuration
 from standins.platform import make_configuration
 
 DEFAULT_TIMEOUT_S = 30.0
@@ -32,6 +33,17 @@
     assert (route.timeout_s, route.target_s) == (4.0, 4.0)
 
 
+def test_the_path_of_health_probes_is_ignored_and_kept() -> None:
+    """Endpoints are not probed; the store's rows keep what is unknown here."""
+    configuration = make_configuration()
+    for path, row in zip((7, "/up"), configuration["services"]):
+        row["healthPath"] = path
+    catalog = decode_configuration(json.dumps(configuration).encode()).unwrap()
+    assert catalog.pools == _decode().unwrap().pools
+    encoded = json.loads(encode_configuration(catalog, configuration))
+    assert [row["healthPath"] for row in encoded["services"]] == [7, "/up"]
+
+
 def test_omitted_limits_keep_their_defaults() -> None:
     limits = _decode(limits={"maxBodyBytes": 10}).unwrap().limits
     assert limits.max_body_bytes == 10
--- a/tests/test_tables/test_tables_parser.py
+++ b/tests/test_tables/test_tables_parser.py
@@ -91,6 +91,12 @@
         ("routes", ("[route ask]", "\x00"), "routes.ini: "),
         ("pools", ("engine = fast", "engine = fst"), "did you mean 'fast'?"),
         ("pools", ("slots", "slot"), "did you mean 'slots'?"),
+        (
+            "pools",
+            ("[pool seats]", "[pool seats]\nhealth_path = /up"),
+            "pools.ini: [pool seats] health_path = '/up': removed, as endpoints are not"
+            " probed; delete this line",
+        ),
         ("pools", ("step_s = 0.001", "step_s = nan"), "expected a number in seconds"),
         ("pools", ("slots = 8", "slots = 0"), "at least 1"),
         ("pools", ("slots = 8", "slots = 8\nslots = 9"), "pools.ini: "),
@@ -148,7 +154,6 @@
     st.builds(
         Pool,
         name=NAMES,
-        health_path=st.sampled_from(["/health", "/up"]),
         max_connections=st.integers(0, 500),
         engine=st.none() | PROFILES,
     ),
