Endpoint client: apply max_connections of pools

max_connections was parsed, published and never applied: each request that found no idle connection opened another one, and an endpoint resets those beyond its limit, after which an unsafe request can't be retried. A client now holds no more connections for requests to one endpoint than the pool allows, idle ones included; 0 still bounds nothing. At the limit requests wait, first come, first served. A request that has only waited until 50 ms before its deadline is refused as not run (503, `connections_in_use`) without ejecting the endpoint. The endpoint is told the time that is left after the wait and the connecting, not before.

The endpoint counts the connections of all instances together, and these don't know of each other's, so an instance's own bound is all that is guaranteed. Orders to engines (KV cache) use connections of their own and are not counted. Placement does not know of the wait.

--- a/cicadacourse/catalog/_model.py
+++ b/cicadacourse/catalog/_model.py
@@ -78,8 +78,8 @@
     """One row of the table of pools: a set of interchangeable endpoints.
 
     :param name: unique name.
-    :param max_connections: the maximum number of connections to one endpoint, 0 if it
-        is not bounded.
+    :param max_connections: the maximum number of connections for requests from each
+        instance to one endpoint, 0 if it is not bounded.
     :param engine: the engines' time model, or None for plain services.
     """
 
--- a/cicadacourse/exchange/_endpoint_client.py
+++ b/cicadacourse/exchange/_endpoint_client.py
@@ -17,11 +17,13 @@
     :param detail: a description of the failure.
     :param may_have_run: False only if no part of the request can have arrived.
     :param reason: the label for logs and metrics.
+    :param is_endpoint_at_fault: False if the failure says nothing about the endpoint.
     """
 
     detail: str
     may_have_run: bool
     reason: str
+    is_endpoint_at_fault: bool = True
 
     def __str__(self) -> str:
         return self.detail
@@ -62,7 +64,9 @@
     ) -> contextlib.AbstractAsyncContextManager[EndpointResponse]:
         """Sends a request and yields the response once its head is read.
 
-        Leaving the context before the body is read to its end cancels the request.
+        Waits while this instance has as many connections to the endpoint as its pool
+        allows. Leaving the context before the body is read to its end cancels the
+        request.
 
         :param is_idempotent: whether the request may run more than once.
         :param head_timeout_s: seconds to wait for the head of the response.
--- a/cicadacourse/gateway/_outcomes.py
+++ b/cicadacourse/gateway/_outcomes.py
@@ -48,7 +48,8 @@
     ) -> None:
         """Reports that an endpoint was unreachable, broke off or timed out."""
         endpoint_id = placement.endpoint.id
-        self._placer.report_transport_failure(endpoint_id, failure.reason)
+        if failure.is_endpoint_at_fault:
+            self._placer.report_transport_failure(endpoint_id, failure.reason)
         if not failure.may_have_run:
             self.attempts.record_not_run()
         self._record_failure(
--- a/cicadacourse/platform/_endpoint_client.py
+++ b/cicadacourse/platform/_endpoint_client.py
@@ -7,10 +7,11 @@
 from collections import defaultdict
 from typing import AsyncIterator, Sequence
 
+import attrs
 import h11
 
 from cicadacourse.application import SERVICES, Application, Service
-from cicadacourse.catalog import Endpoint
+from cicadacourse.catalog import CatalogService, Endpoint
 from cicadacourse.events import ENDPOINT_CHANGED
 from cicadacourse.exchange import (
     EndpointClient,
@@ -22,6 +23,7 @@
 )
 from cicadacourse.metrics import declare
 from cicadacourse.platform import _names as names
+from cicadacourse.platform._connection_limits import UNBOUNDED, ConnectionLimits
 from cicadacourse.util.clock import MS_PER_S, now
 from cicadacourse.util.connection import HttpConnection, HttpConnectionError
 
@@ -39,12 +41,19 @@
 # The endpoint may be closing one that idled for longer, and it would remain unknown
 # whether the request ran.
 MAX_IDLE_NON_IDEMPOTENT_S = 1.5
+# A request that waits for a connection ends this long before its deadline, so that its
+# response still arrives in time and says that it did not run.
+WAIT_MARGIN_S = 0.05
 _MISDIRECTED = 421
 
 
 @SERVICES.register("endpoint_caller")
 class PlatformEndpointClient(Service, EndpointClient):
-    """Pools connections to endpoints; each carries one exchange at a time."""
+    """Pools connections to endpoints; each carries one exchange at a time.
+
+    No more connections are held to one endpoint than its pool allows. The endpoint
+    counts those of all instances together, so it may still reset some.
+    """
 
     name = "endpoint_caller"
 
@@ -52,6 +61,7 @@
         super().__init__(app)
         self._idle_by_endpoint: dict[str, list[HttpConnection]] = defaultdict(list)
         self._busy_by_endpoint: dict[str, set[HttpConnection]] = defaultdict(set)
+        self._limits = ConnectionLimits()
         app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
 
     @contextlib.asynccontextmanager
@@ -69,17 +79,44 @@
     ) -> AsyncIterator[EndpointResponse]:
         """Sends a request, yields its response; see :meth:`EndpointClient.exchange`."""
         endpoint = request.endpoint
-        connection = self._take_idle(endpoint, is_idempotent)
-        if connection is None:
-            connection = await self._open(endpoint)
-        self._busy_by_endpoint[endpoint.id].add(connection)
+        started = now()
+        await self._acquire_permit(request)
         try:
-            response = await self._send(connection, request, head_timeout_s)
-            yield response
-        except HttpConnectionError as error:
-            raise SendFailure(str(error), True, "connection_broken") from error
+            connection = self._take_idle(endpoint, is_idempotent)
+            if connection is None:
+                connection = await self._open(endpoint)
+            time_left_s = request.time_left_s - (now() - started)
+            request = attrs.evolve(request, time_left_s=time_left_s)
+            self._busy_by_endpoint[endpoint.id].add(connection)
+            try:
+                response = await self._send(connection, request, head_timeout_s)
+                yield response
+            except HttpConnectionError as error:
+                raise SendFailure(str(error), True, "connection_broken") from error
+            finally:
+                self._release(endpoint, connection)
         finally:
-            self._release(endpoint, connection)
+            self._limits.release(endpoint.id)
+
+    async def _acquire_permit(self, request: EndpointRequest) -> None:
+        """Waits until the limit of the endpoint's pool allows another connection.
+
+        Idle connections count towards the limit as well: one that may carry the request
+        is used, and all others are closed before a new one is opened.
+        """
+        endpoint = request.endpoint
+        catalog_service: CatalogService = self.app.get("catalog")
+        catalog = catalog_service.catalog
+        pool = catalog.pool_by_name.get(endpoint.pool) if catalog else None
+        limit = pool.max_connections if pool else UNBOUNDED
+        timeout_s = max(0.0, request.time_left_s - WAIT_MARGIN_S)
+        try:
+            await self._limits.acquire(endpoint.id, limit, timeout_s)
+        except TimeoutError:
+            detail = f"all {limit} connections were in use for {timeout_s:.2f} s"
+            raise SendFailure(
+                detail, False, "connections_in_use", is_endpoint_at_fault=False
+            ) from None
 
     async def _send(
         self,
@@ -111,6 +148,9 @@
         return _Response(head, connection, _keep_alive_s(response))
 
     async def _open(self, endpoint: Endpoint) -> HttpConnection:
+        # Sockets of connections that were closed before are closed in the next turn of
+        # the loop, so they don't count beside the new one.
+        await asyncio.sleep(0)
         detail = ""
         for timeout_s in CONNECT_TIMEOUTS_S:
             self.app.metrics.count(CONNECTIONS_OPENED, pool=endpoint.pool)
--- a/cicadacourse/tables/_rows.py
+++ b/cicadacourse/tables/_rows.py
@@ -135,7 +135,11 @@
 
     engine: str = option(str, "", help="Kind of its engines; empty for plain services.")
     max_connections: int = option(
-        int, 0, minimum=0, help="Connections to one endpoint, 0 if not bounded."
+        int,
+        0,
+        minimum=0,
+        help="Connections for requests from each instance to one endpoint, 0 if not"
+        " bounded; at the limit, requests wait.",
     )
 
 
