Tests: check that reservations are released when the decode engine dies

The test of that name only waited for the attempt to fail. It now checks that the reservations of the first attempt, all made by then, are gone in less than what is left of their lease, and all others as well once the second attempt has ended at another dead engine.

--- a/standins/platform/_engine.py
+++ b/standins/platform/_engine.py
@@ -114,6 +114,12 @@
         self._drop_expired_reservations()
         return sum(item.tokens for item in self._reservation_by_id.values())
 
+    @property
+    def reservation_ids(self) -> frozenset[str]:
+        """The ids of the reservations that have not expired."""
+        self._drop_expired_reservations()
+        return frozenset(self._reservation_by_id)
+
     @property
     def used_tokens(self) -> int:
         """The KV-cache tokens that streams and reservations hold."""
--- a/tests/test_platform/test_platform_path.py
+++ b/tests/test_platform/test_platform_path.py
@@ -14,6 +14,7 @@
 
 from cicadacourse.logs import ENDPOINT_EJECTED, ENDPOINT_READMITTED
 from cicadacourse.platform import _ingress
+from cicadacourse.reservations._service import LEASE_S, RENEW_PERIOD_S
 from cicadacourse.util.clock import now
 from standins.callers import event_ids, read_response
 from standins.platform import (
@@ -39,6 +40,8 @@
 
 STREAM_TOKENS = "5000,230"
 STREAM_EVENTS = 5
+# Less than is left of a lease that is renewed, so that it can't have expired instead.
+RELEASED_WITHIN_S = LEASE_S - RENEW_PERIOD_S - 1.0
 
 
 @attrs.define
@@ -259,16 +262,32 @@
         for engine in engines:
             engine.fault = "dead"
         deployment.instance.app.get("memory_client").is_reachable = _is_unreachable
-        _, writer = await deployment.caller.open(
+        reader, writer = await deployment.caller.open(
             "/ask/x", "460000,92", timeout_ms=60000
         )
         await wait_until(lambda: any(engine.reserved_tokens for engine in engines))
+        await wait_until(lambda: any(engine.in_progress for engine in engines))
+        first_ids = _reservation_ids(engines)
+        assert first_ids
         metrics = deployment.instance.app.metrics
         name, reason = "attempt_failures_total", "connection_broken"
-        await wait_until(lambda: metrics.value(name, reason=reason))
+        await wait_until(lambda: metrics.value(name, reason=reason) == 1)
+        failed_at = now()
+        await wait_until(lambda: not first_ids & _reservation_ids(engines))
+        assert now() - failed_at < RELEASED_WITHIN_S
+        # The second attempt, at another dead engine, ends in the same way.
+        assert (await read_response(reader)).status == 502
+        ended_at = now()
+        await wait_until(lambda: not _reservation_ids(engines))
+        assert now() - ended_at < RELEASED_WITHIN_S
+        assert metrics.value(name, reason=reason) == 2
         writer.close()
 
 
+def _reservation_ids(engines: list[Engine]) -> set[str]:
+    return set().union(*(engine.reservation_ids for engine in engines))
+
+
 async def _is_unreachable(_: object) -> bool:
     return False
 
