Remove dead code: StreamCut, _WORD_BYTES, a second _SERVER_ERROR

Nothing raised StreamCut of the stand-in engine, so its handler never ran; nothing read _WORD_BYTES (grep over the tree). The status from which a response is a server error was defined twice in the gateway; it is a property of ResponseHead now, beside is_success. No change of behaviour.

--- a/cicadacourse/exchange/_model.py
+++ b/cicadacourse/exchange/_model.py
@@ -117,3 +117,8 @@
     def is_success(self) -> bool:
         """Whether the status is a 2xx."""
         return 200 <= self.status < 300
+
+    @property
+    def is_server_error(self) -> bool:
+        """Whether the status is 500 or above."""
+        return self.status >= 500
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -32,8 +32,6 @@
 )
 from cicadacourse.util.clock import now
 
-_SERVER_ERROR = 500
-
 
 @attrs.define
 class Forwarder:
@@ -125,7 +123,7 @@
         if head.never_ran:
             self._reporter.report_refusal(response, placement)
             return False
-        if head.status >= _SERVER_ERROR and self._has_alternative():
+        if head.is_server_error and self._has_alternative():
             self._reporter.report_error_response(response, placement)
             return False
         if self.admitted.is_stream and head.is_success:
--- a/cicadacourse/gateway/_outcomes.py
+++ b/cicadacourse/gateway/_outcomes.py
@@ -15,8 +15,6 @@
 from cicadacourse.reservations import ReservationRefused
 from cicadacourse.util.clock import now
 
-_SERVER_ERROR = 500
-
 
 @attrs.frozen
 class OutcomeReporter:
@@ -97,7 +95,7 @@
         self, response: EndpointResponse, placement: Placement
     ) -> None:
         """Reports a response that was forwarded to its end."""
-        if response.head.status >= _SERVER_ERROR:
+        if response.head.is_server_error:
             self._placer.report_error_response(placement.endpoint.id)
         else:
             self._placer.health.record_success(placement.endpoint.id)
--- a/cicadacourse/peers/_codec.py
+++ b/cicadacourse/peers/_codec.py
@@ -22,7 +22,6 @@
 from cicadacourse.registry import UnknownNameError
 
 _SCALARS = (int, float, bool)
-_WORD_BYTES = 8
 # A body that unpacks to more is refused: packing makes long runs of zeros very short.
 _MAX_WORDS_PER_PACKED_BYTE = 16
 
--- a/standins/platform/__init__.py
+++ b/standins/platform/__init__.py
@@ -1,6 +1,6 @@
 """Stand-ins for the users' platform: its store, its engines and plain services."""
 
-from standins.platform._engine import Engine, EngineRefusal, StreamCut
+from standins.platform._engine import Engine, EngineRefusal
 from standins.platform._fleet import (
     ENGINE_POOL,
     HOST,
@@ -28,7 +28,6 @@
     "PROFILE",
     "StoreCore",
     "StoreFaults",
-    "StreamCut",
     "Worker",
     "WorkerFaults",
     "make_configuration",
--- a/standins/platform/_engine.py
+++ b/standins/platform/_engine.py
@@ -31,10 +31,6 @@
         self.faulty_engine = faulty_engine
 
 
-class StreamCut(Exception):
-    """The engine aborted a stream."""
-
-
 @attrs.define(eq=False)
 class _PrefillPart:
     """A part of a prompt that one engine prefills.
--- a/standins/platform/_worker_http.py
+++ b/standins/platform/_worker_http.py
@@ -13,7 +13,7 @@
 
 from cicadacourse.platform import _names as names
 from cicadacourse.util.clock import MS_PER_S
-from standins.platform._engine import Engine, EngineRefusal, StreamCut
+from standins.platform._engine import Engine, EngineRefusal
 
 OK = 200
 SERVICE_UNAVAILABLE = 503
@@ -216,8 +216,6 @@
                     return
         except EngineRefusal as refusal:
             self._refuse(refusal)
-        except StreamCut:
-            self.request.connection.stream.close()
 
     def _find_helpers(self) -> list[tuple[Engine, str | None]]:
         """Returns the helpers that the request names, with their reservation ids.
