Stand-ins: each process claims its block of ports

Blocks were chosen by the process id modulo 20, and loopback hosts by the id modulo 200, so two test runs at once could use the same ports on the same host. A process now claims its block by holding its first port bound; hosts follow the block's number. With all 20 blocks claimed it fails and says so.

The test failed before: three processes with the same id had the same block.

--- a/standins/ports.py
+++ b/standins/ports.py
@@ -2,35 +2,75 @@
 
 from __future__ import annotations
 
+import functools
 import itertools
 import os
 import socket
+from typing import Iterator
 
-# Each process takes its ports from one of these blocks. All lie below the kernel's
-# ephemeral ports (32768 and up by default), so no outgoing connection takes one.
+import attrs
+
+# Each process claims one of these blocks and takes its ports from it. All lie below
+# the kernel's ephemeral ports (32768 and up by default), so no outgoing connection
+# takes one.
 FIRST_PORT = 12_000
 PORTS_PER_BLOCK = 1000
 BLOCKS = 20
 
-_first_port = FIRST_PORT + os.getpid() % BLOCKS * PORTS_PER_BLOCK
-_ports = iter(range(_first_port, _first_port + PORTS_PER_BLOCK))
 _host_numbers = itertools.count(2)
 
 
+@attrs.frozen
+class _Block:
+    """A block of ports that no other process uses.
+
+    :param number: its number, from 0.
+    :param claim: bound to the block's first port while this process lives.
+    :param ports: the ports that are left.
+    """
+
+    number: int
+    claim: socket.socket
+    ports: Iterator[int]
+
+
+@functools.cache
+def _claim_block() -> _Block:
+    """Claims a block for this process at its first call.
+
+    :raises AssertionError: if other processes have claimed all blocks.
+    """
+    for offset in range(BLOCKS):
+        number = (os.getpid() + offset) % BLOCKS
+        first_port = FIRST_PORT + number * PORTS_PER_BLOCK
+        claim = socket.socket()
+        try:
+            claim.bind(("127.0.0.1", first_port))
+        except OSError:
+            claim.close()
+            continue
+        ports = iter(range(first_port + 1, first_port + PORTS_PER_BLOCK))
+        return _Block(number, claim, ports)
+    raise AssertionError(f"all {BLOCKS} blocks of ports are claimed")
+
+
 def next_host() -> str:
-    """Returns a loopback IP address that nothing else in this process uses."""
-    return f"127.{os.getpid() % 200 + 10}.{next(_host_numbers) % 250 + 1}.1"
+    """Returns a loopback IP address that nothing else uses.
+
+    :raises AssertionError: if other processes have claimed all blocks of ports.
+    """
+    return f"127.{_claim_block().number + 10}.{next(_host_numbers) % 250 + 1}.1"
 
 
 def free_port(host: str = "127.0.0.1") -> int:
     """Returns a port that is free on a host.
 
     Two calls in one process never return the same port, and no outgoing connection
-    takes it.
+    takes it. Other processes get ports of other blocks.
 
-    :raises AssertionError: if no port of this process's block is left.
+    :raises AssertionError: if no port of this process's block is left, or no block.
     """
-    for port in _ports:
+    for port in _claim_block().ports:
         with socket.socket() as probe:
             try:
                 probe.bind((host, port))
