--- a/cicadacourse/config.py
+++ b/cicadacourse/config.py
@@ -128,8 +128,19 @@
     return tuple(parse_address(part) for part in text.replace(",", " ").split())
 
 
+def parse_log_level(text: str) -> str:
+    """Parses the name of a level of the log, in upper or lower case.
+
+    :raises ValueError: if it is none of :data:`LOG_LEVELS`.
+    """
+    if text.lower() not in LOG_LEVELS:
+        raise ValueError(text)
+    return text
+
+
 MAX_PORT = 65535
 MAX_NAME_LENGTH = 64
+LOG_LEVELS = ("critical", "error", "warning", "notice", "info", "debug", "trace")
 
 EXPECTED_BY_PARSER: dict[Callable[[str], Any], str] = {
     int: "a whole number",
@@ -139,6 +150,7 @@
     parse_name: "a name of letters, digits, '-', '_' and '.'",
     parse_address: "an IP address and a port, such as 127.0.0.1:7000",
     parse_addresses: "IP addresses with ports, separated by commas",
+    parse_log_level: f"{', '.join(LOG_LEVELS[:-1])} or {LOG_LEVELS[-1]}",
 }
 
 
@@ -152,9 +164,7 @@
     """
     specs = options_by_name(cls)
     errors = [
-        _option_error(
-            file, section_name, name, text, f"unknown option{suggest(name, specs)}"
-        )
+        _option_error(file, section_name, name, text, _describe_unknown(cls, name))
         for name, text in texts_by_option.items()
         if name not in specs
     ]
@@ -176,6 +186,18 @@
     return Success(cls(**values))
 
 
+def _describe_unknown(cls: type, name: str) -> str:
+    """Says what to do about an option that the section does not have.
+
+    A section's class may say in ``REASON_BY_REMOVED_OPTION`` why it lacks an option
+    that it once had.
+    """
+    reason = getattr(cls, "REASON_BY_REMOVED_OPTION", {}).get(name)
+    if reason is not None:
+        return f"removed, as {reason}; delete this line"
+    return f"unknown option{suggest(name, options_by_name(cls))}"
+
+
 def _parse_option(spec: Option, text: str) -> Result[Any, str]:
     """Parses one value and checks its bounds; a failure says what was expected."""
     expected = f"expected {spec.expected}{f' in {spec.unit}' if spec.unit else ''}"
@@ -226,7 +248,9 @@
     failure_domain: str = option(parse_name, help="Failure domain of this instance.")
     caller_address: str = option(parse_address, help="Where callers connect.")
     peer_address: str = option(parse_address, help="Where other instances connect.")
-    log_level: str = option(str, "INFO", help="Lowest level that is logged.")
+    log_level: str = option(
+        parse_log_level, "INFO", help="Lowest level that is logged."
+    )
 
 
 class Settings:
--- a/cicadacourse/gateway/_outcomes.py
+++ b/cicadacourse/gateway/_outcomes.py
@@ -15,8 +15,6 @@
 from cicadacourse.reservations import ReservationRefused
 from cicadacourse.util.clock import now
 
-_SERVER_ERROR = 500
-
 
 @attrs.frozen
 class OutcomeReporter:
@@ -48,7 +46,8 @@
     ) -> None:
         """Reports that an endpoint was unreachable, broke off or timed out."""
         endpoint_id = placement.endpoint.id
-        self._placer.report_transport_failure(endpoint_id, failure.reason)
+        if failure.is_endpoint_at_fault:
+            self._placer.report_transport_failure(endpoint_id, failure.reason)
         if not failure.may_have_run:
             self.attempts.record_not_run()
         self._record_failure(
@@ -96,7 +95,7 @@
         self, response: EndpointResponse, placement: Placement
     ) -> None:
         """Reports a response that was forwarded to its end."""
-        if response.head.status >= _SERVER_ERROR:
+        if response.head.is_server_error:
             self._placer.report_error_response(placement.endpoint.id)
         else:
             self._placer.health.record_success(placement.endpoint.id)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -9,8 +9,9 @@
 import pytest
 
 from cicadacourse.cmd import explain
-from cicadacourse.logs import REQUEST_ENDED, REQUEST_REFUSED, log
+from cicadacourse.logs import REQUEST_ENDED, REQUEST_REFUSED, REQUEST_SENT, log
 from cicadacourse.util.logging import (
+    LINES_DROPPED,
     LINES_PER_PERIOD,
     MAX_QUEUED_CHUNKS,
     JsonHandler,
@@ -55,6 +56,24 @@
     assert collector.lines[-1]["suppressed"] == 50
 
 
+def test_line_of_a_loss_has_the_common_fields_and_is_shown_by_explain() -> None:
+    """It was skipped by ``explain``, which starts a line at its time."""
+    collector = Collector()
+    handler = JsonHandler(collector, "INFO", instance="one")
+    with handler.applicationbound():
+        log(REQUEST_SENT, request="r1")
+        for _ in range(LINES_PER_PERIOD):
+            log(REQUEST_ENDED, request="r1")
+    handler.flush()
+    common_fields = ["time", "level", "instance", "part", "event"]
+    assert list(collector.lines[-1])[:5] == list(collector.lines[0])[:5]
+    assert list(collector.lines[-1])[:5] == common_fields
+    lines = explain.parse_lines(json.dumps(line) for line in collector.lines)
+    last = explain.select_lines("r1", lines)[-1]
+    assert (last.event, last.instance) == (LINES_DROPPED, "one")
+    assert last.fields["suppressed"] == 1
+
+
 def test_stalled_reader_does_not_block_and_lost_lines_are_counted() -> None:
     """Nobody reads the pipe, so it fills up; logging must go on without waiting."""
     reader, writer = os.pipe()
@@ -127,6 +146,25 @@
     assert "e1 failed" in shown[-1]
 
 
+@pytest.mark.parametrize("prefix", ["", "front-a-1 | "])
+def test_explain_orders_lines_across_midnight(prefix: str) -> None:
+    """Lines of a request that ends after midnight were shown before its first ones."""
+    times = ["2025-12-31T23:59:58.9Z", "2025-12-31T23:59:59.9Z", "2026-01-01T00:00:00Z"]
+    events = ["store lost", "request sent", "request ended"]
+    rows = [
+        {"time": time, "instance": "a", "event": event, "request": "r1"}
+        for time, event in zip(times, events)
+    ]
+    del rows[0]["request"]
+    lines = explain.parse_lines(prefix + json.dumps(row) for row in reversed(rows))
+    assert [line.event for line in explain.select_lines("r1", lines)] == events
+
+
+def test_explain_skips_lines_without_a_date() -> None:
+    texts = ['{"time":"00:00:01Z","event":"e"}', '{"time":7,"event":"e"}']
+    assert explain.parse_lines(texts) == []
+
+
 def test_cause_of_a_request_without_an_end_is_the_restart_of_its_instance() -> None:
     rows = [LOG_LINES[2], {**LOG_LINES[0], "time": "2026-01-01T00:00:09.0Z"}]
     rows[1]["event"] = "instance started"
