Membership: the prober and the syncer no longer call the service back

The service, the failure detector and the anti-entropy called each other both ways; the detector and the anti-entropy used 15 attributes of the service besides its settings.

The records (own record, view, changes to gossip), the reports of changes, the detection of pauses and the tasks are modules of their own. The prober and the syncer get them in a context; the service reacts to a refutation and to a pause by callbacks, and gives its sleep to the loops. No name that leaves the package changed besides private use of Membership: detect_pause, deltas_for, forget, start_task, call, settings, random, pause_count and is_refreshing are gone from it; nothing outside the package but tests/test_membership/naive.py used them. The patches in naive.py follow to the new places; the tests that need them to fail a property still see it fail.

--- a/cicadacourse/membership/_own.py
+++ b/cicadacourse/membership/_own.py
@@ -18,6 +18,7 @@
     address describes a process that replaced this one.
 
     :param settings: name, addresses and failure domain of this instance.
+    :ivar is_refreshing: whether its view may be outdated, after a start or a pause.
     """
 
     def __init__(self, settings: InstanceSettings) -> None:
@@ -29,6 +30,7 @@
             failure_domain=settings.failure_domain,
         )
         self.is_starting = True
+        self.is_refreshing = True
         self.is_replaced = False
 
     def update(self, **changes: Any) -> Member:
@@ -36,6 +38,15 @@
         self.member = attrs.evolve(self.member, **changes)
         return self.member
 
+    def may_be_offered(self) -> bool:
+        """Returns whether callers may be sent to this instance while it is alive."""
+        return not self.is_refreshing and not self.is_replaced
+
+    def finish_refresh(self, has_synced: bool) -> None:
+        """Ends a refresh, and also the start if another instance has answered."""
+        self.is_starting = self.is_starting and not has_synced
+        self.is_refreshing = False
+
     def must_refute(self, received: Member) -> bool:
         """Returns whether a received record of this instance has to be refuted."""
         if self.is_replaced or received.incarnation < self.member.incarnation:
--- a/cicadacourse/membership/_prober.py
+++ b/cicadacourse/membership/_prober.py
@@ -8,20 +8,19 @@
 
 import asyncio
 import math
-from typing import TYPE_CHECKING, Coroutine
+from typing import Coroutine
 
 import attrs
 from returns.result import Success
 
+from cicadacourse.membership._context import Context
 from cicadacourse.membership._messages import Ack, Ping
 from cicadacourse.membership._model import Member, MemberState
 from cicadacourse.membership._selection import choose_across_domains
 from cicadacourse.membership._settings import SUSPICIONS
+from cicadacourse.membership._tasks import Sleep
 from cicadacourse.util.clock import now
 
-if TYPE_CHECKING:
-    from cicadacourse.membership._service import Membership
-
 # Number of members to which a change of this instance is sent at once.
 _ANNOUNCE_FANOUT = 4
 
@@ -29,22 +28,25 @@
 class Prober:
     """The failure detector of one instance."""
 
-    def __init__(self, membership: Membership) -> None:
-        self._membership = membership
-        self._settings = membership.settings
+    def __init__(self, context: Context) -> None:
+        self._app = context.app
+        self._settings = context.settings
+        self._records = context.records
+        self._pauses = context.pauses
+        self._chooser = context.chooser
         self._probe_round: list[str] = []
         self._suspected_by_self: set[str] = set()
 
-    async def run(self) -> None:
+    async def run(self, sleep: Sleep) -> None:
         """Probes members for as long as the service runs."""
         period_s = self._settings.probe_period_s
-        await self._membership.sleep(self._membership.random.random() * period_s)
+        await sleep(self._chooser.random() * period_s)
         while True:
             started_s = now()
-            self._membership.detect_pause()
+            self._pauses.detect()
             await self._probe_next()
             self._expire()
-            await self._membership.sleep(max(0.0, started_s + period_s - now()))
+            await sleep(max(0.0, started_s + period_s - now()))
 
     async def ping(self, address: str, name: str) -> bool:
         """Probes an address and returns whether it answered.
@@ -52,26 +54,21 @@
         :param name: the member's name, empty if it is not known.
         """
         request = Ping(
-            sender=self._membership.self_member(),
-            deltas=self._membership.deltas_for(name),
+            sender=self._records.own.member,
+            deltas=self._records.deltas_for(name),
         )
         return await self._ask(address, request, self._settings.probe_timeout_s)
 
-    def announce(self) -> None:
-        """Sends a change of this instance to a few members at once."""
-        for coroutine in self.announcements():
-            self._membership.start_task(coroutine)
-
     def announcements(self) -> list[Coroutine[None, None, bool]]:
         """Returns pings that carry a change to members of several failure domains."""
         receivers = choose_across_domains(
-            self._alive(), _ANNOUNCE_FANOUT, self._membership.random
+            self._alive(), _ANNOUNCE_FANOUT, self._chooser
         )
         return [self.ping(member.peer_address, member.name) for member in receivers]
 
     def restart_suspicions(self) -> None:
         """Restarts the suspicion timeout of every suspected member, after a pause."""
-        for entry in self._membership.view.entries():
+        for entry in self._records.view.entries():
             if entry.member.state is MemberState.SUSPECT:
                 entry.since = now()
 
@@ -88,25 +85,25 @@
         Each member is probed once per round, which bounds the detection time.
         """
         while self._probe_round:
-            member = self._membership.view.find(self._probe_round.pop())
+            member = self._records.view.find(self._probe_round.pop())
             if member is not None and member.state is not MemberState.DEAD:
                 return member.name
-        self._probe_round = sorted(item.name for item in self._membership.view.live())
-        self._membership.random.shuffle(self._probe_round)
+        self._probe_round = sorted(item.name for item in self._records.view.live())
+        self._chooser.shuffle(self._probe_round)
         return self._probe_round.pop() if self._probe_round else None
 
     async def _probe(self, name: str) -> None:
         """Suspects a member that no probe reaches, unless this instance was paused."""
-        member = self._membership.view.find(name)
+        member = self._records.view.find(name)
         if member is None or member.state is MemberState.DEAD:
             return
-        pause_count = self._membership.pause_count
+        pause_count = self._pauses.count
         if await self.ping(member.peer_address, name):
             return
         if await self._probe_indirectly(member):
             return
-        self._membership.detect_pause()
-        if pause_count == self._membership.pause_count:
+        self._pauses.detect()
+        if pause_count == self._pauses.count:
             self._suspect(member)
 
     async def _probe_indirectly(self, member: Member) -> bool:
@@ -115,17 +112,15 @@
         Members of other failure domains send them, if there are any.
         """
         candidates = [item for item in self._alive() if item.name != member.name]
-        own_domain = self._membership.self_member().failure_domain
+        own_domain = self._records.own.member.failure_domain
         other_domains = [
             item for item in candidates if item.failure_domain != own_domain
         ]
         count = self._settings.indirect_probes
         intermediaries = choose_across_domains(
-            other_domains or candidates, count, self._membership.random
-        )
-        request = Ping(
-            sender=self._membership.self_member(), target=member.peer_address
+            other_domains or candidates, count, self._chooser
         )
+        request = Ping(sender=self._records.own.member, target=member.peer_address)
         timeout_s = 2 * self._settings.probe_timeout_s
         answers = await asyncio.gather(
             *(
@@ -136,49 +131,49 @@
         return any(answers)
 
     async def _ask(self, address: str, request: Ping, timeout_s: float) -> bool:
-        match await self._membership.call(address, request, timeout_s):
+        match await self._app.get("peers").call(address, request, timeout_s):
             case Success(Ack(sender=sender, reached=reached, deltas=deltas)):
-                self._membership.receive(sender, *deltas)
+                self._records.receive(sender, *deltas)
                 return reached
         return False
 
     def _suspect(self, probed: Member) -> None:
         """Suspects a member, unless its incarnation has changed since the probe."""
-        known = self._membership.view.find(probed.name)
+        known = self._records.view.find(probed.name)
         if known is None or known.incarnation != probed.incarnation:
             return
         if known.state in (MemberState.ALIVE, MemberState.LEAVING):
-            self._membership.app.metrics.count(SUSPICIONS)
+            self._app.metrics.count(SUSPICIONS)
         self._suspected_by_self.add(probed.name)
-        self._membership.receive(attrs.evolve(known, state=MemberState.SUSPECT))
+        self._records.receive(attrs.evolve(known, state=MemberState.SUSPECT))
 
     def _expire(self) -> None:
         """Declares members dead after the suspicion timeout; forgets the long dead."""
         suspicion_timeout_s = self._suspicion_timeout_s()
-        for entry in self._membership.view.entries():
+        for entry in self._records.view.entries():
             age_s = now() - entry.since
             if (
                 entry.member.state is MemberState.SUSPECT
                 and age_s > suspicion_timeout_s
             ):
                 dead = attrs.evolve(entry.member, state=MemberState.DEAD)
-                self._membership.receive(dead)
+                self._records.receive(dead)
             if entry.member.state is MemberState.DEAD:
                 if age_s > self._settings.forget_dead_s:
-                    self._membership.forget(entry.member.name)
+                    self._records.view.forget(entry.member.name)
 
     def _suspicion_timeout_s(self) -> float:
         """Returns how long a suspected member may refute the suspicion, in seconds.
 
         Gossip takes O(log N) periods to reach N members, so the timeout grows alike.
         """
-        member_count = len(self._membership.view) + 1
+        member_count = len(self._records.view) + 1
         periods = self._settings.suspicion_periods * max(1.0, math.log10(member_count))
         return periods * self._settings.probe_period_s
 
     def _alive(self) -> list[Member]:
         return [
             member
-            for member in self._membership.view.live()
+            for member in self._records.view.live()
             if member.state is MemberState.ALIVE
         ]
--- a/tests/test_membership/naive.py
+++ b/tests/test_membership/naive.py
@@ -25,14 +25,14 @@
 def without_incarnations(app: Application) -> Membership:
     """Never raises its incarnation, so that it can't refute a suspicion."""
     membership = Membership(app)
-    membership._receive_own_record = lambda received: None
+    membership._records._receive_own = lambda received: None
     return membership
 
 
 def without_pause_detection(app: Application) -> Membership:
     """Continues after a pause as if there had been none."""
     membership = Membership(app)
-    membership.detect_pause = lambda: None
+    membership._pauses.detect = lambda: None
     return membership
 
 
@@ -66,13 +66,13 @@
 def without_replacement_detection(app: Application) -> Membership:
     """Refutes every record, even that of a process that replaced it."""
     membership = Membership(app)
-    receive_own_record = membership._receive_own_record
+    receive_own = membership._records._receive_own
 
     def refute_all(received):
         own_address = membership.self_member().peer_address
-        receive_own_record(attrs.evolve(received, peer_address=own_address))
+        receive_own(attrs.evolve(received, peer_address=own_address))
 
-    membership._receive_own_record = refute_all
+    membership._records._receive_own = refute_all
     return membership
 
 
@@ -87,9 +87,9 @@
         listed = {contact.name: contact for contact in syncer._known_contacts}
         for entry in membership.view.entries():
             if entry.member.name not in listed:
-                membership.forget(entry.member.name)
+                membership.view.forget(entry.member.name)
             elif entry.member.state is MemberState.DEAD:
-                membership.forget(entry.member.name)
+                membership.view.forget(entry.member.name)
                 alive = attrs.evolve(entry.member, state=MemberState.ALIVE)
                 membership.receive(alive)
 
@@ -100,5 +100,5 @@
 def gossiping_everything(app: Application) -> Membership:
     """Sends all live members in every message."""
     membership = Membership(app)
-    membership.deltas_for = lambda name: tuple(membership.view.live())
+    membership._records.deltas_for = lambda name: tuple(membership.view.live())
     return membership
