Placement: ejections, choice, retries and errors are modules of their own

Imports go one way; a readmission reaches the dispatcher by a callback. The public names, log texts, metrics and error texts stay.

Whole suite green, lint green, mypy shows the same errors as before.

--- /dev/null
+++ b/cicadacourse/placement/_chooser.py
@@ -0,0 +1,82 @@
+"""Chooses endpoints for a request by the load that is known at the moment.
+
+The modules ``_admission``, ``_calls``, ``_engines`` and ``_kv_cache`` hold the rules.
+"""
+
+from __future__ import annotations
+
+from cicadacourse.application import Application
+from cicadacourse.catalog import CatalogService, Pool
+from cicadacourse.config import InstanceSettings
+from cicadacourse.load import LoadService
+from cicadacourse.placement._admission import admit_prompt, soonest_first_event_s
+from cicadacourse.placement._calls import choose_endpoint
+from cicadacourse.placement._ejections import Ejections
+from cicadacourse.placement._model import Candidate, Placement, PlacementRequest
+from cicadacourse.placement._placements import place_call, place_prompt
+from cicadacourse.util import hashing
+from cicadacourse.util.clock import now
+
+
+class Chooser:
+    """Chooses among the usable endpoints of a pool.
+
+    :param instance: name and failure domain of this instance.
+    """
+
+    def __init__(
+        self, app: Application, instance: InstanceSettings, ejections: Ejections
+    ) -> None:
+        self._catalog_service: CatalogService = app.get("catalog")
+        self._load: LoadService = app.get("load")
+        self._instance = instance
+        self._ejections = ejections
+
+    def find_pool(self, name: str) -> Pool | None:
+        """Returns the pool of that name, or None if it is not configured."""
+        catalog = self._catalog_service.catalog
+        return catalog.pool_by_name.get(name) if catalog else None
+
+    def is_empty(self, pool: str) -> bool:
+        """Returns whether a pool has no live endpoint."""
+        return not self._catalog_service.registry.ready(pool)
+
+    def is_deadline_unreachable(self, request: PlacementRequest, pool: Pool) -> bool:
+        """Returns whether even an idle pool would miss the deadline of a prompt."""
+        if pool.engine is None:
+            return False
+        if pool.engine.prefill_s(request.prompt_tokens) < request.time_left_s:
+            return False
+        engines = len(self._catalog_service.registry.ready(request.pool))
+        soonest_s = soonest_first_event_s(request, pool.engine, engines)
+        return engines > 0 and soonest_s >= request.time_left_s
+
+    def candidates(self, pool: str) -> list[Candidate]:
+        """Returns the usable endpoints of a pool with their current load."""
+        now_s = now()
+        return [
+            Candidate(
+                endpoint=item,
+                load=self._load.table.load_of(item.id, now_s),
+                is_same_domain=item.failure_domain == self._instance.failure_domain,
+                tie_break=hashing.score(self._instance.name, item.id),
+            )
+            for item in self._ejections.usable_endpoints(pool)
+        ]
+
+    def try_place(
+        self, request: PlacementRequest, pool: Pool, candidates: list[Candidate]
+    ) -> Placement | None:
+        """Returns a placement, or None if the request has to wait.
+
+        Endpoints that have failed the request are used only if there are no others.
+        """
+        not_avoided = [
+            item for item in candidates if item.endpoint.id not in request.avoided_ids
+        ]
+        candidates = not_avoided or candidates
+        if pool.engine is None or not request.prompt_tokens:
+            chosen = choose_endpoint(candidates)
+            return None if chosen is None else place_call(chosen)
+        choice = admit_prompt(request, pool.engine, candidates)
+        return None if choice is None else place_prompt(request, choice)
--- /dev/null
+++ b/cicadacourse/placement/_dispatcher.py
@@ -0,0 +1,72 @@
+"""Tries to place queued requests again, after changes of the load or after a time."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Any
+
+from cicadacourse.placement._chooser import Chooser
+from cicadacourse.placement._model import Candidate
+from cicadacourse.placement._queue import WaitQueue
+from cicadacourse.util.clock import now
+
+# Range of the random interval at which queued long prompts are tried again. A change of
+# the load reaches all instances at once, so trying again on each change would make them
+# choose the same engines.
+RECHECK_RANGE_S = (0.02, 0.06)
+
+
+class Dispatcher:
+    """Places queued requests: short ones on a change, long ones at intervals."""
+
+    def __init__(self, queue: WaitQueue, chooser: Chooser) -> None:
+        self._queue = queue
+        self._chooser = chooser
+        self._is_scheduled = False
+        self._recheck_timer: asyncio.TimerHandle | None = None
+
+    def schedule(self, *_: Any) -> None:
+        """Schedules one try of queued short requests per turn of the event loop."""
+        if len(self._queue) and not self._is_scheduled:
+            self._is_scheduled = True
+            asyncio.get_running_loop().call_soon(self._place_scheduled)
+
+    def schedule_recheck(self) -> None:
+        """Schedules the next try of queued long prompts, as long as there is one."""
+        if self._recheck_timer is None and self._queue.has_long():
+            delay_s = random.uniform(*RECHECK_RANGE_S)
+            self._recheck_timer = asyncio.get_running_loop().call_later(
+                delay_s, self._on_recheck
+            )
+
+    def _on_recheck(self) -> None:
+        self._recheck_timer = None
+        self._place_first(is_long=True)
+        self.schedule_recheck()
+
+    def _place_scheduled(self) -> None:
+        """Places the first short request that fits.
+
+        Its assignment changes the load, which schedules the next try.
+        """
+        self._is_scheduled = False
+        self._place_first(is_long=False)
+
+    def _place_first(self, is_long: bool) -> None:
+        """Places the first request that fits, of the long or of the short queue."""
+        candidates_by_pool: dict[str, list[Candidate]] = {}
+        for waiter in self._queue:
+            if waiter.is_long != is_long:
+                continue
+            pool = self._chooser.find_pool(waiter.request.pool)
+            if pool is None:
+                continue
+            if pool.name not in candidates_by_pool:
+                candidates_by_pool[pool.name] = self._chooser.candidates(pool.name)
+            placement = self._chooser.try_place(
+                waiter.request_at(now()), pool, candidates_by_pool[pool.name]
+            )
+            if placement is not None:
+                waiter.placement.set_result(placement)
+                return
--- /dev/null
+++ b/cicadacourse/placement/_ejections.py
@@ -0,0 +1,77 @@
+"""Ejects endpoints that fail and readmits them; logs and counts both."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Callable
+
+from cicadacourse.application import Application
+from cicadacourse.catalog import CatalogService, Endpoint
+from cicadacourse.logs import ENDPOINT_EJECTED, ENDPOINT_READMITTED, log
+from cicadacourse.metrics import declare
+from cicadacourse.placement._health import EndpointHealth
+from cicadacourse.util.clock import now
+
+EJECTIONS = declare("endpoints_set_aside_total", "Endpoints ejected, by reason.")
+
+# Added to timers, which may fire early by the clock's resolution.
+TIMER_SLACK_S = 0.002
+
+
+class Ejections:
+    """Ejects endpoints by the failures that are reported.
+
+    :param on_readmitted: called once the ejection of an endpoint is over.
+    :ivar health: the failures of the endpoints.
+    """
+
+    def __init__(self, app: Application, on_readmitted: Callable[[], None]) -> None:
+        self.health = EndpointHealth()
+        self._app = app
+        self._catalog_service: CatalogService = app.get("catalog")
+        self._on_readmitted = on_readmitted
+
+    def usable_endpoints(self, pool: str) -> list[Endpoint]:
+        """Returns the endpoints of a pool that accept requests and may be used.
+
+        Ejected ones are left out, up to the largest share that may be ejected.
+        """
+        ready = self._catalog_service.registry.ready(pool)
+        ids = self.health.usable_ids([item.id for item in ready], now())
+        return [item for item in ready if item.id in ids]
+
+    def forget_former_process(self, endpoint: Endpoint) -> None:
+        """Removes the failures of an endpoint that was removed or has restarted."""
+        current = self._catalog_service.registry.find(endpoint.id)
+        if current is None or not current.is_same_process(endpoint):
+            self.health.forget(endpoint.id)
+
+    def report_transport_failure(self, endpoint_id: str, reason: str) -> None:
+        """Records a failed connection, an aborted exchange or a missing response."""
+        for_s = self.health.record_transport_failure(endpoint_id, now())
+        self._record_ejection(endpoint_id, for_s, reason)
+
+    def report_error_response(self, endpoint_id: str) -> None:
+        """Records that an endpoint responded with an error."""
+        for_s = self.health.record_error_response(endpoint_id, now())
+        self._record_ejection(endpoint_id, for_s, "error_answers")
+
+    def report_refusal(self, endpoint_id: str) -> None:
+        """Records that an endpoint refused a request."""
+        for_s = self.health.record_refusal(endpoint_id, now())
+        self._record_ejection(endpoint_id, for_s, "refusal")
+
+    def _record_ejection(self, endpoint_id: str, for_s: float, reason: str) -> None:
+        if for_s:
+            self._app.metrics.count(EJECTIONS, reason=reason)
+            log(ENDPOINT_EJECTED, endpoint=endpoint_id, for_s=for_s, reason=reason)
+            loop = asyncio.get_running_loop()
+            loop.call_later(for_s + TIMER_SLACK_S, self._check_readmission, endpoint_id)
+
+    def _check_readmission(self, endpoint_id: str) -> None:
+        """Offers an endpoint to queued requests once its ejection is over."""
+        if self._catalog_service.registry.find(endpoint_id) is None:
+            return
+        if not self.health.is_ejected(endpoint_id, now()):
+            log(ENDPOINT_READMITTED, endpoint=endpoint_id)
+            self._on_readmitted()
--- /dev/null
+++ b/cicadacourse/placement/_errors.py
@@ -0,0 +1,38 @@
+"""The errors of requests that are not placed."""
+
+from __future__ import annotations
+
+from cicadacourse.errors import Error, ErrorKind
+
+# The replacement of an endpoint is listed in the registry within about this time.
+RETRY_AFTER_NO_ENDPOINT_S = 1.0
+# A stream of typical length frees its slot within about this time.
+RETRY_AFTER_FULL_S = 0.5
+
+
+def pool_unknown(pool: str) -> Error:
+    """Returns the error for a pool that is not configured."""
+    return _no_endpoint(f"pool {pool} is not in the configuration")
+
+
+def pool_empty(pool: str) -> Error:
+    """Returns the error for a pool without a live endpoint."""
+    return _no_endpoint(f"pool {pool} has no live endpoint")
+
+
+def pool_full(pool: str) -> Error:
+    """Returns the error for a request whose time in the queue is over."""
+    detail = f"no endpoint of pool {pool} came free in time"
+    return Error(ErrorKind.OVERLOADED, detail, retry_after_s=RETRY_AFTER_FULL_S)
+
+
+def deadline_unreachable(pool: str) -> Error:
+    """Returns the error for a prompt that can't be prefilled before its deadline."""
+    detail = f"pool {pool} cannot prefill the prompt before the deadline"
+    return Error(
+        ErrorKind.DEADLINE_UNREACHABLE, detail, retry_after_s=RETRY_AFTER_FULL_S
+    )
+
+
+def _no_endpoint(detail: str) -> Error:
+    return Error(ErrorKind.NO_ENDPOINT, detail, retry_after_s=RETRY_AFTER_NO_ENDPOINT_S)
