--- a/cicadacourse/peers/_codec.py
+++ b/cicadacourse/peers/_codec.py
@@ -100,19 +100,28 @@
     return _to_camel_case(f"has_{name}")
 
 
-def _make_unstructure(cls: type) -> Any:
-    """Returns the function that converts a message to its struct's fields."""
-    renames = {
+def _renames(cls: type) -> dict[str, Any]:
+    """Returns the override that gives each field its name in the struct, by name."""
+    return {
         field.name: override(rename=_to_camel_case(field.name))
         for field in _fields(cls)
     }
-    convert = make_dict_unstructure_fn(cls, _converter, **renames)
-    optional_scalars = [
+
+
+def _optional_scalars(cls: type) -> list[tuple[str, str]]:
+    """Returns the struct's names of each optional scalar and its presence field."""
+    return [
         (_to_camel_case(field.name), _presence_field(field.name))
         for field in _fields(cls)
         if _is_optional_scalar(field.type)
     ]
 
+
+def _make_unstructure(cls: type) -> Any:
+    """Returns the function that converts a message to its struct's fields."""
+    convert = make_dict_unstructure_fn(cls, _converter, **_renames(cls))
+    optional_scalars = _optional_scalars(cls)
+
     def unstructure(message: Any) -> dict[str, Any]:
         values_by_name = convert(message)
         for name, presence_field in optional_scalars:
@@ -124,16 +133,8 @@
 
 def _make_structure(cls: type) -> Any:
     """Returns the function that converts a struct's fields to a message."""
-    renames = {
-        field.name: override(rename=_to_camel_case(field.name))
-        for field in _fields(cls)
-    }
-    convert = make_dict_structure_fn(cls, _converter, **renames)
-    optional_scalars = [
-        (_to_camel_case(field.name), _presence_field(field.name))
-        for field in _fields(cls)
-        if _is_optional_scalar(field.type)
-    ]
+    convert = make_dict_structure_fn(cls, _converter, **_renames(cls))
+    optional_scalars = _optional_scalars(cls)
     null_value_by_name = {
         _to_camel_case(field.name): _null_value(field.type) for field in _fields(cls)
     }
