Peers: one call for both ways of exchanging frames

CapnpPeers and MemoryPeers had the same call and answer; they are in FramedPeers now, and each keeps only its exchange. No change of behaviour.

--- a/cicadacourse/peers/_capnp.py
+++ b/cicadacourse/peers/_capnp.py
@@ -8,24 +8,14 @@
 from typing import Any, AsyncIterator
 
 import capnp
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from cicadacourse.application import SERVICES, Application
-from cicadacourse.config import InstanceSettings
 from cicadacourse.errors import Error, ErrorKind
-from cicadacourse.peers._base import Peers
 from cicadacourse.peers._codec import load_schema
 from cicadacourse.peers._connection import Connection
-from cicadacourse.peers._dispatch import (
-    BYTES_SENT,
-    CALLS_FAILED,
-    CALLS_SENT,
-    Dispatcher,
-    Frame,
-    PeersSettings,
-    from_frame,
-    to_frame,
-)
+from cicadacourse.peers._dispatch import Frame, from_frame
+from cicadacourse.peers._framed import FramedPeers
 from cicadacourse.util.addresses import split_address
 from cicadacourse.util.logging import get_logger
 
@@ -52,7 +42,7 @@
 
 
 @SERVICES.register("peers")
-class CapnpPeers(Peers):
+class CapnpPeers(FramedPeers):
     """Calls each peer over one connection, which one task keeps open.
 
     A connection without calls for ``idle_s`` is closed. The service must run inside
@@ -61,9 +51,6 @@
 
     def __init__(self, app: Application) -> None:
         super().__init__(app)
-        self.address = app.settings.get(InstanceSettings).peer_address
-        self._settings = app.settings.get(PeersSettings)
-        self._dispatcher = Dispatcher(app)
         self._connection_by_address: dict[str, Connection] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
 
@@ -81,31 +68,6 @@
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def answer(self, frame: Frame, timeout_s: float) -> Frame:
-        """Answers one frame within the time that the calling instance waits."""
-        reply = await self._dispatcher.answer(frame, timeout_s)
-        self.app.metrics.count(BYTES_SENT, len(reply.body), message=reply.name)
-        return reply
-
-    async def call(
-        self, address: str, request: Any, timeout_s: float
-    ) -> Result[Any, Error]:
-        """Calls over TCP; see :meth:`Peers.call`."""
-        if address == self.address:
-            return await self._dispatcher.call(request, timeout_s)
-        match to_frame(request, self._settings.max_message_bytes):
-            case Failure() as failure:
-                return failure
-            case Success(frame):
-                pass
-        self.app.metrics.count(CALLS_SENT, message=frame.name)
-        self.app.metrics.count(BYTES_SENT, len(frame.body), message=frame.name)
-        result = await self._exchange(address, frame, timeout_s)
-        if isinstance(result, Failure):
-            error = result.failure().label
-            self.app.metrics.count(CALLS_FAILED, message=frame.name, error=error)
-        return result
-
     async def _exchange(
         self, address: str, frame: Frame, timeout_s: float
     ) -> Result[Any, Error]:
--- a/cicadacourse/peers/_memory.py
+++ b/cicadacourse/peers/_memory.py
@@ -8,22 +8,12 @@
 from typing import Any, AsyncIterator, Iterable
 
 import attrs
-from returns.result import Failure, Result, Success
+from returns.result import Failure, Result
 
 from cicadacourse.application import Application
-from cicadacourse.config import InstanceSettings
 from cicadacourse.errors import Error, ErrorKind
-from cicadacourse.peers._base import Peers
-from cicadacourse.peers._dispatch import (
-    BYTES_SENT,
-    CALLS_FAILED,
-    CALLS_SENT,
-    Dispatcher,
-    Frame,
-    PeersSettings,
-    from_frame,
-    to_frame,
-)
+from cicadacourse.peers._dispatch import Frame, from_frame
+from cicadacourse.peers._framed import FramedPeers
 
 
 @attrs.define
@@ -135,14 +125,12 @@
         )
 
 
-class MemoryPeers(Peers):
+class MemoryPeers(FramedPeers):
     """Calls instances of the same process; messages are encoded and decoded."""
 
     def __init__(self, app: Application, network: MemoryNetwork) -> None:
         super().__init__(app)
-        self.address = app.settings.get(InstanceSettings).peer_address
         self._network = network
-        self._dispatcher = Dispatcher(app)
         self._exchange_tasks: set[asyncio.Task[Any]] = set()
 
     @contextlib.asynccontextmanager
@@ -157,28 +145,14 @@
                 task.cancel()
             await asyncio.gather(*self._exchange_tasks, return_exceptions=True)
 
-    async def call(
-        self, address: str, request: Any, timeout_s: float
+    async def _exchange(
+        self, address: str, frame: Frame, timeout_s: float
     ) -> Result[Any, Error]:
-        """Calls over the memory network; see :meth:`Peers.call`."""
-        if address == self.address:
-            return await self._dispatcher.call(request, timeout_s)
-        max_bytes = self.app.settings.get(PeersSettings).max_message_bytes
-        match to_frame(request, max_bytes):
-            case Failure() as failure:
-                return failure
-            case Success(frame):
-                pass
-        self.app.metrics.count(CALLS_SENT, message=frame.name)
-        self.app.metrics.count(BYTES_SENT, len(frame.body), message=frame.name)
-        result = await self._exchange(address, frame, timeout_s)
+        result = await self._wait_for_reply(address, frame, timeout_s)
         await self._network.wait_until_thawed(self.address)
-        if isinstance(result, Failure):
-            error = result.failure().label
-            self.app.metrics.count(CALLS_FAILED, message=frame.name, error=error)
         return result
 
-    async def _exchange(
+    async def _wait_for_reply(
         self, address: str, frame: Frame, timeout_s: float
     ) -> Result[Any, Error]:
         """Sends a frame and waits for its reply.
@@ -199,8 +173,7 @@
         if task.cancelled() or task.exception() is not None:
             detail = f"{address}: not connected"
             return Failure(Error(ErrorKind.PEER_UNREACHABLE, detail))
-        max_bytes = self.app.settings.get(PeersSettings).max_message_bytes
-        return from_frame(task.result(), max_bytes)
+        return from_frame(task.result(), self._settings.max_message_bytes)
 
     def _discard_task(self, task: asyncio.Task[Any]) -> None:
         """Discards a task and retrieves the exception of one that failed too late."""
@@ -213,8 +186,7 @@
             target = await self._network.deliver(self.address, address)
             if self._network.is_duplicated(self.address, address):
                 await target._dispatcher.answer(frame, timeout_s)
-            reply = await target._dispatcher.answer(frame, timeout_s)
-            target.app.metrics.count(BYTES_SENT, len(reply.body), message=reply.name)
+            reply = await target.answer(frame, timeout_s)
             await self._network.deliver(address, self.address)
         return reply
 
