--- a/cicadacourse/platform/_feed.py
+++ b/cicadacourse/platform/_feed.py
@@ -64,9 +64,15 @@
                     return
 
     def on_read(self, end: int, as_of: float) -> None:
-        """Records that the version in force was the newest one, and reports it."""
+        """Records that the version in force was the newest one.
+
+        An instance that reads the store for its neighbours reports it to them. Others
+        don't: if all read at once, each would send a report to each.
+        """
         self._catalog_service.confirm_in_force(as_of)
-        self._catalog_service.app.get("load").notify_change()
+        app = self._catalog_service.app
+        if app.get("feed").is_store_reader():
+            app.get("load").notify_change()
 
     def apply(self, value: bytes, source: str) -> bool:
         """Decodes one version and puts it in force if it is newer.
