Freshness: own reads only are reported, disproved reports end, stalls are noticed

A review with fresh eyes showed, each by a script: evidence that instances received and reported again seemed younger with each hop (in a fleet of 80 a denial was possible 8.1 s after the last read of the store, for 1.6 s intended); a report that had waited in the socket during a pause of 5 s was taken for recent; one report of a version that nobody has stopped an instance for good; instances of the earlier release took the age in the new reports for their body, and relayed each; an empty response that came at once counted as one that was held for the whole wait; an older version counted as confirmed where the newest could not be decoded; a request with a deadline of 100 ms was held for 0.4 s; and a response without records that names a later end was asked for again at once.

Reports now carry the age of the sender's own read, behind the body, where earlier releases read over it. A read of the store to its end that began after a report of a newer version disproves it. Reports that arrive within 0.6 s after a stall of over 0.6 s are no evidence. The age of a long poll counts from its start unless it was held for the whole wait. A newest version that can't be decoded leaves no evidence. The wait for news is at most half of the request's time, and a response without the records that it names is an error.

The tests of the freshness fail without these changes; the test of truncated datagrams cuts the same bytes as before, that of malformed bodies cuts the body, as a cut trailer is read over.

--- a/cicadacourse/catalog/_freshness.py
+++ b/cicadacourse/catalog/_freshness.py
@@ -19,15 +19,19 @@
 DENIAL_SHARE = 0.8
 # Share of the bound for which requests are served by a version that is known to be
 # superseded. The rest is left for the time until the newer version was heard of.
-SERVING_SHARE = 0.5
+SERVING_SHARE = 0.8
+# After a longer stall of the process, reports may have waited for it in its socket.
+MAX_STALL_S = 0.6
+# Within this time after a stall, the process has received all reports that waited.
+STALL_GRACE_S = 0.6
 
 
 @attrs.define
 class _Evidence:
-    """What is known of one version.
+    """What others reported of one version.
 
     :ivar heard_at: when this instance first heard of it, loop time in seconds.
-    :ivar confirmed_at: the last time at which it was surely the newest one.
+    :ivar confirmed_at: the last time at which it was the newest one.
     """
 
     heard_at: float
@@ -39,17 +43,24 @@
     """Judges by evidence whether the version in force may decide on requests.
 
     Evidence comes from this instance's own reads of the store and from the others'
-    reports. The clock counts pauses of this process, so evidence ages during them.
+    reports of theirs. An instance reports no evidence that it only received, as that
+    would seem younger with each report. The clock counts pauses of this process, so
+    evidence ages during them.
 
     :param bound_s: for how many seconds after it was superseded a version may be
         applied.
     :ivar version: the version in force, 0 if there is none.
+    :ivar read_at: the last time at which this instance's own reads show that no newer
+        version existed, loop time in seconds.
     """
 
     bound_s: float
     version: int = 0
+    read_at: float = NEVER
     _evidence_by_version: dict[int, _Evidence] = attrs.field(factory=dict)
     _news: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _ticked_at: float | None = None
+    _distrusts_until: float = NEVER
 
     @property
     def newest_version(self) -> int:
@@ -58,9 +69,9 @@
 
     @property
     def confirmed_at(self) -> float:
-        """The last time at which the version in force was surely the newest one."""
+        """The last time at which the version in force was the newest one."""
         evidence = self._evidence_by_version.get(self.version)
-        return evidence.confirmed_at if evidence else NEVER
+        return max(self.read_at, evidence.confirmed_at if evidence else NEVER)
 
     def hear_of(self, version: int, now_s: float) -> bool:
         """Records that a version exists; returns whether it supersedes all known ones.
@@ -73,13 +84,32 @@
         self._evidence_by_version[version] = _Evidence(heard_at=now_s)
         return is_newest and self.version > 0
 
+    def record_read(self, as_of: float) -> None:
+        """Records that the store held no version newer than that in force.
+
+        Reports of newer versions that came before are thereby disproved.
+
+        :param as_of: when it surely held none, loop time in seconds.
+        """
+        disproved = [
+            version
+            for version, evidence in self._evidence_by_version.items()
+            if version > self.version and evidence.heard_at <= as_of
+        ]
+        for version in disproved:
+            del self._evidence_by_version[version]
+        self.read_at = max(self.read_at, as_of)
+        self._tell_news()
+
     def confirm(self, version: int, at_s: float, now_s: float) -> None:
-        """Records that no version newer than this one existed at some time.
+        """Records another's report that no version newer than this one existed.
 
-        :param at_s: that time, loop time in seconds.
+        :param at_s: when none existed, loop time in seconds.
         :param now_s: the present, loop time in seconds.
         """
         self.hear_of(version, now_s)
+        if self._may_be_late(now_s):
+            return
         evidence = self._evidence_by_version.get(version)
         if evidence is None or at_s <= evidence.confirmed_at:
             return
@@ -123,6 +153,22 @@
         """
         return self.superseded_for_s(now_s) <= SERVING_SHARE * self.bound_s
 
+    def tick(self, now_s: float) -> None:
+        """Notices stalls of this process; to be called every quarter of a second.
+
+        :param now_s: the present, loop time in seconds.
+        """
+        if self._has_stalled(now_s):
+            self._distrusts_until = now_s + STALL_GRACE_S
+        self._ticked_at = now_s
+
+    def _may_be_late(self, now_s: float) -> bool:
+        """Whether a report that is received now may have waited for this process."""
+        return self._has_stalled(now_s) or now_s < self._distrusts_until
+
+    def _has_stalled(self, now_s: float) -> bool:
+        return self._ticked_at is not None and now_s - self._ticked_at > MAX_STALL_S
+
     async def wait_for_news(self, timeout_s: float) -> bool:
         """Waits for new evidence or a new version; returns whether any came."""
         with contextlib.suppress(TimeoutError):
--- a/cicadacourse/catalog/_service.py
+++ b/cicadacourse/catalog/_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from typing import AsyncIterator
 
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.catalog._freshness import NEVER, ConfigurationFreshness
@@ -19,6 +20,7 @@
 from cicadacourse.metrics import declare
 from cicadacourse.util.clock import now
 
+TICK_PERIOD_S = 0.25
 VERSION = declare("catalog_version", "Version of the configuration in force.")
 
 
@@ -51,6 +53,21 @@
         app.events.connect(CATALOG_VERSION_RECEIVED, self._hear_of)
         app.events.connect(CATALOG_CONFIRMED, self._confirm)
 
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Watches for stalls of the process while the instance runs."""
+        task = asyncio.create_task(self._tick())
+        try:
+            yield
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+    async def _tick(self) -> None:
+        while True:
+            self.freshness.tick(now())
+            await asyncio.sleep(TICK_PERIOD_S)
+
     @property
     def is_known(self) -> bool:
         """Whether a configuration and the registry are known."""
@@ -92,14 +109,6 @@
         """Records that no newer version existed some seconds ago."""
         self.freshness.confirm(version, now() - age_s, now())
 
-    def confirm_in_force(self, at_s: float) -> None:
-        """Records that the version in force was the newest one at some time.
-
-        :param at_s: loop time in seconds.
-        """
-        if self.catalog is not None:
-            self.freshness.confirm(self.catalog.version, at_s, now())
-
     def apply_if_newer(self, catalog: Catalog, source: str) -> bool:
         """Puts a version in force if it is newer; returns whether it was.
 
--- a/cicadacourse/gateway/_service.py
+++ b/cicadacourse/gateway/_service.py
@@ -12,6 +12,7 @@
 from cicadacourse.errors import Error
 from cicadacourse.exchange import CallerRequest, EndpointClient, Reply
 from cicadacourse.gateway._admission import (
+    MAX_WAIT_SHARE,
     AdmittedRequest,
     admit,
     may_decide,
@@ -78,7 +79,7 @@
         freshness = catalog_service.freshness
         if not await catalog_service.wait_until_known(MAX_START_WAIT_S):
             return admit(request, None)
-        wait_until = now() + MAX_NEWS_WAIT_S
+        wait_until = now() + _max_news_wait_s(request)
         result = admit(request, catalog_service.catalog)
         while not may_decide(result, freshness, now()):
             if not await freshness.wait_for_news(wait_until - now()):
@@ -162,6 +163,13 @@
         await reply.refuse(error)
 
 
+def _max_news_wait_s(request: CallerRequest) -> float:
+    """Returns how long a request may wait for a newer configuration."""
+    if request.timeout_s is None:
+        return MAX_NEWS_WAIT_S
+    return min(MAX_NEWS_WAIT_S, MAX_WAIT_SHARE * request.timeout_s)
+
+
 def _finite_age_s(at_s: float) -> float | None:
     """Returns the seconds since a loop time, None if that is never."""
     age_s = now() - at_s
--- a/cicadacourse/load/_datagram.py
+++ b/cicadacourse/load/_datagram.py
@@ -16,10 +16,10 @@
 from cicadacourse.peers import MalformedMessage
 
 _FRAME = struct.Struct(">BQQQQQI")
-_CONFIGURATION_AGE = struct.Struct(">I")
-# Bits of the first byte. Instances of earlier releases send no configuration age.
-_RELAYED = 1
-_HAS_CONFIGURATION_AGE = 2
+# The end of a datagram: a mark and the configuration's age. Instances of earlier
+# releases send none, and read over what follows the body.
+_TRAILER = struct.Struct(">4sI")
+_TRAILER_MARK = b"\xc0age"
 # Stands for an age that is not known.
 UNKNOWN_AGE_MS = 2**32 - 1
 
@@ -37,8 +37,8 @@
     :param registry_offset: offset of the last registry change that the sender knows.
     :param store_age_ms: milliseconds since the sender itself read the registry.
     :param body: the encoded report.
-    :param configuration_age_ms: milliseconds since the sender knew that no version was
-        newer than ``catalog_version``.
+    :param configuration_age_ms: milliseconds since the sender itself read in the store
+        that no version is newer than ``catalog_version``.
     """
 
     is_relayed: bool
@@ -57,9 +57,8 @@
         >>> Datagram.unpack(Datagram(True, 1, 2, 3, 4, 5, 6, b"x").pack()).sequence
         3
         """
-        flags = _HAS_CONFIGURATION_AGE | (_RELAYED if self.is_relayed else 0)
         frame = _FRAME.pack(
-            flags,
+            self.is_relayed,
             self.sender_hash,
             self.started_ms,
             self.sequence,
@@ -67,7 +66,8 @@
             self.registry_offset,
             self.store_age_ms,
         )
-        return frame + _CONFIGURATION_AGE.pack(self.configuration_age_ms) + self.body
+        trailer = _TRAILER.pack(_TRAILER_MARK, self.configuration_age_ms)
+        return frame + self.body + trailer
 
     @classmethod
     def unpack(cls, data: bytes) -> Datagram:
@@ -78,15 +78,13 @@
         if len(data) < _FRAME.size:
             raise MalformedMessage("a datagram is too short")
         frame: tuple[int, int, int, int, int, int, int] = _FRAME.unpack_from(data)
-        flags, fields = frame[0], frame[1:]
-        is_relayed = bool(flags & _RELAYED)
+        is_relayed, fields = bool(frame[0]), frame[1:]
         rest = data[_FRAME.size :]
-        if not flags & _HAS_CONFIGURATION_AGE:
+        body, trailer = rest[: -_TRAILER.size], rest[-_TRAILER.size :]
+        if not trailer.startswith(_TRAILER_MARK) or len(trailer) < _TRAILER.size:
             return cls(is_relayed, *fields, rest)
-        if len(rest) < _CONFIGURATION_AGE.size:
-            raise MalformedMessage("a datagram is too short")
-        (age_ms,) = _CONFIGURATION_AGE.unpack_from(rest)
-        return cls(is_relayed, *fields, rest[_CONFIGURATION_AGE.size :], age_ms)
+        _, age_ms = _TRAILER.unpack(trailer)
+        return cls(is_relayed, *fields, body, age_ms)
 
 
 def hash_of(name: str) -> int:
--- a/cicadacourse/load/_service.py
+++ b/cicadacourse/load/_service.py
@@ -240,7 +240,7 @@
                 LoadReport(sender=self._instance.name, runs=assignments)
             ),
             configuration_age_ms=to_ms(
-                now_s - catalog_service.freshness.confirmed_at, UNKNOWN_AGE_MS
+                now_s - catalog_service.freshness.read_at, UNKNOWN_AGE_MS
             ),
         )
 
--- a/cicadacourse/platform/_feed.py
+++ b/cicadacourse/platform/_feed.py
@@ -48,6 +48,7 @@
     ) -> None:
         self._catalog_service = catalog_service
         self._history = history
+        self._is_newest_decoded = True
 
     def on_snapshot(self, records: Sequence[KeyedRecord]) -> None:
         """Applies the newest configuration."""
@@ -58,18 +59,28 @@
 
         Versions increase from record to record, and each replaces the one before it.
         """
-        for record in reversed(records):
-            if record.key == KEY_CONFIGURATION and record.value is not None:
-                if self.apply(record.value, "store"):
-                    return
+        values = [
+            record.value
+            for record in reversed(records)
+            if record.key == KEY_CONFIGURATION and record.value is not None
+        ]
+        for position, value in enumerate(values):
+            is_decoded = self.apply(value, "store")
+            if position == 0:
+                self._is_newest_decoded = is_decoded
+            if is_decoded:
+                return
 
     def on_read(self, end: int, as_of: float) -> None:
         """Records that the version in force was the newest one.
 
+        It is not if the newest one could not be decoded.
         An instance that reads the store for its neighbours reports it to them. Others
         don't: if all read at once, each would send a report to each.
         """
-        self._catalog_service.confirm_in_force(as_of)
+        if not self._is_newest_decoded or self._catalog_service.catalog is None:
+            return
+        self._catalog_service.freshness.record_read(as_of)
         app = self._catalog_service.app
         if app.get("feed").is_store_reader():
             app.get("load").notify_change()
--- a/cicadacourse/platform/_follower.py
+++ b/cicadacourse/platform/_follower.py
@@ -176,9 +176,10 @@
 
         The store holds a long poll without records for the whole wait.
         """
-        if self._is_snapshot_read or batch.records:
+        waited_until = self._read_started_at + self._poll_wait_s()
+        if self._is_snapshot_read or batch.records or now() < waited_until:
             return self._read_started_at
-        return min(now(), self._read_started_at + self._poll_wait_s())
+        return waited_until
 
     def _poll_wait_s(self) -> float:
         return max(0.0, self.wait_s - self._last_delay_s)
--- a/cicadacourse/platform/_records.py
+++ b/cicadacourse/platform/_records.py
@@ -78,8 +78,8 @@
     ((KeyedRecord(key='a', value=b'b'),), 5, True)
 
     :param offset: the offset of the first record.
-    :raises ValueError: if a record is truncated; struct.error if an offset or a length
-        is.
+    :raises ValueError: if a record is truncated, or missing; struct.error if an offset
+        or a length is truncated.
     """
     topic_end, _ = _ENDS.unpack_from(body)
     position = _ENDS.size
@@ -91,6 +91,8 @@
             raise ValueError("a record is truncated")
         records.append(_unpack_record(body[position : position + length]))
         position += length
+    if not records and offset < topic_end:
+        raise ValueError("no record, although the topic goes on")
     end = offset + len(records)
     return KeyedBatch(tuple(records), end, has_more=end < topic_end)
 
--- a/tests/test_catalog/test_catalog_freshness.py
+++ b/tests/test_catalog/test_catalog_freshness.py
@@ -12,7 +12,7 @@
 
 
 def fresh_at(now_s: float) -> ConfigurationFreshness:
-    """Returns the freshness of version 5, which was the newest at a time."""
+    """Returns the freshness of version 5, which others reported newest at a time."""
     freshness = ConfigurationFreshness(BOUND_S)
     freshness.put_in_force(5, now_s)
     freshness.confirm(5, now_s, now_s)
@@ -85,3 +85,39 @@
 
     with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
         assert runner.run(wait()) == (True, False)
+
+
+def test_a_later_read_of_the_store_disproves_a_report() -> None:
+    """One report of a version that nobody has stopped an instance for good."""
+    freshness = fresh_at(10.0)
+    freshness.hear_of(99, 10.5)
+    freshness.record_read(10.4)
+    assert not freshness.may_deny(10.6)
+    freshness.record_read(10.7)
+    assert freshness.may_deny(10.8)
+    assert freshness.newest_version == 5
+    assert freshness.may_serve(1000.0)
+
+
+def test_evidence_received_from_others_is_not_reported_as_own() -> None:
+    """It seemed younger with each hop, and came back to the instance it was from."""
+    freshness = fresh_at(10.0)
+    assert freshness.read_at == float("-inf")
+    freshness.record_read(9.0)
+    assert (freshness.read_at, freshness.confirmed_at) == (9.0, 10.0)
+
+
+def test_reports_that_waited_during_a_stall_are_no_evidence() -> None:
+    """A report that waited in the socket for 5 s seemed to have just been sent."""
+    freshness = fresh_at(10.0)
+    freshness.tick(10.0)
+    freshness.tick(10.25)
+    freshness.confirm(5, 15.2, 15.3)
+    assert freshness.confirmed_at == 10.0
+    freshness.tick(15.3)
+    freshness.confirm(5, 15.3, 15.4)
+    assert freshness.confirmed_at == 10.0
+    for tick in range(1, 5):
+        freshness.tick(15.3 + 0.25 * tick)
+    freshness.confirm(5, 16.2, 16.4)
+    assert freshness.confirmed_at == 16.2
--- a/tests/test_load/test_load_sharing.py
+++ b/tests/test_load/test_load_sharing.py
@@ -11,6 +11,7 @@
 import pytest
 
 from cicadacourse.load import Assignment, LoadService, LoadTable, Role, choose_receivers
+from cicadacourse.load._codec import decode_report
 from cicadacourse.load._datagram import UNKNOWN_AGE_MS, Datagram
 from cicadacourse.load._inbox import Inbox
 from cicadacourse.membership import Member
@@ -22,6 +23,8 @@
     return Member(name=name, peer_address=f"{name}:1", failure_domain=domain)
 
 
+# The datagram of an earlier release before its body.
+EARLIER_FRAME = struct.Struct(">BQQQQQI")
 FLEET = [member(f"{domain}-{n}", domain) for domain in "abc" for n in range(26)]
 
 
@@ -55,14 +58,14 @@
 
 
 def test_a_truncated_datagram_is_malformed() -> None:
-    whole = Datagram(True, 1, 2, 3, 4, 5, 6, b"").pack()
+    whole = EARLIER_FRAME.pack(1, 1, 2, 3, 4, 5, 6)
     with pytest.raises(MalformedMessage):
         Datagram.unpack(whole[:-1])
 
 
 def test_a_report_of_an_earlier_release_has_no_configuration_age() -> None:
     """Instances of both releases run side by side while a release is rolled out."""
-    earlier = struct.pack(">BQQQQQI", 1, 2, 3, 4, 5, 6, 7) + b"body"
+    earlier = EARLIER_FRAME.pack(1, 2, 3, 4, 5, 6, 7) + b"body"
     datagram = Datagram.unpack(earlier)
     assert (datagram.is_relayed, datagram.body) == (True, b"body")
     assert datagram.configuration_age_ms == UNKNOWN_AGE_MS
@@ -70,6 +73,16 @@
     assert Datagram.unpack(aged.pack()) == aged
 
 
+async def test_an_earlier_release_reads_the_reports_of_this_one() -> None:
+    """It took the configuration's age for the body and relayed every report."""
+    datagram = make_app("other").get("load").make_datagram()
+    packed = attrs.evolve(datagram, configuration_age_ms=1500).pack()
+    frame = EARLIER_FRAME.unpack_from(packed)
+    assert frame[0] == datagram.is_relayed == 0
+    assert frame[4] == datagram.catalog_version
+    assert decode_report(packed[EARLIER_FRAME.size :]) == decode_report(datagram.body)
+
+
 def test_the_latest_report_replaces_an_instances_assignments() -> None:
     table = LoadTable()
     assignment = Assignment("e", Role.DECODE, started=0.0, context_tokens=10, gap_s=0.2)
@@ -145,8 +158,9 @@
     if not is_first:
         service.receive(whole, "test")
         assert service.table.load_of("e", 0.0).decode_streams == 1
-    broken = make_report(other, Assignment("e", Role.DECODE, 0.0))
-    service.receive(broken[:-3], "test")
+    broken = Datagram.unpack(make_report(other, Assignment("e", Role.DECODE, 0.0)))
+    broken = attrs.evolve(broken, body=broken.body[:-3])
+    service.receive(broken.pack(), "test")
     service.receive(b"", "test")
     assert service.table.load_of("e", 0.0).decode_streams == (0 if is_first else 1)
     assert service.app.metrics.value("load_reports_refused_total") == 2
--- a/tests/test_platform/test_platform_freshness.py
+++ b/tests/test_platform/test_platform_freshness.py
@@ -8,7 +8,7 @@
 
 from cicadacourse.catalog import CatalogSettings
 from cicadacourse.events import CATALOG_VERSION_RECEIVED
-from standins.platform import StoreFaults, make_configuration
+from standins.platform import Fleet, StoreFaults, make_configuration
 from standins.ports import next_host
 from tests.platform_fleet import (
     Caller,
@@ -18,13 +18,25 @@
     running_instance,
 )
 
+# Reads of the configuration wait for 0.3 s at most.
+LONGEST_READ_S = 0.5
 SHORT_BOUND = CatalogSettings(superseded_bound_ms=400)
 # Longer than the bound and the reads that were in progress.
 LONGER_THAN_BOUND_S = 0.9
 
 
+async def lose_newer_version(fleet: Fleet, instance: Instance) -> None:
+    """Reports a newer version that the instance can't get from anyone.
+
+    Reads of the store that are in progress end before, as they would disprove it.
+    """
+    fleet.store.faults = StoreFaults(outage="silent")
+    await asyncio.sleep(LONGEST_READ_S)
+    report_newer_version(instance)
+
+
 def report_newer_version(instance: Instance) -> None:
-    """Reports a newer version that the instance can't fetch from anyone."""
+    """Reports a newer version, as a load report does."""
     instance.app.events.emit(CATALOG_VERSION_RECEIVED, "unreachable", 2)
 
 
@@ -43,8 +55,7 @@
         async with running_instance(instance):
             caller = Caller(instance)
             assert (await caller.request(path, key=key)).status == status
-            fleet.store.faults = StoreFaults(outage="silent")
-            report_newer_version(instance)
+            await lose_newer_version(fleet, instance)
             response = await caller.request(path, key=key)
             assert response.status == 503
             assert float(response.headers["retry-after"]) < 1.0
@@ -77,8 +88,7 @@
         instance = make_instance(fleet, "one", next_host(), sections=(SHORT_BOUND,))
         async with running_instance(instance):
             caller = Caller(instance)
-            fleet.store.faults = StoreFaults(outage="silent")
-            report_newer_version(instance)
+            await lose_newer_version(fleet, instance)
             assert (await caller.request("/book/x")).status == 200
             await asyncio.sleep(LONGER_THAN_BOUND_S)
             assert (await caller.request("/book/x")).status == 503
