Don't skip the records that did not fit in a response of the store

Instances that had missed many versions read 19, 22, 26 and 29 and then 48: a response holds at most 1 MB of records, but begins with the end of the topic, and the next read started there. The version before the next write stayed unread; changes of the registry would have been lost for good.

Offsets number the records, so the next read starts after the last one received. The configuration's follower reads the newest one next.

--- a/cicadacourse/platform/_follower.py
+++ b/cicadacourse/platform/_follower.py
@@ -79,6 +79,7 @@
     _snapshot_timeout_s: float = FIRST_SNAPSHOT_TIMEOUT_S
     _last_delay_s: float = 0.0
     _is_snapshot_read: bool = True
+    _has_more: bool = False
 
     async def run(self) -> None:
         """Follows the topic until it is cancelled."""
@@ -132,16 +133,14 @@
     def _may_have_missed_many(self) -> bool:
         """Returns whether to read the newest record instead of all that were missed.
 
-        After a failure there may be many. If another instance has read further since,
-        few are left.
+        After a failure there may be many, unless another instance has read further
+        since. There are also many if they did not fit in one response.
         """
-        return (
-            self.is_newest_sufficient
-            and self._lost_since is not None
-            and self._offset == self._read_from
-        )
+        has_failed = self._lost_since is not None and self._offset == self._read_from
+        return self.is_newest_sufficient and (has_failed or self._has_more)
 
     def _apply(self, batch: KeyedBatch) -> None:
+        self._has_more = batch.has_more
         if batch.is_trimmed:
             log(RECORDS_TRIMMED, topic=self.topic)
             self._offset = self._next_offset(None)
--- a/cicadacourse/platform/_records.py
+++ b/cicadacourse/platform/_records.py
@@ -31,11 +31,13 @@
     :param records: in the order in which they were appended, if they are consecutive.
     :param end: the offset at which the next read starts.
     :param is_trimmed: whether records were deleted before they were read.
+    :param has_more: whether the topic has records from that offset on.
     """
 
     records: tuple[KeyedRecord, ...]
     end: int
     is_trimmed: bool = False
+    has_more: bool = False
 
 
 @attrs.frozen
@@ -64,16 +66,21 @@
     return Page(records, int(page["end"]), bool(page["hasMore"]) and bool(records))
 
 
-def parse_batch(body: bytes) -> KeyedBatch:
-    """Parses a batch: the end offset, the first kept offset, length-prefixed records.
+def parse_batch(body: bytes, offset: int) -> KeyedBatch:
+    """Parses a batch: the end of the topic, the first kept offset, and records.
 
-    >>> parse_batch(bytes(7) + b"\\x02" + bytes(8) + b"\\x00\\x00\\x00\\x03\\x01ab")
-    KeyedBatch(records=(KeyedRecord(key='a', value=b'b'),), end=2, is_trimmed=False)
+    :param offset: the offset that was read from. Offsets number the records, of which
+        the store returns as many as fit in a response.
+
+    >>> body = bytes(7) + b"\\x02" + bytes(8) + b"\\x00\\x00\\x00\\x03\\x01ab"
+    >>> batch = parse_batch(body, 0)
+    >>> batch.records, batch.end, batch.has_more
+    ((KeyedRecord(key='a', value=b'b'),), 1, True)
 
     :raises ValueError: if a record is truncated; struct.error if an offset or a length
         is.
     """
-    end, _ = _ENDS.unpack_from(body)
+    topic_end, _ = _ENDS.unpack_from(body)
     position = _ENDS.size
     records = []
     while position < len(body):
@@ -83,7 +90,8 @@
             raise ValueError("a record is truncated")
         records.append(_unpack_record(body[position : position + length]))
         position += length
-    return KeyedBatch(tuple(records), end)
+    end = offset + len(records) if records else topic_end
+    return KeyedBatch(tuple(records), end, has_more=end < topic_end)
 
 
 def _unpack_record(body: bytes) -> KeyedRecord:
--- a/cicadacourse/platform/_store.py
+++ b/cicadacourse/platform/_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import functools
 import struct
 from typing import Any, AsyncIterator
 from urllib.parse import urlencode
@@ -80,7 +81,8 @@
             case Success(response) if response.status == _GONE:
                 return Success(KeyedBatch((), offset, is_trimmed=True))
             case Success(response):
-                return self._parse(PATH_READ, response, parse_batch)
+                parse = functools.partial(parse_batch, offset=offset)
+                return self._parse(PATH_READ, response, parse)
             case failure:
                 return failure
 
--- a/standins/platform/_store.py
+++ b/standins/platform/_store.py
@@ -16,6 +16,8 @@
 _END_AND_FIRST = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
 PAGE_RECORDS = 500
+# The most bytes of records in one response to a read, unless the first has more.
+READ_BYTES = 1_048_576
 OPERATORS_TOPICS = frozenset({"keyed.op", "keyed.servers"})
 
 
@@ -133,6 +135,8 @@
     async def read(self, topic: str, offset: int, wait_s: float) -> bytes:
         """Returns the end offset, the first offset and the records from an offset.
 
+        The records are as many as fit in ``READ_BYTES``; the end is that of the topic.
+
         :param wait_s: the seconds to wait for a record if there is none yet.
         :raises Refusal: if the record at the offset is deleted.
         """
@@ -141,10 +145,13 @@
             raise Refusal(410, detail="deleted")
         if offset >= log.end_offset and wait_s > 0:
             await self._wait_for_records(log, offset, wait_s)
-        body = _END_AND_FIRST.pack(log.end_offset, log.first_offset)
+        header = _END_AND_FIRST.pack(log.end_offset, log.first_offset)
+        body = b""
         for record in log.records[offset - log.first_offset :]:
+            if body and len(body) + _LENGTH.size + len(record) > READ_BYTES:
+                break
             body += _LENGTH.pack(len(record)) + record
-        return body
+        return header + body
 
     def read_newest(self, topic: str, after: str) -> dict[str, Any]:
         """Returns a page of the newest record of each key, in order of the keys.
--- a/tests/test_platform/test_platform_follower.py
+++ b/tests/test_platform/test_platform_follower.py
@@ -32,6 +32,7 @@
     :ivar read_offsets: where each read started, None for a snapshot.
     :param read_s: how long a read takes that returns records.
     :param failing_reads: how many reads, other than of a snapshot, fail at first.
+    :param max_records: the most records that a read returns.
     """
 
     times: Sequence[float]
@@ -41,14 +42,15 @@
     read_offsets: list[int | None] = attrs.field(factory=list)
     read_s: float = 0.0
     failing_reads: int = 0
+    max_records: int = 1000
 
     async def read_newest(
         self, topic: str, timeout_s: float | None = None
     ) -> Result[KeyedBatch, object]:
-        """Returns an empty snapshot after ``snapshot_s``."""
+        """Returns a snapshot without records after ``snapshot_s``."""
         self.read_offsets.append(None)
         await asyncio.sleep(self.snapshot_s)
-        return Success(KeyedBatch((), 0))
+        return Success(KeyedBatch((), len(self._appended())))
 
     async def read(
         self, topic: str, offset: int, wait_s: float
@@ -65,8 +67,9 @@
         await asyncio.sleep(self.read_s)
         appended = self._appended()
         self.read_ends.append(now())
-        records = tuple(KeyedRecord("k", b"v") for _ in appended[offset:])
-        return Success(KeyedBatch(records, len(appended)))
+        end = min(len(appended), offset + self.max_records)
+        records = tuple(KeyedRecord("k", b"v") for _ in appended[offset:end])
+        return Success(KeyedBatch(records, end, has_more=end < len(appended)))
 
     def _appended(self) -> list[float]:
         return [item for item in self.times if item <= now()]
@@ -227,3 +230,32 @@
     with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
         read = runner.run(_offsets_after_a_failure(is_newest_sufficient, advanced_to))
     assert read == offsets
+
+
+async def _offsets_if_few_records_fit(is_newest_sufficient: bool) -> list:
+    store = FakeStore([0.5] * 5, max_records=2)
+    follower = TopicFollower(
+        store,
+        "t",
+        SnapshotCounter(),
+        Metrics(),
+        wait_s=WAIT_S,
+        is_newest_sufficient=is_newest_sufficient,
+    )
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(1.0):
+            await follower.run()
+    return store.read_offsets[:3]
+
+
+@pytest.mark.parametrize(
+    "is_newest_sufficient, offsets",
+    [(True, [None, 0, None]), (False, [None, 0, 2])],
+    ids=["configuration", "registry"],
+)
+def test_what_is_read_after_a_response_that_did_not_hold_all_records(
+    is_newest_sufficient: bool, offsets: list
+) -> None:
+    with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+        read = runner.run(_offsets_if_few_records_fit(is_newest_sufficient))
+    assert read == offsets
--- a/tests/test_platform/test_platform_store_client.py
+++ b/tests/test_platform/test_platform_store_client.py
@@ -11,6 +11,9 @@
 from cicadacourse.errors import ErrorKind
 from cicadacourse.metrics import Metrics
 from cicadacourse.platform import StoreClient, StoreSettings
+from cicadacourse.platform._records import KeyedBatch
+from standins.platform import Fleet
+from standins.ports import next_host
 from tests.scripted_server import Script, scripted_server
 
 TOPIC = "keyed.notes"
@@ -99,3 +102,27 @@
 ) -> None:
     monkeypatch.setattr("cicadacourse.util.http._get_curl_setup", lambda method: None)
     assert await count_appends_on_a_broken_connection() == 2
+
+
+async def _read_all(store: StoreClient, offset: int) -> list[KeyedBatch]:
+    """Reads on from the end of each batch until there are no more records."""
+    batches = []
+    while (batch := (await store.read(TOPIC, offset, wait_s=0)).unwrap()).records:
+        batches.append(batch)
+        offset = batch.end
+    return batches
+
+
+async def test_a_read_goes_on_after_the_last_record_that_the_one_before_returned() -> (
+    None
+):
+    """A response is limited to 1 MB; what does not fit must not be skipped."""
+    fleet = Fleet(next_host())
+    values = [b"%d" % number * 230_000 for number in range(6)]
+    async with fleet.running(), client_of(fleet.store_address) as store:
+        for value in values:
+            fleet.store.put(TOPIC, "k", value)
+        batches = await _read_all(store, 0)
+    assert [record.value for batch in batches for record in batch.records] == values
+    assert [batch.end for batch in batches] == [4, 6]
+    assert [batch.has_more for batch in batches] == [True, False]
