--- a/standins/platform/_store.py
+++ b/standins/platform/_store.py
@@ -141,6 +141,8 @@
     ) -> bytes:
         """Returns the end offset, the first offset and the records from an offset.
 
+        The end is that of the topic, which may go on after the records.
+
         :param wait_s: the seconds to wait for a record if there is none yet.
         :param max_bytes: the records of one response have at most this size, except
             that it always holds the first one.
@@ -151,13 +153,13 @@
             raise Refusal(410, detail="deleted")
         if offset >= log.end_offset and wait_s > 0:
             await self._wait_for_records(log, offset, wait_s)
-        body = _END_AND_FIRST.pack(log.end_offset, log.first_offset)
+        header = _END_AND_FIRST.pack(log.end_offset, log.first_offset)
+        body = b""
         for record in log.records[offset - log.first_offset :]:
-            has_record = len(body) > _END_AND_FIRST.size
-            if has_record and len(body) + len(record) > max_bytes:
+            if body and len(body) + _LENGTH.size + len(record) > max_bytes:
                 break
             body += _LENGTH.pack(len(record)) + record
-        return body
+        return header + body
 
     def read_newest(self, topic: str, after: str) -> dict[str, Any]:
         """Returns a page of the newest record of each key, in order of the keys.
