--- a/cicadacourse/feed/_registry_codec.py
+++ b/cicadacourse/feed/_registry_codec.py
@@ -11,6 +11,9 @@
 from cicadacourse.load import EndpointRecord, Registry
 from cicadacourse.peers import decode, encode
 
+# The name that the message ``Registry`` is registered under.
+_MESSAGE_NAME = "load.Registry"
+
 
 @attrs.define
 class RegistryEncoder:
@@ -45,7 +48,7 @@
     :raises ValueError: if it is malformed.
     """
     if reply.packed:
-        reply = decode(Registry.message_name, apply_delta(b"", reply.packed))
+        reply = decode(_MESSAGE_NAME, apply_delta(b"", reply.packed))
     return [_to_endpoint(record) for record in reply.endpoints]
 
 
--- a/cicadacourse/feed/_relay.py
+++ b/cicadacourse/feed/_relay.py
@@ -71,6 +71,7 @@
         self._own_name = app.settings.get(InstanceSettings).name
         self._catalog_service: CatalogService = app.get("catalog")
         self._version_by_instance: dict[str, int] = {}
+        self._offset_by_instance: dict[str, int] = {}
         self._task_by_subject: dict[str, asyncio.Task[None]] = {}
         self._registry_encoder = RegistryEncoder()
         self._failure_logged_at: dict[tuple[str, str], float] = {}
@@ -144,13 +145,24 @@
         if not self._is_neighbour(instance):
             return
         self._delegation.record_read(instance, age_s, now())
+        self._offset_by_instance[instance] = offset
         if offset <= self._catalog_service.registry_offset:
-            self._delegation.mark_caught_up(REGISTRY)
+            if not self._is_neighbour_ahead():
+                self._delegation.mark_caught_up(REGISTRY)
             return
         if not self._feed.is_store_reader():
             self._delegation.mark_behind(REGISTRY, now())
             self._start_fetch(REGISTRY, self._fetch_registry(instance))
 
+    def _is_neighbour_ahead(self) -> bool:
+        """Returns whether a live neighbour has a newer registry, as far as is known."""
+        own = self._catalog_service.registry_offset
+        return any(
+            self._offset_by_instance.get(member.name, 0) > own
+            for member in self.app.get("membership").members()
+            if self._is_neighbour(member.name)
+        )
+
     def _fetch_first_registry(self, instance: str, offset: int, age_s: float) -> None:
         """Fetches the first registry from any instance that read it lately.
 
--- a/tests/test_feed/test_feed_relay.py
+++ b/tests/test_feed/test_feed_relay.py
@@ -18,11 +18,13 @@
 from returns.result import Result, Success
 
 from cicadacourse.application import Application
+from cicadacourse.events import REGISTRY_OFFSET_RECEIVED
 from cicadacourse.feed._delta import make_delta
 from cicadacourse.feed._relay import FETCH_TIMEOUT_S, WHOLE_FETCH_TIMEOUT_S
 from cicadacourse.load import Configuration, FetchConfiguration
 from cicadacourse.logs import FETCH_FAILED
 from cicadacourse.peers import encode
+from cicadacourse.util.clock import now
 from tests.test_feed.relay_cluster import (
     encode_configuration,
     relaying,
@@ -323,3 +325,20 @@
             assert took_s < 0.8 * timeout_s
         limits = [timeout_s for _, timeout_s in pair.requests]
         assert limits == [FETCH_TIMEOUT_S, WHOLE_FETCH_TIMEOUT_S]
+
+
+async def test_a_neighbour_that_is_behind_too_is_no_sign_of_being_up_to_date():
+    """Where several instances were behind, none read the registry for itself."""
+    async with relaying(["one", "ahead", "behind"]) as cluster:
+        app = cluster.application_by_name["one"]
+        delegation = app.get("feed").read_delegation
+        app.get("catalog").mark_registry_known()
+        app.get("feed").is_store_reader = lambda: False
+        for name in NEIGHBOURS:
+            delegation.record_read(name, 0.0, now())
+        assert not delegation.is_store_reader("one", ["one", *NEIGHBOURS], now())
+        for _ in range(6):
+            for name, offset in (("ahead", 7), ("behind", 0)):
+                app.events.emit(REGISTRY_OFFSET_RECEIVED, name, offset, 0.1)
+            await asyncio.sleep(0.1)
+        assert delegation.is_store_reader("one", ["one", *NEIGHBOURS], now())
