Soak: a configuration each second over narrow links

Callers got 404 and 401 for routes and keys in force, from instances that held a configuration many versions old; no check of the soak could see it. The scenario adds 960 routes (230 kB a configuration) and changes routes and keys each second, while the store or the peers of some instances are silent, refuse or are slow, and instances are frozen, killed and restarted. Each instance has one link of 10 Mbit/s for its store and for what it sends to other instances; to put a proxy there, the program's listener for peers moves to another port (soak/_linked_instance.py).

Two checks, from what callers see: a request whose route and key are in each configuration that may be in force is not denied (401, 404) by an instance that ran and was reachable for 3 s (configApplyMs), and a removed key is not served 9 s (configApplyMs + outerBoundMs) after its removal. Which ones may be in force follows from the store's acknowledgements.

--- a/Makefile
+++ b/Makefile
@@ -53,7 +53,7 @@
 
 .PHONY: soak
 soak: venv
-	$(BIN)/python -m soak $(if $(filter command line environment,$(origin SEED)),--seed $(SEED)) --minutes $(MINUTES) --size $(SIZE)
+	$(BIN)/python -m soak $(if $(filter command line environment,$(origin SEED)),--seed $(SEED)) --minutes $(MINUTES) --size $(SIZE) $(if $(filter command line environment,$(origin SCENARIO)),--scenario $(SCENARIO))
 
 .PHONY: soak-kept
 soak-kept: venv
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -14,12 +14,20 @@
 import attrs
 
 from soak._checks import InvariantChecker
+from soak._configuration_scenario import (
+    CONFIGURATION_FAULTS,
+    run_configuration_scenario,
+)
 from soak._environment import SoakEnvironment
-from soak._faults import inject_faults, plan_faults
+from soak._faults import FAULTS, inject_faults, plan_faults
 from soak._scenario import run_scenario
 
 SEEDS = pathlib.Path(__file__).with_name("SEEDS.txt")
 SECONDS_PER_MINUTE = 60.0
+SCENARIOS = {
+    "faults": (run_scenario, FAULTS),
+    "configurations": (run_configuration_scenario, CONFIGURATION_FAULTS),
+}
 
 
 def get_parser() -> argparse.ArgumentParser:
@@ -34,6 +42,12 @@
     )
     add("--minutes", type=float, default=0.5, help="how long faults are injected")
     add("--size", type=int, default=4, help="number of instances")
+    add(
+        "--scenario",
+        choices=sorted(SCENARIOS),
+        default="faults",
+        help="faults of all kinds, or a configuration that changes each second",
+    )
     add("--kept", action="store_true", help="run every line of SEEDS.txt instead")
     add(
         "--folder",
@@ -68,9 +82,8 @@
     seed = arguments.seed
     if seed is None:
         seed = random.SystemRandom().randrange(1_000_000)
-    return _run_once(
-        RunParameters(seed, arguments.minutes, arguments.size), arguments.folder
-    )
+    run = RunParameters(seed, arguments.minutes, arguments.size, arguments.scenario)
+    return _run_once(run, arguments.folder)
 
 
 @attrs.frozen
@@ -80,24 +93,29 @@
     seed: int
     minutes: float
     size: int
+    scenario: str
 
 
 def read_kept_runs() -> list[RunParameters]:
     """Returns the runs of ``SEEDS.txt``, which failed in the past."""
     lines = SEEDS.read_text().splitlines()
     rows = [line.split() for line in lines if line and not line.startswith("#")]
-    return [RunParameters(int(row[0]), float(row[1]), int(row[2])) for row in rows]
+    return [
+        RunParameters(int(row[0]), float(row[1]), int(row[2]), row[3]) for row in rows
+    ]
 
 
 def _run_once(run: RunParameters, folder: pathlib.Path | None) -> int:
+    run_seed, faults = SCENARIOS[run.scenario]
+
     async def inject(environment: SoakEnvironment) -> None:
-        planned = plan_faults(environment, run.minutes * SECONDS_PER_MINUTE)
+        planned = plan_faults(environment, run.minutes * SECONDS_PER_MINUTE, faults)
         for item in planned:
             print(f"{item.start_s:7.2f} s  {item.name} for {item.duration_s:.2f} s")
-        await inject_faults(environment, planned)
+        await inject_faults(environment, planned, faults)
 
     with _output_folder(folder) as output_folder:
-        checker = asyncio.run(run_scenario(output_folder, run.seed, run.size, inject))
+        checker = asyncio.run(run_seed(output_folder, run.seed, run.size, inject))
     return report(checker, run.seed)
 
 
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -10,6 +10,7 @@
 from cicadacourse.platform import _names as names
 from cicadacourse.util.clock import now
 from soak._callers import TIMEOUT_S, Attempt
+from soak._configurations import APPLY_BOUND_S
 from soak._environment import SoakEnvironment
 from soak._instances import InstanceProcess
 from standins.callers import event_ids
@@ -17,12 +18,16 @@
 
 OK = 200
 UNKNOWN_KEY = 401
+UNKNOWN_ROUTE = 404
 EXPECTED_STATUSES = frozenset({200, 401, 408, 421, 429, 500, 502, 503, 504})
 # Responses are guaranteed within a quarter of a second after the timeout; the rest
 # allows for a busy machine.
 LATE_SLACK_S = 1.0
 # A new configuration is in force, and a removed key is rejected, after this long.
 CONFIGURATION_BOUND_S = 5.0
+# An instance that can't reach the store serves a removed key no longer than this:
+# ``configApplyMs`` and ``outerBoundMs`` of the grown deployments together.
+REMOVAL_BOUND_S = APPLY_BOUND_S + 6.0
 # A violation shows this much of an output line, enough to read the exception in it.
 MAX_SHOWN_CHARACTERS = 1500
 _FAULTY_OUTPUT_TEXTS = ("Traceback", "never retrieved", "was destroyed")
@@ -64,6 +69,33 @@
                 attempt, f"key {attempt.key} is still accepted after its removal"
             )
 
+    def check_proper_request(self, attempt: Attempt, prefix: str) -> None:
+        """Checks that a request which all configurations in force allow is not denied.
+
+        Holds for an instance that ran and was reachable for ``APPLY_BOUND_S``, whatever
+        configuration it has.
+
+        :param prefix: the path prefix of the request's route.
+        """
+        self.statuses[attempt.status] += 1
+        response = attempt.response
+        if response is None or response.status not in (UNKNOWN_KEY, UNKNOWN_ROUTE):
+            return
+        history = self.environment.history
+        prefixes, keys = history.allowed_by_all(attempt.started, attempt.ended)
+        is_proper = prefix in prefixes and attempt.key in keys
+        if is_proper and _was_reachable(attempt, APPLY_BOUND_S):
+            self._add_violation(attempt, f"denied with {response.status}")
+
+    def check_key_out_of_force(self, attempt: Attempt) -> None:
+        """Checks that a key removed ``REMOVAL_BOUND_S`` before is not accepted.
+
+        Holds for an instance that ran and was reachable for as long.
+        """
+        self.statuses[attempt.status] += 1
+        if attempt.status == OK and _was_reachable(attempt, REMOVAL_BOUND_S):
+            self._add_violation(attempt, f"key {attempt.key} is still accepted")
+
     def check_final_state(self) -> None:
         """Checks executions, reservations and processes; all instances have stopped."""
         self._record_workers()
@@ -179,3 +211,8 @@
             f"{attempt.id} {attempt.kind.path} at {attempt.instance.name}, "
             f"{now() - attempt.started:.1f} s ago: {description}"
         )
+
+
+def _was_reachable(attempt: Attempt, bound_s: float) -> bool:
+    """Whether its instance was reachable from ``bound_s`` before the attempt on."""
+    return attempt.instance.unreachable_at < attempt.started - bound_s
--- a/soak/_environment.py
+++ b/soak/_environment.py
@@ -12,9 +12,10 @@
 import attrs
 
 from cicadacourse.util.clock import now
+from soak._configurations import ConfigurationHistory
 from soak._fault_window import FaultWindow
 from soak._instances import InstanceProcess
-from soak._proxy import LinkState, Proxy
+from soak._proxy import LinkState, Proxy, RateLimit
 from standins.platform import KEY, Fleet, RegisteredEndpoint, make_configuration
 from standins.ports import free_port, next_host
 
@@ -26,6 +27,24 @@
 DOMAINS = ("a", "b", "c")
 
 
+@attrs.frozen
+class Site:
+    """What a deployment consists of.
+
+    :param size: the number of instances.
+    :param engines_per_instance: the number of engines for each instance.
+    :param domains: the failure domains, which instances and endpoints take in turn.
+    :param link_bytes_per_s: how fast each instance sends to the store and in response
+        to other instances, and how fast it receives from them; None for no limit. The
+        instances then call each other through proxies.
+    """
+
+    size: int
+    engines_per_instance: int = ENGINES_PER_INSTANCE
+    domains: tuple[str, ...] = DOMAINS
+    link_bytes_per_s: float | None = None
+
+
 @attrs.define(eq=False)
 class SoakEnvironment:
     """The components that faults impair and the checker inspects.
@@ -41,6 +60,8 @@
     :ivar added_at_by_key: when each of the organisation's keys was added, oldest first;
         loop times in seconds.
     :ivar removed_at_by_key: when each former key was removed, loop times in seconds.
+    :ivar added_prefixes: the path prefixes of further routes to the plain service.
+    :ivar history: every configuration that was written.
     """
 
     fleet: Fleet
@@ -53,6 +74,8 @@
     version: int = 1
     added_at_by_key: dict[str, float] = attrs.field(factory=lambda: {KEY: 0.0})
     removed_at_by_key: dict[str, float] = attrs.field(factory=dict)
+    added_prefixes: list[str] = attrs.field(factory=list)
+    history: ConfigurationHistory = attrs.field(factory=ConfigurationHistory)
     _endpoints: itertools.count[int] = attrs.field(factory=itertools.count)
 
     def random_for(self, name: str) -> random.Random:
@@ -79,9 +102,16 @@
         """Writes the configuration with the current version and keys."""
         acme: dict[str, Any] = {"name": "acme", "apiKeys": self.keys, "priority": 1}
         configuration = make_configuration(self.version, tenants=[acme])
+        plain_route = configuration["routes"][-1]
+        configuration["routes"] += [
+            {**plain_route, "name": prefix.strip("/"), "pathPrefix": prefix}
+            for prefix in self.added_prefixes
+        ]
         for route in configuration["routes"]:
             route["maxAttempts"] = MAX_ATTEMPTS
+        sent_at = now()
         self.fleet.configure(configuration)
+        self.history.record(sent_at, self.added_prefixes, self.keys)
 
     async def add_endpoint(self, is_engine: bool) -> RegisteredEndpoint:
         """Starts and registers an endpoint that is reached through its own link."""
@@ -103,28 +133,38 @@
     def links(self) -> list[Proxy]:
         """Returns the links to the store and to the endpoints."""
         store_links = [instance.store_link for instance in self.instances]
-        return [*store_links, *self.link_by_endpoint_id.values()]
+        return [
+            *store_links,
+            *self.peer_links(),
+            *self.link_by_endpoint_id.values(),
+        ]
+
+    def peer_links(self) -> list[Proxy]:
+        """Returns the links through which instances call each other."""
+        links = [instance.peer_link for instance in self.instances]
+        return [link for link in links if link is not None]
 
 
 @contextlib.asynccontextmanager
 async def running_environment(
-    folder: pathlib.Path, seed: int, size: int
+    folder: pathlib.Path, seed: int, site: Site
 ) -> AsyncIterator[SoakEnvironment]:
     """Runs a configured deployment with its instances as processes.
 
     :param folder: the folder for settings and output.
-    :param size: the number of instances; ``ENGINES_PER_INSTANCE`` engines run for each.
     """
     fleet = Fleet(next_host())
     async with contextlib.AsyncExitStack() as stack:
         await stack.enter_async_context(fleet.running())
-        instances = [_make_instance(folder, number, fleet) for number in range(size)]
-        for instance in instances:
-            await stack.enter_async_context(instance.store_link.running())
+        instances = [
+            _make_instance(folder, number, fleet, site) for number in range(site.size)
+        ]
         environment = SoakEnvironment(
             fleet, instances, seed, random.Random(seed), stack
         )
-        engines = ENGINES_PER_INSTANCE * size
+        for link in environment.links():
+            await stack.enter_async_context(link.running())
+        engines = site.engines_per_instance * site.size
         for number in range(engines + PLAIN_ENDPOINTS):
             await environment.add_endpoint(is_engine=number < engines)
         environment.configure()
@@ -135,11 +175,29 @@
         yield environment
 
 
-def _make_instance(folder: pathlib.Path, number: int, fleet: Fleet) -> InstanceProcess:
+def _make_instance(
+    folder: pathlib.Path, number: int, fleet: Fleet, site: Site
+) -> InstanceProcess:
     host = next_host()
     link = Proxy(f"{host}:{free_port()}", fleet.store_address)
-    domain = DOMAINS[number % len(DOMAINS)]
-    return InstanceProcess(f"instance-{number}", domain, host, folder, link)
+    domain = site.domains[number % len(site.domains)]
+    instance = InstanceProcess(f"instance-{number}", domain, host, folder, link)
+    if site.link_bytes_per_s is not None:
+        _limit_links(instance, site.link_bytes_per_s)
+    return instance
+
+
+def _limit_links(instance: InstanceProcess, bytes_per_s: float) -> None:
+    """Puts a link before an instance, which shares its rate with that to the store."""
+    sending, receiving = RateLimit(bytes_per_s), RateLimit(bytes_per_s)
+    instance.store_link.to_target_limit = sending
+    instance.store_link.from_target_limit = receiving
+    instance.peer_link = Proxy(
+        f"{instance.host}:{instance.peer_port}",
+        f"{instance.host}:{free_port()}",
+        to_target_limit=receiving,
+        from_target_limit=sending,
+    )
 
 
 async def _kill_all(instances: list[InstanceProcess]) -> None:
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -44,12 +44,14 @@
     duration_s: float
 
 
-def plan_faults(environment: SoakEnvironment, seconds: float) -> list[PlannedFault]:
+def plan_faults(
+    environment: SoakEnvironment, seconds: float, faults: Registry[Fault] = FAULTS
+) -> list[PlannedFault]:
     """Draws a schedule of faults, which may overlap, for the first ``seconds``."""
     planned = []
     start_s = environment.random.uniform(MIN_INTERVAL_S, MAX_INTERVAL_S)
     while start_s < seconds:
-        name = environment.random.choice(FAULTS.names())
+        name = environment.random.choice(faults.names())
         duration_s = environment.random.uniform(MIN_FAULT_S, MAX_FAULT_S)
         planned.append(PlannedFault(round(start_s, 2), name, round(duration_s, 2)))
         start_s += environment.random.uniform(MIN_INTERVAL_S, MAX_INTERVAL_S)
@@ -57,7 +59,9 @@
 
 
 async def inject_faults(
-    environment: SoakEnvironment, planned: list[PlannedFault]
+    environment: SoakEnvironment,
+    planned: list[PlannedFault],
+    faults: Registry[Fault] = FAULTS,
 ) -> None:
     """Injects the faults of a schedule and returns when the last one has ended."""
     started = asyncio.get_running_loop().time()
@@ -65,7 +69,7 @@
         for item in planned:
             elapsed_s = asyncio.get_running_loop().time() - started
             await asyncio.sleep(max(0.0, item.start_s - elapsed_s))
-            group.create_task(FAULTS.get(item.name)(environment, item.duration_s))
+            group.create_task(faults.get(item.name)(environment, item.duration_s))
 
 
 def _choose_instance(environment: SoakEnvironment) -> InstanceProcess:
--- a/soak/_instances.py
+++ b/soak/_instances.py
@@ -11,6 +11,7 @@
 import attrs
 
 from cicadacourse.logs import INSTANCE_STARTED
+from cicadacourse.util.clock import now
 from soak._fault_window import FaultWindow
 from soak._proxy import Proxy
 from standins.ports import free_port
@@ -44,10 +45,14 @@
     :param host: its own loopback address.
     :param folder: the folder for its settings and its output.
     :param store_link: the proxy between it and the store.
+    :param peer_link: the proxy through which other instances call it; None if they
+        call it directly.
     :ivar fault_window: the faults on it and on its links.
     :ivar late_exits: how often its process did not exit in time after SIGTERM.
     :ivar bad_exits: exit statuses other than 0 after SIGTERM, of processes that had
         logged their start.
+    :ivar unreachable_at: when neither the store nor another instance could last reach
+        it, or it did not run; loop time in seconds.
     """
 
     name: str
@@ -55,12 +60,15 @@
     host: str
     folder: pathlib.Path
     store_link: Proxy
+    peer_link: Proxy | None = None
     caller_port: int = attrs.field(factory=free_port)
+    peer_port: int = attrs.field(factory=free_port)
     ready_port: int = attrs.field(factory=free_port)
     metrics_port: int = attrs.field(factory=free_port)
     fault_window: FaultWindow = attrs.field(factory=FaultWindow)
     bad_exits: list[int] = attrs.field(factory=list)
     late_exits: int = 0
+    unreachable_at: float = attrs.field(factory=now)
     _process: asyncio.subprocess.Process | None = None
     _output_offset: int = 0
     _is_killed: bool = False
@@ -82,7 +90,7 @@
             domain=self.failure_domain,
             host=self.host,
             caller=self.caller_port,
-            peer=free_port(),
+            peer=self.peer_port,
             store=self.store_link.address,
             ready=self.ready_port,
             directory=free_port(),
@@ -99,7 +107,7 @@
             self._output_offset = output.tell()
             self._is_killed = False
             self._process = await asyncio.create_subprocess_exec(
-                *(sys.executable, "-m", "cicadacourse", "serve"),
+                *(sys.executable, "-m", *self._command()),
                 cwd=ROOT,
                 env={**os.environ, "CICADACOURSE_BOOT": str(self._settings)},
                 stdin=asyncio.subprocess.DEVNULL,
@@ -107,6 +115,11 @@
                 stderr=output,
             )
 
+    def _command(self) -> tuple[str, ...]:
+        if self.peer_link is None:
+            return "cicadacourse", "serve"
+        return "soak._linked_instance", self.peer_link.target, "serve"
+
     @property
     def is_running(self) -> bool:
         """Whether its process was started and has not ended."""
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -10,8 +10,12 @@
 import attrs
 
 from cicadacourse.util.addresses import split_address
+from cicadacourse.util.clock import now
 
 _READ_BYTES = 65_536
+# How far a rate limit may catch up, so that late wake-ups on a busy machine don't lower
+# the rate.
+RATE_CATCH_UP_S = 0.1
 
 
 class LinkState(enum.Enum):
@@ -29,6 +33,23 @@
 _BLOCKS_FROM_TARGET = frozenset({LinkState.CUT_FROM_TARGET, LinkState.CUT_BOTH_WAYS})
 
 
+@attrs.define(eq=False)
+class RateLimit:
+    """Delays the bytes of all connections that share one direction of a link.
+
+    :param bytes_per_s: the rate.
+    """
+
+    bytes_per_s: float
+    _free_at: float = 0.0
+
+    async def pass_bytes(self, count: int) -> None:
+        """Returns when the link has carried so many bytes after those before them."""
+        earliest = now() - RATE_CATCH_UP_S
+        self._free_at = max(self._free_at, earliest) + count / self.bytes_per_s
+        await asyncio.sleep(self._free_at - now())
+
+
 @attrs.define(eq=False)
 class Proxy:
     """Forwards connections from its own address to a target address.
@@ -38,11 +59,15 @@
 
     :param address: the address it listens on, as ``IP:port``.
     :param target: the address it connects to, as ``IP:port``.
+    :param to_target_limit: limits the bytes to the target; None for no limit.
+    :param from_target_limit: limits the bytes from the target; None for no limit.
     :ivar delay_s: the delay of each chunk in the state ``DELAY``, in seconds.
     """
 
     address: str
     target: str
+    to_target_limit: RateLimit | None = None
+    from_target_limit: RateLimit | None = None
     delay_s: float = 0.1
     state: LinkState = LinkState.PASS
     _state_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -96,10 +121,14 @@
         self._writers.add(target_writer)
         copies = [
             self._start_copy(
-                self._copy_stream(reader, target_writer, _BLOCKS_TO_TARGET)
+                self._copy_stream(
+                    reader, target_writer, _BLOCKS_TO_TARGET, self.to_target_limit
+                )
             ),
             self._start_copy(
-                self._copy_stream(target_reader, writer, _BLOCKS_FROM_TARGET)
+                self._copy_stream(
+                    target_reader, writer, _BLOCKS_FROM_TARGET, self.from_target_limit
+                )
             ),
         ]
         try:
@@ -121,6 +150,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         blocking_states: frozenset[LinkState],
+        limit: RateLimit | None,
     ) -> None:
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while data := await reader.read(_READ_BYTES):
@@ -128,6 +158,8 @@
                     await self._state_changed.wait()
                 if self.state is LinkState.DELAY:
                     await asyncio.sleep(self.delay_s)
+                if limit is not None:
+                    await limit.pass_bytes(len(data))
                 writer.write(data)
                 await writer.drain()
             while self.state in blocking_states:
--- a/soak/_scenario.py
+++ b/soak/_scenario.py
@@ -5,11 +5,22 @@
 import asyncio
 import contextlib
 import pathlib
-from typing import Awaitable, Callable
-
-from soak._callers import REQUEST_KINDS, REQUEST_PAUSE_S, SHORT, Caller
+from typing import Awaitable, Callable, Sequence
+
+from soak._callers import (
+    REQUEST_KINDS,
+    REQUEST_PAUSE_S,
+    SHORT,
+    Caller,
+    RequestKind,
+)
 from soak._checks import InvariantChecker
-from soak._environment import SoakEnvironment, clear_faults, running_environment
+from soak._environment import (
+    Site,
+    SoakEnvironment,
+    clear_faults,
+    running_environment,
+)
 
 CALLERS_PER_INSTANCE = 3
 WARM_UP_S = 4.0
@@ -30,7 +41,7 @@
     :param inject: injects faults while callers send requests, and returns after the
         last one.
     """
-    async with running_environment(folder, seed, size) as environment:
+    async with running_environment(folder, seed, Site(size)) as environment:
         checker = InvariantChecker(environment)
         await asyncio.sleep(WARM_UP_S)
         callers = [
@@ -47,8 +58,8 @@
         await inject(environment)
         await clear_faults(environment)
         await asyncio.sleep(RECOVERY_S)
-        await _stop_callers(callers)
-        await _check_recovered(checker, Caller(environment, "last"))
+        await stop_callers(callers)
+        await check_recovered(checker, Caller(environment, "last"), REQUEST_KINDS)
         for instance in environment.instances:
             await instance.stop()
         checker.check_final_state()
@@ -77,15 +88,18 @@
             caller.close()
 
 
-async def _check_recovered(checker: InvariantChecker, caller: Caller) -> None:
+async def check_recovered(
+    checker: InvariantChecker, caller: Caller, kinds: Sequence[RequestKind]
+) -> None:
+    """Sends requests of these kinds, each of which must be served."""
     for _ in range(RECOVERY_REQUESTS):
-        kind = caller.chooser.choice(REQUEST_KINDS)
+        kind = caller.chooser.choice(kinds)
         attempt = await caller.send(kind, checker.environment.keys[0])
         caller.close()
         checker.check_recovered(attempt)
 
 
-async def _stop_callers(tasks: list[asyncio.Task[None]]) -> None:
+async def stop_callers(tasks: list[asyncio.Task[None]]) -> None:
     """Cancels the callers; raises the exception of one that has already failed."""
     for task in tasks:
         if not task.cancel():
