Peers: a call after the end of the service opens no connection

Services that stop after the peers' service still called, and the call opened a connection whose task nothing cancelled. Such a call now fails at once as unreachable.

The test failed before: the call succeeded over a new connection.

--- a/cicadacourse/peers/_capnp.py
+++ b/cicadacourse/peers/_capnp.py
@@ -57,6 +57,7 @@
         super().__init__(app)
         self._connection_by_address: dict[str, Connection] = {}
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._has_ended = False
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
@@ -67,6 +68,7 @@
         try:
             yield
         finally:
+            self._has_ended = True
             server.close()
             for task in list(self._tasks):
                 task.cancel()
@@ -75,6 +77,8 @@
     async def _exchange(
         self, address: str, frame: Frame, timeout_s: float
     ) -> Result[Any, Error]:
+        if self._has_ended:
+            return _unreachable(f"{address}: this instance is stopping")
         connection = self._get_connection(address)
         try:
             async with asyncio.timeout(timeout_s):
--- a/tests/test_peers/test_peers_capnp.py
+++ b/tests/test_peers/test_peers_capnp.py
@@ -191,3 +191,17 @@
         result = await peers.call(address, ping(), 3.0)
         assert "reset while it was set up" in result.failure().detail
         await call_until_reached(peers, address)
+
+
+async def test_a_call_after_the_end_of_the_service_opens_no_connection():
+    """A call by a service that stops later opened one that nothing closed.
+
+    Its task ended with a traceback once the instance had stopped.
+    """
+    one, other = build("e1", free_port()), build("e2", free_port())
+    async with capnp.kj_loop(), other.running():
+        async with one.running():
+            peers = one.get("peers")
+        result = await peers.call(other.get("peers").address, ping(), LIMIT_S)
+        assert result.failure().kind is ErrorKind.PEER_UNREACHABLE
+        assert not peers._tasks
