Placement: a request waits for a connection before its endpoint is chosen

With max_connections of a pool reached, a request had chosen its endpoint and then waited in the client, for up to all the time it had left, with no look at the registry afterwards. It was so sent to endpoints that had long begun to leave (DRAIN), had no alternative while another endpoint had a connection, and its timeout for the response's head had been computed before the wait.

The client no longer waits. Placement counts the requests that this instance has at each endpoint (each uses one connection) and leaves out, as a target, endpoints at the limit, as it does those without a free slot; such engines still help with prefills. Requests queue as for full endpoints, in the same order and for at most the same share of their time (half of it, before nearly all); a released connection and a new configuration wake the queue. At the end of the wait the caller gets 503 `connections_in_use`. No attempt is made meanwhile, so neither the retry budget nor maxAttempts is used. A request whose connection was taken between the dispatcher's choice and its own turn is placed again. A waiter that was cancelled in the turn in which it was placed left the others waiting until the next change of the load; they are tried at once.

--- a/cicadacourse/exchange/_endpoint_client.py
+++ b/cicadacourse/exchange/_endpoint_client.py
@@ -64,9 +64,7 @@
     ) -> contextlib.AbstractAsyncContextManager[EndpointResponse]:
         """Sends a request and yields the response once its head is read.
 
-        Waits while this instance has as many connections to the endpoint as its pool
-        allows. Leaving the context before the body is read to its end cancels the
-        request.
+        Leaving the context before the body is read to its end cancels the request.
 
         :param is_idempotent: whether the request may run more than once.
         :param head_timeout_s: seconds to wait for the head of the response.
--- a/cicadacourse/load/_table.py
+++ b/cicadacourse/load/_table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import Sequence
 
 import attrs
@@ -68,6 +68,17 @@
         """Returns the assignments of this instance."""
         return list(self._own_by_number.values())
 
+    def count_own_requests(self) -> Counter[str]:
+        """Returns how many requests this instance has at each endpoint, by its id.
+
+        Those that it only helps are not counted.
+        """
+        return Counter(
+            item.endpoint
+            for item in self._own_by_number.values()
+            if item.role is not Role.PREFILL
+        )
+
     def replace_remote_assignments(
         self, instance: str, assignments: Sequence[Assignment]
     ) -> None:
--- a/cicadacourse/placement/_calls.py
+++ b/cicadacourse/placement/_calls.py
@@ -14,12 +14,12 @@
 
 
 def choose_endpoint(candidates: Sequence[Candidate]) -> Candidate | None:
-    """Returns the endpoint with a free slot and the lowest load, or None.
+    """Returns the endpoint with the lowest load that can start a call, or None.
 
     The load is relative to the endpoint's slots. Among equals, an endpoint of the own
     failure domain is preferred.
     """
-    free = [item for item in candidates if item.has_slot]
+    free = [item for item in candidates if item.has_slot and item.has_connection]
     return min(free, key=_rank, default=None)
 
 
--- a/cicadacourse/placement/_chooser.py
+++ b/cicadacourse/placement/_chooser.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from cicadacourse.application import Application
-from cicadacourse.catalog import CatalogService, Pool
+from cicadacourse.catalog import CatalogService, Endpoint, Pool
 from cicadacourse.config import InstanceSettings
 from cicadacourse.load import LoadService
 from cicadacourse.placement._admission import admit_prompt, soonest_first_event_s
@@ -51,19 +51,38 @@
         soonest_s = soonest_first_event_s(request, pool.engine, engines)
         return engines > 0 and soonest_s >= request.time_left_s
 
-    def candidates(self, pool: str) -> list[Candidate]:
+    def candidates(self, pool: Pool) -> list[Candidate]:
         """Returns the usable endpoints of a pool with their current load."""
         now_s = now()
+        limit = pool.max_connections
+        requests = self._load.table.count_own_requests() if limit else {}
         return [
             Candidate(
                 endpoint=item,
                 load=self._load.table.load_of(item.id, now_s),
                 is_same_domain=item.failure_domain == self._instance.failure_domain,
                 tie_break=hashing.score(self._instance.name, item.id),
+                has_connection=not limit or requests.get(item.id, 0) < limit,
             )
-            for item in self._ejections.usable_endpoints(pool)
+            for item in self._ejections.usable_endpoints(pool.name)
         ]
 
+    def has_connection(self, endpoint: Endpoint) -> bool:
+        """Returns whether its pool allows another connection to an endpoint now."""
+        pool = self.find_pool(endpoint.pool)
+        if pool is None or not pool.max_connections:
+            return True
+        requests = self._load.table.count_own_requests()
+        return requests[endpoint.id] < pool.max_connections
+
+    def lacks_connections(self, pool: str) -> bool:
+        """Returns whether an endpoint has a free slot but no connection to use it."""
+        current = self.find_pool(pool)
+        return current is not None and any(
+            item.has_slot and not item.has_connection
+            for item in self.candidates(current)
+        )
+
     def try_place(
         self, request: PlacementRequest, pool: Pool, candidates: list[Candidate]
     ) -> Placement | None:
--- a/cicadacourse/placement/_dispatcher.py
+++ b/cicadacourse/placement/_dispatcher.py
@@ -63,7 +63,7 @@
             if pool is None:
                 continue
             if pool.name not in candidates_by_pool:
-                candidates_by_pool[pool.name] = self._chooser.candidates(pool.name)
+                candidates_by_pool[pool.name] = self._chooser.candidates(pool)
             placement = self._chooser.try_place(
                 waiter.request_at(now()), pool, candidates_by_pool[pool.name]
             )
--- a/cicadacourse/placement/_engines.py
+++ b/cicadacourse/placement/_engines.py
@@ -82,10 +82,14 @@
 def has_capacity(
     request: PlacementRequest, profile: EngineProfile, candidate: Candidate
 ) -> bool:
-    """Returns whether an engine has a free slot and KV cache for a whole request."""
+    """Returns whether an engine can take a whole request.
+
+    It needs a connection, a free slot and free KV cache.
+    """
     needed_tokens = candidate.load.context_tokens + request.context_tokens
     return (
-        candidate.load.decode_streams < profile.slots
+        candidate.has_connection
+        and candidate.load.decode_streams < profile.slots
         and needed_tokens <= profile.kv_tokens
     )
 
--- a/cicadacourse/placement/_errors.py
+++ b/cicadacourse/placement/_errors.py
@@ -8,6 +8,7 @@
 RETRY_AFTER_NO_ENDPOINT_S = 1.0
 # A stream of typical length frees its slot within about this time.
 RETRY_AFTER_FULL_S = 0.5
+REASON_CONNECTIONS = "connections_in_use"
 
 
 def pool_unknown(pool: str) -> Error:
@@ -26,6 +27,16 @@
     return Error(ErrorKind.OVERLOADED, detail, retry_after_s=RETRY_AFTER_FULL_S)
 
 
+def connections_in_use(pool: str) -> Error:
+    """Returns the error for a request that found no connection in its time."""
+    return Error(
+        ErrorKind.OVERLOADED,
+        f"all connections that pool {pool} allows to an endpoint were in use",
+        reason=REASON_CONNECTIONS,
+        retry_after_s=RETRY_AFTER_FULL_S,
+    )
+
+
 def deadline_unreachable(pool: str) -> Error:
     """Returns the error for a prompt that can't be prefilled before its deadline."""
     detail = f"pool {pool} cannot prefill the prompt before the deadline"
--- a/cicadacourse/placement/_kv_cache.py
+++ b/cicadacourse/placement/_kv_cache.py
@@ -43,7 +43,9 @@
         return None
     candidates = select_open_engines(candidates)
     with_free_slot = [
-        item for item in candidates if item.load.decode_streams < profile.slots
+        item
+        for item in candidates
+        if item.has_connection and item.load.decode_streams < profile.slots
     ]
     if not with_free_slot:
         return None
--- a/cicadacourse/placement/_model.py
+++ b/cicadacourse/placement/_model.py
@@ -60,12 +60,15 @@
     :param is_same_domain: whether it runs in this instance's failure domain.
     :param tie_break: decides among equals. It differs between instances, so that those
         that don't know of each other yet choose differently.
+    :param has_connection: whether its pool allows this instance another connection for
+        a request to it.
     """
 
     endpoint: Endpoint
     load: EndpointLoad
     is_same_domain: bool
     tie_break: int = 0
+    has_connection: bool = True
 
     @property
     def has_slot(self) -> bool:
--- a/cicadacourse/placement/_service.py
+++ b/cicadacourse/placement/_service.py
@@ -13,7 +13,7 @@
 from cicadacourse.catalog import Endpoint, Pool
 from cicadacourse.config import InstanceSettings
 from cicadacourse.errors import Error
-from cicadacourse.events import ENDPOINT_CHANGED, LOAD_CHANGED
+from cicadacourse.events import CATALOG_CHANGED, ENDPOINT_CHANGED, LOAD_CHANGED
 from cicadacourse.load import LoadService
 from cicadacourse.logs import PLACEMENT_YIELDED, REQUEST_QUEUED, log
 from cicadacourse.metrics import declare
@@ -46,6 +46,7 @@
         self._chooser = Chooser(app, instance, self._ejections)
         self._dispatcher = Dispatcher(self._queue, self._chooser)
         app.events.connect(LOAD_CHANGED, self._dispatcher.schedule)
+        app.events.connect(CATALOG_CHANGED, self._dispatcher.schedule)
         app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
 
     @property
@@ -59,10 +60,10 @@
     ) -> AsyncIterator[Result[Placement, Error]]:
         """Yields a placement, at once or after a time in the queue.
 
-        Its assignments count as in progress while the context is open. The result is a
-        Failure if the pool is not configured or has no live endpoint, if the prompt
-        can't be prefilled before its deadline, or if the request's time in the queue is
-        over.
+        Its assignments count as in progress while the context is open, and so does a
+        connection to its endpoint. The result is a Failure if the pool is not
+        configured or has no live endpoint, if the prompt can't be prefilled before its
+        deadline, or if the request's time in the queue is over.
         """
         pool = self._chooser.find_pool(request.pool)
         if pool is None:
@@ -78,10 +79,12 @@
                 yield result
                 return
             placement = result.unwrap()
-            with self._load.track(*placement.assignments):
-                if await self._is_confirmed(waiter, placement):
-                    yield result
-                    return
+            # Another request may have been placed since the dispatcher's choice.
+            if self._chooser.has_connection(placement.endpoint):
+                with self._load.track(*placement.assignments):
+                    if await self._is_confirmed(waiter, placement):
+                        yield result
+                        return
             await asyncio.sleep(random.uniform(*RECHECK_RANGE_S))
 
     def usable_endpoints(self, pool: str) -> list[Endpoint]:
@@ -108,8 +111,10 @@
     ) -> Result[Placement, Error]:
         """Returns a placement once the request is next and an endpoint is free."""
         request = waiter.request_at(now())
+        # Its limits may have changed while the request was queued.
+        pool = self._chooser.find_pool(pool.name) or pool
         if self._queue.is_next(waiter):
-            candidates = self._chooser.candidates(pool.name)
+            candidates = self._chooser.candidates(pool)
             placement = self._chooser.try_place(request, pool, candidates)
             if placement is not None:
                 return Success(placement)
@@ -157,9 +162,13 @@
             async with asyncio.timeout(request.wait_s):
                 return Success(await waiter.placement)
         except TimeoutError:
+            if self._chooser.lacks_connections(request.pool):
+                return Failure(errors.connections_in_use(request.pool))
             return Failure(errors.pool_full(request.pool))
         finally:
             self._queue.remove(waiter)
+            # A cancelled waiter may have been placed; what it leaves is offered again.
+            self._schedule()
             self._update_queue_metric(request.pool)
 
     def _endpoint_changed(self, endpoint: Endpoint) -> None:
--- a/cicadacourse/platform/_endpoint_client.py
+++ b/cicadacourse/platform/_endpoint_client.py
@@ -11,7 +11,7 @@
 import h11
 
 from cicadacourse.application import SERVICES, Application, Service
-from cicadacourse.catalog import CatalogService, Endpoint
+from cicadacourse.catalog import Endpoint
 from cicadacourse.events import ENDPOINT_CHANGED
 from cicadacourse.exchange import (
     EndpointClient,
@@ -23,7 +23,6 @@
 )
 from cicadacourse.metrics import declare
 from cicadacourse.platform import _names as names
-from cicadacourse.platform._connection_limits import UNBOUNDED, ConnectionLimits
 from cicadacourse.util.clock import MS_PER_S, now
 from cicadacourse.util.connection import HttpConnection, HttpConnectionError
 
@@ -41,9 +40,6 @@
 # The endpoint may be closing one that idled for longer, and it would remain unknown
 # whether the request ran.
 MAX_IDLE_NON_IDEMPOTENT_S = 1.5
-# A request that waits for a connection ends this long before its deadline, so that its
-# response still arrives in time and says that it did not run.
-WAIT_MARGIN_S = 0.05
 _MISDIRECTED = 421
 
 
@@ -51,8 +47,9 @@
 class PlatformEndpointClient(Service, EndpointClient):
     """Pools connections to endpoints; each carries one exchange at a time.
 
-    No more connections are held to one endpoint than its pool allows. The endpoint
-    counts those of all instances together, so it may still reset some.
+    A new connection to an endpoint is opened only once no idle one is left, so there
+    are never more than requests at once. The endpoint counts those of all instances
+    together, so it may still reset some beyond its limit.
     """
 
     name = "endpoint_caller"
@@ -61,7 +58,6 @@
         super().__init__(app)
         self._idle_by_endpoint: dict[str, list[HttpConnection]] = defaultdict(list)
         self._busy_by_endpoint: dict[str, set[HttpConnection]] = defaultdict(set)
-        self._limits = ConnectionLimits()
         app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
 
     @contextlib.asynccontextmanager
@@ -80,43 +76,19 @@
         """Sends a request, yields its response; see :meth:`EndpointClient.exchange`."""
         endpoint = request.endpoint
         started = now()
-        await self._acquire_permit(request)
+        connection = self._take_idle(endpoint, is_idempotent)
+        if connection is None:
+            connection = await self._open(endpoint)
+        time_left_s = request.time_left_s - (now() - started)
+        request = attrs.evolve(request, time_left_s=time_left_s)
+        self._busy_by_endpoint[endpoint.id].add(connection)
         try:
-            connection = self._take_idle(endpoint, is_idempotent)
-            if connection is None:
-                connection = await self._open(endpoint)
-            time_left_s = request.time_left_s - (now() - started)
-            request = attrs.evolve(request, time_left_s=time_left_s)
-            self._busy_by_endpoint[endpoint.id].add(connection)
-            try:
-                response = await self._send(connection, request, head_timeout_s)
-                yield response
-            except HttpConnectionError as error:
-                raise SendFailure(str(error), True, "connection_broken") from error
-            finally:
-                self._release(endpoint, connection)
+            response = await self._send(connection, request, head_timeout_s)
+            yield response
+        except HttpConnectionError as error:
+            raise SendFailure(str(error), True, "connection_broken") from error
         finally:
-            self._limits.release(endpoint.id)
-
-    async def _acquire_permit(self, request: EndpointRequest) -> None:
-        """Waits until the limit of the endpoint's pool allows another connection.
-
-        Idle connections count towards the limit as well: one that may carry the request
-        is used, and all others are closed before a new one is opened.
-        """
-        endpoint = request.endpoint
-        catalog_service: CatalogService = self.app.get("catalog")
-        catalog = catalog_service.catalog
-        pool = catalog.pool_by_name.get(endpoint.pool) if catalog else None
-        limit = pool.max_connections if pool else UNBOUNDED
-        timeout_s = max(0.0, request.time_left_s - WAIT_MARGIN_S)
-        try:
-            await self._limits.acquire(endpoint.id, limit, timeout_s)
-        except TimeoutError:
-            detail = f"all {limit} connections were in use for {timeout_s:.2f} s"
-            raise SendFailure(
-                detail, False, "connections_in_use", is_endpoint_at_fault=False
-            ) from None
+            self._release(endpoint, connection)
 
     async def _send(
         self,
--- a/tests/test_placement/test_placement_engines.py
+++ b/tests/test_placement/test_placement_engines.py
@@ -139,3 +139,29 @@
         choice = choose_engines(SHORT, PROFILE, fleet)
         chosen.add(choice.decode_engine.endpoint.id)
     assert len(chosen) >= 4
+
+
+def test_a_call_is_not_placed_where_it_would_have_no_connection() -> None:
+    busy = engine(1, calls=4)
+    without = attrs.evolve(engine(2), has_connection=False)
+    assert choose_endpoint([busy, without]) is busy
+    assert choose_endpoint([without]) is None
+
+
+def test_an_engine_without_a_connection_helps_but_does_not_decode() -> None:
+    without = attrs.evolve(engine(1), has_connection=False)
+    free = engine(2)
+    choice = choose_engines(LONG, PROFILE, [without, free])
+    assert choice.decode_engine is free
+    assert choice.helpers == (without,)
+    assert choose_engines(LONG, PROFILE, [without]) is None
+    assert choose_engines(SHORT, PROFILE, [without]) is None
+
+
+def test_kv_cache_is_reserved_for_an_engine_with_a_connection() -> None:
+    request = attrs.evolve(LONG, prompt_tokens=1_000_000)
+    fleet = [engine(number) for number in range(1, 19)]
+    without = [attrs.evolve(item, has_connection=False) for item in fleet]
+    assert choose_with_reservations(request, PROFILE, without) is None
+    choice = choose_with_reservations(request, PROFILE, [*without[:-1], fleet[-1]])
+    assert choice.decode_engine is fleet[-1]
