Endpoint client: nothing is sent to an endpoint that has begun to leave

Between the choice of an endpoint and the sending of the request, time passes: the contention window of long prompts, reservations of KV cache, and connecting (up to 0.4 s).

The client now looks at it once it has the connection, immediately before the request is written, and gives up the attempt as `endpoint_leaving` if the endpoint no longer accepts requests. That attempt does not count: the request is placed again without the retry budget, maxAttempts or a refusal, and the endpoint is not ejected. Placement chooses among the same registry's ready endpoints, so this can't repeat without another change of the registry. SendFailure.is_endpoint_at_fault, which had no user left, became is_withdrawn.

The new tests (draining and removed, safe and unsafe route, with an empty retry budget) failed before: the endpoint had run the request in all four.

--- a/cicadacourse/exchange/_endpoint_client.py
+++ b/cicadacourse/exchange/_endpoint_client.py
@@ -17,13 +17,13 @@
     :param detail: a description of the failure.
     :param may_have_run: False only if no part of the request can have arrived.
     :param reason: the label for logs and metrics.
-    :param is_endpoint_at_fault: False if the failure says nothing about the endpoint.
+    :param is_withdrawn: whether nothing was sent as the endpoint leaves or is gone.
     """
 
     detail: str
     may_have_run: bool
     reason: str
-    is_endpoint_at_fault: bool = True
+    is_withdrawn: bool = False
 
     def __str__(self) -> str:
         return self.detail
@@ -68,8 +68,8 @@
 
         :param is_idempotent: whether the request may run more than once.
         :param head_timeout_s: seconds to wait for the head of the response.
-        :raises SendFailure: if the endpoint is unreachable, breaks off, or sends no
-            head in time.
+        :raises SendFailure: if the endpoint is unreachable, breaks off, sends no head
+            in time, or leaves before the request is sent.
         """
 
     @abc.abstractmethod
--- a/cicadacourse/gateway/_attempts.py
+++ b/cicadacourse/gateway/_attempts.py
@@ -59,6 +59,15 @@
         """Counts an attempt that was not sent because KV cache was not reserved."""
         self.refused += 1
 
+    def record_withdrawn(self) -> None:
+        """Takes back an attempt whose endpoint left before anything was sent."""
+        self.sent -= 1
+
+    @property
+    def made(self) -> int:
+        """The attempts that count, whether or not they were sent."""
+        return self.sent + self.refused
+
     def may_retry(self) -> bool:
         """Returns whether the route allows another attempt."""
         if self.may_have_run and not self.route.is_idempotent:
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -68,9 +68,11 @@
             return Error(ErrorKind.NO_ENDPOINT, detail, retry_after_s=1.0)
         self._events.last_id = self.admitted.request.last_event_id
         self.budget.record_first_attempt(pool, now())
+        paid = 0
         while True:
-            if self.attempts.failed_ids and not self._acquire_retry(pool):
+            if self.attempts.made > paid and not self._acquire_retry(pool):
                 return self.attempts.final_error()
+            paid = self.attempts.made
             request = self.admitted.placement_request(
                 pool, now(), self.attempts.failed_ids
             )
--- a/cicadacourse/gateway/_outcomes.py
+++ b/cicadacourse/gateway/_outcomes.py
@@ -44,10 +44,16 @@
     def report_transport_failure(
         self, placement: Placement, failure: SendFailure
     ) -> None:
-        """Reports that an endpoint was unreachable, broke off or timed out."""
+        """Reports that an endpoint was unreachable, broke off, timed out or left.
+
+        The attempt doesn't count if the endpoint left before anything was sent.
+        """
         endpoint_id = placement.endpoint.id
-        if failure.is_endpoint_at_fault:
-            self._placer.report_transport_failure(endpoint_id, failure.reason)
+        if failure.is_withdrawn:
+            self.attempts.record_withdrawn()
+            self._log_failure(endpoint_id, failure.reason, failure.detail, False)
+            return
+        self._placer.report_transport_failure(endpoint_id, failure.reason)
         if not failure.may_have_run:
             self.attempts.record_not_run()
         self._record_failure(
@@ -81,6 +87,11 @@
         self, endpoint_id: str, reason: str, detail: str, may_have_run: bool
     ) -> None:
         self.attempts.record_failure(endpoint_id, reason, detail, may_have_run)
+        self._log_failure(endpoint_id, reason, detail, may_have_run)
+
+    def _log_failure(
+        self, endpoint_id: str, reason: str, detail: str, may_have_run: bool
+    ) -> None:
         self.app.metrics.count(ATTEMPT_FAILURES, reason=reason)
         log(
             ATTEMPT_FAILED,
@@ -123,6 +134,6 @@
             expected_s=round(placement.expected_first_event_s, 3),
             time_left_s=round(request.time_left_s, 3),
             waited_s=round(now() - self.admitted.request.arrived, 4),
-            attempt=self.attempts.sent + self.attempts.refused + 1,
+            attempt=self.attempts.made + 1,
             after_event=request.last_event_id,
         )
--- a/cicadacourse/platform/_endpoint_client.py
+++ b/cicadacourse/platform/_endpoint_client.py
@@ -11,7 +11,7 @@
 import h11
 
 from cicadacourse.application import SERVICES, Application, Service
-from cicadacourse.catalog import Endpoint
+from cicadacourse.catalog import Endpoint, EndpointState
 from cicadacourse.events import ENDPOINT_CHANGED
 from cicadacourse.exchange import (
     EndpointClient,
@@ -83,6 +83,7 @@
         request = attrs.evolve(request, time_left_s=time_left_s)
         self._busy_by_endpoint[endpoint.id].add(connection)
         try:
+            self._check_ready(endpoint)
             response = await self._send(connection, request, head_timeout_s)
             yield response
         except HttpConnectionError as error:
@@ -90,6 +91,17 @@
         finally:
             self._release(endpoint, connection)
 
+    def _check_ready(self, endpoint: Endpoint) -> None:
+        """Checks the registry again, as time has passed since the endpoint was chosen.
+
+        :raises SendFailure: if the endpoint leaves, is gone or has restarted.
+        """
+        current = self.app.get("catalog").registry.find(endpoint.id)
+        is_same = current is not None and current.is_same_process(endpoint)
+        if not is_same or current.state is not EndpointState.READY:
+            detail = "the endpoint no longer accepts requests"
+            raise SendFailure(detail, False, "endpoint_leaving", is_withdrawn=True)
+
     async def _send(
         self,
         connection: HttpConnection,
--- a/tests/test_platform/test_platform_path.py
+++ b/tests/test_platform/test_platform_path.py
@@ -12,10 +12,13 @@
 import logbook
 import pytest
 
+from cicadacourse.catalog import Endpoint
 from cicadacourse.logs import ENDPOINT_EJECTED, ENDPOINT_READMITTED
+from cicadacourse.placement import RetryBudget
 from cicadacourse.platform import _ingress
 from cicadacourse.reservations._service import LEASE_S, RENEW_PERIOD_S
 from cicadacourse.util.clock import now
+from cicadacourse.util.connection import HttpConnection
 from standins.callers import event_ids, read_response
 from standins.platform import (
     ENGINE_POOL,
@@ -24,6 +27,7 @@
     PROFILE,
     Engine,
     Fleet,
+    RegisteredEndpoint,
     WorkerFaults,
     make_configuration,
 )
@@ -367,6 +371,40 @@
         assert not endpoint.worker.runs_by_request
 
 
+@pytest.mark.parametrize("path", ["/book/x", "/look/x"])
+@pytest.mark.parametrize("is_removed", [False, True])
+async def test_sends_nothing_to_an_endpoint_that_leaves_while_it_is_connected_to(
+    monkeypatch: pytest.MonkeyPatch, path: str, is_removed: bool
+) -> None:
+    """The request goes elsewhere and uses neither an attempt nor the retry budget."""
+    async with running_deployment(plain_services=2) as deployment:
+        app, fleet = deployment.instance.app, deployment.fleet
+        registry = app.get("catalog").registry
+        client = app.get("endpoint_caller")
+        connect = client._open
+        left: list[RegisteredEndpoint] = []
+
+        async def leave_and_connect(endpoint: Endpoint) -> HttpConnection:
+            if not left:
+                left.append(fleet.endpoint_by_id[endpoint.id])
+                if is_removed:
+                    fleet.remove(endpoint.id)
+                else:
+                    left[0].state = "draining"
+                    fleet.register(left[0])
+                await wait_until(lambda: len(registry.ready("plain")) == 1)
+            return await connect(endpoint)
+
+        monkeypatch.setattr(client, "_open", leave_and_connect)
+        monkeypatch.setattr(RetryBudget, "try_acquire_retry", lambda *_: False)
+        response = await deployment.caller.request(path)
+        assert response.status == 200
+        assert not left[0].worker.runs_by_request
+        metrics = app.metrics
+        assert metrics.value("attempt_failures_total", reason="endpoint_leaving") == 1
+        assert not app.get("placement").health.is_ejected(left[0].worker.id, now())
+
+
 async def test_never_sends_to_another_endpoint_at_a_reused_address() -> None:
     async with running_deployment(plain_services=1) as deployment:
         endpoint = deployment.fleet.endpoint_by_id["plain-0"]
