--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -76,7 +76,10 @@
     "probes", "ready", "The readiness probe succeeds; requests are accepted."
 )
 NOT_READY = _declare(
-    "probes", "not ready", "The readiness probe fails; the instance is shutting down."
+    "probes",
+    "not ready",
+    "The readiness probe fails; the instance is shutting down, or its configuration was"
+    " superseded long ago.",
 )
 
 CONFIGURATION_IN_FORCE = _declare(
