Endpoint limits: named limits are read, logged and counted

Change: the response's limit becomes a field of its head; a service keeps the newest of each endpoint, with a log line on each change and a metric. The stand-in's endpoints name a limit and record arrivals. Placement doesn't use the limit yet.

--- a/cicadacourse/cmd/_services.py
+++ b/cicadacourse/cmd/_services.py
@@ -10,6 +10,7 @@
     "membership",
     "catalog",
     "load",
+    "limits",
     "placement",
     "reservations",
     "gateway",
--- a/cicadacourse/cmd/serve.py
+++ b/cicadacourse/cmd/serve.py
@@ -40,6 +40,7 @@
     "catalog",
     "membership",
     "load",
+    "limits",
     "feed",
     "relay",
     "endpoint_caller",
--- a/cicadacourse/exchange/_model.py
+++ b/cicadacourse/exchange/_model.py
@@ -106,12 +106,19 @@
     :param never_ran: whether the endpoint states that it did not run the request.
     :param fault_address: the address of the endpoint at fault according to the
         response, or None.
+    :param request_limit: the requests per second that the endpoint takes from all
+        instances together, or None if it names no limit.
+    :param is_limit_malformed: whether it names a limit that can't be read.
+    :param is_misdirected: whether another endpoint responded than the request is for.
     """
 
     status: int
     headers: tuple[Header, ...]
     never_ran: bool = False
     fault_address: str | None = None
+    request_limit: float | None = None
+    is_limit_malformed: bool = False
+    is_misdirected: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -22,6 +22,7 @@
 from cicadacourse.gateway._events import EventSplitter
 from cicadacourse.gateway._outcomes import OutcomeReporter
 from cicadacourse.gateway._times import StreamTimes
+from cicadacourse.limits import EndpointLimits
 from cicadacourse.logs import RETRY_BUDGET_EXHAUSTED, log
 from cicadacourse.metrics import RETRIES
 from cicadacourse.placement import Placement, Placer, RetryBudget
@@ -122,6 +123,7 @@
         self, response: EndpointResponse, placement: Placement
     ) -> bool:
         head = response.head
+        self._limits.observe(placement.endpoint, head)
         if head.never_ran:
             self._reporter.report_refusal(response, placement)
             return False
@@ -185,6 +187,10 @@
     def _placer(self) -> Placer:
         return self.app.get("placement")
 
+    @property
+    def _limits(self) -> EndpointLimits:
+        return self.app.get("limits")
+
     def _build_request(
         self, placement: Placement, reservations: tuple[Reservation, ...]
     ) -> EndpointRequest:
--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -213,6 +213,21 @@
 ENDPOINT_READMITTED = _declare(
     "placement", "endpoint back", "`endpoint` is no longer ejected."
 )
+ENDPOINT_LIMIT_CHANGED = _declare(
+    "limits",
+    "endpoint limit changed",
+    "`endpoint` names `limit` requests per second from all instances together, null if"
+    " it names none any more; `source` is `response`, or `peers` if another instance"
+    " received it `age_s` ago.",
+    True,
+)
+ENDPOINT_LIMIT_REFUSED = _declare(
+    "limits",
+    "endpoint limit refused",
+    "`endpoint` names a limit that can't be read; the last one stays in force.",
+    True,
+)
+
 REQUEST_SENT = _declare(
     "forward",
     "request sent",
--- a/cicadacourse/platform/_endpoint_client.py
+++ b/cicadacourse/platform/_endpoint_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import math
 from collections import defaultdict
 from typing import AsyncIterator, Sequence
 
@@ -250,6 +251,9 @@
 def _read_head(response: h11.Response) -> ResponseHead:
     headers = _decoded_headers(response)
     by_name = {header.name.lower(): header.value for header in headers}
+    limit = by_name.get(names.HEADER_REQUEST_LIMIT.lower())
+    request_limit = None if limit is None else _parse_limit(limit)
+    is_misdirected = response.status_code == _MISDIRECTED
     return ResponseHead(
         status=response.status_code,
         headers=tuple(
@@ -257,12 +261,27 @@
             for header in headers
             if header.name.lower() not in names.HEADERS_NOT_FORWARDED_TO_CALLERS
         ),
-        never_ran=names.HEADER_NOT_EXECUTED.lower() in by_name
-        or response.status_code == _MISDIRECTED,
+        never_ran=names.HEADER_NOT_EXECUTED.lower() in by_name or is_misdirected,
         fault_address=by_name.get(names.HEADER_FAULTY_ENDPOINT.lower()),
+        request_limit=request_limit,
+        is_limit_malformed=limit is not None and request_limit is None,
+        is_misdirected=is_misdirected,
     )
 
 
+def _parse_limit(text: str) -> float | None:
+    """Returns a limit in requests per second, or None if it is malformed.
+
+    >>> _parse_limit("1.5"), _parse_limit("-1"), _parse_limit("nan")
+    (1.5, None, None)
+    """
+    try:
+        limit = float(text)
+    except ValueError:
+        return None
+    return limit if math.isfinite(limit) and limit >= 0 else None
+
+
 def _decoded_headers(response: h11.Response) -> Sequence[Header]:
     return [
         Header(name.decode("latin-1"), value.decode("latin-1"))
--- a/standins/platform/_worker_http.py
+++ b/standins/platform/_worker_http.py
@@ -10,9 +10,10 @@
 
 import attrs
 import tornado.web
+from tornado.httputil import HTTPHeaders
 
 from cicadacourse.platform import _names as names
-from cicadacourse.util.clock import MS_PER_S
+from cicadacourse.util.clock import MS_PER_S, now
 from standins.platform._engine import Engine, EngineRefusal
 
 OK = 200
@@ -44,6 +45,20 @@
     extra_response_rate: float = 0.0
 
 
+@attrs.frozen
+class Arrival:
+    """A request that reached an endpoint.
+
+    :param at: loop time in seconds.
+    :param request_id: the request's id.
+    :param prefix_ids: the ids of the parts of its prompt, in order.
+    """
+
+    at: float
+    request_id: str
+    prefix_ids: tuple[str, ...] = ()
+
+
 class Worker:
     """One endpoint: an engine, or a plain service where ``engine`` is None.
 
@@ -56,6 +71,9 @@
     :ivar organisation_by_request: the organisation in each request's header, by
         request id; None without the header.
     :ivar in_progress: the number of requests in progress.
+    :ivar request_limit: the requests per second that it takes from all instances
+        together, which its responses name; None if they name none.
+    :ivar arrivals: the requests that reached it, whether or not it ran them.
     """
 
     def __init__(
@@ -75,6 +93,8 @@
         self.runs_by_request: Counter[str] = Counter()
         self.organisation_by_request: dict[str, str | None] = {}
         self.in_progress = 0
+        self.request_limit: float | None = None
+        self.arrivals: list[Arrival] = []
         self.random = random.Random(seed)
 
     def draw_fault(self, probability: float) -> bool:
@@ -96,6 +116,8 @@
             self.set_header(names.HEADER_NOT_EXECUTED, "1")
             self.set_status(MISDIRECTED)
             self.finish()
+        elif self.worker.request_limit is not None:
+            self.set_header(names.HEADER_REQUEST_LIMIT, str(self.worker.request_limit))
 
     def send_json(self, body: dict[str, Any]) -> None:
         """Finishes the response with a JSON object."""
@@ -151,6 +173,7 @@
         self.task = asyncio.current_task()
         worker = self.worker
         worker.in_progress += 1
+        worker.arrivals.append(_read_arrival(self.request.headers))
         try:
             self._echo_request_id()
             if worker.engine is None:
@@ -240,6 +263,12 @@
         self.finish()
 
 
+def _read_arrival(headers: HTTPHeaders) -> Arrival:
+    parts = filter(None, headers.get(names.HEADER_PROMPT_PARTS, "").split(","))
+    prefix_ids = tuple(part.partition(":")[0].strip() for part in parts)
+    return Arrival(now(), headers.get(names.HEADER_REQUEST_ID, ""), prefix_ids)
+
+
 def make_worker_application(worker: Worker) -> tornado.web.Application:
     """Returns the application that serves the paths of the platform's endpoints."""
     arguments = {"worker": worker}
--- a/tests/test_gateway/test_gateway_histories.py
+++ b/tests/test_gateway/test_gateway_histories.py
@@ -41,6 +41,7 @@
 )
 from cicadacourse.gateway import Gateway
 from cicadacourse.gateway._attempts import Attempts
+from cicadacourse.limits import EndpointLimits
 from cicadacourse.load import LoadService
 from cicadacourse.membership import Member
 from cicadacourse.placement import Placer
@@ -285,6 +286,7 @@
         CatalogService,
         FakeMembership,
         LoadService,
+        EndpointLimits,
         FakeEndpointClient,
         Placer,
         Gateway,
