--- /dev/null
+++ b/tests/gateway_cluster.py
@@ -0,0 +1,303 @@
+"""A cluster of whole gateways on a simulated clock, before simulated endpoints."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import random
+from typing import AsyncIterator, Callable, Sequence
+
+import attrs
+
+from cicadacourse.application import Application, Service
+from cicadacourse.catalog import Catalog, CatalogService, Endpoint
+from cicadacourse.cmd._services import import_services
+from cicadacourse.exchange import (
+    CallerRequest,
+    EndpointClient,
+    EndpointRequest,
+    EndpointResponse,
+    Prompt,
+    ResponseHead,
+    SendFailure,
+)
+from cicadacourse.load import LoadService
+from cicadacourse.util.addresses import split_address
+from cicadacourse.util.clock import now
+from standins.memory_cluster import MemoryCluster, memory_cluster
+from tests.test_gateway.test_gateway_histories import CATALOG, HOST, FakeReply
+
+import_services()
+
+OK = 200
+UNAVAILABLE = 503
+ENDPOINT_LINK_S = 0.004
+EVENT_BYTES = b"data: x\n\n"
+
+
+@attrs.frozen
+class Arrival:
+    """A request that reached an endpoint, at a loop time in seconds."""
+
+    at: float
+    instance: str
+    request: EndpointRequest
+
+
+@attrs.define(eq=False)
+class SimulatedEndpoint:
+    """An endpoint that takes a fixed time for each request.
+
+    :param work_s: seconds until the head of a response.
+    :param events: events of a stream, which follow the head.
+    :param event_s: seconds before each event but the first.
+    :ivar limit: the requests per second that its responses name, or None.
+    :ivar is_down: whether its process has ended.
+    :ivar on_start: called with each request that it begins to answer.
+    """
+
+    endpoint: Endpoint
+    work_s: float = 0.03
+    events: int = 4
+    event_s: float = 0.04
+    limit: float | None = None
+    is_down: bool = False
+    arrivals: list[Arrival] = attrs.field(factory=list)
+    on_start: Callable[[SimulatedEndpoint, EndpointRequest], None] = lambda *_: None
+
+    def arrivals_since(self, since: float) -> list[float]:
+        """Returns the times of the arrivals from a moment on."""
+        return [item.at for item in self.arrivals if item.at >= since]
+
+
+def most_in_window(times: Sequence[float], window_s: float = 4.0) -> int:
+    """Returns the largest number of times within any window of that length."""
+    times = sorted(times)
+    return max(
+        (sum(start <= at < start + window_s for at in times) for start in times),
+        default=0,
+    )
+
+
+@attrs.define
+class _SimulatedResponse(EndpointResponse):
+    head: ResponseHead
+    endpoint: SimulatedEndpoint
+    events_left: int
+
+    async def read_chunk(self) -> bytes:
+        """Returns the next event; breaks off once the endpoint is down."""
+        if self.events_left == 0:
+            return b""
+        if self.events_left < self.endpoint.events:
+            await asyncio.sleep(self.endpoint.event_s)
+        if self.endpoint.is_down:
+            raise SendFailure("connection lost", True, "cut_short")
+        self.events_left -= 1
+        return EVENT_BYTES
+
+
+class SimulatedClient(Service, EndpointClient):
+    """Sends the requests of one instance to the endpoints of its cluster."""
+
+    name = "endpoint_caller"
+
+    def __init__(self, app: Application, by_id: dict[str, SimulatedEndpoint], own: str):
+        super().__init__(app)
+        self._by_id = by_id
+        self._own_name = own
+
+    def abort_exchanges(self, endpoint_id: str) -> None:
+        """Does nothing; no test here aborts exchanges."""
+
+    async def is_process_gone(self, endpoint: Endpoint) -> bool:
+        """Returns whether the endpoint's process has ended."""
+        await asyncio.sleep(2 * ENDPOINT_LINK_S)
+        return self._by_id[endpoint.id].is_down
+
+    @contextlib.asynccontextmanager
+    async def exchange(
+        self, request: EndpointRequest, is_idempotent: bool, head_timeout_s: float
+    ) -> AsyncIterator[EndpointResponse]:
+        """Simulates an exchange with an endpoint."""
+        endpoint = self._by_id[request.endpoint.id]
+        await asyncio.sleep(ENDPOINT_LINK_S)
+        if endpoint.is_down:
+            raise SendFailure("connection refused", False, "unreachable")
+        endpoint.arrivals.append(Arrival(now(), self._own_name, request))
+        try:
+            async with asyncio.timeout(head_timeout_s):
+                await asyncio.sleep(endpoint.work_s)
+        except TimeoutError:
+            raise SendFailure("no head in time", True, "no_answer") from None
+        if endpoint.is_down:
+            raise SendFailure("connection lost", True, "connection_broken")
+        head = ResponseHead(OK, (), request_limit=endpoint.limit)
+        endpoint.on_start(endpoint, request)
+        is_stream = request.caller.prompt is not None
+        yield _SimulatedResponse(head, endpoint, endpoint.events if is_stream else 1)
+
+
+class MemoryLoad(LoadService):
+    """Exchanges load reports over the links of a :class:`MemoryCluster`."""
+
+    def __init__(self, app: Application, cluster: GatewayCluster) -> None:
+        super().__init__(app)
+        self._cluster = cluster
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Sends and receives reports while the instance runs."""
+        self._transport = _MemoryTransport(self._cluster, self._instance.peer_address)
+        task = asyncio.create_task(self.report_periodically())
+        try:
+            yield
+        finally:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+
+@attrs.define
+class _MemoryTransport:
+    cluster: GatewayCluster
+    address: str
+
+    def sendto(self, data: bytes, target: tuple[str, int]) -> None:
+        """Delivers a datagram unless the link loses it."""
+        address = f"{target[0]}:{target[1]}"
+        network = self.cluster.memory.network
+        link = network.link(self.address, address)
+        if link.is_partitioned or network.random.random() < link.drop_probability:
+            return
+        delay_s = link.delay_s + network.random.uniform(0, link.jitter_s)
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, self.cluster.deliver, self.address, address, data)
+
+
+@attrs.define(eq=False)
+class GatewayCluster:
+    """Gateways with the endpoints that they share."""
+
+    endpoint_by_id: dict[str, SimulatedEndpoint]
+    catalog: Catalog = CATALOG
+    memory: MemoryCluster = attrs.field(init=False)
+    frozen: set[str] = attrs.field(factory=set)
+    replies: list[FakeReply] = attrs.field(factory=list)
+    _numbers: itertools.count[int] = attrs.field(factory=itertools.count)
+    _service_by_address: dict[str, MemoryLoad] = attrs.field(factory=dict)
+
+    def deliver(self, source: str, target: str, data: bytes) -> None:
+        """Hands a datagram to the instance at an address, if one runs there."""
+        service = self._service_by_address.get(target)
+        if service is not None and not {source, target} & self.frozen:
+            service.receive(data, source)
+
+    def services(self) -> list[Callable[[Application], Service] | str]:
+        """Returns the services of each instance, in their order."""
+        return [
+            "catalog",
+            "membership",
+            self._make_load,
+            *(["evidence"] if _has_service("evidence") else []),
+            "limits",
+            *(["suspects"] if _has_service("suspects") else []),
+            self._make_client,
+            "placement",
+            "gateway",
+        ]
+
+    def _make_load(self, app: Application) -> Service:
+        service = MemoryLoad(app, self)
+        self._service_by_address[service._instance.peer_address] = service
+        return service
+
+    def _make_client(self, app: Application) -> Service:
+        name = app.get("load")._instance.name
+        self._fill(app)
+        return SimulatedClient(app, self.endpoint_by_id, name)
+
+    def _fill(self, app: Application) -> None:
+        catalog_service: CatalogService = app.get("catalog")
+        catalog_service.apply_if_newer(self.catalog, "test")
+        for item in self.endpoint_by_id.values():
+            catalog_service.registry.put(item.endpoint)
+        catalog_service.mark_registry_known()
+
+    def busiest_endpoint(self) -> SimulatedEndpoint:
+        """Returns the endpoint that has got most requests."""
+        endpoints = self.endpoint_by_id.values()
+        return max(endpoints, key=lambda item: len(item.arrivals))
+
+    async def send(
+        self,
+        instance: str,
+        path: str = "ask",
+        tokens: int = 4000,
+        timeout_s: float = 4.0,
+        **prompt: object,
+    ) -> FakeReply:
+        """Sends one request to an instance and returns its reply, once it has ended."""
+        request = CallerRequest(
+            id=f"r{next(self._numbers)}",
+            method="POST",
+            host=HOST,
+            target=f"/{path}/x",
+            key=None,
+            arrived=now(),
+            timeout_s=timeout_s,
+            last_event_id=None,
+            prompt=Prompt("m", tokens, 184, **prompt) if path == "ask" else None,
+            headers=(),
+            body=b"",
+        )
+        reply = FakeReply()
+        await self.memory.get(instance, "gateway").handle(request, reply)
+        self.replies.append(reply)
+        return reply
+
+    async def load(
+        self, rate: float, seconds: float, seed: int = 1, **request: object
+    ) -> list[FakeReply]:
+        """Sends requests at a mean rate per second to random instances, and waits."""
+        chooser = random.Random(seed)
+        until = now() + seconds
+        tasks = []
+        while now() < until:
+            instance = chooser.choice(sorted(self.memory.application_by_name))
+            tasks.append(asyncio.create_task(self.send(instance, **request)))
+            await asyncio.sleep(chooser.expovariate(rate))
+        return list(await asyncio.gather(*tasks))
+
+
+def _has_service(name: str) -> bool:
+    from cicadacourse.application import SERVICES
+
+    return name in SERVICES.names()
+
+
+def make_endpoints(count: int, pool: str = "engines") -> dict[str, SimulatedEndpoint]:
+    """Returns simulated endpoints by id."""
+    ids = [f"{pool}-{number}" for number in range(count)]
+    return {
+        id: SimulatedEndpoint(Endpoint(id, pool, f"10.9.0.{number}:1", "a", 8))
+        for number, id in enumerate(ids)
+    }
+
+
+@contextlib.asynccontextmanager
+async def gateway_cluster(
+    instances: int, endpoint_by_id: dict[str, SimulatedEndpoint], seed: int = 1
+) -> AsyncIterator[GatewayCluster]:
+    """Runs a cluster whose instances know each other."""
+    cluster = GatewayCluster(endpoint_by_id)
+    names = [f"n{number}" for number in range(instances)]
+    async with memory_cluster(names, cluster.services(), seed=seed) as memory:
+        cluster.memory = memory
+        async with asyncio.timeout(30):
+            while not all(
+                len(item.members()) == instances
+                for item in memory.services("membership")
+            ):
+                await asyncio.sleep(0.1)
+        yield cluster
