Endpoint limits: all instances together keep to the limit that an endpoint names

Symptom: an endpoint that named 1 request a second got 16 in 4 s (11 allowed). Cause: instances forwarded the limit to callers and did not read it; and a limit on the sum over instances can't be kept by instances that know only their own requests. Change: observations of single instances travel with the load reports (evidence). For each limited endpoint one instance, found by rendezvous hashing over the members, keeps a token bucket and grants permits to all. A request without a permit goes to another endpoint; only if all are at their limits, a permit is reserved for later, and a request that would wait too long is refused at once with 429 and Retry-After. A limited endpoint isn't ejected for refusals and gets no parts of other engines' prompts.

--- a/cicadacourse/cmd/_services.py
+++ b/cicadacourse/cmd/_services.py
@@ -10,6 +10,7 @@
     "membership",
     "catalog",
     "load",
+    "evidence",
     "limits",
     "placement",
     "reservations",
--- a/cicadacourse/cmd/serve.py
+++ b/cicadacourse/cmd/serve.py
@@ -40,6 +40,8 @@
     "catalog",
     "membership",
     "load",
+    "evidence",
+    "permits",
     "limits",
     "feed",
     "relay",
--- a/cicadacourse/events.py
+++ b/cicadacourse/events.py
@@ -27,6 +27,8 @@
 # last read the registry.
 REGISTRY_OFFSET_RECEIVED = "registry-offset-received"
 RESUMED_AFTER_PAUSE = "resumed-after-pause"
+# The reporting instance's name, and the bytes that came with its load report.
+ATTACHMENT_RECEIVED = "attachment-received"
 
 EVENT_NAMES = frozenset(
     {
@@ -39,6 +41,7 @@
         CATALOG_VERSION_RECEIVED,
         REGISTRY_OFFSET_RECEIVED,
         RESUMED_AFTER_PAUSE,
+        ATTACHMENT_RECEIVED,
     }
 )
 
--- /dev/null
+++ b/cicadacourse/evidence/_messages.py
@@ -0,0 +1,70 @@
+"""Facts as they travel between instances."""
+
+from __future__ import annotations
+
+import attrs
+
+from cicadacourse.evidence._model import FACT_KINDS, Fact
+from cicadacourse.peers import decode, encode, message
+from cicadacourse.util.clock import MS_PER_S
+
+MAX_AGE_MS = 2**32 - 1
+
+
+@message("evidence.Fact")
+class FactReport:
+    """One fact, with an age instead of a time since clocks differ."""
+
+    kind: str
+    key: str
+    id: int
+    value: float = 0.0
+    age_ms: int = 0
+
+
+@message("evidence.Facts")
+class FactReports:
+    """Some of the facts that an instance knows."""
+
+    facts: tuple[FactReport, ...] = ()
+
+
+def encode_facts(facts: list[Fact], now_s: float) -> bytes:
+    """Returns the bytes of facts, none if there are no facts.
+
+    :param now_s: loop time in seconds.
+    """
+    if not facts:
+        return b""
+    return encode(FactReports(facts=tuple(_to_report(item, now_s) for item in facts)))
+
+
+def decode_facts(body: bytes, received_at_s: float) -> list[Fact]:
+    """Returns the facts that bytes hold; kinds that are not known here are left out.
+
+    :param received_at_s: loop time in seconds.
+    :raises MalformedMessage: if the bytes are malformed.
+    """
+    reports: FactReports = decode("evidence.Facts", body)
+    return [
+        _to_fact(item, received_at_s)
+        for item in reports.facts
+        if item.kind in FACT_KINDS
+    ]
+
+
+def _to_report(fact: Fact, now_s: float) -> FactReport:
+    age_ms = round(max(0.0, now_s - fact.observed_at) * MS_PER_S)
+    return FactReport(
+        kind=fact.kind,
+        key=fact.key,
+        id=fact.id,
+        value=fact.value,
+        age_ms=min(MAX_AGE_MS, age_ms),
+    )
+
+
+def _to_fact(report: FactReport, received_at_s: float) -> Fact:
+    fields = attrs.asdict(report)
+    age_s = fields.pop("age_ms") / MS_PER_S
+    return Fact(**fields, observed_at=received_at_s - age_s)
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -110,20 +110,21 @@
         self._reporter.report_sent(placement, request)
         self.attempts.record_sent()
         try:
+            sent_at = now()
             timeout_s = self._read_timeout_s(placement.expected_first_event_s)
             async with self.client.exchange(
                 request, self.admitted.route.is_idempotent, timeout_s
             ) as response:
-                return await self._handle_response(response, placement)
+                return await self._handle_response(response, placement, sent_at)
         except SendFailure as failure:
             self._reporter.report_transport_failure(placement, failure)
             return False
 
     async def _handle_response(
-        self, response: EndpointResponse, placement: Placement
+        self, response: EndpointResponse, placement: Placement, sent_at: float
     ) -> bool:
         head = response.head
-        self._limits.observe(placement.endpoint, head)
+        self._limits.observe(placement.endpoint, head, sent_at)
         if head.never_ran:
             self._reporter.report_refusal(response, placement)
             return False
--- a/cicadacourse/gateway/_outcomes.py
+++ b/cicadacourse/gateway/_outcomes.py
@@ -64,11 +64,15 @@
         """Reports that the endpoint did not run the request.
 
         The refusal counts against the endpoint that the response blames, which may be a
-        helper.
+        helper. It doesn't count against an endpoint that names a limit: its permits
+        bound the requests that it gets.
         """
         blamed = response.head.fault_address or placement.endpoint.address
+        is_limited = response.head.request_limit is not None
         for endpoint in (placement.endpoint, *placement.helpers):
-            if endpoint.address == blamed:
+            if endpoint.address != blamed:
+                continue
+            if not (is_limited and endpoint is placement.endpoint):
                 self._placer.report_refusal(endpoint.id)
         self.attempts.record_not_run()
         detail = f"status {response.head.status}, not run"
--- a/cicadacourse/limits/__init__.py
+++ b/cicadacourse/limits/__init__.py
@@ -1,5 +1,8 @@
-"""The limits on requests that endpoints name in their responses."""
+"""Shared rates: permits, and the limits on requests that endpoints name."""
 
+from cicadacourse.limits._messages import Permit
+from cicadacourse.limits._permits import Permits
+from cicadacourse.limits._schedule import PermitSchedule
 from cicadacourse.limits._service import EndpointLimits
 
-__all__ = ["EndpointLimits"]
+__all__ = ["EndpointLimits", "Permit", "PermitSchedule", "Permits"]
--- /dev/null
+++ b/cicadacourse/limits/_permits.py
@@ -0,0 +1,119 @@
+"""Permits of rates that all instances share.
+
+For each key, one instance keeps the schedule and grants permits to all; it is chosen by
+rendezvous hashing over the members. No instance needs a share of its own, so the whole
+rate is used wherever the requests arrive, and the sum keeps to it for any number of
+instances. While the members' views differ, two instances may grant permits of one key
+for a short time; a new schedule starts without tokens, so that little is added.
+"""
+
+from __future__ import annotations
+
+from returns.result import Failure, Success
+
+from cicadacourse.application import SERVICES, Application, Service
+from cicadacourse.config import InstanceSettings
+from cicadacourse.limits._messages import AcquirePermit, Permit
+from cicadacourse.limits._schedule import PermitSchedule
+from cicadacourse.logs import PERMIT_UNAVAILABLE, log
+from cicadacourse.membership import Member, MemberState
+from cicadacourse.metrics import declare
+from cicadacourse.peers import handles
+from cicadacourse.util import hashing
+from cicadacourse.util.clock import now
+
+PERMITS = declare("permits_total", "Permits of shared rates asked for, by outcome.")
+
+# How long an instance waits for the reply of another.
+CALL_TIMEOUT_S = 0.15
+# An instance that did not reply is not asked again for this long.
+UNREACHABLE_S = 1.0
+# How many instances are asked for one permit before it counts as not granted.
+MAX_ASKED = 2
+# After how long an instance asks again if it could reach none that grants permits.
+RETRY_S = 0.3
+# The lowest rate, in permits per second: one request in a while shows whether an
+# endpoint that takes none still names that limit.
+MIN_RATE = 0.1
+# Bounds the memory; the schedule that was not used for the longest time is dropped.
+MAX_SCHEDULES = 1000
+
+
+@SERVICES.register("permits")
+class Permits(Service):
+    """Asks for permits, and grants them for the keys that this instance keeps."""
+
+    name = "permits"
+
+    def __init__(self, app: Application) -> None:
+        super().__init__(app)
+        self._own_name = app.settings.get(InstanceSettings).name
+        self._schedule_by_key: dict[str, PermitSchedule] = {}
+        self._unreachable_until_by_name: dict[str, float] = {}
+
+    async def acquire(self, key: str, rate: float, max_wait_s: float) -> Permit:
+        """Asks for a permit of a shared rate.
+
+        :param key: what the rate is for, the same at all instances.
+        :param rate: permits per second of all instances together.
+        :param max_wait_s: for how long from now the permit may be reserved at most.
+        """
+        request = AcquirePermit(
+            key=key, rate=max(MIN_RATE, rate), max_wait_s=max_wait_s
+        )
+        permit = await self._ask(request)
+        outcome = "granted" if permit.is_granted else "denied"
+        self.app.metrics.count(PERMITS, outcome=outcome)
+        return permit
+
+    @handles(AcquirePermit)
+    async def on_acquire_permit(self, request: AcquirePermit) -> Permit:
+        """Grants or denies a permit to another instance."""
+        return self._grant(request)
+
+    async def _ask(self, request: AcquirePermit) -> Permit:
+        for member in self._keepers(request.key)[:MAX_ASKED]:
+            if member.name == self._own_name:
+                return self._grant(request)
+            result = await self.app.get("peers").call(
+                member.peer_address, request, CALL_TIMEOUT_S
+            )
+            match result:
+                case Success(Permit() as permit):
+                    return permit
+                case Failure(error):
+                    log(PERMIT_UNAVAILABLE, source=member.name, reason=error.detail)
+            self._unreachable_until_by_name[member.name] = now() + UNREACHABLE_S
+        return Permit(is_granted=False, wait_s=RETRY_S)
+
+    def _keepers(self, key: str) -> list[Member]:
+        """Returns the instances that may grant permits of a key, the best first.
+
+        Those that did not reply a short time ago are left out.
+        """
+        now_s = now()
+        members = self.app.get("membership").members()
+        staying = [item for item in members if item.state is not MemberState.LEAVING]
+        member_by_name = {
+            item.name: item
+            for item in staying or members
+            if self._unreachable_until_by_name.get(item.name, 0.0) <= now_s
+        }
+        names = hashing.rank(key, member_by_name)
+        return [member_by_name[name] for name in names]
+
+    def _grant(self, request: AcquirePermit) -> Permit:
+        now_s = now()
+        schedule = self._schedule_by_key.get(request.key)
+        if schedule is None:
+            schedule = PermitSchedule(request.rate, now_s)
+            self._schedule_by_key[request.key] = schedule
+            self._drop_oldest_schedule()
+        rate = max(MIN_RATE, request.rate)
+        return schedule.acquire(rate, request.max_wait_s, now_s)
+
+    def _drop_oldest_schedule(self) -> None:
+        if len(self._schedule_by_key) > MAX_SCHEDULES:
+            schedules = self._schedule_by_key
+            oldest = min(schedules, key=lambda key: schedules[key].used_at)
+            del schedules[oldest]
--- a/cicadacourse/load/_datagram.py
+++ b/cicadacourse/load/_datagram.py
@@ -20,6 +20,10 @@
 # releases send none, and read over what follows the body.
 _TRAILER = struct.Struct(">4sI")
 _TRAILER_MARK = b"\xc0age"
+# Follows an attachment: a mark and the attachment's size in bytes. Instances of earlier
+# releases read over both, like all that follows the body.
+_ATTACHMENT_END = struct.Struct(">4sI")
+_ATTACHMENT_MARK = b"\xc0att"
 # Stands for an age that is not known.
 UNKNOWN_AGE_MS = 2**32 - 1
 
@@ -39,6 +43,8 @@
     :param body: the encoded report.
     :param configuration_age_ms: milliseconds since the sender itself read in the store
         that no version is newer than ``catalog_version``.
+    :param attachment: bytes of another part of the sender, for the same part of the
+        receiver.
     """
 
     is_relayed: bool
@@ -50,6 +56,7 @@
     store_age_ms: int
     body: bytes
     configuration_age_ms: int = UNKNOWN_AGE_MS
+    attachment: bytes = b""
 
     def pack(self) -> bytes:
         """Returns the bytes of the datagram.
@@ -67,7 +74,13 @@
             self.store_age_ms,
         )
         trailer = _TRAILER.pack(_TRAILER_MARK, self.configuration_age_ms)
-        return frame + self.body + trailer
+        return frame + self.body + self._pack_attachment() + trailer
+
+    def _pack_attachment(self) -> bytes:
+        if not self.attachment:
+            return b""
+        end = _ATTACHMENT_END.pack(_ATTACHMENT_MARK, len(self.attachment))
+        return self.attachment + end
 
     @classmethod
     def unpack(cls, data: bytes) -> Datagram:
@@ -84,7 +97,20 @@
         if not trailer.startswith(_TRAILER_MARK) or len(trailer) < _TRAILER.size:
             return cls(is_relayed, *fields, rest)
         _, age_ms = _TRAILER.unpack(trailer)
-        return cls(is_relayed, *fields, body, age_ms)
+        body, attachment = _split_attachment(body)
+        return cls(is_relayed, *fields, body, age_ms, attachment)
+
+
+def _split_attachment(data: bytes) -> tuple[bytes, bytes]:
+    """Returns the body and the attachment, which is empty if there is none."""
+    end = data[-_ATTACHMENT_END.size :]
+    if not end.startswith(_ATTACHMENT_MARK) or len(end) < _ATTACHMENT_END.size:
+        return data, b""
+    _, size = _ATTACHMENT_END.unpack(end)
+    rest = data[: -_ATTACHMENT_END.size]
+    if size > len(rest):
+        return data, b""
+    return rest[: len(rest) - size], rest[len(rest) - size :]
 
 
 def hash_of(name: str) -> int:
--- a/cicadacourse/load/_service.py
+++ b/cicadacourse/load/_service.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 import time
-from typing import AsyncIterator, Iterator
+from typing import AsyncIterator, Callable, Iterator
 
 import attrs
 
@@ -17,6 +17,7 @@
 from cicadacourse.catalog import CatalogService
 from cicadacourse.config import InstanceSettings
 from cicadacourse.events import (
+    ATTACHMENT_RECEIVED,
     CATALOG_CONFIRMED,
     CATALOG_VERSION_RECEIVED,
     LOAD_CHANGED,
@@ -84,6 +85,7 @@
         self._own_hash = hash_of(self._instance.name)
         self._transport: asyncio.DatagramTransport | None = None
         self._unreported_change = asyncio.Event()
+        self._attachment_source: Callable[[], bytes] = bytes
         app.events.connect(MEMBER_LEFT, lambda member: self._forget(member.name))
 
     @contextlib.asynccontextmanager
@@ -131,6 +133,13 @@
         self.app.metrics.set(OWN_ASSIGNMENTS, len(self._table.own_assignments()))
         self.app.events.emit(LOAD_CHANGED)
 
+    def set_attachment_source(self, source: Callable[[], bytes]) -> None:
+        """Sets the function whose bytes go with each report, unless they are empty.
+
+        Receivers emit them as ``ATTACHMENT_RECEIVED``.
+        """
+        self._attachment_source = source
+
     def receive(self, data: bytes, source: object) -> None:
         """Processes one datagram; a malformed, old or duplicate one changes nothing."""
         try:
@@ -142,6 +151,8 @@
         if sender is None:
             return
         self._publish_freshness(sender, datagram)
+        if datagram.attachment:
+            self.app.events.emit(ATTACHMENT_RECEIVED, sender, datagram.attachment)
         self.app.events.emit(LOAD_CHANGED)
         if datagram.is_relayed:
             self._relay(datagram)
@@ -242,6 +253,7 @@
             configuration_age_ms=to_ms(
                 now_s - catalog_service.freshness.read_at, UNKNOWN_AGE_MS
             ),
+            attachment=self._attachment_source(),
         )
 
     def _remove_expired(self) -> None:
--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -213,6 +213,12 @@
 ENDPOINT_READMITTED = _declare(
     "placement", "endpoint back", "`endpoint` is no longer ejected."
 )
+FACTS_REFUSED = _declare(
+    "evidence",
+    "facts refused",
+    "Observations that came with a load report of `source` could not be read.",
+    True,
+)
 ENDPOINT_LIMIT_CHANGED = _declare(
     "limits",
     "endpoint limit changed",
@@ -221,6 +227,13 @@
     " received it `age_s` ago.",
     True,
 )
+PERMIT_UNAVAILABLE = _declare(
+    "limits",
+    "permit unavailable",
+    "The instance `source`, which grants the permits of a shared rate, did not reply;"
+    " another one is asked.",
+    True,
+)
 ENDPOINT_LIMIT_REFUSED = _declare(
     "limits",
     "endpoint limit refused",
--- a/cicadacourse/placement/_admission.py
+++ b/cicadacourse/placement/_admission.py
@@ -38,7 +38,10 @@
     choice = choose_best_engines(request, profile, candidates)
     if choice is None or not is_long(request, profile):
         return choice
-    soonest_s = soonest_first_event_s(request, profile, len(candidates))
+    helpers = sum(
+        item.may_help for item in candidates if item is not choice.decode_engine
+    )
+    soonest_s = soonest_first_event_s(request, profile, 1 + helpers)
     return choice if should_admit(request, choice, soonest_s, profile) else None
 
 
--- a/cicadacourse/placement/_chooser.py
+++ b/cicadacourse/placement/_chooser.py
@@ -8,6 +8,7 @@
 from cicadacourse.application import Application
 from cicadacourse.catalog import CatalogService, Endpoint, Pool
 from cicadacourse.config import InstanceSettings
+from cicadacourse.limits import EndpointLimits
 from cicadacourse.load import LoadService
 from cicadacourse.placement._admission import admit_prompt, soonest_first_event_s
 from cicadacourse.placement._calls import choose_endpoint
@@ -29,6 +30,7 @@
     ) -> None:
         self._catalog_service: CatalogService = app.get("catalog")
         self._load: LoadService = app.get("load")
+        self._limits: EndpointLimits = app.get("limits")
         self._instance = instance
         self._ejections = ejections
 
@@ -51,8 +53,12 @@
         soonest_s = soonest_first_event_s(request, pool.engine, engines)
         return engines > 0 and soonest_s >= request.time_left_s
 
-    def candidates(self, pool: Pool) -> list[Candidate]:
-        """Returns the usable endpoints of a pool with their current load."""
+    def candidates(self, pool: Pool, with_limited: bool = False) -> list[Candidate]:
+        """Returns the usable endpoints of a pool with their current load.
+
+        :param with_limited: whether those are included that take no more requests at
+            the moment by their own limit.
+        """
         now_s = now()
         limit = pool.max_connections
         requests = self._load.table.count_own_requests() if limit else {}
@@ -63,10 +69,29 @@
                 is_same_domain=item.failure_domain == self._instance.failure_domain,
                 tie_break=hashing.score(self._instance.name, item.id),
                 has_connection=not limit or requests.get(item.id, 0) < limit,
+                may_help=self._limits.limit_of(item) is None,
             )
             for item in self._ejections.usable_endpoints(pool.name)
+            if with_limited or self._limits.available_at(item) <= now_s
         ]
 
+    def has_limits(self, pool: str) -> bool:
+        """Returns whether any usable endpoint of a pool names a limit."""
+        usable = self._ejections.usable_endpoints(pool)
+        return any(self._limits.limit_of(item) is not None for item in usable)
+
+    def endpoints_at_limit(self, pool: str) -> list[Endpoint]:
+        """Returns the endpoints of a pool if all of them are at their limits.
+
+        Those that take another request soonest come first. Empty if any usable endpoint
+        is not at its limit.
+        """
+        usable = self._ejections.usable_endpoints(pool)
+        now_s = now()
+        if any(self._limits.available_at(item) <= now_s for item in usable):
+            return []
+        return sorted(usable, key=self._limits.available_at)
+
     def has_connection(self, endpoint: Endpoint) -> bool:
         """Returns whether its pool allows another connection to an endpoint now."""
         pool = self.find_pool(endpoint.pool)
--- a/cicadacourse/placement/_engines.py
+++ b/cicadacourse/placement/_engines.py
@@ -157,7 +157,9 @@
     helpers = [
         item
         for item in candidates
-        if item is not decode_engine and item.load.helper_prefills < profile.slots
+        if item is not decode_engine
+        and item.may_help
+        and item.load.helper_prefills < profile.slots
     ]
     helpers.sort(key=lambda item: (-allowed_prefill_s(profile, item), item.tie_break))
     return choose_helpers(request, profile, decode_engine, [], helpers)
--- a/cicadacourse/placement/_errors.py
+++ b/cicadacourse/placement/_errors.py
@@ -9,6 +9,9 @@
 # A stream of typical length frees its slot within about this time.
 RETRY_AFTER_FULL_S = 0.5
 REASON_CONNECTIONS = "connections_in_use"
+REASON_LIMITS = "endpoint_limits"
+# An earlier retry would find the same endpoints at their limits.
+MIN_RETRY_AFTER_LIMITED_S = 0.1
 
 
 def pool_unknown(pool: str) -> Error:
@@ -37,6 +40,19 @@
     )
 
 
+def limits_reached(pool: str, wait_s: float) -> Error:
+    """Returns the error for a request that no endpoint's limit allows in time.
+
+    :param wait_s: seconds until the next request is allowed.
+    """
+    return Error(
+        ErrorKind.LIMIT_EXCEEDED,
+        f"the endpoints of pool {pool} take no more requests in time",
+        reason=REASON_LIMITS,
+        retry_after_s=max(MIN_RETRY_AFTER_LIMITED_S, wait_s),
+    )
+
+
 def deadline_unreachable(pool: str) -> Error:
     """Returns the error for a prompt that can't be prefilled before its deadline."""
     detail = f"pool {pool} cannot prefill the prompt before the deadline"
--- a/cicadacourse/placement/_kv_cache.py
+++ b/cicadacourse/placement/_kv_cache.py
@@ -54,7 +54,9 @@
     others = [
         item
         for item in candidates
-        if item is not decode_engine and item.load.helper_prefills < profile.slots
+        if item is not decode_engine
+        and item.may_help
+        and item.load.helper_prefills < profile.slots
     ]
     plans = _plan_reservations(profile, others, missing_tokens)
     if plans is None:
--- a/cicadacourse/placement/_model.py
+++ b/cicadacourse/placement/_model.py
@@ -62,6 +62,8 @@
         that don't know of each other yet choose differently.
     :param has_connection: whether its pool allows this instance another connection for
         a request to it.
+    :param may_help: whether it may prefill parts of prompts for other engines. One that
+        names a limit on its requests may not.
     """
 
     endpoint: Endpoint
@@ -69,6 +71,7 @@
     is_same_domain: bool
     tie_break: int = 0
     has_connection: bool = True
+    may_help: bool = True
 
     @property
     def has_slot(self) -> bool:
--- a/cicadacourse/placement/_queue.py
+++ b/cicadacourse/placement/_queue.py
@@ -44,6 +44,21 @@
     number: int
 
 
+@attrs.frozen
+class HeldPermit:
+    """A permit to send one request to an endpoint that names a limit.
+
+    :param valid_until: loop time in seconds.
+    """
+
+    endpoint_id: str
+    valid_until: float
+
+    def is_valid(self, endpoint_id: str, now_s: float) -> bool:
+        """Returns whether it allows a request to an endpoint now."""
+        return self.endpoint_id == endpoint_id and now_s <= self.valid_until
+
+
 @attrs.define(eq=False)
 class Waiter:
     """A request that waits for a placement.
@@ -51,6 +66,8 @@
     :param request: the request as of its arrival.
     :param is_long: whether it is a prompt whose prefill may be split.
     :param since: when it arrived, loop time in seconds.
+    :ivar was_queued: whether it has been in the queue.
+    :ivar permit: a permit that was reserved for the request, or None.
     :ivar placement: a future that is set on placement; replaced by a new one each time
         that the request is queued.
     """
@@ -59,6 +76,8 @@
     rank: Rank
     is_long: bool
     since: float
+    was_queued: bool = False
+    permit: HeldPermit | None = None
     placement: asyncio.Future[Placement] = attrs.field(
         factory=lambda: asyncio.get_running_loop().create_future()
     )
--- a/cicadacourse/placement/_service.py
+++ b/cicadacourse/placement/_service.py
@@ -23,12 +23,17 @@
 from cicadacourse.placement._dispatcher import RECHECK_RANGE_S, Dispatcher
 from cicadacourse.placement._ejections import Ejections
 from cicadacourse.placement._health import EndpointHealth
+from cicadacourse.placement._limits import LimitGate
 from cicadacourse.placement._model import Placement, PlacementRequest
 from cicadacourse.placement._queue import Waiter, WaitQueue
 from cicadacourse.util.clock import now
 
 QUEUED = declare("placement_waiting", "Requests queued for an endpoint, by pool.")
 
+# While an endpoint of the pool names a limit, a queued request looks this often whether
+# all endpoints have reached theirs.
+LIMIT_RECHECK_S = 0.1
+
 
 @SERVICES.register("placement")
 class Placer(Service):
@@ -44,6 +49,7 @@
         self._queue = WaitQueue()
         self._ejections = Ejections(app, self._schedule)
         self._chooser = Chooser(app, instance, self._ejections)
+        self._limit_gate = LimitGate(app.get("limits"), self._chooser)
         self._dispatcher = Dispatcher(self._queue, self._chooser)
         app.events.connect(LOAD_CHANGED, self._dispatcher.schedule)
         app.events.connect(CATALOG_CHANGED, self._dispatcher.schedule)
@@ -63,7 +69,8 @@
         Its assignments count as in progress while the context is open, and so does a
         connection to its endpoint. The result is a Failure if the pool is not
         configured or has no live endpoint, if the prompt can't be prefilled before its
-        deadline, or if the request's time in the queue is over.
+        deadline, if no endpoint's limit allows the request in time, or if its time in
+        the queue is over.
         """
         pool = self._chooser.find_pool(request.pool)
         if pool is None:
@@ -83,8 +90,11 @@
             if self._chooser.has_connection(placement.endpoint):
                 with self._load.track(*placement.assignments):
                     if await self._is_confirmed(waiter, placement):
-                        yield result
-                        return
+                        if await self._limit_gate.may_send(waiter, placement):
+                            yield result
+                            return
+                        # Another endpoint may take it at once.
+                        continue
             await asyncio.sleep(random.uniform(*RECHECK_RANGE_S))
 
     def usable_endpoints(self, pool: str) -> list[Endpoint]:
@@ -110,17 +120,24 @@
         self, waiter: Waiter, pool: Pool
     ) -> Result[Placement, Error]:
         """Returns a placement once the request is next and an endpoint is free."""
-        request = waiter.request_at(now())
-        # Its limits may have changed while the request was queued.
-        pool = self._chooser.find_pool(pool.name) or pool
-        if self._queue.is_next(waiter):
-            candidates = self._chooser.candidates(pool)
-            placement = self._chooser.try_place(request, pool, candidates)
-            if placement is not None:
-                return Success(placement)
-        if self._chooser.is_empty(request.pool):
-            return Failure(errors.pool_empty(request.pool))
-        return await self._wait(waiter)
+        while True:
+            # Its limits may have changed while the request was queued.
+            pool = self._chooser.find_pool(pool.name) or pool
+            if self._queue.is_next(waiter):
+                request = waiter.request_at(now())
+                candidates = self._chooser.candidates(pool)
+                placement = self._chooser.try_place(request, pool, candidates)
+                if placement is not None:
+                    return Success(placement)
+            if self._chooser.is_empty(pool.name):
+                return Failure(errors.pool_empty(pool.name))
+            result = None
+            at_limit = self._chooser.endpoints_at_limit(pool.name)
+            if at_limit:
+                result = await self._limit_gate.reserve(waiter, pool, at_limit)
+            result = result or await self._wait(waiter)
+            if result is not None:
+                return result
 
     async def _is_confirmed(self, waiter: Waiter, placement: Placement) -> bool:
         """Returns whether a placement is kept after a contention window.
@@ -145,23 +162,23 @@
     def _has_peers(self) -> bool:
         return len(self.app.get("membership").members()) > 1
 
-    async def _wait(self, waiter: Waiter) -> Result[Placement, Error]:
-        """Queues a request until it is placed or its time in the queue is over."""
+    async def _wait(self, waiter: Waiter) -> Result[Placement, Error] | None:
+        """Queues a request until it is placed or its time in the queue is over.
+
+        :returns: None if the limits of the pool's endpoints have to be looked at again.
+        """
         request = waiter.request_at(now())
         waiter.placement = asyncio.get_running_loop().create_future()
-        log(
-            REQUEST_QUEUED,
-            request=request.request_id,
-            pool=request.pool,
-            usable=len(self.usable_endpoints(request.pool)),
-        )
+        self._log_queued(waiter)
         self._queue.add(waiter)
         self._update_queue_metric(request.pool)
         self._dispatcher.schedule_recheck()
         try:
-            async with asyncio.timeout(request.wait_s):
+            async with asyncio.timeout(self._max_wait_s(request)):
                 return Success(await waiter.placement)
         except TimeoutError:
+            if waiter.request_at(now()).wait_s > 0:
+                return None
             if self._chooser.lacks_connections(request.pool):
                 return Failure(errors.connections_in_use(request.pool))
             return Failure(errors.pool_full(request.pool))
@@ -171,6 +188,24 @@
             self._schedule()
             self._update_queue_metric(request.pool)
 
+    def _log_queued(self, waiter: Waiter) -> None:
+        if waiter.was_queued:
+            return
+        waiter.was_queued = True
+        request = waiter.request
+        log(
+            REQUEST_QUEUED,
+            request=request.request_id,
+            pool=request.pool,
+            usable=len(self.usable_endpoints(request.pool)),
+        )
+
+    def _max_wait_s(self, request: PlacementRequest) -> float:
+        """Returns for how long a request may wait without a look at the limits."""
+        if self._chooser.has_limits(request.pool):
+            return min(request.wait_s, LIMIT_RECHECK_S)
+        return request.wait_s
+
     def _endpoint_changed(self, endpoint: Endpoint) -> None:
         self._ejections.forget_former_process(endpoint)
         self._schedule()
--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -23,7 +23,6 @@
     SendFailure,
 )
 from cicadacourse.load import LoadService
-from cicadacourse.util.addresses import split_address
 from cicadacourse.util.clock import now
 from standins.memory_cluster import MemoryCluster, memory_cluster
 from tests.test_gateway.test_gateway_histories import CATALOG, HOST, FakeReply
@@ -31,7 +30,6 @@
 import_services()
 
 OK = 200
-UNAVAILABLE = 503
 ENDPOINT_LINK_S = 0.004
 EVENT_BYTES = b"data: x\n\n"
 
@@ -199,9 +197,9 @@
             "catalog",
             "membership",
             self._make_load,
-            *(["evidence"] if _has_service("evidence") else []),
+            "evidence",
+            "permits",
             "limits",
-            *(["suspects"] if _has_service("suspects") else []),
             self._make_client,
             "placement",
             "gateway",
@@ -252,6 +250,7 @@
             body=b"",
         )
         reply = FakeReply()
+        reply.arrived = now()
         await self.memory.get(instance, "gateway").handle(request, reply)
         self.replies.append(reply)
         return reply
@@ -270,12 +269,6 @@
         return list(await asyncio.gather(*tasks))
 
 
-def _has_service(name: str) -> bool:
-    from cicadacourse.application import SERVICES
-
-    return name in SERVICES.names()
-
-
 def make_endpoints(count: int, pool: str = "engines") -> dict[str, SimulatedEndpoint]:
     """Returns simulated endpoints by id."""
     ids = [f"{pool}-{number}" for number in range(count)]
--- a/tests/test_gateway/test_gateway_histories.py
+++ b/tests/test_gateway/test_gateway_histories.py
@@ -28,6 +28,7 @@
 )
 from cicadacourse.config import InstanceSettings, Settings
 from cicadacourse.errors import Error
+from cicadacourse.evidence import Evidence
 from cicadacourse.exchange import (
     CallerRequest,
     EndpointClient,
@@ -41,7 +42,7 @@
 )
 from cicadacourse.gateway import Gateway
 from cicadacourse.gateway._attempts import Attempts
-from cicadacourse.limits import EndpointLimits
+from cicadacourse.limits import EndpointLimits, Permits
 from cicadacourse.load import LoadService
 from cicadacourse.membership import Member
 from cicadacourse.placement import Placer
@@ -185,6 +186,7 @@
         super().__init__()
         self.status = 0
         self.body = b""
+        self.arrived = 0.0
         self.ended_at: float | None = None
         self.is_complete = False
 
@@ -286,6 +288,8 @@
         CatalogService,
         FakeMembership,
         LoadService,
+        Evidence,
+        Permits,
         EndpointLimits,
         FakeEndpointClient,
         Placer,
--- a/tests/test_load/test_load_sharing.py
+++ b/tests/test_load/test_load_sharing.py
@@ -193,3 +193,20 @@
     )
     assert table.load_of("e", now_s=0.1).streams_awaiting_prefill == 1
     assert table.load_of("e", now_s=0.3).streams_awaiting_prefill == awaiting_prefill
+
+
+def test_an_attachment_comes_with_a_report_and_hides_nothing_of_it() -> None:
+    plain = Datagram(True, 1, 2, 3, 4, 5, 6, b"body", 7)
+    assert Datagram.unpack(plain.pack()).attachment == b""
+    attached = attrs.evolve(plain, attachment=b"more")
+    assert Datagram.unpack(attached.pack()) == attached
+    without_body = attrs.evolve(attached, body=b"")
+    assert Datagram.unpack(without_body.pack()) == without_body
+
+
+async def test_an_earlier_release_reads_a_report_with_an_attachment() -> None:
+    """Instances of both releases run side by side while a release is rolled out."""
+    datagram = make_app("other").get("load").make_datagram()
+    packed = attrs.evolve(datagram, attachment=b"facts of a later release").pack()
+    rest = packed[EARLIER_FRAME.size :]
+    assert decode_report(rest) == decode_report(datagram.body)
