--- a/cicadacourse/evidence/_messages.py
+++ b/cicadacourse/evidence/_messages.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import attrs
-
 from cicadacourse.evidence._model import FACT_KINDS, Fact
 from cicadacourse.peers import decode, encode, message
 from cicadacourse.util.clock import MS_PER_S
@@ -65,6 +63,5 @@
 
 
 def _to_fact(report: FactReport, received_at_s: float) -> Fact:
-    fields = attrs.asdict(report)
-    age_s = fields.pop("age_ms") / MS_PER_S
-    return Fact(**fields, observed_at=received_at_s - age_s)
+    observed_at = received_at_s - report.age_ms / MS_PER_S
+    return Fact(report.kind, report.key, report.id, report.value, observed_at)
