Soak: a scenario of endpoints that name limits

Several endpoints name limits of 0.5 to 3 requests a second, change and end them, while instances are killed, restarted and frozen and lose the store. Arrivals from instances without a fault in the last 3 s are checked.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,7 @@
 )
 from soak._environment import SoakEnvironment
 from soak._faults import FAULTS, inject_faults, plan_faults
+from soak._limit_scenario import LIMIT_FAULTS, run_limit_scenario
 from soak._scenario import run_scenario
 
 SEEDS = pathlib.Path(__file__).with_name("SEEDS.txt")
@@ -27,6 +28,7 @@
 SCENARIOS = {
     "faults": (run_scenario, FAULTS),
     "configurations": (run_configuration_scenario, CONFIGURATION_FAULTS),
+    "limits": (run_limit_scenario, LIMIT_FAULTS),
 }
 
 
@@ -46,7 +48,8 @@
         "--scenario",
         choices=sorted(SCENARIOS),
         default="faults",
-        help="faults of all kinds, or a configuration that changes each second",
+        help="faults of all kinds, a configuration that changes each second,"
+        " or endpoints that name limits",
     )
     add("--kept", action="store_true", help="run every line of SEEDS.txt instead")
     add(
--- /dev/null
+++ b/soak/_limit_scenario.py
@@ -0,0 +1,168 @@
+"""Endpoints that name limits on their requests, while instances have faults.
+
+Callers send more than a limited endpoint takes. What reaches it from instances without
+a recent fault must keep to the limit in any window.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+import random
+
+import attrs
+
+from cicadacourse.registry import Registry
+from cicadacourse.util.clock import now
+from soak._callers import LONG, LOOKUP, REQUEST_PAUSE_S, SHORT, Caller
+from soak._checks import InvariantChecker
+from soak._environment import Site, SoakEnvironment, clear_faults, running_environment
+from soak._faults import Fault, freeze, impair_store_link, kill, restart
+from soak._scenario import (
+    RECOVERY_S,
+    WARM_UP_S,
+    FaultInjector,
+    check_recovered,
+    stop_callers,
+)
+from standins.platform import Worker
+
+ENGINES_PER_INSTANCE = 2
+CALLERS_PER_INSTANCE = 4
+LIMITS = (0.5, 1.0, 3.0)
+# A limit must be kept from this long after it is named or changed, and by an instance
+# from this long after its last fault.
+CONTACT_S = 3.0
+WINDOW_S = 4.0
+SAMPLE_S = 0.05
+# A limit lasts longer than other faults, as it holds only after ``CONTACT_S``.
+DURATION_FACTOR = 4.0
+
+LIMIT_FAULTS: Registry[Fault] = Registry("fault")
+LIMIT_FAULTS.register("restart")(restart)
+LIMIT_FAULTS.register("kill")(kill)
+LIMIT_FAULTS.register("freeze")(freeze)
+LIMIT_FAULTS.register("store-link")(impair_store_link)
+
+
+@attrs.define
+class NamedLimit:
+    """A limit that an endpoint named for a time, in loop seconds."""
+
+    worker: Worker
+    limit: float
+    since: float
+    until: float = float("inf")
+
+
+@attrs.define
+class LimitRecords:
+    """What the check needs to know of a run.
+
+    :ivar impaired_at: the moments at which each instance had a fault, by its name.
+    :ivar instance_by_request: the instance that got a request, by the request's id.
+    """
+
+    named: list[NamedLimit] = attrs.field(factory=list)
+    impaired_at: dict[str, list[float]] = attrs.field(factory=dict)
+    instance_by_request: dict[str, str] = attrs.field(factory=dict)
+
+    def counted(self, item: NamedLimit) -> list[float]:
+        """Returns the arrivals that must keep to a limit, loop times in seconds."""
+        return [
+            arrival.at
+            for arrival in item.worker.arrivals
+            if item.since + CONTACT_S <= arrival.at <= item.until
+            and not self._is_excused(arrival.request_id, arrival.at)
+        ]
+
+    def _is_excused(self, request_id: str, at_s: float) -> bool:
+        name = self.instance_by_request.get(request_id)
+        moments = self.impaired_at.get(name, []) if name else [at_s]
+        return any(-CONTACT_S < moment - at_s < CONTACT_S for moment in moments)
+
+
+async def run_limit_scenario(
+    folder: pathlib.Path, seed: int, size: int, inject: FaultInjector
+) -> InvariantChecker:
+    """Runs one seed; see :func:`soak._scenario.run_scenario`."""
+    site = Site(size, ENGINES_PER_INSTANCE)
+    async with running_environment(folder, seed, site) as environment:
+        checker, records = InvariantChecker(environment), LimitRecords()
+        await asyncio.sleep(WARM_UP_S)
+        runs = [_record_impaired(environment, records), _name(environment, records)]
+        for number in range(CALLERS_PER_INSTANCE * size):
+            runs.append(_send(checker, Caller(environment, f"c{number}"), records))
+        tasks = [asyncio.create_task(run) for run in runs]
+        await inject(environment)
+        await clear_faults(environment)
+        for endpoint in environment.fleet.endpoint_by_id.values():
+            endpoint.worker.request_limit = None
+        await asyncio.sleep(RECOVERY_S)
+        await stop_callers(tasks)
+        last = Caller(environment, "last")
+        await check_recovered(checker, last, (SHORT, LOOKUP))
+        for instance in environment.instances:
+            await instance.stop()
+        checker.check_final_state()
+        _check_limits(checker, records)
+    return checker
+
+
+async def _name(environment: SoakEnvironment, records: LimitRecords) -> None:
+    """Lets endpoints name limits, some at the same time, until cancelled."""
+    chooser = environment.random_for("limits")
+    async with asyncio.TaskGroup() as group:
+        while True:
+            endpoints = environment.fleet.endpoint_by_id
+            worker = endpoints[chooser.choice(sorted(endpoints))].worker
+            if worker.request_limit is None:
+                group.create_task(_name_for_a_time(worker, chooser, records))
+            await asyncio.sleep(chooser.uniform(0.5, 2.5))
+
+
+async def _name_for_a_time(
+    worker: Worker, chooser: random.Random, records: LimitRecords
+) -> None:
+    for _ in range(chooser.randint(1, 2)):
+        item = NamedLimit(worker, chooser.choice(LIMITS), now())
+        records.named.append(item)
+        worker.request_limit = item.limit
+        await asyncio.sleep(DURATION_FACTOR * chooser.uniform(1.0, 4.0))
+        item.until = now()
+    worker.request_limit = None
+
+
+async def _record_impaired(environment: SoakEnvironment, records: LimitRecords) -> None:
+    while True:
+        for instance in environment.instances:
+            if instance.fault_window.active_faults:
+                records.impaired_at.setdefault(instance.name, []).append(now())
+        await asyncio.sleep(SAMPLE_S)
+
+
+async def _send(
+    checker: InvariantChecker, caller: Caller, records: LimitRecords
+) -> None:
+    kinds, chooser = (SHORT, SHORT, LOOKUP, LOOKUP, LONG), caller.chooser
+    with contextlib.closing(caller):
+        while True:
+            kind = chooser.choice(kinds)
+            attempts = await caller.request(kind, checker.environment.keys[0])
+            for attempt in attempts:
+                records.instance_by_request[attempt.id] = attempt.instance.name
+            checker.check_request(attempts)
+            await asyncio.sleep(chooser.expovariate(1 / REQUEST_PAUSE_S))
+
+
+def _check_limits(checker: InvariantChecker, records: LimitRecords) -> None:
+    for item in records.named:
+        times = records.counted(item)
+        windows = (sum(0 <= at - start < WINDOW_S for at in times) for start in times)
+        most = max(windows, default=0)
+        if most > 1.5 * item.limit * WINDOW_S + 5:
+            checker.violations.append(
+                f"{item.worker.id} named {item.limit} requests per second"
+                f" and got {most} in {WINDOW_S:g} s"
+            )
