--- a/cicadacourse/exchange/_model.py
+++ b/cicadacourse/exchange/_model.py
@@ -22,11 +22,13 @@
     :param model: the model's name.
     :param tokens: tokens of the whole prompt.
     :param max_output_tokens: the maximum number of output tokens.
+    :param shared_part_ids: the ids of the parts that other prompts may share, in order.
     """
 
     model: str
     tokens: int
     max_output_tokens: int
+    shared_part_ids: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/cicadacourse/gateway/_attempts.py
+++ b/cicadacourse/gateway/_attempts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import enum
+
 import attrs
 
 from cicadacourse.catalog import Route
@@ -15,6 +17,14 @@
 MAX_REFUSALS = 4
 
 
+class Progress(enum.Enum):
+    """How far an attempt got: no response, no event of it yet, or some events."""
+
+    WAITING = "waiting"
+    BEGUN = "begun"
+    STREAMING = "streaming"
+
+
 @attrs.define
 class Attempts:
     """Counts the attempts of one request and keeps how the last one failed.
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -18,7 +18,7 @@
     SendFailure,
 )
 from cicadacourse.gateway._admission import AdmittedRequest
-from cicadacourse.gateway._attempts import Attempts
+from cicadacourse.gateway._attempts import Attempts, Progress
 from cicadacourse.gateway._events import EventSplitter
 from cicadacourse.gateway._outcomes import OutcomeReporter
 from cicadacourse.gateway._times import StreamTimes
@@ -55,6 +55,7 @@
     budget: RetryBudget
     times: StreamTimes = attrs.field(factory=StreamTimes)
     _events: EventSplitter = attrs.field(factory=EventSplitter)
+    _progress: Progress = Progress.WAITING
     _reporter: OutcomeReporter = attrs.field(init=False)
 
     @_reporter.default
@@ -109,6 +110,7 @@
         request = self._build_request(placement, reservations)
         self._reporter.report_sent(placement, request)
         self.attempts.record_sent()
+        self._progress = Progress.WAITING
         try:
             sent_at = now()
             timeout_s = self._read_timeout_s(placement.expected_first_event_s)
@@ -117,7 +119,7 @@
             ) as response:
                 return await self._handle_response(response, placement, sent_at)
         except SendFailure as failure:
-            self._reporter.report_transport_failure(placement, failure)
+            self._reporter.report_transport_failure(placement, failure, self._progress)
             return False
 
     async def _handle_response(
@@ -152,6 +154,7 @@
             for too long; a further attempt may then resume it at another endpoint.
         """
         self._events.discard_partial()
+        self._progress = Progress.BEGUN
         while True:
             data = await self._read_chunk(response)
             if not data:
@@ -159,6 +162,7 @@
             events = self._events.feed(data)
             if not events:
                 continue
+            self._progress = Progress.STREAMING
             self.times.record_events(now())
             self._mark_prefilled(placement)
             if self.reply.started:
--- a/cicadacourse/gateway/_outcomes.py
+++ b/cicadacourse/gateway/_outcomes.py
@@ -8,7 +8,7 @@
 from cicadacourse.catalog import CatalogService
 from cicadacourse.exchange import EndpointRequest, EndpointResponse, SendFailure
 from cicadacourse.gateway._admission import AdmittedRequest
-from cicadacourse.gateway._attempts import Attempts
+from cicadacourse.gateway._attempts import Attempts, Progress
 from cicadacourse.gateway._settings import ATTEMPT_FAILURES
 from cicadacourse.logs import ATTEMPT_FAILED, REQUEST_SENT, log
 from cicadacourse.placement import Placement, Placer
@@ -42,11 +42,13 @@
         self._record_failure(placement.endpoint.id, "no_memory", detail, False)
 
     def report_transport_failure(
-        self, placement: Placement, failure: SendFailure
+        self, placement: Placement, failure: SendFailure, progress: Progress
     ) -> None:
         """Reports that an endpoint was unreachable, broke off, timed out or left.
 
         The attempt doesn't count if the endpoint left before anything was sent.
+
+        :param progress: how far the attempt got.
         """
         endpoint_id = placement.endpoint.id
         if failure.is_withdrawn:
@@ -56,8 +58,14 @@
         self._placer.report_transport_failure(endpoint_id, failure.reason)
         if not failure.may_have_run:
             self.attempts.record_not_run()
+        prompt = self.admitted.prompt
         self._record_failure(
-            endpoint_id, failure.reason, failure.detail, failure.may_have_run
+            endpoint_id,
+            failure.reason,
+            failure.detail,
+            failure.may_have_run,
+            progress=progress.value,
+            parts=prompt.shared_part_ids if prompt else (),
         )
 
     def report_refusal(self, response: EndpointResponse, placement: Placement) -> None:
@@ -88,13 +96,23 @@
         self._record_failure(endpoint_id, "error_answer", detail, True)
 
     def _record_failure(
-        self, endpoint_id: str, reason: str, detail: str, may_have_run: bool
+        self,
+        endpoint_id: str,
+        reason: str,
+        detail: str,
+        may_have_run: bool,
+        **fields: object,
     ) -> None:
         self.attempts.record_failure(endpoint_id, reason, detail, may_have_run)
-        self._log_failure(endpoint_id, reason, detail, may_have_run)
+        self._log_failure(endpoint_id, reason, detail, may_have_run, **fields)
 
     def _log_failure(
-        self, endpoint_id: str, reason: str, detail: str, may_have_run: bool
+        self,
+        endpoint_id: str,
+        reason: str,
+        detail: str,
+        may_have_run: bool,
+        **fields: object,
     ) -> None:
         self.app.metrics.count(ATTEMPT_FAILURES, reason=reason)
         log(
@@ -104,6 +122,7 @@
             reason=reason,
             detail=detail,
             may_have_run=may_have_run,
+            **fields,
         )
 
     def report_forwarded(
--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -255,7 +255,9 @@
     "forward",
     "attempt failed",
     "`endpoint` gave no usable response because of `reason`; `may_have_run` is whether"
-    " it may have executed the request.",
+    " it may have executed the request. If the exchange broke, `progress` is `waiting`"
+    " (no response), `begun` (no complete event of it) or `streaming`, and `parts` are"
+    " the parts of the prompt that other prompts may share.",
     True,
 )
 RETRY_BUDGET_EXHAUSTED = _declare(
--- a/cicadacourse/platform/_caller_request.py
+++ b/cicadacourse/platform/_caller_request.py
@@ -8,6 +8,10 @@
 from cicadacourse.platform import _names as names
 from cicadacourse.util.clock import MS_PER_S
 
+# Bounds what is kept of each prompt; the platform's prompts have a few parts.
+MAX_SHARED_PARTS = 32
+MAX_PART_ID_LENGTH = 64
+
 
 def read_request(
     start: RequestStartLine, headers: HTTPHeaders, body: bytes, arrived: float
@@ -61,9 +65,21 @@
         model=headers.get(names.HEADER_MODEL, ""),
         tokens=int(prompt_tokens),
         max_output_tokens=int(output_tokens or 0),
+        shared_part_ids=_read_shared_parts(headers.get(names.HEADER_PROMPT_PARTS, "")),
     )
 
 
+def _read_shared_parts(text: str) -> tuple[str, ...]:
+    """Returns the ids of a prompt's parts without the last, which no other prompt has.
+
+    >>> _read_shared_parts("5c1e07a2:800, 91bd3f06:410,e4402b7d:250")
+    ('5c1e07a2', '91bd3f06')
+    """
+    ids = [part.partition(":")[0].strip() for part in text.split(",")]
+    shared = [id for id in ids[:-1] if 0 < len(id) <= MAX_PART_ID_LENGTH]
+    return tuple(dict.fromkeys(shared))[:MAX_SHARED_PARTS]
+
+
 def _forwarded_headers(headers: HTTPHeaders) -> tuple[Header, ...]:
     """Returns the headers that are forwarded to endpoints unchanged."""
     connection_options = headers.get("Connection", "").split(",")
