Soak: limits end with the faults, and are not checked after that

A fault of the scenario. Change: the limits are named by a task that ends with the faults, and each record ends with its limit.

--- a/soak/_limit_scenario.py
+++ b/soak/_limit_scenario.py
@@ -91,14 +91,14 @@
     async with running_environment(folder, seed, site) as environment:
         checker, records = InvariantChecker(environment), LimitRecords()
         await asyncio.sleep(WARM_UP_S)
-        runs = [_record_impaired(environment, records), _name(environment, records)]
+        runs = [_record_impaired(environment, records)]
         for number in range(CALLERS_PER_INSTANCE * size):
             runs.append(_send(checker, Caller(environment, f"c{number}"), records))
         tasks = [asyncio.create_task(run) for run in runs]
+        naming = asyncio.create_task(_name(environment, records))
         await inject(environment)
+        await stop_callers([naming])
         await clear_faults(environment)
-        for endpoint in environment.fleet.endpoint_by_id.values():
-            endpoint.worker.request_limit = None
         await asyncio.sleep(RECOVERY_S)
         await stop_callers(tasks)
         last = Caller(environment, "last")
@@ -125,13 +125,16 @@
 async def _name_for_a_time(
     worker: Worker, chooser: random.Random, records: LimitRecords
 ) -> None:
-    for _ in range(chooser.randint(1, 2)):
-        item = NamedLimit(worker, chooser.choice(LIMITS), now())
-        records.named.append(item)
-        worker.request_limit = item.limit
-        await asyncio.sleep(DURATION_FACTOR * chooser.uniform(1.0, 4.0))
-        item.until = now()
-    worker.request_limit = None
+    try:
+        for _ in range(chooser.randint(1, 2)):
+            item = NamedLimit(worker, chooser.choice(LIMITS), now())
+            records.named.append(item)
+            worker.request_limit = item.limit
+            await asyncio.sleep(DURATION_FACTOR * chooser.uniform(1.0, 4.0))
+            item.until = now()
+    finally:
+        item.until = min(item.until, now())
+        worker.request_limit = None
 
 
 async def _record_impaired(environment: SoakEnvironment, records: LimitRecords) -> None:
