--- a/standins/platform/_fleet.py
+++ b/standins/platform/_fleet.py
@@ -19,6 +19,8 @@
 from standins.platform._worker_http import Worker, make_worker_application
 
 HEARTBEAT_S = 0.4
+# How long an engine that has crashed is gone.
+CRASH_S = 1.5
 PROFILE = EngineProfile(
     slots=8,
     kv_tokens=450_000,
@@ -131,6 +133,7 @@
     :param host: the IP address on which the store and the endpoints listen.
     :ivar store_address: where instances reach the store.
     :ivar operators_address: where operators reach it, who may write the configuration.
+    :ivar crashed_ids: the ids of the engines that have crashed, in order.
     """
 
     def __init__(self, host: str = "127.0.0.1") -> None:
@@ -139,7 +142,9 @@
         self.store_address = ""
         self.operators_address = ""
         self.endpoint_by_id: dict[str, RegisteredEndpoint] = {}
+        self.crashed_ids: list[str] = []
         self._server_by_id: dict[str, HTTPServer] = {}
+        self._crashes: set[asyncio.Task[None]] = set()
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[Fleet]:
@@ -152,8 +157,9 @@
         try:
             yield self
         finally:
-            heartbeats.cancel()
-            await asyncio.gather(heartbeats, return_exceptions=True)
+            for task in (heartbeats, *self._crashes):
+                task.cancel()
+            await asyncio.gather(heartbeats, *self._crashes, return_exceptions=True)
             for item in [server, operators, *self._server_by_id.values()]:
                 item.stop()
                 await item.close_all_connections()
@@ -167,6 +173,7 @@
         """Starts an engine and registers it."""
         engine = Engine(PROFILE, name=id)
         worker = Worker(id, engine=engine, find_engine=self._find_engine)
+        worker.on_crash = lambda: self._start_crash(id)
         return self._add(worker, ENGINE_POOL, failure_domain)
 
     def add_plain_service(
@@ -191,6 +198,22 @@
         server.stop()
         await server.close_all_connections()
 
+    def _start_crash(self, id: str) -> None:
+        if id in self._server_by_id:
+            self.crashed_ids.append(id)
+            task = asyncio.create_task(self._crash(id))
+            self._crashes.add(task)
+            task.add_done_callback(self._crashes.discard)
+
+    async def _crash(self, id: str) -> None:
+        """Ends an engine's process; another one registers after some time."""
+        await self.kill(id)
+        crashed = self.endpoint_by_id.pop(id)
+        await asyncio.sleep(CRASH_S)
+        self.store.put("keyed.servers", id, None)
+        successor = self.add_engine(f"{id}+", crashed.failure_domain)
+        successor.worker.crashing_part_ids = crashed.worker.crashing_part_ids
+
     def count_runs(self, request_id: str) -> int:
         """Returns how often the registered endpoints have run a request, in total."""
         return sum(
--- a/standins/platform/_worker_http.py
+++ b/standins/platform/_worker_http.py
@@ -74,6 +74,9 @@
     :ivar request_limit: the requests per second that it takes from all instances
         together, which its responses name; None if they name none.
     :ivar arrivals: the requests that reached it, whether or not it ran them.
+    :ivar crashing_part_ids: the parts of prompts under which it crashes as soon as it
+        begins to write an answer.
+    :ivar on_crash: ends its process.
     """
 
     def __init__(
@@ -95,6 +98,8 @@
         self.in_progress = 0
         self.request_limit: float | None = None
         self.arrivals: list[Arrival] = []
+        self.crashing_part_ids: set[str] = set()
+        self.on_crash: Callable[[], None] = lambda: None
         self.random = random.Random(seed)
 
     def draw_fault(self, probability: float) -> bool:
@@ -232,6 +237,9 @@
                     self._record_run()
                     self.set_header("Content-Type", "text/event-stream")
                 sent_events += 1
+                if self._is_crashing():
+                    await self._crash()
+                    return
                 self.write(f"id: {number}\ndata: {headers['Host']} {number}\n\n")
                 await self.flush()
                 if sent_events == 2 and worker.draw_fault(worker.faults.cut_rate):
@@ -240,6 +248,16 @@
         except EngineRefusal as refusal:
             self._refuse(refusal)
 
+    def _is_crashing(self) -> bool:
+        parts = _read_arrival(self.request.headers).prefix_ids[:-1]
+        return not self.worker.crashing_part_ids.isdisjoint(parts)
+
+    async def _crash(self) -> None:
+        """Ends the process inside the first event of an answer without a length."""
+        self.write("id: 0\nda")
+        await self.flush()
+        self.worker.on_crash()
+
     def _find_helpers(self) -> list[tuple[Engine, str | None]]:
         """Returns the helpers that the request names, with their reservation ids.
 
--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -13,6 +13,7 @@
 from cicadacourse.application import Application, Service
 from cicadacourse.catalog import Catalog, CatalogService, Endpoint
 from cicadacourse.cmd._services import import_services
+from cicadacourse.events import ENDPOINT_CHANGED
 from cicadacourse.exchange import (
     CallerRequest,
     EndpointClient,
@@ -112,14 +113,16 @@
     async def is_process_gone(self, endpoint: Endpoint) -> bool:
         """Returns whether the endpoint's process has ended."""
         await asyncio.sleep(2 * ENDPOINT_LINK_S)
-        return self._by_id[endpoint.id].is_down
+        return endpoint.id not in self._by_id or self._by_id[endpoint.id].is_down
 
     @contextlib.asynccontextmanager
     async def exchange(
         self, request: EndpointRequest, is_idempotent: bool, head_timeout_s: float
     ) -> AsyncIterator[EndpointResponse]:
         """Simulates an exchange with an endpoint."""
-        endpoint = self._by_id[request.endpoint.id]
+        endpoint = self._by_id.get(request.endpoint.id)
+        if endpoint is None:
+            raise SendFailure("connection refused", False, "unreachable")
         await asyncio.sleep(ENDPOINT_LINK_S)
         if endpoint.is_down:
             raise SendFailure("connection refused", False, "unreachable")
@@ -182,6 +185,8 @@
     memory: MemoryCluster = attrs.field(init=False)
     frozen: set[str] = attrs.field(factory=set)
     replies: list[FakeReply] = attrs.field(factory=list)
+    crashed_at: list[float] = attrs.field(factory=list)
+    former_endpoints: list[SimulatedEndpoint] = attrs.field(factory=list)
     _numbers: itertools.count[int] = attrs.field(factory=itertools.count)
     _service_by_address: dict[str, MemoryLoad] = attrs.field(factory=dict)
 
@@ -227,6 +232,34 @@
         endpoints = self.endpoint_by_id.values()
         return max(endpoints, key=lambda item: len(item.arrivals))
 
+    def crash(self, endpoint: SimulatedEndpoint, down_s: float = 3.0) -> None:
+        """Ends an endpoint's process; another one starts at its address later."""
+        if endpoint.is_down:
+            return
+        endpoint.is_down = True
+        self.crashed_at.append(now())
+        loop = asyncio.get_running_loop()
+        loop.call_later(down_s, self._restart, endpoint)
+
+    def _restart(self, endpoint: SimulatedEndpoint) -> None:
+        former = endpoint.endpoint
+        number = next(self._numbers)
+        successor = attrs.evolve(
+            endpoint,
+            endpoint=attrs.evolve(former, id=f"{former.pool}-r{number}"),
+            is_down=False,
+            arrivals=[],
+        )
+        self.former_endpoints.append(endpoint)
+        del self.endpoint_by_id[former.id]
+        self.endpoint_by_id[successor.endpoint.id] = successor
+        for app in self.memory.applications:
+            registry = app.get("catalog").registry
+            registry.remove(former.id)
+            registry.put(successor.endpoint)
+            app.events.emit(ENDPOINT_CHANGED, former)
+            app.events.emit(ENDPOINT_CHANGED, successor.endpoint)
+
     async def send(
         self,
         instance: str,
@@ -256,14 +289,24 @@
         return reply
 
     async def load(
-        self, rate: float, seconds: float, seed: int = 1, **request: object
+        self,
+        rate: float,
+        seconds: float,
+        seed: int = 1,
+        make_parts: Callable[[random.Random], tuple[str, ...]] | None = None,
+        **request: object,
     ) -> list[FakeReply]:
-        """Sends requests at a mean rate per second to random instances, and waits."""
+        """Sends requests at a mean rate per second to random instances, and waits.
+
+        :param make_parts: draws the shared parts of each request's prompt.
+        """
         chooser = random.Random(seed)
         until = now() + seconds
         tasks = []
         while now() < until:
             instance = chooser.choice(sorted(self.memory.application_by_name))
+            if make_parts is not None:
+                request["shared_part_ids"] = make_parts(chooser)
             tasks.append(asyncio.create_task(self.send(instance, **request)))
             await asyncio.sleep(chooser.expovariate(rate))
         return list(await asyncio.gather(*tasks))
