Quarantine: requests with a part that crashes engines are stopped by all instances

Symptom: requests with one part in their prompts ended 58 endpoints, 29 requests came after the fifth. Cause: an endpoint that broke off was the endpoint's fault for each instance: the request was retried at another, and the next ones were sent as any other. Nothing linked the crashes to what the requests had in common. Change: a broken exchange without an event, at an endpoint whose process is gone, blames the shared parts of its prompt that look least sound; a success clears them. Both are evidence that all instances share. A crash that a part in quarantine explains counts against no other.

--- a/cicadacourse/cmd/_services.py
+++ b/cicadacourse/cmd/_services.py
@@ -12,6 +12,7 @@
     "load",
     "evidence",
     "limits",
+    "quarantine",
     "placement",
     "reservations",
     "gateway",
--- a/cicadacourse/cmd/serve.py
+++ b/cicadacourse/cmd/serve.py
@@ -43,6 +43,7 @@
     "evidence",
     "permits",
     "limits",
+    "quarantine",
     "feed",
     "relay",
     "endpoint_caller",
--- a/cicadacourse/errors.py
+++ b/cicadacourse/errors.py
@@ -30,6 +30,7 @@
     OVERLOADED = "overloaded"
     DEADLINE_UNREACHABLE = "deadline_unreachable"
     NO_ENDPOINT = "no_endpoint"
+    PROMPT_SUSPECTED = "prompt_suspected"
     STORE_UNAVAILABLE = "store_unavailable"
     STORE_OUTCOME_UNKNOWN = "store_outcome_unknown"
     PEER_UNREACHABLE = "peer_unreachable"
@@ -75,6 +76,9 @@
         503, Execution.NOT_RUN, is_retryable=True
     ),
     ErrorKind.NO_ENDPOINT: ErrorResponse(503, Execution.NOT_RUN, is_retryable=True),
+    ErrorKind.PROMPT_SUSPECTED: ErrorResponse(
+        503, Execution.NOT_RUN, is_retryable=True
+    ),
     ErrorKind.STORE_UNAVAILABLE: ErrorResponse(
         503, Execution.NOT_RUN, is_retryable=True
     ),
--- a/cicadacourse/evidence/_service.py
+++ b/cicadacourse/evidence/_service.py
@@ -47,16 +47,24 @@
         self._listeners_by_kind.setdefault(kind, []).append(listener)
 
     def publish(
-        self, kind: str, key: str, value: float = 0.0, id: int | None = None
+        self,
+        kind: str,
+        key: str,
+        value: float = 0.0,
+        id: int | None = None,
+        observed_at: float | None = None,
     ) -> None:
         """Records an observation of this instance and tells it to all others.
 
         :param id: the id of the fact if several instances may observe the same one;
             a random one if None.
+        :param observed_at: loop time in seconds; now if None.
         """
         if id is None:
             id = secrets.randbits(63)
-        if not self._add(Fact(kind, key, id, value, now()), is_own=True):
+        if observed_at is None:
+            observed_at = now()
+        if not self._add(Fact(kind, key, id, value, observed_at), is_own=True):
             return
         loop = asyncio.get_running_loop()
         for delay_s in REPEAT_TIMES_S:
--- a/cicadacourse/exchange/_endpoint_client.py
+++ b/cicadacourse/exchange/_endpoint_client.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from cicadacourse.catalog import Endpoint
 from cicadacourse.exchange._model import EndpointRequest, ResponseHead
 
 
@@ -18,12 +19,14 @@
     :param may_have_run: False only if no part of the request can have arrived.
     :param reason: the label for logs and metrics.
     :param is_withdrawn: whether nothing was sent as the endpoint leaves or is gone.
+    :param is_broken_off: whether the connection ended before the response did.
     """
 
     detail: str
     may_have_run: bool
     reason: str
     is_withdrawn: bool = False
+    is_broken_off: bool = False
 
     def __str__(self) -> str:
         return self.detail
@@ -72,6 +75,13 @@
             in time, or leaves before the request is sent.
         """
 
+    @abc.abstractmethod
+    async def is_process_gone(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint's process has certainly ended.
+
+        An endpoint that doesn't respond may be cut off, and counts as running.
+        """
+
     @abc.abstractmethod
     def abort_exchanges(self, endpoint_id: str) -> None:
         """Aborts all exchanges with an endpoint that is known to be dead."""
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -17,7 +17,7 @@
     Reply,
     SendFailure,
 )
-from cicadacourse.gateway._admission import AdmittedRequest
+from cicadacourse.gateway._admission import AdmittedRequest, suspected_error
 from cicadacourse.gateway._attempts import Attempts, Progress
 from cicadacourse.gateway._events import EventSplitter
 from cicadacourse.gateway._outcomes import OutcomeReporter
@@ -26,6 +26,7 @@
 from cicadacourse.logs import RETRY_BUDGET_EXHAUSTED, log
 from cicadacourse.metrics import RETRIES
 from cicadacourse.placement import Placement, Placer, RetryBudget
+from cicadacourse.quarantine import Quarantine
 from cicadacourse.reservations import (
     Reservation,
     ReservationRefused,
@@ -75,6 +76,11 @@
             if self.attempts.made > paid and not self._acquire_retry(pool):
                 return self.attempts.final_error()
             paid = self.attempts.made
+            delay_s = await self._quarantine.delay_s(self._shared_parts)
+            if delay_s:
+                may_have_run = self.attempts.may_have_run
+                error = suspected_error(delay_s)
+                return self.attempts.final_error() if may_have_run else error
             request = self.admitted.placement_request(
                 pool, now(), self.attempts.failed_ids
             )
@@ -120,6 +126,7 @@
                 return await self._handle_response(response, placement, sent_at)
         except SendFailure as failure:
             self._reporter.report_transport_failure(placement, failure, self._progress)
+            await self._record_crash(placement, failure)
             return False
 
     async def _handle_response(
@@ -143,6 +150,8 @@
                 return False
             await self.reply.send_response(head, body)
         self._reporter.report_forwarded(response, placement)
+        if head.is_success:
+            self._quarantine.record_success(self._shared_parts)
         return True
 
     async def _forward_stream(
@@ -170,7 +179,8 @@
             else:
                 await self.reply.start_stream(response.head, events)
         if self._events.has_partial:
-            raise SendFailure("the stream ended within an event", True, "cut_short")
+            detail = "the stream ended within an event"
+            raise SendFailure(detail, True, "cut_short", is_broken_off=True)
         if not self.reply.started:
             await self.reply.start_stream(response.head, b"")
         await self.reply.finish_stream()
@@ -188,6 +198,27 @@
             detail = f"no event in {timeout_s:.2f} s"
             raise SendFailure(detail, True, "stream_silent") from None
 
+    async def _record_crash(self, placement: Placement, failure: SendFailure) -> None:
+        """Blames the prompt if the endpoint has crashed before its first event."""
+        if not failure.is_broken_off or self._progress is Progress.STREAMING:
+            return
+        if not self._shared_parts:
+            return
+        if await self.client.is_process_gone(placement.endpoint):
+            has_begun = self._progress is Progress.BEGUN
+            self._quarantine.record_crash(
+                placement.endpoint, self._shared_parts, has_begun
+            )
+
+    @property
+    def _shared_parts(self) -> tuple[str, ...]:
+        prompt = self.admitted.prompt
+        return prompt.shared_part_ids if prompt else ()
+
+    @property
+    def _quarantine(self) -> Quarantine:
+        return self.app.get("quarantine")
+
     @property
     def _placer(self) -> Placer:
         return self.app.get("placement")
--- a/cicadacourse/limits/_permits.py
+++ b/cicadacourse/limits/_permits.py
@@ -16,6 +16,7 @@
 
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.config import InstanceSettings
+from cicadacourse.errors import CicadacourseError, Error, ErrorKind
 from cicadacourse.limits._messages import AcquirePermit, Permit
 from cicadacourse.limits._schedule import PermitSchedule
 from cicadacourse.logs import PERMIT_UNAVAILABLE, log
@@ -38,9 +39,6 @@
 FALLBACK_SHARE = 0.25
 # After how long an instance asks again if it could reach none that grants permits.
 RETRY_S = 0.3
-# The lowest rate, in permits per second: one request in a while shows whether an
-# endpoint that takes none still names that limit.
-MIN_RATE = 0.1
 # Bounds the memory; the schedule that was not used for the longest time is dropped.
 MAX_SCHEDULES = 1000
 
@@ -61,7 +59,7 @@
         """Asks for a permit of a shared rate.
 
         :param key: what the rate is for, the same at all instances.
-        :param rate: permits per second of all instances together.
+        :param rate: permits per second of all instances together, over 0.
         :param max_wait_s: for how long from now the permit may be reserved at most.
         """
         permit = await self._ask(key, rate, max_wait_s)
@@ -72,13 +70,14 @@
     @handles(AcquirePermit)
     async def on_acquire_permit(self, request: AcquirePermit) -> Permit:
         """Grants or denies a permit to another instance."""
+        if not request.rate > 0:
+            detail = f"a rate of {request.rate} permits per second"
+            raise CicadacourseError(Error(ErrorKind.BAD_REQUEST, detail))
         return self._grant(request)
 
     async def _ask(self, key: str, rate: float, max_wait_s: float) -> Permit:
         for member, share in self._reachable_keepers(key)[:MAX_ASKED]:
-            request = AcquirePermit(
-                key=key, rate=max(MIN_RATE, share * rate), max_wait_s=max_wait_s
-            )
+            request = AcquirePermit(key=key, rate=share * rate, max_wait_s=max_wait_s)
             if member.name == self._own_name:
                 return self._grant(request)
             result = await self.app.get("peers").call(
@@ -118,8 +117,7 @@
             schedule = PermitSchedule(request.rate, now_s)
             self._schedule_by_key[request.key] = schedule
             self._drop_oldest_schedule()
-        rate = max(MIN_RATE, request.rate)
-        return schedule.acquire(rate, request.max_wait_s, now_s)
+        return schedule.acquire(request.rate, request.max_wait_s, now_s)
 
     def _drop_oldest_schedule(self) -> None:
         if len(self._schedule_by_key) > MAX_SCHEDULES:
--- a/cicadacourse/limits/_service.py
+++ b/cicadacourse/limits/_service.py
@@ -32,6 +32,9 @@
     FactKind(lifetime_s=600.0, max_facts=MAX_LIMITS, is_latest_only=True)
 )
 RENEWAL_S = 300.0
+# The lowest rate, in requests per second: one request in a while shows whether an
+# endpoint that takes none still names that limit.
+MIN_RATE = 0.1
 # The value of a fact that an endpoint names no limit any more.
 NO_LIMIT = -1.0
 
@@ -104,7 +107,7 @@
             return Permit(is_granted=True, wait_s=0.0)
         key = _key_of(endpoint)
         permit = await self._permits.acquire(
-            f"{ENDPOINT_LIMIT} {key}", limit, max_wait_s
+            f"{ENDPOINT_LIMIT} {key}", max(MIN_RATE, limit), max_wait_s
         )
         if not permit.is_granted:
             self._available_at_by_key[key] = now() + permit.wait_s
--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -241,6 +241,27 @@
     True,
 )
 
+PART_BLAMED = _declare(
+    "quarantine",
+    "prompt parts blamed",
+    "`endpoint` has crashed under a request of this instance that had got no event;"
+    " `parts` of its prompt are blamed, `has_begun` is whether the response had begun.",
+    True,
+)
+PART_SUSPECTED = _declare(
+    "quarantine",
+    "prompt part suspected",
+    "Requests with `prompt_part` are sent by all instances together once in"
+    " `interval_s`; `weight` counts the crashes that it is blamed for.",
+    True,
+)
+PART_CLEARED = _declare(
+    "quarantine",
+    "prompt part cleared",
+    "`prompt_part` is no longer suspected: a request with it has succeeded, another"
+    " part explains the crashes, or they are long ago.",
+)
+
 REQUEST_SENT = _declare(
     "forward",
     "request sent",
--- a/cicadacourse/platform/_endpoint_client.py
+++ b/cicadacourse/platform/_endpoint_client.py
@@ -32,6 +32,8 @@
 # Time limits of the attempts to connect. TCP retransmits a lost SYN packet only after
 # one second, so a new attempt is faster.
 CONNECT_TIMEOUTS_S = (0.08, 0.3)
+# How long an endpoint that broke off a response may take to accept a connection.
+GONE_TIMEOUT_S = 0.1
 # Keep-alive time of an endpoint whose response has no Keep-Alive header.
 DEFAULT_KEEP_ALIVE_S = 4.0
 # Subtracted from the announced keep-alive time, so that no request is sent while the
@@ -88,7 +90,9 @@
             response = await self._send(connection, request, head_timeout_s)
             yield response
         except HttpConnectionError as error:
-            raise SendFailure(str(error), True, "connection_broken") from error
+            raise SendFailure(
+                str(error), True, "connection_broken", is_broken_off=True
+            ) from error
         finally:
             self._release(endpoint, connection)
 
@@ -166,6 +170,18 @@
             connection.close()
         return None
 
+    async def is_process_gone(self, endpoint: Endpoint) -> bool:
+        """See :meth:`EndpointClient.is_process_gone`."""
+        current = self.app.get("catalog").registry.find(endpoint.id)
+        if current is None or not current.is_same_process(endpoint):
+            return True
+        try:
+            connection = await HttpConnection.connect(endpoint.address, GONE_TIMEOUT_S)
+        except HttpConnectionError as error:
+            return isinstance(error.__cause__, ConnectionRefusedError)
+        connection.close()
+        return False
+
     def abort_exchanges(self, endpoint_id: str) -> None:
         """Closes every connection to an endpoint, including those in use."""
         for connection in self._busy_by_endpoint.get(endpoint_id, ()):
@@ -212,7 +228,9 @@
             try:
                 part = await self._connection.receive()
             except HttpConnectionError as error:
-                raise SendFailure(str(error), True, "cut_short") from error
+                raise SendFailure(
+                    str(error), True, "cut_short", is_broken_off=True
+                ) from error
             if isinstance(part, h11.EndOfMessage):
                 self._is_complete = True
                 self._connection.end_exchange(self._keep_alive_s)
--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -92,7 +92,7 @@
         if self.events_left < self.endpoint.events:
             await asyncio.sleep(self.endpoint.event_s)
         if self.endpoint.is_down:
-            raise SendFailure("connection lost", True, "cut_short")
+            raise SendFailure("lost", True, "cut_short", is_broken_off=True)
         self.events_left -= 1
         return EVENT_BYTES
 
@@ -133,7 +133,7 @@
         except TimeoutError:
             raise SendFailure("no head in time", True, "no_answer") from None
         if endpoint.is_down:
-            raise SendFailure("connection lost", True, "connection_broken")
+            raise SendFailure("lost", True, "broken", is_broken_off=True)
         head = ResponseHead(OK, (), request_limit=endpoint.limit)
         endpoint.on_start(endpoint, request)
         is_stream = request.caller.prompt is not None
@@ -205,6 +205,7 @@
             "evidence",
             "permits",
             "limits",
+            "quarantine",
             self._make_client,
             "placement",
             "gateway",
--- a/tests/test_gateway/test_gateway_histories.py
+++ b/tests/test_gateway/test_gateway_histories.py
@@ -46,6 +46,7 @@
 from cicadacourse.load import LoadService
 from cicadacourse.membership import Member
 from cicadacourse.placement import Placer
+from cicadacourse.quarantine import Quarantine
 from cicadacourse.util.clock import now
 from standins.platform import PROFILE
 
@@ -130,6 +131,10 @@
         self.fault_by_endpoint: dict[str, str] = defaultdict(lambda: "none")
         self.run_counts: Counter[str] = Counter()
 
+    async def is_process_gone(self, endpoint: Endpoint) -> bool:
+        """Returns whether the endpoint is dead."""
+        return self.fault_by_endpoint[endpoint.id] == "dead"
+
     def abort_exchanges(self, endpoint_id: str) -> None:
         """Does nothing; no test here aborts exchanges."""
 
@@ -291,6 +296,7 @@
         Evidence,
         Permits,
         EndpointLimits,
+        Quarantine,
         FakeEndpointClient,
         Placer,
         Gateway,
--- a/tests/test_platform/test_platform_names.py
+++ b/tests/test_platform/test_platform_names.py
@@ -70,6 +70,7 @@
         "gateway",
         "evidence",
         "limits",
+        "quarantine",
         "load",
         "placement",
         "platform",
--- a/tests/test_quarantine/test_quarantine_cluster.py
+++ b/tests/test_quarantine/test_quarantine_cluster.py
@@ -12,7 +12,6 @@
 import pytest
 
 from cicadacourse.exchange import EndpointRequest
-from cicadacourse.util.clock import now
 from tests.gateway_cluster import (
     GatewayCluster,
     SimulatedEndpoint,
