--- a/cicadacourse/evidence/_book.py
+++ b/cicadacourse/evidence/_book.py
@@ -17,6 +17,10 @@
         self._facts_by_key: dict[tuple[str, str], dict[int, Fact]] = defaultdict(dict)
         self._keys_by_kind: dict[str, dict[str, None]] = defaultdict(dict)
 
+    def __len__(self) -> int:
+        """Returns the number of keys of which there are facts."""
+        return len(self._facts_by_key)
+
     def add(self, fact: Fact, now_s: float) -> bool:
         """Adds a fact and returns whether it changes what is known."""
         kind = FACT_KINDS.get(fact.kind)
--- a/cicadacourse/evidence/_service.py
+++ b/cicadacourse/evidence/_service.py
@@ -92,6 +92,8 @@
 
     def _make_attachment(self) -> bytes:
         """Returns the bytes of the facts that go with the next load report."""
+        if not self._book:
+            return b""
         now_s = now()
         known = self._book.all(now_s)
         self.app.metrics.set(KNOWN_FACTS, len(known))
--- a/cicadacourse/limits/_service.py
+++ b/cicadacourse/limits/_service.py
@@ -82,6 +82,11 @@
             value = NO_LIMIT if limit is None else limit
             self._evidence.publish(ENDPOINT_LIMIT, key, value)
 
+    @property
+    def has_any(self) -> bool:
+        """Whether any endpoint names a limit."""
+        return bool(self._limit_by_key)
+
     def limit_of(self, endpoint: Endpoint) -> float | None:
         """Returns the requests per second that an endpoint takes, or None."""
         if not self._limit_by_key:
--- a/cicadacourse/placement/_chooser.py
+++ b/cicadacourse/placement/_chooser.py
@@ -62,6 +62,11 @@
         now_s = now()
         limit = pool.max_connections
         requests = self._load.table.count_own_requests() if limit else {}
+        usable = self._ejections.usable_endpoints(pool.name)
+        if self._limits.has_any and not with_limited:
+            usable = [
+                item for item in usable if self._limits.available_at(item) <= now_s
+            ]
         return [
             Candidate(
                 endpoint=item,
@@ -71,12 +76,13 @@
                 has_connection=not limit or requests.get(item.id, 0) < limit,
                 may_help=self._limits.limit_of(item) is None,
             )
-            for item in self._ejections.usable_endpoints(pool.name)
-            if with_limited or self._limits.available_at(item) <= now_s
+            for item in usable
         ]
 
     def has_limits(self, pool: str) -> bool:
         """Returns whether any usable endpoint of a pool names a limit."""
+        if not self._limits.has_any:
+            return False
         usable = self._ejections.usable_endpoints(pool)
         return any(self._limits.limit_of(item) is not None for item in usable)
 
@@ -86,6 +92,8 @@
         Those that take another request soonest come first. Empty if any usable endpoint
         is not at its limit.
         """
+        if not self._limits.has_any:
+            return []
         usable = self._ejections.usable_endpoints(pool)
         now_s = now()
         if any(self._limits.available_at(item) <= now_s for item in usable):
