Bodies and events of endpoints are bounded, and events are found in linear time

Symptom: an endpoint that sends bytes without end, in a body or an unfinished event, filled the instance's memory until the deadline (2.2 GB passed in 3 s) and stalled its event loop (8 MB without an event's end: 19 s). Cause: EventSplitter searched all held bytes again with each chunk; read_all and events had no bound. Change: an event of over 1 MiB and a body of over 8 MiB that is read as a whole break the exchange; the search for an event's end goes on where it stopped.

--- a/cicadacourse/exchange/__init__.py
+++ b/cicadacourse/exchange/__init__.py
@@ -1,6 +1,7 @@
 """Requests and responses as the parts of an instance exchange them."""
 
 from cicadacourse.exchange._endpoint_client import (
+    MAX_BODY_BYTES,
     EndpointClient,
     EndpointResponse,
     SendFailure,
@@ -16,6 +17,7 @@
 from cicadacourse.exchange._reply import Reply
 
 __all__ = [
+    "MAX_BODY_BYTES",
     "CallerRequest",
     "EndpointResponse",
     "EndpointClient",
--- a/cicadacourse/exchange/_endpoint_client.py
+++ b/cicadacourse/exchange/_endpoint_client.py
@@ -10,6 +10,10 @@
 from cicadacourse.catalog import Endpoint
 from cicadacourse.exchange._model import EndpointRequest, ResponseHead
 
+# The largest body that is read before it is forwarded. Larger ones count as malformed:
+# a faulty endpoint may send bytes without end.
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
 
 @attrs.define
 class SendFailure(Exception):
@@ -50,10 +54,16 @@
     async def read_all(self) -> bytes:
         """Returns the rest of the body.
 
-        :raises SendFailure: if the response breaks off.
+        :raises SendFailure: if the response breaks off, or if the rest is larger than
+            ``MAX_BODY_BYTES``.
         """
         parts = []
+        size = 0
         while part := await self.read_chunk():
+            size += len(part)
+            if size > MAX_BODY_BYTES:
+                detail = f"the body is larger than {MAX_BODY_BYTES} bytes"
+                raise SendFailure(detail, True, "body_too_large")
             parts.append(part)
         return b"".join(parts)
 
--- a/cicadacourse/gateway/__init__.py
+++ b/cicadacourse/gateway/__init__.py
@@ -1,5 +1,6 @@
 """Admits, forwards and retries callers' requests; each gets exactly one response."""
 
+from cicadacourse.gateway._events import MAX_EVENT_BYTES
 from cicadacourse.gateway._service import Gateway
 from cicadacourse.gateway._settings import GatewaySettings
 from cicadacourse.gateway._status import (
@@ -15,6 +16,7 @@
 __all__ = [
     "EndpointStatus",
     "Gateway",
+    "MAX_EVENT_BYTES",
     "GatewaySettings",
     "InstanceStatus",
     "MemberStatus",
--- a/cicadacourse/gateway/_events.py
+++ b/cicadacourse/gateway/_events.py
@@ -6,10 +6,18 @@
 
 import attrs
 
+# A larger event counts as malformed: a faulty endpoint may send bytes without end.
+MAX_EVENT_BYTES = 1024 * 1024
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+# An event's end may begin this many bytes before the end of the bytes received.
+_MAX_PARTIAL_END_BYTES = 3
 _ID_FIELD = re.compile(rb"^id:[ ]?(.*?)\r?$", re.MULTILINE)
 
 
+class EventTooLarge(ValueError):
+    """An event is larger than :data:`MAX_EVENT_BYTES`."""
+
+
 @attrs.define
 class EventSplitter:
     """Buffers bytes until they form complete events.
@@ -24,7 +32,7 @@
     """
 
     last_id: str | None = None
-    _partial: bytes = b""
+    _partial: bytearray = attrs.field(factory=bytearray)
 
     @property
     def has_partial(self) -> bool:
@@ -32,12 +40,20 @@
         return bool(self._partial)
 
     def feed(self, data: bytes) -> bytes:
-        """Adds bytes and returns the events that they complete, possibly none."""
+        """Adds bytes and returns the events that they complete, possibly none.
+
+        :raises EventTooLarge: if the incomplete event is too large.
+        """
+        # No event ends in the bytes that were searched before.
+        start = max(0, len(self._partial) - _MAX_PARTIAL_END_BYTES)
         self._partial += data
-        ends = [match.end() for match in _EVENT_END.finditer(self._partial)]
-        if not ends:
-            return b""
-        complete, self._partial = self._partial[: ends[-1]], self._partial[ends[-1] :]
+        end = 0
+        for match in _EVENT_END.finditer(self._partial, start):
+            end = match.end()
+        complete = bytes(self._partial[:end])
+        del self._partial[:end]
+        if len(self._partial) > MAX_EVENT_BYTES:
+            raise EventTooLarge(f"an event is larger than {MAX_EVENT_BYTES} bytes")
         ids = _ID_FIELD.findall(complete)
         if ids:
             self.last_id = ids[-1].decode("latin-1")
@@ -45,4 +61,4 @@
 
     def discard_partial(self) -> None:
         """Drops an incomplete event from the buffer."""
-        self._partial = b""
+        self._partial.clear()
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -19,7 +19,7 @@
 )
 from cicadacourse.gateway._admission import AdmittedRequest, suspected_error
 from cicadacourse.gateway._attempts import Attempts, Progress
-from cicadacourse.gateway._events import EventSplitter
+from cicadacourse.gateway._events import EventSplitter, EventTooLarge
 from cicadacourse.gateway._outcomes import OutcomeReporter
 from cicadacourse.gateway._times import StreamTimes
 from cicadacourse.limits import EndpointLimits
@@ -168,7 +168,7 @@
             data = await self._read_chunk(response)
             if not data:
                 break
-            events = self._events.feed(data)
+            events = self._split_events(data)
             if not events:
                 continue
             self._progress = Progress.STREAMING
@@ -185,6 +185,16 @@
             await self.reply.start_stream(response.head, b"")
         await self.reply.finish_stream()
 
+    def _split_events(self, data: bytes) -> bytes:
+        """Returns the events that bytes of a stream complete, possibly none.
+
+        :raises SendFailure: if an event is too large.
+        """
+        try:
+            return self._events.feed(data)
+        except EventTooLarge as error:
+            raise SendFailure(str(error), True, "event_too_large") from error
+
     async def _read_chunk(self, response: EndpointResponse) -> bytes:
         """Returns the next bytes of a stream, or none at its end.
 
