Gateway: a stream without a length that ends before its first event is broken off

Symptom: an endpoint that ended after the head of its response made callers see a complete, empty stream; and the request counted as a success of its prompt's parts. Cause: a response without length or chunks ends with its connection, and only an unfinished event was checked. Change: a stream that isn't resumed and has no event counts as broken off. Result: test_a_stream_that_ends_before_its_first_event_is_broken_off failed before (200), passes.

--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -159,8 +159,9 @@
     ) -> None:
         """Forwards complete events, starting after the last one of a former attempt.
 
-        :raises SendFailure: if the stream breaks off, ends within an event, or is idle
-            for too long; a further attempt may then resume it at another endpoint.
+        :raises SendFailure: if the stream breaks off, ends before its first event or
+            within an event, or is idle for too long; a further attempt may then resume
+            it at another endpoint.
         """
         self._events.discard_partial()
         self._progress = Progress.BEGUN
@@ -178,8 +179,9 @@
                 await self.reply.send_events(events)
             else:
                 await self.reply.start_stream(response.head, events)
-        if self._events.has_partial:
-            detail = "the stream ended within an event"
+        is_resumed = self._events.last_id is not None
+        if self._events.has_partial or not (self.reply.started or is_resumed):
+            detail = "the stream ended before its first event or within an event"
             raise SendFailure(detail, True, "cut_short", is_broken_off=True)
         if not self.reply.started:
             await self.reply.start_stream(response.head, b"")
