--- a/cicadacourse/quarantine/_service.py
+++ b/cicadacourse/quarantine/_service.py
@@ -84,6 +84,10 @@
                 return permit.wait_s
         return 0.0
 
+    def is_suspected(self, part: str) -> bool:
+        """Returns whether requests with a part are sent as trials only."""
+        return part in self._verdicts()
+
     def record_success(self, parts: Sequence[str]) -> None:
         """Records that a request with these shared parts has succeeded."""
         for part in parts:
--- a/cicadacourse/quarantine/_verdicts.py
+++ b/cicadacourse/quarantine/_verdicts.py
@@ -2,9 +2,9 @@
 
 The expected load is requests with one bad part among many sound ones. An engine crashes
 as soon as it begins to answer a prompt with the bad part; all that is in progress there
-breaks off as well. A request that had got events can't be the cause. Of the others, a
-part that was in a successful request since the crash is sound; one that never was is
-more suspect than one that was before.
+breaks off as well. A request that had got events can't be the cause. The parts of the
+others are blamed: one that was in a successful request since the crash is sound, and one
+that never was is more suspect than one that was before.
 """
 
 from __future__ import annotations
@@ -123,23 +123,13 @@
 def choose_blamed(records: Sequence[PartRecord], has_begun: bool) -> list[str]:
     """Returns the parts of one prompt that are blamed for the crash of its engine.
 
+    All of them are if the response had begun: successes clear those that are sound. If
+    not, only those are that are not known to have been in a successful request.
+
     :param records: what is known of each shared part of the prompt.
-    :param has_begun: whether the response had begun. If not, only parts are blamed that
-        are not known to have been in a successful request.
+    :param has_begun: whether the response had begun.
     """
-    if not has_begun:
-        return [item.part for item in records if item.succeeded_at is None]
-    if not records:
-        return []
-    most = max(_suspicion(item) for item in records)
-    return [item.part for item in records if _suspicion(item) == most]
-
-
-def _suspicion(record: PartRecord) -> tuple[float, float]:
-    """Returns a higher rank for more crashes and for an earlier last success."""
-    if record.succeeded_at is None:
-        return (record.weight, float("inf"))
-    return (record.weight, -record.succeeded_at)
+    return [item.part for item in records if has_begun or item.succeeded_at is None]
 
 
 def _unexplained(crashes: Mapping[int, float], explained: set[int]) -> float:
