--- a/tests/test_quarantine/test_quarantine_verdicts.py
+++ b/tests/test_quarantine/test_quarantine_verdicts.py
@@ -1,4 +1,4 @@
-"""Which parts are blamed for crashes: a bad one, not those that were there by chance."""
+"""Which parts are blamed for crashes: a bad one, not those there by chance."""
 
 from __future__ import annotations
 
