Evidence: an instance asks another for all facts when it starts or resumes

Cause: facts came with the others' next load reports only, and requests came before. Change: at its start and after a pause an instance fetches the facts of another one; prompts with shared parts wait up to 0.5 s for them. Verdicts are renewed once for all facts that come together.

--- a/cicadacourse/evidence/_messages.py
+++ b/cicadacourse/evidence/_messages.py
@@ -20,6 +20,13 @@
     age_ms: int = 0
 
 
+@message("evidence.FetchFacts")
+class FetchFacts:
+    """Asks an instance for all facts that it knows."""
+
+    sender: str
+
+
 @message("evidence.Facts")
 class FactReports:
     """Some of the facts that an instance knows."""
@@ -27,23 +34,19 @@
     facts: tuple[FactReport, ...] = ()
 
 
-def encode_facts(facts: list[Fact], now_s: float) -> bytes:
-    """Returns the bytes of facts, none if there are no facts.
+def to_reports(facts: list[Fact], now_s: float) -> FactReports:
+    """Returns the message that holds facts.
 
     :param now_s: loop time in seconds.
     """
-    if not facts:
-        return b""
-    return encode(FactReports(facts=tuple(_to_report(item, now_s) for item in facts)))
+    return FactReports(facts=tuple(_to_report(item, now_s) for item in facts))
 
 
-def decode_facts(body: bytes, received_at_s: float) -> list[Fact]:
-    """Returns the facts that bytes hold; kinds that are not known here are left out.
+def to_facts(reports: FactReports, received_at_s: float) -> list[Fact]:
+    """Returns the facts of a message; kinds that are not known here are left out.
 
     :param received_at_s: loop time in seconds.
-    :raises MalformedMessage: if the bytes are malformed.
     """
-    reports: FactReports = decode("evidence.Facts", body)
     return [
         _to_fact(item, received_at_s)
         for item in reports.facts
@@ -51,6 +54,23 @@
     ]
 
 
+def encode_facts(facts: list[Fact], now_s: float) -> bytes:
+    """Returns the bytes of facts, none if there are no facts.
+
+    :param now_s: loop time in seconds.
+    """
+    return encode(to_reports(facts, now_s)) if facts else b""
+
+
+def decode_facts(body: bytes, received_at_s: float) -> list[Fact]:
+    """Returns the facts that bytes hold, as :func:`to_facts` does.
+
+    :param received_at_s: loop time in seconds.
+    :raises MalformedMessage: if the bytes are malformed.
+    """
+    return to_facts(decode("evidence.Facts", body), received_at_s)
+
+
 def _to_report(fact: Fact, now_s: float) -> FactReport:
     age_ms = round(max(0.0, now_s - fact.observed_at) * MS_PER_S)
     return FactReport(
--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -219,6 +219,12 @@
     "Observations that came with a load report of `source` could not be read.",
     True,
 )
+FACTS_NOT_FETCHED = _declare(
+    "evidence",
+    "facts not fetched",
+    "After a start or a pause, no other instance told its observations in time; they"
+    " come with load reports later.",
+)
 ENDPOINT_LIMIT_CHANGED = _declare(
     "limits",
     "endpoint limit changed",
--- a/cicadacourse/quarantine/_service.py
+++ b/cicadacourse/quarantine/_service.py
@@ -48,6 +48,8 @@
 MAX_VINDICATION_DELAY_S = 0.05
 # Successes that are known to be this recent are not told again.
 SUCCESS_NEWS_S = 1.0
+# How long a request waits after a start or a pause for the others' evidence.
+MAX_SYNC_WAIT_S = 0.5
 # For this long, verdicts are not renewed though facts may have expired.
 VERDICT_LIFETIME_S = 1.0
 
@@ -65,6 +67,7 @@
         self._succeeded_at_by_part: OrderedDict[str, float] = OrderedDict()
         self._verdict_by_part: dict[str, Verdict] = {}
         self._judged_at = float("-inf")
+        self._is_outdated = False
         self._evidence.subscribe(PART_CRASH, self._crash_received)
         self._evidence.subscribe(PART_SUCCESS, self._success_received)
 
@@ -73,6 +76,9 @@
 
         Otherwise returns after how many seconds the next one may be sent.
         """
+        if not parts:
+            return 0.0
+        await self._evidence.wait_until_synced(MAX_SYNC_WAIT_S)
         verdict_by_part = self._verdicts()
         for part in parts:
             verdict = verdict_by_part.get(part)
@@ -132,13 +138,14 @@
         return max(times, default=None)
 
     def _verdicts(self) -> dict[str, Verdict]:
-        if now() - self._judged_at > VERDICT_LIFETIME_S:
+        if self._is_outdated or now() - self._judged_at > VERDICT_LIFETIME_S:
             self._judge()
         return self._verdict_by_part
 
     def _judge(self) -> None:
         """Renews the verdicts and logs those that changed."""
         self._judged_at = now()
+        self._is_outdated = False
         former = self._verdict_by_part
         parts = self._evidence.keys(PART_CRASH)
         current = judge([self._record_of(part) for part in parts]) if parts else {}
@@ -157,15 +164,21 @@
                 )
         self.app.metrics.set(SUSPECTED_PARTS, len(current))
 
+    def _schedule_judgement(self) -> None:
+        """Renews the verdicts once all facts that came together are known."""
+        if not self._is_outdated:
+            self._is_outdated = True
+            asyncio.get_running_loop().call_soon(self._verdicts)
+
     def _crash_received(self, fact: Fact, is_own: bool) -> None:
-        self._judge()
+        self._schedule_judgement()
         if not is_own and fact.key in self._succeeded_at_by_part:
             delay_s = random.uniform(0.0, MAX_VINDICATION_DELAY_S)
             loop = asyncio.get_running_loop()
             loop.call_later(delay_s, self._tell_success, fact.key)
 
     def _success_received(self, fact: Fact, is_own: bool) -> None:
-        self._judge()
+        self._schedule_judgement()
 
     def _tell_success(self, part: str) -> None:
         """Tells the others of a part's last success here, unless one is known already.
--- a/cicadacourse/quarantine/_verdicts.py
+++ b/cicadacourse/quarantine/_verdicts.py
@@ -3,8 +3,8 @@
 The expected load is requests with one bad part among many sound ones. An engine crashes
 as soon as it begins to answer a prompt with the bad part; all that is in progress there
 breaks off as well. A request that had got events can't be the cause. The parts of the
-others are blamed: one that was in a successful request since the crash is sound, and one
-that never was is more suspect than one that was before.
+others are blamed: one that was in a successful request since the crash is sound, and
+one that never was is more suspect than one that was before.
 """
 
 from __future__ import annotations
--- a/cicadacourse/schema/evidence.capnp
+++ b/cicadacourse/schema/evidence.capnp
@@ -11,6 +11,11 @@
   ageMs @4 :UInt32;
 }
 
+struct FetchFacts {
+  # Asks an instance for all facts that it knows.
+  sender @0 :Text;
+}
+
 struct Facts {
   # Some of the facts that the sender knows, of whichever instance.
   facts @0 :List(Fact);
--- a/tests/test_quarantine/test_quarantine_failures.py
+++ b/tests/test_quarantine/test_quarantine_failures.py
@@ -79,6 +79,26 @@
     run(_later_instance)
 
 
+async def _just_started() -> None:
+    async with gateway_cluster(3, make_endpoints(ENDPOINTS)) as cluster:
+        crash_on(cluster, "bad")
+        await _send_bad(cluster, 3)
+        await asyncio.sleep(4.0)
+        await _send_bad(cluster, 3)
+        await asyncio.sleep(4.0)
+        lost = len(cluster.crashed_at)
+        await cluster.memory.kill("n1")
+        await cluster.memory.start("n1")
+        reply = await cluster.send("n1", shared_part_ids=BAD)
+        assert reply.status == 503
+        assert len(cluster.crashed_at) == lost
+
+
+def test_an_instance_that_has_just_started_asks_first() -> None:
+    """Each restart cost an endpoint (soak scenario ``prompts``, seed 22)."""
+    run(_just_started)
+
+
 async def _not_repeated() -> None:
     async with gateway_cluster(3, make_endpoints(ENDPOINTS)) as cluster:
         crash_on(cluster, "bad")
