--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -21,6 +21,7 @@
 from soak._environment import SoakEnvironment
 from soak._faults import FAULTS, inject_faults, plan_faults
 from soak._limit_scenario import LIMIT_FAULTS, run_limit_scenario
+from soak._prompt_scenario import PROMPT_FAULTS, run_prompt_scenario
 from soak._scenario import run_scenario
 
 SEEDS = pathlib.Path(__file__).with_name("SEEDS.txt")
@@ -29,6 +30,7 @@
     "faults": (run_scenario, FAULTS),
     "configurations": (run_configuration_scenario, CONFIGURATION_FAULTS),
     "limits": (run_limit_scenario, LIMIT_FAULTS),
+    "prompts": (run_prompt_scenario, PROMPT_FAULTS),
 }
 
 
@@ -49,7 +51,7 @@
         choices=sorted(SCENARIOS),
         default="faults",
         help="faults of all kinds, a configuration that changes each second,"
-        " or endpoints that name limits",
+        " endpoints that name limits, or prompts that crash engines",
     )
     add("--kept", action="store_true", help="run every line of SEEDS.txt instead")
     add(
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -6,7 +6,8 @@
 import contextlib
 import itertools
 import random
-from typing import Iterator
+from types import MappingProxyType
+from typing import Iterator, Mapping
 
 import attrs
 
@@ -26,6 +27,7 @@
 RETRY_PAUSE_S = 0.15
 # The mean pause of a caller between the end of a request and the next one.
 REQUEST_PAUSE_S = 0.1
+NO_HEADERS: Mapping[str, str] = MappingProxyType({})
 
 
 @attrs.frozen
@@ -111,14 +113,18 @@
     def _make_chooser(self) -> random.Random:
         return self.environment.random_for(self.name)
 
-    async def request(self, kind: RequestKind, key: str) -> list[Attempt]:
+    async def request(
+        self, kind: RequestKind, key: str, headers: Mapping[str, str] = NO_HEADERS
+    ) -> list[Attempt]:
         """Sends one request with its retries and returns all attempts.
 
         A request that is not idempotent is retried only if it was not executed.
+
+        :param headers: further header fields.
         """
         attempts: list[Attempt] = []
         for _ in range(MAX_ATTEMPTS):
-            attempt = await self.send(kind, key)
+            attempt = await self.send(kind, key, headers)
             if attempt is None:
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
@@ -130,7 +136,9 @@
             await asyncio.sleep(RETRY_PAUSE_S)
         return attempts
 
-    async def send(self, kind: RequestKind, key: str) -> Attempt | None:
+    async def send(
+        self, kind: RequestKind, key: str, headers: Mapping[str, str] = NO_HEADERS
+    ) -> Attempt | None:
         """Sends one attempt and returns it, or None if no connection opens."""
         if not await self._connect():
             return None
@@ -139,7 +147,9 @@
         started = now()
         tokens = f"{kind.tokens},{kind.output_tokens}" if kind.tokens else None
         timeout_ms = int(TIMEOUT_S * 1000)
-        self._writer.write(encode_request(kind.path, id, timeout_ms, key, tokens))
+        self._writer.write(
+            encode_request(kind.path, id, timeout_ms, key, tokens, headers=headers)
+        )
         response = None
         try:
             async with asyncio.timeout(TIMEOUT_S + RESPONSE_GRACE_S):
--- a/soak/_environment.py
+++ b/soak/_environment.py
@@ -37,12 +37,15 @@
     :param link_bytes_per_s: how fast each instance sends to the store and in response
         to other instances, and how fast it receives from them; None for no limit. The
         instances then call each other through proxies.
+    :param has_endpoint_links: whether each endpoint is reached through a proxy, which
+        accepts connections also when the endpoint has ended.
     """
 
     size: int
     engines_per_instance: int = ENGINES_PER_INSTANCE
     domains: tuple[str, ...] = DOMAINS
     link_bytes_per_s: float | None = None
+    has_endpoint_links: bool = True
 
 
 @attrs.define(eq=False)
@@ -54,6 +57,7 @@
     :param seed: determines the load and the faults.
     :param random: draws the faults; each caller has a generator of its own.
     :param stack: closes the links to the endpoints.
+    :param has_endpoint_links: see :class:`Site`.
     :ivar link_by_endpoint_id: the proxy in front of each endpoint.
     :ivar store_fault_window: the faults that affect all users of the store.
     :ivar version: the version of the newest configuration.
@@ -69,6 +73,7 @@
     seed: int
     random: random.Random
     stack: contextlib.AsyncExitStack
+    has_endpoint_links: bool = True
     link_by_endpoint_id: dict[str, Proxy] = attrs.field(factory=dict)
     store_fault_window: FaultWindow = attrs.field(factory=FaultWindow)
     version: int = 1
@@ -114,13 +119,15 @@
         self.history.record(sent_at, self.added_prefixes, self.keys)
 
     async def add_endpoint(self, is_engine: bool) -> RegisteredEndpoint:
-        """Starts and registers an endpoint that is reached through its own link."""
+        """Starts and registers an endpoint, with a link of its own unless excluded."""
         number = next(self._endpoints)
         domain = DOMAINS[number % len(DOMAINS)]
         if is_engine:
             endpoint = self.fleet.add_engine(f"engine-{number}", domain)
         else:
             endpoint = self.fleet.add_plain_service(f"plain-{number}", domain)
+        if not self.has_endpoint_links:
+            return endpoint
         link = Proxy(f"{self.fleet.host}:{free_port()}", endpoint.address)
         await self.stack.enter_async_context(link.running())
         self.link_by_endpoint_id[endpoint.worker.id] = link
@@ -160,7 +167,12 @@
             _make_instance(folder, number, fleet, site) for number in range(site.size)
         ]
         environment = SoakEnvironment(
-            fleet, instances, seed, random.Random(seed), stack
+            fleet,
+            instances,
+            seed,
+            random.Random(seed),
+            stack,
+            site.has_endpoint_links,
         )
         for link in environment.links():
             await stack.enter_async_context(link.running())
--- /dev/null
+++ b/soak/_prompt_scenario.py
@@ -0,0 +1,131 @@
+"""Prompts with a part that crashes engines, while instances have faults.
+
+Few engines may be lost to each bad part, and sound prompts that share the other parts
+with it must be served.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+import random
+
+import attrs
+
+from cicadacourse.platform import _names as names
+from cicadacourse.registry import Registry
+from soak._callers import REQUEST_PAUSE_S, SHORT, Attempt, Caller
+from soak._checks import InvariantChecker
+from soak._environment import Site, SoakEnvironment, clear_faults, running_environment
+from soak._faults import Fault, freeze, impair_store_link, kill, restart
+from soak._scenario import (
+    RECOVERY_S,
+    WARM_UP_S,
+    FaultInjector,
+    check_recovered,
+    stop_callers,
+)
+
+ENGINES_PER_INSTANCE = 3
+SOUND_CALLERS_PER_INSTANCE = 2
+BAD_CALLERS = 4
+BAD_PAUSE_S = 1.0
+# Instances that restart have lost what they knew; each such time costs no more engines
+# than one bad part, as the others tell them.
+MAX_LOST = 6
+# The share of sound requests that must be served in the end, with callers' retries.
+MIN_SERVED_SHARE = 0.8
+
+PROMPT_FAULTS: Registry[Fault] = Registry("fault")
+PROMPT_FAULTS.register("restart")(restart)
+PROMPT_FAULTS.register("kill")(kill)
+PROMPT_FAULTS.register("freeze")(freeze)
+PROMPT_FAULTS.register("store-link")(impair_store_link)
+
+
+@attrs.define
+class SoundRequests:
+    """Counts the sound requests of a run and those that were served."""
+
+    sent: int = 0
+    served: int = 0
+
+    def record(self, attempts: list[Attempt]) -> None:
+        """Records all attempts of one request."""
+        self.sent += 1
+        self.served += any(item.status == 200 for item in attempts)
+
+
+async def run_prompt_scenario(
+    folder: pathlib.Path, seed: int, size: int, inject: FaultInjector
+) -> InvariantChecker:
+    """Runs one seed; see :func:`soak._scenario.run_scenario`."""
+    site = Site(size, ENGINES_PER_INSTANCE, has_endpoint_links=False)
+    async with running_environment(folder, seed, site) as environment:
+        checker, sound = InvariantChecker(environment), SoundRequests()
+        for endpoint in environment.fleet.endpoint_by_id.values():
+            endpoint.worker.crashing_part_ids = {"bad"}
+        await asyncio.sleep(WARM_UP_S)
+        runs = [
+            _send_sound(checker, Caller(environment, f"c{number}"), sound)
+            for number in range(SOUND_CALLERS_PER_INSTANCE * size)
+        ]
+        for number in range(BAD_CALLERS):
+            runs.append(_send_bad(Caller(environment, f"bad{number}")))
+        tasks = [asyncio.create_task(run) for run in runs]
+        await inject(environment)
+        await clear_faults(environment)
+        await asyncio.sleep(RECOVERY_S)
+        await stop_callers(tasks)
+        await check_recovered(checker, Caller(environment, "last"), (SHORT,))
+        for instance in environment.instances:
+            await instance.stop()
+        checker.check_final_state()
+        _check_losses(checker, environment, sound)
+    return checker
+
+
+def _draw_headers(chooser: random.Random, *parts: str) -> dict[str, str]:
+    """Returns the header that names a prompt's parts: a common one, others, its own."""
+    first = f"first{chooser.randrange(2)}"
+    own = f"own{chooser.randrange(10**9)}"
+    value = ",".join(f"{part}:100" for part in (first, *parts, own))
+    return {names.HEADER_PROMPT_PARTS: value}
+
+
+async def _send_sound(
+    checker: InvariantChecker, caller: Caller, sound: SoundRequests
+) -> None:
+    chooser, key = caller.chooser, checker.environment.keys[0]
+    with contextlib.closing(caller):
+        while True:
+            headers = _draw_headers(chooser, f"s{int(chooser.paretovariate(0.7))}")
+            attempts = await caller.request(SHORT, key, headers)
+            sound.record(attempts)
+            checker.check_request(attempts)
+            await asyncio.sleep(chooser.expovariate(1 / REQUEST_PAUSE_S))
+
+
+async def _send_bad(caller: Caller) -> None:
+    chooser, key = caller.chooser, caller.environment.keys[0]
+    with contextlib.closing(caller):
+        while True:
+            await caller.send(SHORT, key, _draw_headers(chooser, "bad"))
+            caller.close()
+            await asyncio.sleep(chooser.expovariate(1 / BAD_PAUSE_S))
+
+
+def _check_losses(
+    checker: InvariantChecker, environment: SoakEnvironment, sound: SoundRequests
+) -> None:
+    lost = len(environment.fleet.crashed_ids)
+    print(
+        f"{lost} engines crashed; {sound.served} of {sound.sent} sound requests served"
+    )
+    if lost > MAX_LOST:
+        checker.violations.append(f"{lost} engines crashed under one part of prompts")
+    if sound.served < MIN_SERVED_SHARE * sound.sent:
+        checker.violations.append(
+            f"only {sound.served} of {sound.sent} sound requests were served"
+        )
