Relay: a neighbour's report looks at all neighbours only while this instance is behind

Change: it is asked only if the mark is set. Result: test_a_report_looks_at_no_other_neighbour_while_none_is_ahead failed before, passes.

--- a/cicadacourse/feed/_delegation.py
+++ b/cicadacourse/feed/_delegation.py
@@ -54,6 +54,10 @@
         """
         self._behind_since_by_subject.setdefault(subject, now_s)
 
+    def is_behind(self, subject: str) -> bool:
+        """Returns whether others have a newer state of a subject, as far as is known."""
+        return subject in self._behind_since_by_subject
+
     def mark_caught_up(self, subject: str) -> None:
         """Records that this instance is up to date with the others on a subject."""
         self._behind_since_by_subject.pop(subject, None)
--- a/cicadacourse/feed/_relay.py
+++ b/cicadacourse/feed/_relay.py
@@ -147,7 +147,8 @@
         self._delegation.record_read(instance, age_s, now())
         self._offset_by_instance[instance] = offset
         if offset <= self._catalog_service.registry_offset:
-            if not self._is_neighbour_ahead():
+            is_behind = self._delegation.is_behind(REGISTRY)
+            if is_behind and not self._is_neighbour_ahead():
                 self._delegation.mark_caught_up(REGISTRY)
             return
         if not self._feed.is_store_reader():
--- a/tests/test_feed/test_feed_relay.py
+++ b/tests/test_feed/test_feed_relay.py
@@ -342,3 +342,16 @@
                 app.events.emit(REGISTRY_OFFSET_RECEIVED, name, offset, 0.1)
             await asyncio.sleep(0.1)
         assert delegation.is_store_reader("one", ["one", *NEIGHBOURS], now())
+
+
+async def test_a_report_looks_at_no_other_neighbour_while_none_is_ahead():
+    """With 80 instances, that took a fifth of an instance's processor time."""
+    async with relaying([f"n{number}" for number in range(12)]) as cluster:
+        app = cluster.application_by_name["n0"]
+        app.get("catalog").mark_registry_known()
+        membership, looked_up = app.get("membership"), []
+        find = membership.find
+        membership.find = lambda name: looked_up.append(name) or find(name)
+        for _ in range(50):
+            app.events.emit(REGISTRY_OFFSET_RECEIVED, "n1", 0, 0.1)
+        assert len(looked_up) <= 50
