--- a/cicadacourse/feed/_delegation.py
+++ b/cicadacourse/feed/_delegation.py
@@ -55,7 +55,7 @@
         self._behind_since_by_subject.setdefault(subject, now_s)
 
     def is_behind(self, subject: str) -> bool:
-        """Returns whether others have a newer state of a subject, as far as is known."""
+        """Returns whether others are known to have a newer state of a subject."""
         return subject in self._behind_since_by_subject
 
     def mark_caught_up(self, subject: str) -> None:
