--- a/cicadacourse/events.py
+++ b/cicadacourse/events.py
@@ -27,6 +27,8 @@
 # last read the registry.
 REGISTRY_OFFSET_RECEIVED = "registry-offset-received"
 RESUMED_AFTER_PAUSE = "resumed-after-pause"
+# The store has come back from a copy and has lost the latest records.
+STORE_RESTORED = "store-restored"
 # The reporting instance's name, and the bytes that came with its load report.
 ATTACHMENT_RECEIVED = "attachment-received"
 
@@ -41,6 +43,7 @@
         CATALOG_VERSION_RECEIVED,
         REGISTRY_OFFSET_RECEIVED,
         RESUMED_AFTER_PAUSE,
+        STORE_RESTORED,
         ATTACHMENT_RECEIVED,
     }
 )
--- a/cicadacourse/feed/_registry_feed.py
+++ b/cicadacourse/feed/_registry_feed.py
@@ -6,14 +6,19 @@
 from typing import Iterable
 
 from cicadacourse.application import Application
-from cicadacourse.catalog import CatalogService, Endpoint
-from cicadacourse.events import ENDPOINT_CHANGED, RESUMED_AFTER_PAUSE
+from cicadacourse.catalog import CatalogService, Endpoint, EndpointState
+from cicadacourse.events import ENDPOINT_CHANGED, RESUMED_AFTER_PAUSE, STORE_RESTORED
 from cicadacourse.logs import ENDPOINT_GONE, ENDPOINT_LISTED, REGISTRY_READ, log
 from cicadacourse.util.clock import now
 
 # If the store recovers this soon after the instance resumed from a pause, there was no
 # outage of the store: the pause alone made the reads fail.
 RESUME_GRACE_S = 2.0
+# For this long after the store came back from a copy, its entries may be older than
+# what is known here. Endpoints renew theirs within a few seconds, and others expire.
+RESTORED_GRACE_S = 6.0
+# Bounds the memory of processes that were removed.
+MAX_REMOVED_PROCESSES = 1000
 
 
 class RegistryFeed:
@@ -38,7 +43,10 @@
         self._resumed_at: float | None = None
         self._removal_timer_by_id: dict[str, asyncio.TimerHandle] = {}
         self._has_changed = False
+        self._restored_at: float | None = None
+        self._removed_at_by_process: dict[tuple[str, int | None], float] = {}
         app.events.connect(RESUMED_AFTER_PAUSE, self._record_resume)
+        app.events.connect(STORE_RESTORED, self._record_restored)
 
     def record_store_recovered(self) -> None:
         """Starts the period in which endpoints without an entry are held.
@@ -49,6 +57,11 @@
         if resumed_at is None or now() - resumed_at > RESUME_GRACE_S:
             self._recovered_at = now()
 
+    def _record_restored(self) -> None:
+        """Starts the period in which entries may be older than what is known here."""
+        self._recovered_at = now()
+        self._restored_at = now()
+
     def _record_resume(self) -> None:
         self._resumed_at = now()
         self._recovered_at = None
@@ -92,7 +105,7 @@
         if timer is not None:
             timer.cancel()
         known_endpoint = self._registry.find(endpoint.id)
-        if known_endpoint == endpoint:
+        if known_endpoint == endpoint or self._is_outdated(endpoint, known_endpoint):
             return
         self._registry.put(endpoint)
         self._has_changed = True
@@ -133,9 +146,31 @@
         if endpoint is None:
             return
         self._has_changed = True
+        self._record_removed(endpoint)
         log(ENDPOINT_GONE, endpoint=endpoint_id, reason=reason)
         self._app.events.emit(ENDPOINT_CHANGED, endpoint)
 
+    def _record_removed(self, endpoint: Endpoint) -> None:
+        self._removed_at_by_process[endpoint.id, endpoint.started_ms] = now()
+        if len(self._removed_at_by_process) > MAX_REMOVED_PROCESSES:
+            del self._removed_at_by_process[next(iter(self._removed_at_by_process))]
+
+    def _is_outdated(self, endpoint: Endpoint, known: Endpoint | None) -> bool:
+        """Returns whether an entry of a restored store is older than what is known.
+
+        It is if it lists a process that was removed here, or one as ready that is
+        leaving.
+        """
+        if self._restored_at is None or now() - self._restored_at > RESTORED_GRACE_S:
+            return False
+        if (endpoint.id, endpoint.started_ms) in self._removed_at_by_process:
+            return known is None
+        return (
+            known is not None
+            and known.is_same_process(endpoint)
+            and known.state is EndpointState.LEAVING
+        )
+
     def _hold_left_s(self) -> float:
         if self._recovered_at is None:
             return 0.0
--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -145,6 +145,13 @@
 STORE_RECOVERED = _declare(
     "store", "store regained", "Reads of `topic` succeed again after `lost_for_s`."
 )
+STORE_RESTORED = _declare(
+    "store",
+    "store restored",
+    "The store has come back from a copy and lost its latest records; `era` counts such"
+    " times. All topics are read again, and this instance announces itself again.",
+    True,
+)
 RECORDS_TRIMMED = _declare(
     "store",
     "records were deleted before they were read",
--- a/cicadacourse/platform/_instances.py
+++ b/cicadacourse/platform/_instances.py
@@ -12,6 +12,7 @@
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.config import InstanceSettings, parse_address
 from cicadacourse.errors import Error
+from cicadacourse.events import STORE_RESTORED
 from cicadacourse.logs import (
     ENDPOINT_ENTRY_REFUSED,
     INSTANCE_ANNOUNCED,
@@ -45,17 +46,26 @@
         self._store: Store = app.get("store")
         self._peer_port = self._instance.peer_address.rpartition(":")[2]
         self._seeds = app.settings.get(ListenSettings).seeds
+        self._task: asyncio.Task[None] | None = None
+        app.events.connect(STORE_RESTORED, self._announce_again)
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Announces this instance, with retries until the store accepts the record."""
-        task = asyncio.create_task(self._announce())
+        self._task = asyncio.create_task(self._announce())
         try:
             yield
         finally:
+            task, self._task = self._task, None
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
 
+    def _announce_again(self) -> None:
+        """Writes the record once more, as a restored store may have lost it."""
+        if self._task is not None:
+            self._task.cancel()
+            self._task = asyncio.create_task(self._announce())
+
     async def fetch(self, timeout_s: float) -> Result[tuple[Contact, ...], Error]:
         """Returns the stored instances, and the seeds that are not stored.
 
--- a/cicadacourse/platform/_records.py
+++ b/cicadacourse/platform/_records.py
@@ -29,8 +29,10 @@
     """Records of a topic: consecutive ones, or the newest of each key.
 
     :param records: in the order in which they were appended, if they are consecutive.
-    :param end: the offset at which the next read starts.
-    :param is_trimmed: whether records were deleted before they were read.
+    :param end: the offset at which the next read starts; a position once the store's
+        client returns the batch.
+    :param is_trimmed: whether records were deleted, or lost by the store, before they
+        were read.
     :param has_more: whether the topic goes on after ``end``, as the store bounds the
         size of a response.
     """
--- a/cicadacourse/platform/_store.py
+++ b/cicadacourse/platform/_store.py
@@ -7,12 +7,17 @@
 from typing import Any, AsyncIterator, Collection
 from urllib.parse import urlencode
 
+import attrs
 from returns.result import Failure, Result, Success
 
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.errors import Error, ErrorKind
+from cicadacourse.events import STORE_RESTORED as STORE_RESTORED_EVENT
+from cicadacourse.logs import STORE_RESTORED, log
 from cicadacourse.metrics import Metrics
+from cicadacourse.platform import _names as names
 from cicadacourse.platform._names import PATH_APPEND, PATH_NEWEST, PATH_READ
+from cicadacourse.platform._positions import era_of, make_position, offset_of
 from cicadacourse.platform._records import (
     KeyedBatch,
     KeyedRecord,
@@ -55,6 +60,7 @@
     def __init__(self, settings: StoreSettings, metrics: Metrics) -> None:
         self.settings = settings
         self._metrics = metrics
+        self._era: int | None = None
         self._http = HttpClient()
 
     def close(self) -> None:
@@ -62,13 +68,15 @@
         self._http.close()
 
     async def read(
-        self, topic: str, offset: int, wait_s: float
+        self, topic: str, position: int, wait_s: float
     ) -> Result[KeyedBatch, Error]:
-        """Reads records from an offset by a long poll.
+        """Reads records from a position by a long poll.
 
         :param wait_s: how long the store waits for a first record, in seconds.
-        :returns: a batch that is trimmed if records from the offset on were deleted.
+        :returns: a batch that is trimmed if records from the position on were deleted,
+            or if the store has come back from a copy since.
         """
+        offset = offset_of(position)
         query = {
             "topic": topic,
             "part": _PARTITION,
@@ -79,12 +87,13 @@
         match await self._call(
             "GET", PATH_READ, query, timeout_s, accepted=(_OK, _GONE)
         ):
-            case Success(response) if response.status == _GONE:
-                return Success(KeyedBatch((), offset, is_trimmed=True))
+            case Success(response) if self._is_unreadable(response, position):
+                return Success(KeyedBatch((), position, is_trimmed=True))
             case Success(response):
-                return self._parse(
+                batch = self._parse(
                     PATH_READ, response, lambda body: parse_batch(body, offset)
                 )
+                return batch.map(lambda item: _in_era(item, era_of(position)))
             case failure:
                 return Failure(failure.failure())
 
@@ -101,6 +110,7 @@
         timeout_s = timeout_s or self.settings.timeout_s
         records: list[KeyedRecord] = []
         end: int | None = None
+        era: int | None = None
         query: dict[str, Any] = {"topic": topic, "part": _PARTITION}
         for _ in range(_MAX_PAGES):
             match await self._call("GET", PATH_NEWEST, query, timeout_s):
@@ -110,11 +120,15 @@
                     return Failure(failure.failure())
             if isinstance(page, Failure):
                 return page
+            if era is not None and era != _era_of_response(response):
+                detail = f"{topic} was restored while it was read"
+                return Failure(Error(ErrorKind.STORE_UNAVAILABLE, detail))
+            era = _era_of_response(response)
             current = page.unwrap()
             records.extend(current.records)
             end = current.end if end is None else end
             if not current.has_more:
-                return Success(KeyedBatch(tuple(records), end))
+                return Success(_in_era(KeyedBatch(tuple(records), end), era))
             query["after"] = current.records[-1].key
         return Failure(
             Error(ErrorKind.STORE_UNAVAILABLE, f"{topic} has too many pages")
@@ -125,7 +139,7 @@
     ) -> Result[None, Error]:
         """Appends a record with a key's new value; the call is never retried.
 
-        :param expected_end: appends only if the topic still ends at this offset, else
+        :param expected_end: appends only if the topic still ends at this position, else
             fails with ``VERSION_CONFLICT``.
         :returns: a Failure of kind ``STORE_OUTCOME_UNKNOWN`` if the append may have
             taken effect; after any other kind it has not.
@@ -133,7 +147,10 @@
         body = pack_record(key, value)
         query = {"topic": topic, "part": _PARTITION}
         if expected_end is not None:
-            query["at"] = expected_end
+            if self._era is not None and era_of(expected_end) != self._era:
+                detail = f"{topic} was restored since it was read"
+                return Failure(Error(ErrorKind.VERSION_CONFLICT, detail))
+            query["at"] = offset_of(expected_end)
         timeout_s = self.settings.timeout_s
         match await self._call("POST", PATH_APPEND, query, timeout_s, body):
             case Success(_):
@@ -163,11 +180,29 @@
                 kind = ErrorKind.STORE_OUTCOME_UNKNOWN
             return Failure(Error(kind, str(error)))
         self._metrics.count(STORE_CALLS, call=path, outcome=str(response.status))
+        self._observe_era(response)
         if response.status in accepted:
             return Success(response)
         kind = KIND_BY_STATUS.get(response.status, ErrorKind.STORE_OUTCOME_UNKNOWN)
         return Failure(Error(kind, f"{path} answered with status {response.status}"))
 
+    def on_restored(self, era: int) -> None:
+        """Called when the store has come back from a copy; its era has risen."""
+
+    def _observe_era(self, response: HttpResponse) -> None:
+        if names.HEADER_STORE_ERA.lower() not in response.headers:
+            return
+        era = _era_of_response(response)
+        if self._era is not None and era > self._era:
+            self._era = era
+            self.on_restored(era)
+        self._era = max(era, self._era or 0)
+
+    def _is_unreadable(self, response: HttpResponse, position: int) -> bool:
+        """Returns whether the records from a position on are not in the store."""
+        is_other_era = _era_of_response(response) != era_of(position)
+        return response.status == _GONE or is_other_era
+
     def _parse(
         self, path: str, response: HttpResponse, parse: Any
     ) -> Result[Any, Error]:
@@ -178,6 +213,17 @@
             return Failure(Error(ErrorKind.STORE_UNAVAILABLE, detail))
 
 
+def _era_of_response(response: HttpResponse) -> int:
+    """Returns the store's era, 0 if a response names none or a malformed one."""
+    text = response.headers.get(names.HEADER_STORE_ERA.lower(), "")
+    return int(text) if text.isdecimal() else 0
+
+
+def _in_era(batch: KeyedBatch, era: int) -> KeyedBatch:
+    """Returns a batch whose end is a position instead of an offset."""
+    return attrs.evolve(batch, end=make_position(era, batch.end))
+
+
 @SERVICES.register("store")
 class Store(Service, StoreClient):
     """The service ``store``: the instance's client of the store."""
@@ -188,6 +234,11 @@
         Service.__init__(self, app)
         StoreClient.__init__(self, app.settings.get(StoreSettings), app.metrics)
 
+    def on_restored(self, era: int) -> None:
+        """Logs and emits that the store has come back from a copy."""
+        log(STORE_RESTORED, era=era)
+        self.app.events.emit(STORE_RESTORED_EVENT)
+
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Keeps connections to the store while the instance runs."""
--- a/cicadacourse/util/http.py
+++ b/cicadacourse/util/http.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import json
-from typing import Any, Callable
+from types import MappingProxyType
+from typing import Any, Callable, Mapping
 
 import attrs
 import pycurl
@@ -32,10 +33,11 @@
 
 @attrs.frozen
 class HttpResponse:
-    """The status and the body of a response."""
+    """The status and the body of a response, and its headers by lower-case name."""
 
     status: int
     body: bytes
+    headers: Mapping[str, str] = MappingProxyType({})
 
     def json(self) -> Any:
         """Returns the body parsed as JSON.
@@ -94,7 +96,8 @@
         except CurlError as error:
             sent = error.errno not in _NEVER_SENT
             raise HttpError(f"{address}: {error}", sent) from error
-        return HttpResponse(response.code, response.body or b"")
+        headers = {name.lower(): text for name, text in response.headers.get_all()}
+        return HttpResponse(response.code, response.body or b"", headers)
 
     def close(self) -> None:
         """Closes every connection."""
--- a/standins/platform/_store.py
+++ b/standins/platform/_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import copy
 import random
 import struct
 from collections import defaultdict
@@ -62,11 +63,13 @@
 
     :param seed: seeds the choice of the appends whose response is lost.
     :ivar calls: the number of calls over HTTP so far.
+    :ivar era: rises by one each time that the store comes back from a copy.
     """
 
     def __init__(self, seed: int = 1) -> None:
         self.faults = StoreFaults()
         self.calls = 0
+        self.era = 0
         self._log_by_topic: dict[str, _TopicLog] = defaultdict(_TopicLog)
         self._appended = asyncio.Event()
         self._random = random.Random(seed)
@@ -119,6 +122,16 @@
         self._appended = asyncio.Event()
         return {"offset": offset, "end": log.end_offset}
 
+    def take_copy(self) -> dict[str, _TopicLog]:
+        """Returns a copy of all topics, from which the store can be restored."""
+        return copy.deepcopy(dict(self._log_by_topic))
+
+    def restore(self, copied: dict[str, _TopicLog]) -> None:
+        """Replaces all topics by those of a copy; what was appended since is lost."""
+        self.era += 1
+        self._log_by_topic.clear()
+        self._log_by_topic.update(copy.deepcopy(copied))
+
     def should_lose_response(self) -> bool:
         """Draws whether the response to an append that was done gets lost."""
         return self._random.random() < self.faults.lost_response_rate
@@ -146,10 +159,11 @@
         :param wait_s: the seconds to wait for a record if there is none yet.
         :param max_bytes: the records of one response have at most this size, except
             that it always holds the first one.
-        :raises Refusal: if the record at the offset is deleted.
+        :raises Refusal: if the record at the offset is deleted, or the topic ends
+            before the offset.
         """
         log = self._log_by_topic[topic]
-        if offset < log.first_offset:
+        if not log.first_offset <= offset <= log.end_offset:
             raise Refusal(410, detail="deleted")
         if offset >= log.end_offset and wait_s > 0:
             await self._wait_for_records(log, offset, wait_s)
--- a/standins/platform/_store_http.py
+++ b/standins/platform/_store_http.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import tornado.web
 
+from cicadacourse.platform import _names as names
 from cicadacourse.util.clock import MS_PER_S
 from standins._http import CoreHandler
 from standins.platform._store import BYTES_PER_KB, DEFAULT_READ_KB, StoreCore
@@ -15,6 +18,12 @@
     async def prepare(self) -> None:
         """Delays or fails the call as the faults say; called by tornado."""
         await self.core.apply_faults(self.request.remote_ip)
+        self.set_header(names.HEADER_STORE_ERA, str(self.core.era))
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Names the store's era in refusals as well; called by tornado."""
+        self.set_header(names.HEADER_STORE_ERA, str(self.core.era))
+        super().write_error(status_code, **kwargs)
 
     def query(self, name: str, default: str = "") -> str:
         """Returns one parameter of the query string."""
