--- a/tests/test_platform/test_platform_follower.py
+++ b/tests/test_platform/test_platform_follower.py
@@ -259,3 +259,45 @@
     with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
         read = runner.run(_offsets_if_few_records_fit(is_newest_sufficient))
     assert read == offsets
+
+
+class EarlyStore(FakeStore):
+    """A store that answers long polls without records before the wait is over."""
+
+    async def read(
+        self, topic: str, offset: int, wait_s: float
+    ) -> Result[KeyedBatch, Error]:
+        """Returns no records after a tenth of the wait."""
+        await asyncio.sleep(wait_s / 10)
+        return Success(KeyedBatch((), offset))
+
+
+class ReadCollector(SnapshotCounter):
+    """Collects for each read how long before its end the topic surely ended there."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.ages_s: list[float] = []
+
+    def on_read(self, end: int, as_of: float) -> None:
+        """Collects one read."""
+        self.ages_s.append(now() - as_of)
+
+
+def test_an_empty_long_poll_that_is_answered_early_is_evidence_of_its_start() -> None:
+    """It was taken for evidence of a time that had not come yet."""
+    listener = ReadCollector()
+    follower = TopicFollower(
+        EarlyStore([]), "t", listener, Metrics(), wait_s=WAIT_S, delay_s=DELAY_S
+    )
+
+    async def follow() -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(5 * WAIT_S):
+                await follower.run()
+
+    with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+        runner.run(follow())
+    polls = listener.ages_s[1:]
+    assert len(polls) > 3
+    assert all(age_s >= WAIT_S / 10 - 1e-6 for age_s in polls)
--- a/tests/test_platform/test_platform_freshness.py
+++ b/tests/test_platform/test_platform_freshness.py
@@ -4,10 +4,13 @@
 
 import asyncio
 
+import looptime
 import pytest
 
 from cicadacourse.catalog import CatalogSettings
 from cicadacourse.events import CATALOG_VERSION_RECEIVED
+from cicadacourse.exchange import CallerRequest
+from cicadacourse.util.clock import now
 from standins.platform import Fleet, StoreFaults, make_configuration
 from standins.ports import next_host
 from tests.platform_fleet import (
@@ -16,7 +19,9 @@
     make_instance,
     running_fleet,
     running_instance,
+    wait_until,
 )
+from tests.test_gateway.test_gateway_histories import HOST, FakeReply, make_app
 
 # Reads of the configuration wait for 0.3 s at most.
 LONGEST_READ_S = 0.5
@@ -109,3 +114,46 @@
             fleet.configure(configuration)
             report_newer_version(instance)
             assert (await caller.request("/new/x")).status == 200
+
+
+async def test_a_newest_version_that_can_not_be_read_leaves_no_evidence() -> None:
+    """The version in force counted as the newest, though a later one was written."""
+    async with running_fleet() as fleet:
+        instance = make_instance(fleet, "one", next_host())
+        async with running_instance(instance):
+            freshness = instance.app.get("catalog").freshness
+            read_at = freshness.read_at
+            await wait_until(lambda: freshness.read_at > read_at)
+            fleet.store.put("keyed.op", "config", b"not a configuration")
+            await asyncio.sleep(LONGEST_READ_S)
+            read_at = freshness.read_at
+            await asyncio.sleep(2 * LONGEST_READ_S)
+            assert freshness.read_at == read_at
+
+
+async def _deny_with_little_time() -> None:
+    app = make_app()
+    app.events.emit(CATALOG_VERSION_RECEIVED, "other", 2)
+    request = CallerRequest(
+        id="r",
+        method="POST",
+        host=HOST,
+        target="/nowhere/x",
+        key=None,
+        arrived=now(),
+        timeout_s=0.3,
+        last_event_id=None,
+        prompt=None,
+        headers=(),
+        body=b"",
+    )
+    reply = FakeReply()
+    await app.get("gateway").handle(request, reply)
+    assert reply.status == 503
+    assert reply.ended_at - request.arrived == pytest.approx(0.15)
+
+
+def test_a_denial_waits_for_at_most_half_of_a_short_time_limit() -> None:
+    """A longer wait leaves no time to serve the request by the newer version."""
+    with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+        runner.run(_deny_with_little_time())
--- a/tests/test_platform/test_platform_store_client.py
+++ b/tests/test_platform/test_platform_store_client.py
@@ -4,6 +4,7 @@
 
 import contextlib
 import socket
+import struct
 from typing import AsyncIterator
 
 import pytest
@@ -12,7 +13,7 @@
 from cicadacourse.errors import ErrorKind
 from cicadacourse.metrics import Metrics
 from cicadacourse.platform import StoreClient, StoreSettings
-from cicadacourse.platform._records import KeyedBatch
+from cicadacourse.platform._records import KeyedBatch, parse_batch
 from standins.platform import Fleet
 from standins.ports import next_host
 from tests.scripted_server import Script, scripted_server
@@ -156,3 +157,11 @@
     assert [record.value for batch in batches for record in batch.records] == values
     assert [batch.end for batch in batches] == [4, 6]
     assert [batch.has_more for batch in batches] == [True, False]
+
+
+def test_a_response_without_the_records_that_it_names_is_malformed() -> None:
+    """It was taken for the end of the topic, so that its records were never read."""
+    body = struct.pack(">QQ", 9, 0)
+    with pytest.raises(ValueError, match="no record"):
+        parse_batch(body, offset=4)
+    assert parse_batch(body, offset=9).end == 9
