Review of the change: bounds, order and one fault of the guard after a restore

- A reserved permit is valid from the moment that was granted, not from when a paused instance wakes.
- A request with a suspected part doesn't use up the retry budget.
- After a restore of the store, a process that had been removed and came back could be listed as ready again though it was leaving (test failed before).
- News of a single instance, and the times of members that left, are bounded.

--- a/cicadacourse/evidence/_dissemination.py
+++ b/cicadacourse/evidence/_dissemination.py
@@ -18,6 +18,8 @@
 REFRESH_FACTS = 8
 # Bounds the size of one report's facts.
 MAX_FACTS = 24
+# Bounds the memory while no report is sent, as there is no other instance.
+MAX_NEWS = 1000
 
 
 @attrs.define
@@ -43,6 +45,8 @@
     def add(self, fact: Fact, now_s: float) -> None:
         """Adds a fact that has just become known here."""
         self._news_by_identity[fact.identity] = _News(fact, now_s)
+        if len(self._news_by_identity) > MAX_NEWS:
+            del self._news_by_identity[next(iter(self._news_by_identity))]
 
     def select(self, known: list[Fact], now_s: float) -> list[Fact]:
         """Returns the facts to send now; each call counts as sending them.
--- a/cicadacourse/evidence/_service.py
+++ b/cicadacourse/evidence/_service.py
@@ -122,10 +122,6 @@
         """Returns the keys of which there are facts of a kind."""
         return self._book.keys(kind)
 
-    def remove(self, fact: Fact) -> None:
-        """Removes a fact that no longer matters here."""
-        self._book.remove(fact)
-
     @handles(FetchFacts)
     async def on_fetch_facts(self, request: FetchFacts) -> FactReports:
         """Answers with all facts, the latest first up to a bound."""
--- a/cicadacourse/feed/_registry_feed.py
+++ b/cicadacourse/feed/_registry_feed.py
@@ -44,7 +44,7 @@
         self._removal_timer_by_id: dict[str, asyncio.TimerHandle] = {}
         self._has_changed = False
         self._restored_at: float | None = None
-        self._removed_at_by_process: dict[tuple[str, int | None], float] = {}
+        self._removed_processes: dict[tuple[str, int | None], None] = {}
         app.events.connect(RESUMED_AFTER_PAUSE, self._record_resume)
         app.events.connect(STORE_RESTORED, self._record_restored)
 
@@ -151,9 +151,9 @@
         self._app.events.emit(ENDPOINT_CHANGED, endpoint)
 
     def _record_removed(self, endpoint: Endpoint) -> None:
-        self._removed_at_by_process[endpoint.id, endpoint.started_ms] = now()
-        if len(self._removed_at_by_process) > MAX_REMOVED_PROCESSES:
-            del self._removed_at_by_process[next(iter(self._removed_at_by_process))]
+        self._removed_processes[endpoint.id, endpoint.started_ms] = None
+        if len(self._removed_processes) > MAX_REMOVED_PROCESSES:
+            del self._removed_processes[next(iter(self._removed_processes))]
 
     def _is_outdated(self, endpoint: Endpoint, known: Endpoint | None) -> bool:
         """Returns whether an entry of a restored store is older than what is known.
@@ -163,13 +163,9 @@
         """
         if self._restored_at is None or now() - self._restored_at > RESTORED_GRACE_S:
             return False
-        if (endpoint.id, endpoint.started_ms) in self._removed_at_by_process:
-            return known is None
-        return (
-            known is not None
-            and known.is_same_process(endpoint)
-            and known.state is EndpointState.LEAVING
-        )
+        if known is None or not known.is_same_process(endpoint):
+            return (endpoint.id, endpoint.started_ms) in self._removed_processes
+        return known.state is EndpointState.LEAVING
 
     def _hold_left_s(self) -> float:
         if self._recovered_at is None:
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -73,14 +73,14 @@
         self.budget.record_first_attempt(pool, now())
         paid = 0
         while True:
-            if self.attempts.made > paid and not self._acquire_retry(pool):
-                return self.attempts.final_error()
-            paid = self.attempts.made
             delay_s = await self._quarantine.delay_s(self._shared_parts)
             if delay_s:
                 may_have_run = self.attempts.may_have_run
                 error = suspected_error(delay_s)
                 return self.attempts.final_error() if may_have_run else error
+            if self.attempts.made > paid and not self._acquire_retry(pool):
+                return self.attempts.final_error()
+            paid = self.attempts.made
             request = self.admitted.placement_request(
                 pool, now(), self.attempts.failed_ids
             )
--- a/cicadacourse/limits/_permits.py
+++ b/cicadacourse/limits/_permits.py
@@ -17,6 +17,7 @@
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.config import InstanceSettings
 from cicadacourse.errors import CicadacourseError, Error, ErrorKind
+from cicadacourse.events import MEMBER_LEFT
 from cicadacourse.limits._messages import AcquirePermit, Permit
 from cicadacourse.limits._schedule import PermitSchedule
 from cicadacourse.logs import PERMIT_UNAVAILABLE, log
@@ -54,6 +55,7 @@
         self._own_name = app.settings.get(InstanceSettings).name
         self._schedule_by_key: dict[str, PermitSchedule] = {}
         self._unreachable_until_by_name: dict[str, float] = {}
+        app.events.connect(MEMBER_LEFT, self._forget_member)
 
     async def acquire(self, key: str, rate: float, max_wait_s: float) -> Permit:
         """Asks for a permit of a shared rate.
@@ -110,6 +112,9 @@
             if self._unreachable_until_by_name.get(name, 0.0) <= now_s
         ]
 
+    def _forget_member(self, member: Member) -> None:
+        self._unreachable_until_by_name.pop(member.name, None)
+
     def _grant(self, request: AcquirePermit) -> Permit:
         now_s = now()
         schedule = self._schedule_by_key.get(request.key)
--- a/cicadacourse/placement/_limits.py
+++ b/cicadacourse/placement/_limits.py
@@ -22,8 +22,8 @@
 from cicadacourse.placement._queue import HeldPermit, Waiter
 from cicadacourse.util.clock import now
 
-# A permit that was granted longer ago is not used: after a pause of this instance, it
-# would add to those of a later time.
+# A permit is not used later than this: after a pause of this instance, it would add to
+# those of a later time.
 PERMIT_LIFETIME_S = 0.5
 # Endpoints that are asked for a later permit before a request is refused.
 MAX_ASKED = 3
@@ -61,6 +61,8 @@
             wait_s = waiter.request_at(now()).wait_s
             permit = await self._limits.acquire(endpoint, max_wait_s=wait_s)
             if permit.is_granted:
+                valid_until = now() + permit.wait_s + PERMIT_LIFETIME_S
+                waiter.permit = HeldPermit(endpoint.id, valid_until)
                 await asyncio.sleep(permit.wait_s)
                 return self._place(waiter, pool, endpoint)
             soonest_s = min(soonest_s, permit.wait_s)
@@ -70,7 +72,6 @@
         self, waiter: Waiter, pool: Pool, endpoint: Endpoint
     ) -> Result[Placement, Error] | None:
         """Places a request on an endpoint for which a permit has become valid."""
-        waiter.permit = HeldPermit(endpoint.id, now() + PERMIT_LIFETIME_S)
         candidates = [
             item
             for item in self._chooser.candidates(pool, with_limited=True)
--- a/tests/test_evidence/test_evidence_book.py
+++ b/tests/test_evidence/test_evidence_book.py
@@ -10,6 +10,7 @@
 
 from cicadacourse.evidence import FACT_KINDS, Fact, FactBook, FactKind
 from cicadacourse.evidence._dissemination import (
+    MAX_NEWS,
     REFRESH_PERIOD_S,
     REPEAT_TIMES_S,
     Dissemination,
@@ -96,3 +97,11 @@
     for turn in range(3):
         seen |= set(dissemination.select(facts, turn * REFRESH_PERIOD_S))
     assert seen == set(facts)
+
+
+def test_news_that_are_never_sent_are_bounded() -> None:
+    """A single instance sends no reports."""
+    dissemination = Dissemination()
+    for number in range(MAX_NEWS + 10):
+        dissemination.add(Fact("test-all", "a", number, 0.0, 0.0), 0.0)
+    assert len(dissemination._news_by_identity) == MAX_NEWS
--- a/tests/test_feed/test_feed_registry.py
+++ b/tests/test_feed/test_feed_registry.py
@@ -6,10 +6,11 @@
 
 from __future__ import annotations
 
+import attrs
 import pytest
 
-from cicadacourse.catalog import CatalogService, Endpoint
-from cicadacourse.events import RESUMED_AFTER_PAUSE
+from cicadacourse.catalog import CatalogService, Endpoint, EndpointState
+from cicadacourse.events import RESUMED_AFTER_PAUSE, STORE_RESTORED
 from cicadacourse.feed import RegistryFeed
 from standins.platform import Fleet
 from standins.ports import next_host
@@ -57,3 +58,16 @@
     feed.record_store_recovered()
     feed.remove_after_hold(ENDPOINT.id)
     assert ENDPOINT.id not in catalog_service.registry
+
+
+async def test_a_process_that_came_back_before_a_restore_may_still_leave(
+    feed: RegistryFeed, catalog_service: CatalogService
+) -> None:
+    """Its earlier removal hid that the copy listed it as ready again."""
+    feed.remove_after_hold(ENDPOINT.id)
+    feed.put(ENDPOINT)
+    leaving = attrs.evolve(ENDPOINT, state=EndpointState.LEAVING)
+    feed.put(leaving)
+    catalog_service.app.events.emit(STORE_RESTORED)
+    feed.put(ENDPOINT)
+    assert catalog_service.registry.find(ENDPOINT.id) == leaving
--- a/tests/test_limits/test_limits_failures.py
+++ b/tests/test_limits/test_limits_failures.py
@@ -210,3 +210,28 @@
 
 def test_the_next_endpoint_at_an_address_is_not_held_to_the_limit() -> None:
     run(_address_reused)
+
+
+async def _paused_while_waiting() -> None:
+    async with gateway_cluster(1, make_endpoints(1)) as cluster:
+        (limited,) = cluster.endpoint_by_id.values()
+        limited.limit = 1.0
+        await cluster.load(10.0, 2.0)
+        waiter = asyncio.create_task(cluster.send("n0", timeout_s=20.0))
+        gate = cluster.memory.get("n0", "placement")._limit_gate
+        await asyncio.sleep(0.05)
+        place, late_by_s = gate._place, 3.0
+        permits = []
+
+        def place_late(waiting, pool, endpoint):
+            permit = waiting.permit
+            permits.append(permit.is_valid(endpoint.id, now() + late_by_s))
+            return place(waiting, pool, endpoint)
+
+        gate._place = place_late
+        await waiter
+        assert permits and not any(permits)
+
+
+def test_a_permit_that_was_reserved_before_a_pause_is_not_used_after_it() -> None:
+    run(_paused_while_waiting)
