--- a/soak/_configuration_scenario.py
+++ b/soak/_configuration_scenario.py
@@ -14,17 +14,11 @@
 from cicadacourse.util.clock import now
 from soak._callers import BOOKING, LOOKUP, REQUEST_PAUSE_S, Caller, RequestKind
 from soak._checks import REMOVAL_BOUND_S, InvariantChecker
-from soak._environment import Site, SoakEnvironment, clear_faults, running_environment
+from soak._environment import Site, SoakEnvironment, running_environment
 from soak._faults import Fault, freeze, kill, restart
 from soak._instances import InstanceProcess
 from soak._proxy import LinkState, Proxy
-from soak._scenario import (
-    RECOVERY_S,
-    WARM_UP_S,
-    FaultInjector,
-    check_recovered,
-    stop_callers,
-)
+from soak._scenario import FaultInjector, run_under_faults
 
 # Half of the narrowest link of the grown deployments (10 Mbit/s). There, the 26
 # instances of a failure domain fetch from each other, here fewer.
@@ -58,21 +52,11 @@
     site = Site(size, 0, ("a",), LINK_BYTES_PER_S)
     async with running_environment(folder, seed, site) as environment:
         checker = InvariantChecker(environment)
-        await asyncio.sleep(WARM_UP_S)
         runs = [_record_contact(environment), _change_periodically(environment)]
         for number in range(CALLERS_PER_INSTANCE * size):
             runs.append(_send_proper(checker, Caller(environment, f"c{number}")))
         runs.append(_send_with_removed_keys(checker, Caller(environment, "old")))
-        tasks = [asyncio.create_task(run) for run in runs]
-        await inject(environment)
-        await clear_faults(environment)
-        await asyncio.sleep(RECOVERY_S)
-        await stop_callers(tasks)
-        last = Caller(environment, "last")
-        await check_recovered(checker, last, (BOOKING, LOOKUP))
-        for instance in environment.instances:
-            await instance.stop()
-        checker.check_final_state()
+        await run_under_faults(checker, runs, inject, (BOOKING, LOOKUP))
     return checker
 
 
--- a/soak/_limit_scenario.py
+++ b/soak/_limit_scenario.py
@@ -17,15 +17,9 @@
 from cicadacourse.util.clock import now
 from soak._callers import LONG, LOOKUP, REQUEST_PAUSE_S, SHORT, Caller
 from soak._checks import InvariantChecker
-from soak._environment import Site, SoakEnvironment, clear_faults, running_environment
+from soak._environment import Site, SoakEnvironment, running_environment
 from soak._faults import Fault, freeze, impair_store_link, kill, restart
-from soak._scenario import (
-    RECOVERY_S,
-    WARM_UP_S,
-    FaultInjector,
-    check_recovered,
-    stop_callers,
-)
+from soak._scenario import FaultInjector, run_under_faults, stop_tasks
 from standins.platform import Worker
 
 ENGINES_PER_INSTANCE = 2
@@ -90,22 +84,16 @@
     site = Site(size, ENGINES_PER_INSTANCE)
     async with running_environment(folder, seed, site) as environment:
         checker, records = InvariantChecker(environment), LimitRecords()
-        await asyncio.sleep(WARM_UP_S)
+
+        async def inject_while_limited(environment: SoakEnvironment) -> None:
+            naming = asyncio.create_task(_name(environment, records))
+            await inject(environment)
+            await stop_tasks([naming])
+
         runs = [_record_impaired(environment, records)]
         for number in range(CALLERS_PER_INSTANCE * size):
             runs.append(_send(checker, Caller(environment, f"c{number}"), records))
-        tasks = [asyncio.create_task(run) for run in runs]
-        naming = asyncio.create_task(_name(environment, records))
-        await inject(environment)
-        await stop_callers([naming])
-        await clear_faults(environment)
-        await asyncio.sleep(RECOVERY_S)
-        await stop_callers(tasks)
-        last = Caller(environment, "last")
-        await check_recovered(checker, last, (SHORT, LOOKUP))
-        for instance in environment.instances:
-            await instance.stop()
-        checker.check_final_state()
+        await run_under_faults(checker, runs, inject_while_limited, (SHORT, LOOKUP))
         _check_limits(checker, records)
     return checker
 
--- a/soak/_prompt_scenario.py
+++ b/soak/_prompt_scenario.py
@@ -17,15 +17,9 @@
 from cicadacourse.registry import Registry
 from soak._callers import REQUEST_PAUSE_S, SHORT, Attempt, Caller
 from soak._checks import InvariantChecker
-from soak._environment import Site, SoakEnvironment, clear_faults, running_environment
+from soak._environment import Site, SoakEnvironment, running_environment
 from soak._faults import Fault, freeze, impair_store_link, kill, restart
-from soak._scenario import (
-    RECOVERY_S,
-    WARM_UP_S,
-    FaultInjector,
-    check_recovered,
-    stop_callers,
-)
+from soak._scenario import FaultInjector, run_under_faults
 
 ENGINES_PER_INSTANCE = 3
 SOUND_CALLERS_PER_INSTANCE = 2
@@ -66,22 +60,13 @@
         checker, sound = InvariantChecker(environment), SoundRequests()
         for endpoint in environment.fleet.endpoint_by_id.values():
             endpoint.worker.crashing_part_ids = {"bad"}
-        await asyncio.sleep(WARM_UP_S)
         runs = [
             _send_sound(checker, Caller(environment, f"c{number}"), sound)
             for number in range(SOUND_CALLERS_PER_INSTANCE * size)
         ]
         for number in range(BAD_CALLERS):
             runs.append(_send_bad(Caller(environment, f"bad{number}")))
-        tasks = [asyncio.create_task(run) for run in runs]
-        await inject(environment)
-        await clear_faults(environment)
-        await asyncio.sleep(RECOVERY_S)
-        await stop_callers(tasks)
-        await check_recovered(checker, Caller(environment, "last"), (SHORT,))
-        for instance in environment.instances:
-            await instance.stop()
-        checker.check_final_state()
+        await run_under_faults(checker, runs, inject, (SHORT,))
         _check_losses(checker, environment, sound)
     return checker
 
--- a/soak/_scenario.py
+++ b/soak/_scenario.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import pathlib
-from typing import Awaitable, Callable, Sequence
+from typing import Any, Awaitable, Callable, Coroutine, Sequence
 
 from soak._callers import (
     REQUEST_KINDS,
@@ -43,29 +43,39 @@
     """
     async with running_environment(folder, seed, Site(size)) as environment:
         checker = InvariantChecker(environment)
-        await asyncio.sleep(WARM_UP_S)
-        callers = [
-            asyncio.create_task(
-                _send_requests(checker, Caller(environment, f"c{number}"))
-            )
+        runs = [
+            _send_requests(checker, Caller(environment, f"c{number}"))
             for number in range(CALLERS_PER_INSTANCE * size)
         ]
-        callers.append(
-            asyncio.create_task(
-                _send_with_removed_keys(checker, Caller(environment, "old"))
-            )
-        )
-        await inject(environment)
-        await clear_faults(environment)
-        await asyncio.sleep(RECOVERY_S)
-        await stop_callers(callers)
-        await check_recovered(checker, Caller(environment, "last"), REQUEST_KINDS)
-        for instance in environment.instances:
-            await instance.stop()
-        checker.check_final_state()
+        runs.append(_send_with_removed_keys(checker, Caller(environment, "old")))
+        await run_under_faults(checker, runs, inject, REQUEST_KINDS)
     return checker
 
 
+async def run_under_faults(
+    checker: InvariantChecker,
+    runs: Sequence[Coroutine[Any, Any, None]],
+    inject: FaultInjector,
+    kinds: Sequence[RequestKind],
+) -> None:
+    """Runs callers while faults are injected, and checks what is left of them.
+
+    :param runs: what callers do until they are cancelled.
+    :param kinds: the requests that must be served after the recovery time.
+    """
+    environment = checker.environment
+    await asyncio.sleep(WARM_UP_S)
+    tasks = [asyncio.create_task(run) for run in runs]
+    await inject(environment)
+    await clear_faults(environment)
+    await asyncio.sleep(RECOVERY_S)
+    await stop_tasks(tasks)
+    await check_recovered(checker, Caller(environment, "last"), kinds)
+    for instance in environment.instances:
+        await instance.stop()
+    checker.check_final_state()
+
+
 async def _send_requests(checker: InvariantChecker, caller: Caller) -> None:
     environment, chooser = checker.environment, caller.chooser
     weights = [kind.weight for kind in REQUEST_KINDS]
@@ -99,8 +109,8 @@
         checker.check_recovered(attempt)
 
 
-async def stop_callers(tasks: list[asyncio.Task[None]]) -> None:
-    """Cancels the callers; raises the exception of one that has already failed."""
+async def stop_tasks(tasks: list[asyncio.Task[None]]) -> None:
+    """Cancels tasks; raises the exception of one that has already failed."""
     for task in tasks:
         if not task.cancel():
             task.result()
