--- a/bench/demo.py
+++ b/bench/demo.py
@@ -13,7 +13,7 @@
 import signal
 import sys
 import tempfile
-from typing import Awaitable, Callable
+from typing import Any, Awaitable, Callable
 
 from cicadacourse.registry import Registry
 from soak._checks import InvariantChecker
@@ -146,7 +146,7 @@
     print(f"version {published['version']} is in force on {published['in_force']}")
 
 
-async def _command(name: str, *arguments: str) -> dict[str, object]:
+async def _command(name: str, *arguments: str) -> dict[str, Any]:
     """Runs a command of the program and returns the JSON that it prints.
 
     :raises DemoError: if its exit status is not 0.
--- a/bench/replay.py
+++ b/bench/replay.py
@@ -359,7 +359,7 @@
 
 def replay(shape: Shape, policy: Policy, seed: int) -> Result:
     """Simulates one shape under one policy and returns the outcomes."""
-    loop = looptime.patch_event_loop(asyncio.new_event_loop())
+    loop = looptime.new_event_loop()
     try:
         return loop.run_until_complete(_run_shape(shape, policy, seed))
     finally:
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -92,6 +92,15 @@
         return self.status in NOT_EXECUTED_STATUSES
 
 
+@attrs.frozen
+class _Connection:
+    """An open connection to an instance."""
+
+    instance: InstanceProcess
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+
 @attrs.define(eq=False)
 class Caller:
     """One caller with its connection.
@@ -104,9 +113,7 @@
     environment: SoakEnvironment
     name: str
     chooser: random.Random = attrs.field(init=False)
-    _instance: InstanceProcess | None = None
-    _reader: asyncio.StreamReader | None = None
-    _writer: asyncio.StreamWriter | None = None
+    _connection: _Connection | None = None
     _numbers: Iterator[int] = attrs.field(factory=itertools.count)
 
     @chooser.default
@@ -140,20 +147,20 @@
         self, kind: RequestKind, key: str, headers: Mapping[str, str] = NO_HEADERS
     ) -> Attempt | None:
         """Sends one attempt and returns it, or None if no connection opens."""
-        if not await self._connect():
+        connection = await self._connect()
+        if connection is None:
             return None
-        instance = self._instance
         id = f"{self.name}-{next(self._numbers)}"
         started = now()
         tokens = f"{kind.tokens},{kind.output_tokens}" if kind.tokens else None
         timeout_ms = int(TIMEOUT_S * 1000)
-        self._writer.write(
+        connection.writer.write(
             encode_request(kind.path, id, timeout_ms, key, tokens, headers=headers)
         )
         response = None
         try:
             async with asyncio.timeout(TIMEOUT_S + RESPONSE_GRACE_S):
-                response = await read_response(self._reader)
+                response = await read_response(connection.reader)
         except (TimeoutError, ConnectionError, asyncio.IncompleteReadError):
             self.close()
         else:
@@ -162,27 +169,26 @@
                 or response.headers.get("connection") == "close"
             ):
                 self.close()
-        return Attempt(id, kind, instance, key, response, started, now())
+        return Attempt(id, kind, connection.instance, key, response, started, now())
 
-    async def _connect(self) -> bool:
-        """Opens a connection to a random instance unless one is open.
+    async def _connect(self) -> _Connection | None:
+        """Returns the open connection, else a new one to a random instance.
 
-        :returns: whether a connection is open.
+        :returns: None if no connection can be opened.
         """
-        if self._writer is not None:
-            return True
+        if self._connection is not None:
+            return self._connection
         instance = self.chooser.choice(self.environment.instances)
         with contextlib.suppress(OSError, TimeoutError):
             async with asyncio.timeout(1.0):
-                self._reader, self._writer = await asyncio.open_connection(
+                streams = await asyncio.open_connection(
                     instance.host, instance.caller_port
                 )
-                self._instance = instance
-                return True
-        return False
+                self._connection = _Connection(instance, *streams)
+        return self._connection
 
     def close(self) -> None:
         """Closes the connection."""
-        if self._writer is not None:
-            self._writer.close()
-        self._writer = None
+        if self._connection is not None:
+            self._connection.writer.close()
+        self._connection = None
--- a/soak/_configuration_scenario.py
+++ b/soak/_configuration_scenario.py
@@ -163,14 +163,20 @@
         return False
     if instance.store_link.state in REACHABLE_STATES:
         return True
-    return instance.peer_link.state in REACHABLE_STATES and any(
+    return _has_peer_link(instance) and any(
         not _is_impaired(other)
         and other.store_link.state in REACHABLE_STATES
-        and other.peer_link.state in REACHABLE_STATES
+        and _has_peer_link(other)
         for other in environment.instances
     )
 
 
+def _has_peer_link(instance: InstanceProcess) -> bool:
+    """Whether other instances reach it."""
+    link = instance.peer_link
+    return link is None or link.state in REACHABLE_STATES
+
+
 def _is_impaired(instance: InstanceProcess) -> bool:
     """Whether it is being stopped, started or frozen."""
     return bool(instance.fault_window.active_faults)
--- a/soak/_environment.py
+++ b/soak/_environment.py
@@ -6,7 +6,7 @@
 import contextlib
 import itertools
 import pathlib
-import random
+from random import Random
 from typing import Any, AsyncIterator
 
 import attrs
@@ -71,7 +71,7 @@
     fleet: Fleet
     instances: list[InstanceProcess]
     seed: int
-    random: random.Random
+    random: Random
     stack: contextlib.AsyncExitStack
     has_endpoint_links: bool = True
     link_by_endpoint_id: dict[str, Proxy] = attrs.field(factory=dict)
@@ -83,9 +83,9 @@
     history: ConfigurationHistory = attrs.field(factory=ConfigurationHistory)
     _endpoints: itertools.count[int] = attrs.field(factory=itertools.count)
 
-    def random_for(self, name: str) -> random.Random:
+    def random_for(self, name: str) -> Random:
         """Returns a generator for one caller, independent of what others draw."""
-        return random.Random(f"{self.seed} {name}")
+        return Random(f"{self.seed} {name}")
 
     @property
     def keys(self) -> list[str]:
@@ -170,7 +170,7 @@
             fleet,
             instances,
             seed,
-            random.Random(seed),
+            Random(seed),
             stack,
             site.has_endpoint_links,
         )
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import signal
-from typing import Awaitable, Callable
+from typing import Any, Callable, Coroutine
 
 import attrs
 
@@ -14,7 +14,7 @@
 from soak._proxy import LinkState, Proxy
 from standins.platform import StoreFaults, WorkerFaults
 
-Fault = Callable[[SoakEnvironment, float], Awaitable[None]]
+Fault = Callable[[SoakEnvironment, float], Coroutine[Any, Any, None]]
 FAULTS: Registry[Fault] = Registry("fault")
 
 LINK_FAULTS = (
@@ -154,24 +154,22 @@
 @FAULTS.register("store-down")
 async def take_store_down(environment: SoakEnvironment, duration_s: float) -> None:
     """Makes the store unavailable to all instances."""
-    await _apply_store_faults(
-        environment, duration_s, outage=environment.random.choice(["busy", "reset"])
-    )
+    outage = environment.random.choice(["busy", "reset"])
+    await _apply_store_faults(environment, duration_s, StoreFaults(outage=outage))
 
 
 @FAULTS.register("store-lossy")
 async def make_store_lossy(environment: SoakEnvironment, duration_s: float) -> None:
     """Delays the store's responses and loses half of those to appends."""
-    await _apply_store_faults(
-        environment, duration_s, delay_s=0.3, lost_response_rate=0.5
-    )
+    faults = StoreFaults(delay_s=0.3, lost_response_rate=0.5)
+    await _apply_store_faults(environment, duration_s, faults)
 
 
 async def _apply_store_faults(
-    environment: SoakEnvironment, duration_s: float, **faults: object
+    environment: SoakEnvironment, duration_s: float, faults: StoreFaults
 ) -> None:
     with environment.store_fault_window.open():
-        environment.fleet.store.faults = StoreFaults(**faults)
+        environment.fleet.store.faults = faults
         await asyncio.sleep(duration_s)
         environment.fleet.store.faults = StoreFaults()
 
--- a/soak/_instances.py
+++ b/soak/_instances.py
@@ -127,12 +127,12 @@
 
     def send(self, signal_number: signal.Signals) -> None:
         """Sends a signal to its process if one is running."""
-        if self.is_running:
+        if self._process is not None and self.is_running:
             self._process.send_signal(signal_number)
 
     async def stop(self) -> None:
         """Stops the process with SIGTERM, or kills it after ``STOP_TIMEOUT_S``."""
-        if not self.is_running:
+        if self._process is None or not self.is_running:
             return
         # SIGTERM ends a process that has not yet installed its handler with status -15.
         has_started = self._has_started()
--- a/soak/_linked_instance.py
+++ b/soak/_linked_instance.py
@@ -15,7 +15,7 @@
 def run(listen_address: str, arguments: list[str]) -> int:
     """Runs the program and returns its exit status."""
     make_socket = _capnp._listening_socket
-    _capnp._listening_socket = lambda _: make_socket(listen_address)
+    _capnp._listening_socket = lambda address: make_socket(listen_address)
     return main(arguments)
 
 
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import enum
-from typing import AsyncIterator
+from typing import Any, AsyncIterator, Coroutine
 
 import attrs
 
@@ -139,7 +139,7 @@
             self._writers.discard(target_writer)
             target_writer.close()
 
-    def _start_copy(self, copy: object) -> asyncio.Task[None]:
+    def _start_copy(self, copy: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(copy)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -6,10 +6,20 @@
 from typing import Any
 
 import tornado.web
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPServerRequest
+from tornado.iostream import IOStream
 
 from standins._refusal import Refusal
 
 
+def stream_of(request: HTTPServerRequest) -> IOStream:
+    """Returns the stream of the connection on which a request was received."""
+    connection = request.connection
+    assert isinstance(connection, HTTP1Connection)
+    return connection.stream
+
+
 class CoreHandler(tornado.web.RequestHandler):
     """Serves one path by calls to a stand-in's core.
 
@@ -32,7 +42,7 @@
 
     def drop_connection(self) -> None:
         """Closes the connection without sending anything more."""
-        self.request.connection.stream.close()
+        stream_of(self.request).close()
 
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Responds to an exception of a handler; called by tornado.
--- a/standins/platform/_worker_http.py
+++ b/standins/platform/_worker_http.py
@@ -14,6 +14,7 @@
 
 from cicadacourse.platform import _names as names
 from cicadacourse.util.clock import MS_PER_S, now
+from standins._http import stream_of
 from standins.platform._engine import Engine, EngineRefusal
 
 OK = 200
@@ -209,7 +210,7 @@
             await asyncio.Event().wait()
         await asyncio.sleep(worker.work_s)
         if worker.draw_fault(worker.faults.reset_rate):
-            self.request.connection.stream.close()
+            stream_of(self.request).close()
             return
         if worker.draw_fault(worker.faults.error_rate):
             self.set_status(SERVER_ERROR)
@@ -218,7 +219,7 @@
         if worker.draw_fault(worker.faults.extra_response_rate):
             await asyncio.sleep(0)
             stale = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"
-            self.request.connection.stream.write(stale)
+            stream_of(self.request).write(stale)
 
     async def _serve_stream(self, engine: Engine) -> None:
         worker = self.worker
@@ -243,7 +244,7 @@
                 self.write(f"id: {number}\ndata: {headers['Host']} {number}\n\n")
                 await self.flush()
                 if sent_events == 2 and worker.draw_fault(worker.faults.cut_rate):
-                    self.request.connection.stream.close()
+                    stream_of(self.request).close()
                     return
         except EngineRefusal as refusal:
             self._refuse(refusal)
