--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -48,6 +48,12 @@
     _not_executed_ids: list[str] = attrs.field(factory=list)
     _worker_by_id: dict[str, Worker] = attrs.field(factory=dict)
 
+    @property
+    def workers(self) -> list[Worker]:
+        """The endpoints of the run, those that are gone included."""
+        self._record_workers()
+        return list(self._worker_by_id.values())
+
     def check_request(self, attempts: list[Attempt]) -> None:
         """Checks all attempts of one request."""
         self._record_workers()
--- a/soak/_prompt_scenario.py
+++ b/soak/_prompt_scenario.py
@@ -23,11 +23,14 @@
 
 ENGINES_PER_INSTANCE = 3
 SOUND_CALLERS_PER_INSTANCE = 2
+BAD_PART = "bad"
 BAD_CALLERS = 4
 BAD_PAUSE_S = 1.0
-# Instances that restart have lost what they knew; each such time costs no more engines
-# than one bad part, as the others tell them.
-MAX_LOST = 6
+# Once as many engines have crashed, and all instances had time to be told of it, few
+# requests with the part may reach engines.
+CRASHES = 5
+CONTACT_S = 3.0
+MAX_LATER_REQUESTS = 3
 # The share of sound requests that must be served in the end, with callers' retries.
 MIN_SERVED_SHARE = 0.8
 
@@ -59,7 +62,7 @@
     async with running_environment(folder, seed, site) as environment:
         checker, sound = InvariantChecker(environment), SoundRequests()
         for endpoint in environment.fleet.endpoint_by_id.values():
-            endpoint.worker.crashing_part_ids = {"bad"}
+            endpoint.worker.crashing_part_ids = {BAD_PART}
         runs = [
             _send_sound(checker, Caller(environment, f"c{number}"), sound)
             for number in range(SOUND_CALLERS_PER_INSTANCE * size)
@@ -96,7 +99,7 @@
     chooser, key = caller.chooser, caller.environment.keys[0]
     with contextlib.closing(caller):
         while True:
-            await caller.send(SHORT, key, _draw_headers(chooser, "bad"))
+            await caller.send(SHORT, key, _draw_headers(chooser, BAD_PART))
             caller.close()
             await asyncio.sleep(chooser.expovariate(1 / BAD_PAUSE_S))
 
@@ -104,12 +107,24 @@
 def _check_losses(
     checker: InvariantChecker, environment: SoakEnvironment, sound: SoundRequests
 ) -> None:
-    lost = len(environment.fleet.crashed_ids)
+    crashed_at = environment.fleet.crashed_at
     print(
-        f"{lost} engines crashed; {sound.served} of {sound.sent} sound requests served"
+        f"{len(crashed_at)} engines crashed;"
+        f" {sound.served} of {sound.sent} sound requests served"
     )
-    if lost > MAX_LOST:
-        checker.violations.append(f"{lost} engines crashed under one part of prompts")
+    if len(crashed_at) >= CRASHES:
+        since = crashed_at[CRASHES - 1] + CONTACT_S
+        later = [
+            arrival
+            for worker in checker.workers
+            for arrival in worker.arrivals
+            if BAD_PART in arrival.prefix_ids and arrival.at > since
+        ]
+        if len(later) > MAX_LATER_REQUESTS:
+            checker.violations.append(
+                f"{len(later)} requests with a part under which {CRASHES} engines had"
+                " crashed reached engines"
+            )
     if sound.served < MIN_SERVED_SHARE * sound.sent:
         checker.violations.append(
             f"only {sound.served} of {sound.sent} sound requests were served"
--- a/standins/platform/_fleet.py
+++ b/standins/platform/_fleet.py
@@ -13,6 +13,7 @@
 from tornado.netutil import bind_sockets
 
 from cicadacourse.catalog import EngineProfile
+from cicadacourse.util.clock import now
 from standins.platform._engine import Engine
 from standins.platform._store import StoreCore
 from standins.platform._store_http import make_store_application
@@ -133,7 +134,7 @@
     :param host: the IP address on which the store and the endpoints listen.
     :ivar store_address: where instances reach the store.
     :ivar operators_address: where operators reach it, who may write the configuration.
-    :ivar crashed_ids: the ids of the engines that have crashed, in order.
+    :ivar crashed_at: when engines have crashed, loop times in seconds.
     """
 
     def __init__(self, host: str = "127.0.0.1") -> None:
@@ -142,7 +143,7 @@
         self.store_address = ""
         self.operators_address = ""
         self.endpoint_by_id: dict[str, RegisteredEndpoint] = {}
-        self.crashed_ids: list[str] = []
+        self.crashed_at: list[float] = []
         self._server_by_id: dict[str, HTTPServer] = {}
         self._crashes: set[asyncio.Task[None]] = set()
 
@@ -199,16 +200,17 @@
         await server.close_all_connections()
 
     def _start_crash(self, id: str) -> None:
-        if id in self._server_by_id:
-            self.crashed_ids.append(id)
-            task = asyncio.create_task(self._crash(id))
+        crashed = self.endpoint_by_id.pop(id, None)
+        if crashed is not None:
+            self.crashed_at.append(now())
+            task = asyncio.create_task(self._crash(crashed))
             self._crashes.add(task)
             task.add_done_callback(self._crashes.discard)
 
-    async def _crash(self, id: str) -> None:
+    async def _crash(self, crashed: RegisteredEndpoint) -> None:
         """Ends an engine's process; another one registers after some time."""
+        id = crashed.worker.id
         await self.kill(id)
-        crashed = self.endpoint_by_id.pop(id)
         await asyncio.sleep(CRASH_S)
         self.store.put("keyed.servers", id, None)
         successor = self.add_engine(f"{id}+", crashed.failure_domain)
--- a/tests/test_quarantine/test_quarantine_path.py
+++ b/tests/test_quarantine/test_quarantine_path.py
@@ -37,6 +37,6 @@
                     )
                 )
                 assert not (bad.status == 200 and bad.is_complete)
-            lost = len(fleet.crashed_ids)
+            lost = len(fleet.crashed_at)
             assert 1 <= lost <= MAX_LOST
             assert sound.status == 200 and sound.is_complete
