--- a/tests/test_limits/test_limits_cluster.py
+++ b/tests/test_limits/test_limits_cluster.py
@@ -33,7 +33,7 @@
 
 
 async def _limited_endpoint(instances: int, limit: float, rate: float) -> None:
-    async with gateway_cluster(instances, make_endpoints(4)) as cluster:
+    async with gateway_cluster(instances, make_endpoints(2)) as cluster:
         await cluster.load(rate, 1.0)
         limited = cluster.busiest_endpoint()
         limited.limit = limit
--- a/tests/test_quarantine/test_quarantine_cluster.py
+++ b/tests/test_quarantine/test_quarantine_cluster.py
@@ -104,6 +104,7 @@
             cluster.load(10.0, 60.0, seed=2, make_parts=sound_parts),
             cluster.load(4.0, 60.0, seed=3, make_parts=bad_parts("bad")),
         )
+        assert cluster.crashed_at
         if len(cluster.crashed_at) >= 5:
             since = cluster.crashed_at[4] + CONTACT_S
             sent = count_arrivals(cluster, "bad", since)
--- a/tests/test_quarantine/test_quarantine_failures.py
+++ b/tests/test_quarantine/test_quarantine_failures.py
@@ -47,9 +47,8 @@
             cluster.load(5.0, 8.0, seed=3, make_parts=bad_parts("bad"))
         )
         await asyncio.sleep(0.5)
-        first = now()
         await asyncio.sleep(CONTACT_S)
-        assert all(item.is_suspected("bad") for item in quarantines(cluster)), first
+        assert all(item.is_suspected("bad") for item in quarantines(cluster))
         await bad
         lost = len(cluster.crashed_at)
         assert lost <= MAX_LOST
@@ -168,9 +167,8 @@
     async with gateway_cluster(3, make_endpoints(4)) as cluster:
         crash_on(cluster, "bad")
         await _send_bad(cluster, 1)
-        assert all(item.is_suspected("bad") for item in quarantines(cluster)) or (
-            await asyncio.sleep(0.5) is None
-        )
+        await asyncio.sleep(0.5)
+        assert all(item.is_suspected("bad") for item in quarantines(cluster))
         crash_on(cluster, "nothing")
         statuses = []
         for number in range(8):
@@ -195,7 +193,7 @@
             cluster.load(4.0, 15.0, seed=3, make_parts=draw),
         )
         lost = len(cluster.crashed_at)
-        assert lost <= MAX_LOST + 1
+        assert lost <= MAX_LOST
         assert served_share(sound) >= 0.9
 
 
@@ -209,6 +207,7 @@
         await _send_bad(cluster, 2)
         await asyncio.sleep(3.0)
         await _send_bad(cluster, 2)
+        assert all(item.is_suspected("bad") for item in quarantines(cluster))
         await asyncio.sleep(LIFETIME_S + 10.0)
         assert not any(item.is_suspected("bad") for item in quarantines(cluster))
 
