Log callers' connections that are closed for their idle time

A connection that tornado's timer closed left no line, so a request that was lost with it could not be told from one that never came.

--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -327,6 +327,13 @@
     "caller left",
     "The caller closed its connection; the request is cancelled.",
 )
+CONNECTIONS_CLOSED = _declare(
+    "ingress",
+    "callers' connections closed",
+    "`count` connections waited for a request for too long, the longest `waited_s`;"
+    " `reason` is `idle` (nothing of a request came), `callers` are the addresses of"
+    " some of them. One line tells of all that are closed at once.",
+)
 REQUEST_FAILED = _declare(
     "ingress",
     "request failed",
--- a/cicadacourse/platform/_ingress.py
+++ b/cicadacourse/platform/_ingress.py
@@ -12,11 +12,13 @@
 from tornado.iostream import StreamClosedError
 
 from cicadacourse.application import SERVICES, Application, Service
+from cicadacourse.catalog import CallerLimits
 from cicadacourse.config import InstanceSettings
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.events import CATALOG_CHANGED
 from cicadacourse.exchange import CallerRequest
 from cicadacourse.logs import CALLER_DISCONNECTED, log
+from cicadacourse.platform._caller_connections import WaitingConnections
 from cicadacourse.platform._caller_reply import CallerReply
 from cicadacourse.platform._caller_request import read_request
 from cicadacourse.platform._settings import ListenSettings
@@ -51,6 +53,7 @@
     """Reads callers' requests and passes each to the gateway in a task of its own.
 
     :ivar is_leaving: whether a graceful shutdown is in progress.
+    :ivar waiting: the connections that wait for a request.
     """
 
     name = "ingress"
@@ -63,6 +66,8 @@
         self._last_request_at = 0.0
         self._refuses_requests = False
         self._server: HTTPServer | None = None
+        limits = CallerLimits(idle_timeout_s=IDLE_TIMEOUT_S)
+        self.waiting = WaitingConnections(app.metrics, limits, IDLE_MARGIN_S)
         app.events.connect(CATALOG_CHANGED, self._apply_limits)
 
     @property
@@ -77,32 +82,30 @@
             _RequestReaderFactory(self),
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
-            idle_connection_timeout=IDLE_TIMEOUT_S,
         )
+        # Tornado's own timer has neither a hook nor a limit that may change.
+        server.conn_params.header_timeout = None
         host, port = split_address(self._address)
         server.listen(port, host)
         self._server = server
         self._apply_limits()
+        closing = asyncio.create_task(self.waiting.close_periodically())
         try:
             yield
         finally:
             server.stop()
+            closing.cancel()
+            await asyncio.gather(closing, return_exceptions=True)
             for task in list(self._tasks):
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
             await server.close_all_connections()
 
     def _apply_limits(self, *_: Any) -> None:
-        """Applies the configured idle and header timeouts from now on.
-
-        Tornado has a single limit for both, which is set to the longer of them.
-        """
+        """Applies the configured idle and header timeouts from now on."""
         catalog = self.app.get("catalog").catalog
-        if catalog is None or self._server is None:
-            return
-        limits = catalog.limits
-        longest_s = max(limits.idle_timeout_s, limits.header_timeout_s)
-        self._server.conn_params.header_timeout = longest_s + IDLE_MARGIN_S
+        if catalog is not None:
+            self.waiting.apply_limits(catalog.limits)
 
     async def leave(self) -> None:
         """Announces that this instance is leaving, then drains its requests.
@@ -182,6 +185,7 @@
     ) -> tornado.httputil.HTTPMessageDelegate:
         """Returns the reader of one request; called by tornado."""
         assert isinstance(request_conn, HTTP1Connection)
+        self._ingress.waiting.begin_wait(request_conn.stream)
         return _RequestReader(self._ingress, request_conn)
 
 
@@ -198,6 +202,7 @@
 
     def headers_received(self, start_line: Any, headers: Any) -> None:
         """Stores the request line and the headers; called by tornado."""
+        self._ingress.waiting.end_wait(self._connection.stream)
         self._arrived = now()
         self._start_line = start_line
         self._headers = headers
