Close idle callers' connections by the limits in force, never beside a request

Symptom: a whole request on a kept connection ended without a byte (LOST). Cause: the timer of a wait held the limit of the time when the wait began, and a late loop fired it in the turn in which it had read the request, before that was passed on.

The limit in force counts; a lowered one doesn't for waits that began before it or within superseded_bound_ms after it. A connection is closed only if a poll of its socket finds nothing and its head isn't complete. Once bytes of a head were read, the time of a head counts instead of the longer of both times: a slow head is now closed after header_timeout_s.

The tests of idle connections got a short superseded bound, as the limits of before count for its length; what they assert is as before, and the close of a slow head is now asserted by the metric as well.

--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -331,8 +331,9 @@
     "ingress",
     "callers' connections closed",
     "`count` connections waited for a request for too long, the longest `waited_s`;"
-    " `reason` is `idle` (nothing of a request came), `callers` are the addresses of"
-    " some of them. One line tells of all that are closed at once.",
+    " `reason` is `idle` (nothing of a request came) or `slow_head` (only a part of its"
+    " head came), `callers` are the addresses of some of them. One line tells of all"
+    " that are closed at once.",
 )
 REQUEST_FAILED = _declare(
     "ingress",
--- a/cicadacourse/platform/_caller_connections.py
+++ b/cicadacourse/platform/_caller_connections.py
@@ -1,15 +1,19 @@
-"""Callers' connections that wait for a request; closes those that wait for too long."""
+"""Callers' connections that wait for a request; closes those that wait for too long.
+
+The expected load is some hundred connections, of which most wait. A loop that is late
+by more than the rest of a limit must not close a connection whose request has come
+meanwhile, so a connection is closed only after a look into its socket.
+"""
 
 from __future__ import annotations
 
 import asyncio
+from collections import defaultdict
 
-import attrs
-from tornado.iostream import IOStream
-
-from cicadacourse.catalog import CallerLimits
 from cicadacourse.logs import CONNECTIONS_CLOSED, log
 from cicadacourse.metrics import Metrics, declare
+from cicadacourse.platform._caller_stream import CallerStream
+from cicadacourse.platform._wait_limits import WaitLimits
 from cicadacourse.util.clock import now
 
 CLOSED = declare(
@@ -21,43 +25,29 @@
 # A line names no more callers than this, whatever number of connections is closed.
 MAX_CALLERS_LOGGED = 5
 REASON_IDLE = "idle"
-
-
-@attrs.define(eq=False)
-class _Wait:
-    """A wait for the head of a request; times are loop times in seconds."""
-
-    since: float
-    deadline: float
+REASON_SLOW_HEAD = "slow_head"
 
 
 class WaitingConnections:
     """The connections on which no request is in progress.
 
-    :param limits: the limits in force.
-    :param margin_s: added to each limit, in seconds.
+    :param limits: for how long they may wait.
     """
 
-    def __init__(self, metrics: Metrics, limits: CallerLimits, margin_s: float) -> None:
+    def __init__(self, metrics: Metrics, limits: WaitLimits) -> None:
         self._metrics = metrics
         self._limits = limits
-        self._margin_s = margin_s
-        self._wait_by_stream: dict[IOStream, _Wait] = {}
-
-    def apply_limits(self, limits: CallerLimits) -> None:
-        """Applies limits to the waits that begin from now on."""
-        self._limits = limits
+        self._streams: set[CallerStream] = set()
 
-    def begin_wait(self, stream: IOStream) -> None:
+    def begin_wait(self, stream: CallerStream) -> None:
         """Records that a connection waits for the head of a request."""
-        limits = self._limits
-        longest_s = max(limits.idle_timeout_s, limits.header_timeout_s)
-        deadline = now() + longest_s + self._margin_s
-        self._wait_by_stream[stream] = _Wait(now(), deadline)
+        stream.begin_wait()
+        self._streams.add(stream)
 
-    def end_wait(self, stream: IOStream) -> None:
-        """Records that the head was read, or that the connection was closed."""
-        self._wait_by_stream.pop(stream, None)
+    def end_wait(self, stream: CallerStream) -> None:
+        """Records that the head was read."""
+        stream.end_wait()
+        self._streams.discard(stream)
 
     async def close_periodically(self) -> None:
         """Closes connections that wait for too long, until it is cancelled."""
@@ -66,33 +56,51 @@
             self._close_overdue()
 
     def _close_overdue(self) -> None:
+        self._streams = {item for item in self._streams if not item.closed()}
         now_s = now()
-        for stream in [item for item in self._wait_by_stream if item.closed()]:
-            self.end_wait(stream)
-        overdue = {
-            stream: wait
-            for stream, wait in self._wait_by_stream.items()
-            if now_s > wait.deadline
-        }
-        if overdue:
-            self._close(overdue, REASON_IDLE)
-
-    def _close(self, waits: dict[IOStream, _Wait], reason: str) -> None:
+        overdue_by_reason: dict[str, list[CallerStream]] = defaultdict(list)
+        for stream in self._streams:
+            reason = self._reason_to_close(stream, now_s)
+            if reason is not None:
+                overdue_by_reason[reason].append(stream)
+        for reason, streams in overdue_by_reason.items():
+            self._close(streams, reason)
+
+    def _reason_to_close(self, stream: CallerStream, now_s: float) -> str | None:
+        """Returns why a connection waits for too long, or None if it does not.
+
+        It does not if its head is complete but was not passed on yet, or if the socket
+        holds bytes that the loop had no turn to read.
+        """
+        since = stream.waits_since
+        if since is None or not stream.reading():
+            return None
+        began_at = stream.head_began_at
+        if began_at is None:
+            is_overdue = now_s - since > self._limits.idle_s(since)
+        else:
+            is_overdue = now_s - began_at > self._limits.header_s(since)
+        if not is_overdue or stream.has_unread():
+            return None
+        return REASON_IDLE if began_at is None else REASON_SLOW_HEAD
+
+    def _close(self, streams: list[CallerStream], reason: str) -> None:
         """Closes connections; one line tells of all of them."""
+        first_since = min(item.waits_since or now() for item in streams)
         log(
             CONNECTIONS_CLOSED,
             reason=reason,
-            count=len(waits),
-            callers=[_caller_of(stream) for stream in list(waits)[:MAX_CALLERS_LOGGED]],
-            waited_s=round(now() - min(wait.since for wait in waits.values()), 3),
+            count=len(streams),
+            callers=[_caller_of(item) for item in streams[:MAX_CALLERS_LOGGED]],
+            waited_s=round(now() - first_since, 3),
         )
-        self._metrics.count(CLOSED, len(waits), reason=reason)
-        for stream in waits:
+        self._metrics.count(CLOSED, len(streams), reason=reason)
+        for stream in streams:
             self.end_wait(stream)
             stream.close()
 
 
-def _caller_of(stream: IOStream) -> str:
+def _caller_of(stream: CallerStream) -> str:
     """Returns a caller's address, or a dash if the system no longer knows it."""
     try:
         host, port = stream.socket.getpeername()[:2]
--- a/cicadacourse/platform/_ingress.py
+++ b/cicadacourse/platform/_ingress.py
@@ -8,11 +8,10 @@
 
 import tornado.httputil
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
 
 from cicadacourse.application import SERVICES, Application, Service
-from cicadacourse.catalog import CallerLimits
+from cicadacourse.catalog import CallerLimits, CatalogSettings
 from cicadacourse.config import InstanceSettings
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.events import CATALOG_CHANGED
@@ -21,7 +20,9 @@
 from cicadacourse.platform._caller_connections import WaitingConnections
 from cicadacourse.platform._caller_reply import CallerReply
 from cicadacourse.platform._caller_request import read_request
+from cicadacourse.platform._caller_stream import CallerServer, CallerStream
 from cicadacourse.platform._settings import ListenSettings
+from cicadacourse.platform._wait_limits import WaitLimits
 from cicadacourse.util.addresses import split_address
 from cicadacourse.util.clock import now
 from cicadacourse.util.logging import get_logger
@@ -65,9 +66,13 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._last_request_at = 0.0
         self._refuses_requests = False
-        self._server: HTTPServer | None = None
-        limits = CallerLimits(idle_timeout_s=IDLE_TIMEOUT_S)
-        self.waiting = WaitingConnections(app.metrics, limits, IDLE_MARGIN_S)
+        self._server: CallerServer | None = None
+        self._wait_limits = WaitLimits(
+            app.settings.get(CatalogSettings).superseded_bound_s,
+            IDLE_MARGIN_S,
+            CallerLimits(idle_timeout_s=IDLE_TIMEOUT_S),
+        )
+        self.waiting = WaitingConnections(app.metrics, self._wait_limits)
         app.events.connect(CATALOG_CHANGED, self._apply_limits)
 
     @property
@@ -78,7 +83,7 @@
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Listens for callers while the instance runs."""
-        server = HTTPServer(
+        server = CallerServer(
             _RequestReaderFactory(self),
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
@@ -105,7 +110,7 @@
         """Applies the configured idle and header timeouts from now on."""
         catalog = self.app.get("catalog").catalog
         if catalog is not None:
-            self.waiting.apply_limits(catalog.limits)
+            self._wait_limits.apply(catalog.limits, now())
 
     async def leave(self) -> None:
         """Announces that this instance is leaving, then drains its requests.
@@ -185,16 +190,20 @@
     ) -> tornado.httputil.HTTPMessageDelegate:
         """Returns the reader of one request; called by tornado."""
         assert isinstance(request_conn, HTTP1Connection)
+        assert isinstance(request_conn.stream, CallerStream)
         self._ingress.waiting.begin_wait(request_conn.stream)
-        return _RequestReader(self._ingress, request_conn)
+        return _RequestReader(self._ingress, request_conn, request_conn.stream)
 
 
 class _RequestReader(tornado.httputil.HTTPMessageDelegate):
     """Collects one request and starts serving it once it is complete."""
 
-    def __init__(self, ingress: Ingress, connection: HTTP1Connection) -> None:
+    def __init__(
+        self, ingress: Ingress, connection: HTTP1Connection, stream: CallerStream
+    ) -> None:
         self._ingress = ingress
         self._connection = connection
+        self._stream = stream
         self._parts: list[bytes] = []
         self._arrived = 0.0
         self._start_line = tornado.httputil.RequestStartLine("", "", "")
@@ -202,7 +211,7 @@
 
     def headers_received(self, start_line: Any, headers: Any) -> None:
         """Stores the request line and the headers; called by tornado."""
-        self._ingress.waiting.end_wait(self._connection.stream)
+        self._ingress.waiting.end_wait(self._stream)
         self._arrived = now()
         self._start_line = start_line
         self._headers = headers
--- a/tests/test_platform/test_platform_idle_connections.py
+++ b/tests/test_platform/test_platform_idle_connections.py
@@ -16,8 +16,11 @@
 import logbook
 import pytest
 
+from cicadacourse.catalog import CallerLimits, CatalogSettings
 from cicadacourse.logs import CONNECTIONS_CLOSED
 from cicadacourse.platform import _ingress
+from cicadacourse.platform._wait_limits import WaitLimits
+from cicadacourse.util.clock import MS_PER_S
 from standins.callers import Response, read_response
 from standins.platform import Fleet
 from standins.ports import next_host
@@ -31,7 +34,10 @@
 
 SHORT_S = 0.8
 LONG_S = 60.0
+# For how long former limits count for waits that begin after they were replaced.
+BOUND_S = 0.2
 HEAD = b"POST /look/x HTTP/1.1\r\nHost: fleet.example\r\n"
+CLOSED = "caller_connections_closed_total"
 EMPTY_BODY = b"Content-Length: 0\r\nAuthorization: Bearer key-of-acme\r\n\r\n"
 
 
@@ -72,10 +78,16 @@
 
 
 @contextlib.asynccontextmanager
-async def _connected(**limits: Any) -> AsyncIterator[_Connection]:
-    """Yields a connection that waits for its second request under some limits."""
+async def _connected(
+    bound_s: float = BOUND_S, **limits: Any
+) -> AsyncIterator[_Connection]:
+    """Yields a connection that waits for its second request under some limits.
+
+    :param bound_s: for how long a configuration that was replaced may be applied.
+    """
+    bound = CatalogSettings(superseded_bound_ms=int(bound_s * MS_PER_S))
     async with running_fleet(engines=0, plain_services=1) as fleet:
-        instance = make_instance(fleet, "one", next_host())
+        instance = make_instance(fleet, "one", next_host(), sections=(bound,))
         async with running_instance(instance):
             reader, writer = await asyncio.open_connection(
                 instance.host, instance.caller_port
@@ -83,6 +95,7 @@
             caller = Caller(instance)
             connection = _Connection(fleet, instance, caller, reader, writer)
             connection.limit(**limits)
+            await asyncio.sleep(BOUND_S + SHORT_S / 4)
             assert (await connection.request()).status == 200
             yield connection
             writer.close()
@@ -113,7 +126,7 @@
 
 async def test_a_lowered_limit_does_not_count_before_callers_know_it() -> None:
     """A caller may apply the older configuration for a while as well."""
-    async with _connected(idle_s=LONG_S) as connection:
+    async with _connected(bound_s=LONG_S, idle_s=LONG_S) as connection:
         connection.limit(idle_s=SHORT_S / 2)
         assert (await connection.request()).status == 200
         await asyncio.sleep(SHORT_S)
@@ -136,8 +149,7 @@
             host, port = connection.writer.get_extra_info("sockname")
             assert await connection.is_closed()
             metrics = connection.instance.app.metrics
-    closed = "caller_connections_closed_total"
-    assert metrics.value(closed, reason="idle") == 1
+    assert metrics.value(CLOSED, reason="idle") == 1
     (fields,) = [
         record.extra
         for record in handler.records
@@ -162,6 +174,8 @@
     async with _connected(idle_s=SHORT_S) as connection:
         connection.writer.write(HEAD)
         assert await connection.is_closed()
+        metrics = connection.instance.app.metrics
+        assert metrics.value(CLOSED, reason="slow_head") == 1
 
 
 async def test_a_request_in_progress_does_not_count_as_idle() -> None:
@@ -169,3 +183,23 @@
         (endpoint,) = connection.fleet.endpoint_by_id.values()
         endpoint.worker.work_s = 1.5 * SHORT_S
         assert (await connection.request("/book/x")).status == 200
+
+
+async def test_a_former_limit_is_forgotten_once_no_wait_can_rely_on_it() -> None:
+    limits = WaitLimits(1.0, 0.5, CallerLimits())
+    limits.apply(CallerLimits(idle_timeout_s=50.0), 0.0)
+    limits.apply(CallerLimits(idle_timeout_s=20.0), 10.0)
+    assert [limits.idle_s(since) for since in (5.0, 11.0, 11.1)] == [50.5, 50.5, 20.5]
+    limits.apply(CallerLimits(idle_timeout_s=30.0), 20.0)
+    assert [limits.idle_s(since) for since in (5.0, 11.1)] == [50.5, 30.5]
+    limits.apply(CallerLimits(idle_timeout_s=25.0), 200.0)
+    assert [limits.idle_s(since) for since in (5.0, 201.0)] == [30.5, 30.5]
+    assert limits.header_s(202.0) == CallerLimits().header_timeout_s + 0.5
+
+
+async def test_limits_that_change_often_are_not_collected() -> None:
+    limits = WaitLimits(1.0, 0.5, CallerLimits())
+    for number in range(1000):
+        idle_s = 60.0 - number % 7
+        limits.apply(CallerLimits(idle_timeout_s=idle_s), float(number))
+    assert len(limits._former) < 7
