Serve accepted requests by the pool that they were admitted to

Symptom: beside a change of the configuration, accepted requests ended with 503 or 502, or as broken streams, or stayed queued (LOST). Cause: each placement looked the pool up in the newest configuration: a retry, a resume or a placement after a refusal found it unknown, the dispatcher passed over queued requests of a dropped pool although its endpoints were free, and nothing woke those whose pool had lost its last endpoint; the bound on connections of a dropped pool was gone as well.

Change: PlacementRequest carries AdmissionTerms, and placement/_pools.py resolves the pool: that of the admission while it has a live endpoint, by its newest row, else one that the newest configuration allows by the same organisation, kind and idempotence, with the log line 'request moved to another pool'. A queued request whose pool is empty is looked at again in the next turn: it moves, or is refused at once.

--- a/cicadacourse/catalog/_model.py
+++ b/cicadacourse/catalog/_model.py
@@ -132,6 +132,23 @@
             {key: owner for owner in self.organisations for key in owner.keys}
         )
 
+    def find_pools(self, route: Route) -> tuple[Pool, ...]:
+        """Returns the pools of a route that are configured."""
+        names = [share.pool for share in route.shares]
+        return tuple(
+            self.pool_by_name[name] for name in names if name in self.pool_by_name
+        )
+
+    def find_organisation(self, key: str | None) -> Organisation | None:
+        """Returns the organisation that holds a key, or None."""
+        return self.organisation_by_key.get(key or "")
+
+    def is_allowed(self, route: Route, key: str | None) -> bool:
+        """Returns whether a caller with a key, or with none, may use a route."""
+        if route.is_public or not self.organisations:
+            return True
+        return self.find_organisation(key) is not None
+
     @cached_property
     def _route_by_prefix_by_host(self) -> Mapping[str, dict[str, Route]]:
         found: dict[str, dict[str, Route]] = defaultdict(dict)
--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -12,12 +12,13 @@
     Catalog,
     ConfigurationFreshness,
     Organisation,
+    Pool,
     Route,
     RouteKind,
 )
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.exchange import CallerRequest, Prompt
-from cicadacourse.placement import PlacementRequest
+from cicadacourse.placement import AdmissionTerms, PlacementRequest
 
 # Callers abandon a stream that is idle for this many seconds, this many latency
 # objectives, or this many inter-token gap objectives, whichever is longest.
@@ -62,6 +63,7 @@
     :param organisation: the owner of the request's key, or None without a known key.
     :param deadline: when the whole response is due, loop time in seconds.
     :param catalog_version: the version of the configuration that it was admitted under.
+    :param pools: the pools of its route in that configuration.
     """
 
     request: CallerRequest
@@ -69,6 +71,7 @@
     organisation: Organisation | None
     deadline: float
     catalog_version: int
+    pools: tuple[Pool, ...] = ()
 
     @property
     def prompt(self) -> Prompt | None:
@@ -142,6 +145,21 @@
             gap_s=self.route.gap_target_s or 0.0,
             organisation=self.organisation.name if self.organisation else "",
             avoided_ids=avoided_ids,
+            terms=self._terms(pool),
+        )
+
+    def _terms(self, pool: str) -> AdmissionTerms:
+        """Returns what stays in force for this request, whatever changes.
+
+        :param pool: the name of the pool that it was admitted to.
+        """
+        return AdmissionTerms(
+            host=self.request.host,
+            target=self.request.target,
+            key=self.request.key,
+            organisation=self.organisation,
+            route=self.route,
+            pool=next((item for item in self.pools if item.name == pool), None),
         )
 
     def choose_pool(self) -> str | None:
@@ -172,15 +190,20 @@
     if route is None:
         detail = f"no route for {request.host}{request.target:.80}"
         return Failure(Error(ErrorKind.UNKNOWN_ROUTE, detail))
-    organisation = catalog.organisation_by_key.get(request.key or "")
-    if organisation is None and catalog.organisations and not route.is_public:
+    if not catalog.is_allowed(route, request.key):
         return Failure(Error(ErrorKind.UNKNOWN_KEY, "the key is not known"))
     limits_s = [route.timeout_s]
     if request.timeout_s is not None:
         limits_s.append(request.timeout_s)
-    deadline = request.arrived + min(limits_s)
     return Success(
-        AdmittedRequest(request, route, organisation, deadline, catalog.version)
+        AdmittedRequest(
+            request,
+            route,
+            organisation=catalog.find_organisation(request.key),
+            deadline=request.arrived + min(limits_s),
+            catalog_version=catalog.version,
+            pools=catalog.find_pools(route),
+        )
     )
 
 
--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -205,6 +205,12 @@
     "No endpoint of `pool` has free capacity, or a long prompt waits for its turn;"
     " `usable` is the number of endpoints that are known and not ejected.",
 )
+REQUEST_MOVED = _declare(
+    "placement",
+    "request moved to another pool",
+    "`former_pool`, to which the request was admitted, has no live endpoint; the"
+    " version `configuration` allows `pool` instead.",
+)
 PLACEMENT_YIELDED = _declare(
     "placement",
     "placement yielded to another instance",
--- a/cicadacourse/placement/__init__.py
+++ b/cicadacourse/placement/__init__.py
@@ -11,6 +11,7 @@
 from cicadacourse.placement._health import EndpointHealth
 from cicadacourse.placement._kv_cache import choose_with_reservations
 from cicadacourse.placement._model import (
+    AdmissionTerms,
     Candidate,
     Placement,
     PlacementRequest,
@@ -21,6 +22,7 @@
 from cicadacourse.placement._service import Placer
 
 __all__ = [
+    "AdmissionTerms",
     "CONTENTION_WINDOW_S",
     "Candidate",
     "EndpointHealth",
--- a/cicadacourse/placement/_chooser.py
+++ b/cicadacourse/placement/_chooser.py
@@ -34,15 +34,6 @@
         self._instance = instance
         self._ejections = ejections
 
-    def find_pool(self, name: str) -> Pool | None:
-        """Returns the pool of that name, or None if it is not configured."""
-        catalog = self._catalog_service.catalog
-        return catalog.pool_by_name.get(name) if catalog else None
-
-    def is_empty(self, pool: str) -> bool:
-        """Returns whether a pool has no live endpoint."""
-        return not self._catalog_service.registry.ready(pool)
-
     def is_deadline_unreachable(self, request: PlacementRequest, pool: Pool) -> bool:
         """Returns whether even an idle pool would miss the deadline of a prompt."""
         if pool.engine is None:
@@ -100,20 +91,17 @@
             return []
         return sorted(usable, key=self._limits.available_at)
 
-    def has_connection(self, endpoint: Endpoint) -> bool:
+    def has_connection(self, endpoint: Endpoint, pool: Pool) -> bool:
         """Returns whether its pool allows another connection to an endpoint now."""
-        pool = self.find_pool(endpoint.pool)
-        if pool is None or not pool.max_connections:
+        if not pool.max_connections:
             return True
         requests = self._load.table.count_own_requests()
         return requests[endpoint.id] < pool.max_connections
 
-    def lacks_connections(self, pool: str) -> bool:
+    def lacks_connections(self, pool: Pool) -> bool:
         """Returns whether an endpoint has a free slot but no connection to use it."""
-        current = self.find_pool(pool)
-        return current is not None and any(
-            item.has_slot and not item.has_connection
-            for item in self.candidates(current)
+        return any(
+            item.has_slot and not item.has_connection for item in self.candidates(pool)
         )
 
     def try_place(
--- a/cicadacourse/placement/_dispatcher.py
+++ b/cicadacourse/placement/_dispatcher.py
@@ -8,6 +8,7 @@
 
 from cicadacourse.placement._chooser import Chooser
 from cicadacourse.placement._model import Candidate
+from cicadacourse.placement._pools import Pools
 from cicadacourse.placement._queue import WaitQueue
 from cicadacourse.util.clock import now
 
@@ -20,10 +21,12 @@
 class Dispatcher:
     """Places queued requests: short ones on a change, long ones at intervals."""
 
-    def __init__(self, queue: WaitQueue, chooser: Chooser) -> None:
+    def __init__(self, queue: WaitQueue, chooser: Chooser, pools: Pools) -> None:
         self._queue = queue
         self._chooser = chooser
+        self._pools = pools
         self._is_scheduled = False
+        self._is_release_scheduled = False
         self._recheck_timer: asyncio.TimerHandle | None = None
 
     def schedule(self, *_: Any) -> None:
@@ -32,6 +35,25 @@
             self._is_scheduled = True
             asyncio.get_running_loop().call_soon(self._place_scheduled)
 
+    def schedule_release(self) -> None:
+        """Schedules a look for requests whose pool has no live endpoint any more.
+
+        It follows in the next turn of the event loop, once all changes of the registry
+        that came together are applied.
+        """
+        if len(self._queue) and not self._is_release_scheduled:
+            self._is_release_scheduled = True
+            asyncio.get_running_loop().call_soon(self._release)
+
+    def _release(self) -> None:
+        """Ends the waits for pools without a live endpoint."""
+        self._is_release_scheduled = False
+        names = {waiter.request.pool for waiter in self._queue}
+        empty = {name for name in names if self._pools.is_empty(name)}
+        for waiter in self._queue:
+            if waiter.request.pool in empty:
+                waiter.placement.set_result(None)
+
     def schedule_recheck(self) -> None:
         """Schedules the next try of queued long prompts, as long as there is one."""
         if self._recheck_timer is None and self._queue.has_long():
@@ -59,7 +81,7 @@
         for waiter in self._queue:
             if waiter.is_long != is_long:
                 continue
-            pool = self._chooser.find_pool(waiter.request.pool)
+            pool = self._pools.current(waiter.request)
             if pool is None:
                 continue
             if pool.name not in candidates_by_pool:
--- a/cicadacourse/placement/_model.py
+++ b/cicadacourse/placement/_model.py
@@ -4,10 +4,29 @@
 
 import attrs
 
-from cicadacourse.catalog import Endpoint
+from cicadacourse.catalog import Endpoint, Organisation, Pool, Route
 from cicadacourse.load import Assignment, EndpointLoad
 
 
+@attrs.frozen
+class AdmissionTerms:
+    """What a request was admitted by; it stays in force whatever changes meanwhile.
+
+    :param host: the ``Host`` that the caller sent.
+    :param target: the path that the caller sent, with its query.
+    :param key: the API key that the caller sent, or None.
+    :param organisation: the owner of that key, or None.
+    :param pool: the pool that it was admitted to, None if that was not configured.
+    """
+
+    host: str
+    target: str
+    key: str | None
+    organisation: Organisation | None
+    route: Route
+    pool: Pool | None
+
+
 @attrs.frozen
 class PlacementRequest:
     """What one request needs from the endpoints of a pool.
@@ -23,6 +42,8 @@
     :param gap_s: the longest inter-token gap that its stream tolerates, 0 for calls.
     :param organisation: the name of the caller's organisation, empty if there is none.
     :param avoided_ids: ids of endpoints that have failed this request.
+    :param terms: what the request was admitted by. Without them it is refused once its
+        pool is no longer configured.
     """
 
     request_id: str
@@ -36,6 +57,7 @@
     gap_s: float = 0.0
     organisation: str = ""
     avoided_ids: frozenset[str] = frozenset()
+    terms: AdmissionTerms | None = None
 
     @property
     def context_tokens(self) -> int:
--- a/cicadacourse/placement/_service.py
+++ b/cicadacourse/placement/_service.py
@@ -7,6 +7,7 @@
 import random
 from typing import AsyncIterator
 
+import attrs
 from returns.result import Failure, Result, Success
 
 from cicadacourse.application import SERVICES, Application, Service
@@ -25,6 +26,7 @@
 from cicadacourse.placement._health import EndpointHealth
 from cicadacourse.placement._limits import LimitGate
 from cicadacourse.placement._model import Placement, PlacementRequest
+from cicadacourse.placement._pools import Pools
 from cicadacourse.placement._queue import Waiter, WaitQueue
 from cicadacourse.util.clock import now
 
@@ -49,8 +51,9 @@
         self._queue = WaitQueue()
         self._ejections = Ejections(app, self._schedule)
         self._chooser = Chooser(app, instance, self._ejections)
+        self._pools = Pools(app.get("catalog"))
         self._limit_gate = LimitGate(app.get("limits"), self._chooser)
-        self._dispatcher = Dispatcher(self._queue, self._chooser)
+        self._dispatcher = Dispatcher(self._queue, self._chooser, self._pools)
         app.events.connect(LOAD_CHANGED, self._dispatcher.schedule)
         app.events.connect(CATALOG_CHANGED, self._dispatcher.schedule)
         app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
@@ -67,32 +70,53 @@
         """Yields a placement, at once or after a time in the queue.
 
         Its assignments count as in progress while the context is open, and so does a
-        connection to its endpoint. The result is a Failure if the pool is not
-        configured or has no live endpoint, if the prompt can't be prefilled before its
-        deadline, if no endpoint's limit allows the request in time, or if its time in
-        the queue is over.
+        connection to its endpoint. The result is a Failure if neither its pool nor
+        another one that the configuration allows has a live endpoint, if the prompt
+        can't be prefilled before its deadline, if no endpoint's limit allows the
+        request in time, or if its time in the queue is over.
         """
-        pool = self._chooser.find_pool(request.pool)
-        if pool is None:
-            yield Failure(errors.pool_unknown(request.pool))
-            return
-        if self._chooser.is_deadline_unreachable(request, pool):
-            yield Failure(errors.deadline_unreachable(request.pool))
-            return
-        waiter = self._queue.make_waiter(request, pool.engine, now())
+        with contextlib.ExitStack() as tracking:
+            yield await self._place(request, tracking)
+
+    async def _place(
+        self, request: PlacementRequest, tracking: contextlib.ExitStack
+    ) -> Result[Placement, Error]:
+        """Places a request in its pool, or in another one once that is empty.
+
+        :param tracking: keeps the assignments of the placement in progress.
+        """
+        while True:
+            match self._pools.resolve(request):
+                case Success(Pool() as pool):
+                    request = attrs.evolve(request, pool=pool.name)
+                case Failure(error):
+                    return Failure(error)
+            if self._chooser.is_deadline_unreachable(request, pool):
+                return Failure(errors.deadline_unreachable(pool.name))
+            waiter = self._queue.make_waiter(request, pool.engine, now())
+            result = await self._place_in_pool(waiter, pool, tracking)
+            if result is not None:
+                return result
+            request = waiter.request_at(now())
+
+    async def _place_in_pool(
+        self, waiter: Waiter, pool: Pool, tracking: contextlib.ExitStack
+    ) -> Result[Placement, Error] | None:
+        """Places a request in one pool; returns None once that is empty."""
         while True:
             result = await self._find_placement(waiter, pool)
-            if isinstance(result, Failure):
-                yield result
-                return
+            if not isinstance(result, Success):
+                return result
             placement = result.unwrap()
+            pool = self._pools.current(waiter.request) or pool
             # Another request may have been placed since the dispatcher's choice.
-            if self._chooser.has_connection(placement.endpoint):
-                with self._load.track(*placement.assignments):
+            if self._chooser.has_connection(placement.endpoint, pool):
+                with contextlib.ExitStack() as attempt:
+                    attempt.enter_context(self._load.track(*placement.assignments))
                     if await self._is_confirmed(waiter, placement):
                         if await self._limit_gate.may_send(waiter, placement):
-                            yield result
-                            return
+                            tracking.enter_context(attempt.pop_all())
+                            return result
                         # Another endpoint may take it at once.
                         continue
             await asyncio.sleep(random.uniform(*RECHECK_RANGE_S))
@@ -118,24 +142,27 @@
 
     async def _find_placement(
         self, waiter: Waiter, pool: Pool
-    ) -> Result[Placement, Error]:
-        """Returns a placement once the request is next and an endpoint is free."""
+    ) -> Result[Placement, Error] | None:
+        """Returns a placement once the request is next and an endpoint is free.
+
+        :returns: None once the pool has no live endpoint.
+        """
         while True:
             # Its limits may have changed while the request was queued.
-            pool = self._chooser.find_pool(pool.name) or pool
+            pool = self._pools.current(waiter.request) or pool
             if self._queue.is_next(waiter):
                 request = waiter.request_at(now())
                 candidates = self._chooser.candidates(pool)
                 placement = self._chooser.try_place(request, pool, candidates)
                 if placement is not None:
                     return Success(placement)
-            if self._chooser.is_empty(pool.name):
-                return Failure(errors.pool_empty(pool.name))
+            if self._pools.is_empty(pool.name):
+                return None
             result = None
             at_limit = self._chooser.endpoints_at_limit(pool.name)
             if at_limit:
                 result = await self._limit_gate.reserve(waiter, pool, at_limit)
-            result = result or await self._wait(waiter)
+            result = result or await self._wait(waiter, pool)
             if result is not None:
                 return result
 
@@ -162,10 +189,12 @@
     def _has_peers(self) -> bool:
         return len(self.app.get("membership").members()) > 1
 
-    async def _wait(self, waiter: Waiter) -> Result[Placement, Error] | None:
+    async def _wait(
+        self, waiter: Waiter, pool: Pool
+    ) -> Result[Placement, Error] | None:
         """Queues a request until it is placed or its time in the queue is over.
 
-        :returns: None if the limits of the pool's endpoints have to be looked at again.
+        :returns: None if the pool and its endpoints have to be looked at again.
         """
         request = waiter.request_at(now())
         waiter.placement = asyncio.get_running_loop().create_future()
@@ -175,11 +204,12 @@
         self._dispatcher.schedule_recheck()
         try:
             async with asyncio.timeout(self._max_wait_s(request)):
-                return Success(await waiter.placement)
+                placement = await waiter.placement
+                return None if placement is None else Success(placement)
         except TimeoutError:
             if waiter.request_at(now()).wait_s > 0:
                 return None
-            if self._chooser.lacks_connections(request.pool):
+            if self._chooser.lacks_connections(pool):
                 return Failure(errors.connections_in_use(request.pool))
             return Failure(errors.pool_full(request.pool))
         finally:
@@ -208,6 +238,7 @@
 
     def _endpoint_changed(self, endpoint: Endpoint) -> None:
         self._ejections.forget_former_process(endpoint)
+        self._dispatcher.schedule_release()
         self._schedule()
 
     def _schedule(self) -> None:
