Answer the requests that a stop ends, and refuse those that come during it

Symptom: at the end of a graceful shutdown, a whole request ended without a byte (LOST): one that was queued or at its endpoint when the time to leave was over, and one that reached an open connection after the last look for requests. Cause: the stop cancelled the tasks, which took this for a caller that had left, and closed all connections, read or not.

Change: a cancelled request whose caller waits is answered, 503 if it was not sent to an endpoint, else 504. Then connections on which nothing has come are closed, and what arrives on the others is refused, for 0.2 s at most.

--- a/cicadacourse/gateway/__init__.py
+++ b/cicadacourse/gateway/__init__.py
@@ -1,5 +1,6 @@
 """Admits, forwards and retries callers' requests; each gets exactly one response."""
 
+from cicadacourse.gateway._admission import leaving_error
 from cicadacourse.gateway._events import MAX_EVENT_BYTES
 from cicadacourse.gateway._service import Gateway
 from cicadacourse.gateway._settings import GatewaySettings
@@ -24,4 +25,5 @@
     "PATH_STATUS",
     "RouteStatus",
     "get_instance_status",
+    "leaving_error",
 ]
--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -44,6 +44,8 @@
 RETRY_AFTER_NOT_READY_S = 1.5
 # Most instances have the newest configuration, so another one can decide at once.
 RETRY_AFTER_SUPERSEDED_S = 0.3
+# Other instances accept the request at once.
+RETRY_AFTER_LEAVING_S = 0.1
 REASON_SUPERSEDED = "configuration_superseded"
 # The errors by which a configuration denies a request for good.
 DENIALS = frozenset(
@@ -234,6 +236,12 @@
     )
 
 
+def leaving_error() -> Error:
+    """Returns the error of a request that came too late in this instance's shutdown."""
+    detail = "this instance is leaving"
+    return Error(ErrorKind.LEAVING, detail, retry_after_s=RETRY_AFTER_LEAVING_S)
+
+
 def suspected_error(delay_s: float) -> Error:
     """Returns the error of a request whose prompt may crash the engine it is sent to.
 
--- a/cicadacourse/gateway/_service.py
+++ b/cicadacourse/gateway/_service.py
@@ -9,12 +9,13 @@
 
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.catalog import CatalogService
-from cicadacourse.errors import Error
+from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.exchange import CallerRequest, EndpointClient, Reply
 from cicadacourse.gateway._admission import (
     MAX_WAIT_SHARE,
     AdmittedRequest,
     admit,
+    leaving_error,
     may_decide,
     size_class,
     superseded_error,
@@ -63,7 +64,11 @@
         )
 
     async def handle(self, request: CallerRequest, reply: Reply) -> None:
-        """Serves one request; returns when its response has been written."""
+        """Serves one request; returns when its response has been written.
+
+        If it is cancelled while the caller waits, the instance stops, and the request
+        is answered by how far it got.
+        """
         match await self._admit(request):
             case Failure(error):
                 await self._refuse(request, reply, error)
@@ -96,6 +101,10 @@
                 error = await forwarder.run()
         except TimeoutError:
             error = attempts.timeout_error()
+        except asyncio.CancelledError:
+            if reply.caller_disconnected.is_set():
+                raise
+            error = _stopped_error(attempts)
         if error is not None:
             await self._fail(admitted, reply, error)
         self._report_end(admitted, forwarder, error)
@@ -170,6 +179,14 @@
     return min(MAX_NEWS_WAIT_S, MAX_WAIT_SHARE * request.timeout_s)
 
 
+def _stopped_error(attempts: Attempts) -> Error:
+    """Returns the error of a request that ends because this instance stops."""
+    if not attempts.sent and not attempts.may_have_run:
+        return leaving_error()
+    detail = "this instance stopped before the response"
+    return Error(ErrorKind.TIMED_OUT, detail, reason=ErrorKind.LEAVING.value)
+
+
 def _finite_age_s(at_s: float) -> float | None:
     """Returns the seconds since a loop time, None if that is never."""
     age_s = now() - at_s
--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -345,7 +345,7 @@
     "ingress",
     "request failed",
     "An unexpected error, a malformed request, or a request that reached an instance"
-    " too late in its shutdown (`leaving`).",
+    " too late in its shutdown or was not placed when that ended (`leaving`).",
     True,
 )
 KV_CACHE_RESERVED = _declare(
--- a/cicadacourse/platform/_caller_connections.py
+++ b/cicadacourse/platform/_caller_connections.py
@@ -55,6 +55,12 @@
             await asyncio.sleep(SWEEP_PERIOD_S)
             self._close_overdue()
 
+    def close_unused(self) -> None:
+        """Closes the connections on which nothing of a request has come."""
+        for stream in [item for item in self._streams if item.is_unused]:
+            self.end_wait(stream)
+            stream.close()
+
     def _close_overdue(self) -> None:
         self._streams = {item for item in self._streams if not item.closed()}
         now_s = now()
--- a/cicadacourse/platform/_caller_stream.py
+++ b/cicadacourse/platform/_caller_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import select
+import weakref
 from typing import Any
 
 from tornado.httpserver import HTTPServer
@@ -40,6 +41,13 @@
             self.head_began_at = now()
         return count
 
+    @property
+    def is_unused(self) -> bool:
+        """Whether it waits for a request and nothing of one has come."""
+        if self.closed() or self.waits_since is None or not self.reading():
+            return False
+        return self.head_began_at is None and not self.has_unread()
+
     def has_unread(self) -> bool:
         """Returns whether a read would find bytes, or the end, in the socket."""
         poll = select.poll()
@@ -50,6 +58,15 @@
 class CallerServer(HTTPServer):
     """A server whose connections are of the class :class:`CallerStream`."""
 
+    def initialize(self, *arguments: Any, **keywords: Any) -> None:
+        """Initialises the server; called by tornado in place of ``__init__``."""
+        super().initialize(*arguments, **keywords)
+        self._streams: weakref.WeakSet[CallerStream] = weakref.WeakSet()
+
+    def has_connections(self) -> bool:
+        """Returns whether a connection is open."""
+        return any(not stream.closed() for stream in self._streams)
+
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         """Serves a new connection; called by tornado, which has not read from it."""
         own = CallerStream(
@@ -57,4 +74,5 @@
             max_buffer_size=stream.max_buffer_size,
             read_chunk_size=stream.read_chunk_size,
         )
+        self._streams.add(own)
         super().handle_stream(own, address)
--- a/cicadacourse/platform/_ingress.py
+++ b/cicadacourse/platform/_ingress.py
@@ -16,6 +16,7 @@
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.events import CATALOG_CHANGED
 from cicadacourse.exchange import CallerRequest
+from cicadacourse.gateway import leaving_error
 from cicadacourse.logs import CALLER_DISCONNECTED, log
 from cicadacourse.platform._caller_connections import WaitingConnections
 from cicadacourse.platform._caller_reply import CallerReply
@@ -45,8 +46,10 @@
 # How long no request must have arrived before a leaving instance stops, as requests may
 # be in transit on open connections.
 LEAVE_FINAL_IDLE_S = 0.2
-# Retry-After of the requests that a leaving instance refuses.
-RETRY_AFTER_LEAVING_S = 0.1
+# How long requests that come at the very end of a shutdown are still refused. Callers
+# have had the time to leave, and the platform's last signal comes soon.
+CLOSE_TIMEOUT_S = 0.2
+CLOSE_POLL_INTERVAL_S = 0.005
 
 
 @SERVICES.register("ingress")
@@ -98,13 +101,26 @@
         try:
             yield
         finally:
-            server.stop()
             closing.cancel()
             await asyncio.gather(closing, return_exceptions=True)
-            for task in list(self._tasks):
-                task.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
-            await server.close_all_connections()
+            await self._stop(server)
+
+    async def _stop(self, server: CallerServer) -> None:
+        """Answers the requests in progress, then closes all connections.
+
+        One on which a request arrives meanwhile is closed after its refusal.
+        """
+        self.is_leaving = self._refuses_requests = True
+        server.stop()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        deadline = now() + CLOSE_TIMEOUT_S
+        self.waiting.close_unused()
+        while server.has_connections() and now() < deadline:
+            await asyncio.sleep(CLOSE_POLL_INTERVAL_S)
+            self.waiting.close_unused()
+        await server.close_all_connections()
 
     def _apply_limits(self, *_: Any) -> None:
         """Applies the configured idle and header timeouts from now on."""
@@ -149,17 +165,12 @@
     def serve(self, request: CallerRequest, reply: CallerReply) -> None:
         """Starts a task that handles one request.
 
-        The task is cancelled if the caller disconnects. Once a leaving instance accepts
-        no more requests, the request is refused instead.
+        The task is cancelled if the caller disconnects or the instance stops. Once a
+        leaving instance accepts no more requests, the request is refused instead.
         """
         self._last_request_at = now()
         if self._refuses_requests:
-            error = Error(
-                ErrorKind.LEAVING,
-                "this instance is leaving",
-                retry_after_s=RETRY_AFTER_LEAVING_S,
-            )
-            asyncio.create_task(reply.fail(error))
+            asyncio.create_task(reply.fail(leaving_error()))
             return
         task = asyncio.create_task(self._handle(request, reply))
         self._tasks.add(task)
@@ -170,6 +181,9 @@
         try:
             await self.app.get("gateway").handle(request, reply)
         except asyncio.CancelledError:
+            if not reply.caller_disconnected.is_set():
+                await reply.fail(leaving_error())
+                return
             log(CALLER_DISCONNECTED, request=request.id)
             reply.abort()
         except StreamClosedError:
