Count the time to resume a stream from its last event, once it is passed

Symptom: a stream whose engine ended later than the caller's idle timeout after its arrival was broken off, although engines were free (LOST). Cause: placement took the time until a first event comes too late for the time to resume, which is over by then, and refused as deadline_unreachable. Change: placement_request takes the time of the last event, StreamTimes tells it. Forwarder.run doesn't pass it yet, so the test stays in KNOWN-RED.txt.

--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -118,21 +118,28 @@
             CALLER_IDLE_TIMEOUT_GAPS * (self.route.gap_target_s or 0.0),
         )
 
-    def _time_left_s(self, now_s: float) -> float:
-        """Returns the seconds until a response, or a first event, comes too late."""
+    def _time_left_s(self, now_s: float, last_event_at: float | None) -> float:
+        """Returns the seconds until a response, or the next event, comes too late."""
         left_s = self.deadline - now_s
         if not self.is_stream:
             return left_s
-        return min(left_s, self.request.arrived + self.caller_idle_timeout_s - now_s)
+        since = self.request.arrived if last_event_at is None else last_event_at
+        return min(left_s, since + self.caller_idle_timeout_s - now_s)
 
     def placement_request(
-        self, pool: str, now_s: float, avoided_ids: frozenset[str]
+        self,
+        pool: str,
+        now_s: float,
+        avoided_ids: frozenset[str],
+        last_event_at: float | None = None,
     ) -> PlacementRequest:
         """Returns the placement request of the next attempt.
 
         :param pool: the pool's name.
         :param now_s: the present, loop time in seconds.
         :param avoided_ids: ids of the endpoints that have failed this request.
+        :param last_event_at: when the caller got the last event of a stream that is to
+            be resumed, loop time in seconds.
         """
         prompt = self.prompt
         return PlacementRequest(
@@ -141,7 +148,7 @@
             priority=self.priority,
             target_s=max(0.0, self.request.arrived + self.route.target_s - now_s),
             wait_s=MAX_WAIT_SHARE * (self.deadline - now_s),
-            time_left_s=self._time_left_s(now_s),
+            time_left_s=self._time_left_s(now_s, last_event_at),
             prompt_tokens=prompt.tokens if prompt else 0,
             output_tokens=prompt.max_output_tokens if prompt else 0,
             gap_s=self.route.gap_target_s or 0.0,
--- a/cicadacourse/gateway/_times.py
+++ b/cicadacourse/gateway/_times.py
@@ -25,6 +25,11 @@
             self.longest_gap_s = max(self.longest_gap_s, now_s - self._last_at_s)
         self._last_at_s = now_s
 
+    @property
+    def last_at_s(self) -> float | None:
+        """When the last events were forwarded, loop time in seconds, None if none."""
+        return None if self.first_at_s is None else self._last_at_s
+
     def log_fields(self, arrived: float) -> dict[str, float]:
         """Returns the log fields of a stream in seconds, none for other responses.
 
