--- a/tests/test_cmd/test_cmd_signals.py
+++ b/tests/test_cmd/test_cmd_signals.py
@@ -7,12 +7,14 @@
 
 import pytest
 
+from cicadacourse.cmd import EXIT_USAGE, serve
 from cicadacourse.cmd._signals import STOP_SIGNALS, termination
 
 
 @pytest.fixture
 def restored_signals():
-    handlers = {number: signal.getsignal(number) for number in STOP_SIGNALS}
+    numbers = (*STOP_SIGNALS, signal.SIGHUP)
+    handlers = {number: signal.getsignal(number) for number in numbers}
     yield
     for number, handler in handlers.items():
         signal.signal(number, handler)
@@ -29,3 +31,21 @@
     for number in STOP_SIGNALS:
         assert signal.getsignal(number) is signal.SIG_IGN
         os.kill(os.getpid(), number)
+
+
+async def test_a_reload_signal_while_the_process_exits_is_ignored(
+    restored_signals: None,
+) -> None:
+    """Its default action ends a process whose services have stopped."""
+    with serve._logging_reloads():
+        assert signal.getsignal(signal.SIGHUP) is not signal.SIG_DFL
+    assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
+
+
+def test_a_reload_signal_while_the_process_starts_is_ignored(
+    restored_signals: None,
+) -> None:
+    """Its default action ends a process that does not handle it yet."""
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
+    assert serve.main(["--settings", "/nowhere/at/all.ini"]) == EXIT_USAGE
+    assert signal.getsignal(signal.SIGHUP) is signal.SIG_IGN
--- a/tests/test_platform/test_platform_processes.py
+++ b/tests/test_platform/test_platform_processes.py
@@ -143,3 +143,26 @@
 
 def _in_progress(fleet: Fleet) -> bool:
     return any(item.worker.in_progress for item in fleet.endpoint_by_id.values())
+
+
+async def test_a_reload_signal_ends_neither_requests_nor_the_process(
+    tmp_path: pathlib.Path,
+) -> None:
+    """One that came after the services had stopped ended the process."""
+    async with running_fleet() as fleet:
+        settings = tmp_path / "one.ini"
+        instance = write_settings(settings, fleet, next_host())
+        async with running_process(settings, instance) as process:
+            caller = Caller(instance)
+            stream = asyncio.create_task(caller.request("/ask/x", "5000,900"))
+            await wait_until(lambda: _in_progress(fleet))
+            process.send_signal(signal.SIGHUP)
+            assert (await stream).is_complete
+            process.send_signal(signal.SIGTERM)
+            output = asyncio.create_task(process.communicate())
+            while process.returncode is None:
+                with contextlib.suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.002)
+            await output
+            assert process.returncode == 0
