Ignore reload signals while the process starts and after its services stopped

Symptom: SIGHUP ended a process that was not yet or no longer handling it, with status -1. Cause: its default action was in force before the services ran and after they had stopped. The process takes no requests at these times, so none was lost by it; it counts as a process that ended by itself. Change: the signal is ignored from the begin of the command on, and again after the handler is removed.

--- a/cicadacourse/cmd/serve.py
+++ b/cicadacourse/cmd/serve.py
@@ -74,6 +74,8 @@
 
 def main(argv: list[str]) -> int:
     """Runs the instance and returns its exit status."""
+    # The default action of a reload signal would end the process while it starts.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     arguments = get_parser().parse_args(argv)
     path = arguments.settings or os.environ.get(SETTINGS_VARIABLE)
     if path is None:
@@ -136,10 +138,14 @@
 
 @contextlib.contextmanager
 def _logging_reloads() -> Iterator[None]:
-    """Logs each SIGHUP while it is open; settings are read only at the start."""
+    """Logs each SIGHUP while it is open; settings are read only at the start.
+
+    The signal is ignored after the block, as it must not end the process either.
+    """
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, log, RELOAD_IGNORED)
     try:
         yield
     finally:
         loop.remove_signal_handler(signal.SIGHUP)
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
