Keep the pool that a queued request has moved to

A request that had moved to another pool and was queued there was passed over once that pool was dropped as well: its terms still named the first one. The new test failed without the change.

--- a/cicadacourse/placement/_model.py
+++ b/cicadacourse/placement/_model.py
@@ -64,6 +64,11 @@
         """The KV-cache tokens that the request may occupy."""
         return self.prompt_tokens + self.output_tokens
 
+    def in_pool(self, pool: Pool) -> PlacementRequest:
+        """Returns the request as one that was admitted to a pool."""
+        terms = self.terms and attrs.evolve(self.terms, pool=pool)
+        return attrs.evolve(self, pool=pool.name, terms=terms)
+
     def after(self, waited_s: float) -> PlacementRequest:
         """Returns the request with the times that remain after it has waited."""
         return attrs.evolve(
--- a/cicadacourse/placement/_service.py
+++ b/cicadacourse/placement/_service.py
@@ -7,7 +7,6 @@
 import random
 from typing import AsyncIterator
 
-import attrs
 from returns.result import Failure, Result, Success
 
 from cicadacourse.application import SERVICES, Application, Service
@@ -88,7 +87,7 @@
         while True:
             match self._pools.resolve(request):
                 case Success(Pool() as pool):
-                    request = attrs.evolve(request, pool=pool.name)
+                    request = request.in_pool(pool)
                 case Failure(error):
                     return Failure(error)
             if self._chooser.is_deadline_unreachable(request, pool):
--- a/tests/test_gateway/test_gateway_configuration_changes.py
+++ b/tests/test_gateway/test_gateway_configuration_changes.py
@@ -39,6 +39,7 @@
 
 CHANGE_S = 0.02
 SLOW_S = 0.5
+TIMEOUT_S = 4.0
 # A refusal that is due to a change follows it within this time.
 AT_ONCE_S = 0.1
 NEW_ENDPOINT = Endpoint("new-0", "new", "10.0.1.0:1", "a", 8)
@@ -79,7 +80,7 @@
 
 
 @attrs.define
-class _Instance:
+class Instance:
     """One instance with endpoints that are fakes."""
 
     app: Application = attrs.field(factory=make_app)
@@ -112,7 +113,9 @@
         self.configure(
             pools=tuple(item for item in catalog.pools if item.name != pool),
             routes=tuple(
-                item for item in catalog.routes if item.shares[0].pool != pool
+                attrs.evolve(route, shares=shares)
+                for route in catalog.routes
+                if (shares := tuple(s for s in route.shares if s.pool != pool))
             ),
         )
 
@@ -150,7 +153,7 @@
             target=f"/{path}/x",
             key=key,
             arrived=now(),
-            timeout_s=4.0,
+            timeout_s=TIMEOUT_S,
             last_event_id=None,
             prompt=Prompt("m", 4000, 46 * EVENTS) if is_stream else None,
             headers=(),
@@ -166,7 +169,7 @@
         return asyncio.create_task(self.send(path, **arguments))
 
 
-async def _queue_one(instance: _Instance) -> list[asyncio.Task[FakeReply]]:
+async def _queue_one(instance: Instance) -> list[asyncio.Task[FakeReply]]:
     """Returns a request in progress at the only connection, and one that waits."""
     instance.configure(
         pools=tuple(
@@ -186,7 +189,7 @@
     """The retry found the pool unknown and the request ended with 502."""
 
     async def scenario() -> None:
-        instance = _Instance()
+        instance = Instance()
         instance.show_fault("reset")
         task = instance.start("look")
         await asyncio.sleep(CHANGE_S)
@@ -199,7 +202,7 @@
 
 def test_a_request_that_was_refused_is_tried_again_after_its_pool_was_dropped() -> None:
     async def scenario() -> None:
-        instance = _Instance()
+        instance = Instance()
         instance.show_fault("held")
         task = instance.start("book")
         await asyncio.sleep(CHANGE_S)
@@ -215,7 +218,7 @@
     """The stream was broken off."""
 
     async def scenario() -> None:
-        instance = _Instance()
+        instance = Instance()
         instance.show_fault("cut")
         task = instance.start("ask")
         await asyncio.sleep(CHANGE_S)
@@ -232,7 +235,7 @@
     """It stayed in the queue beside a free endpoint until its wait was over."""
 
     async def scenario() -> None:
-        instance = _Instance()
+        instance = Instance()
         tasks = await _queue_one(instance)
         instance.drop_pool("plain")
         replies = await asyncio.gather(*tasks)
@@ -247,7 +250,7 @@
     """It stayed in the queue of a pool without endpoints until its wait was over."""
 
     async def scenario() -> None:
-        instance = _Instance()
+        instance = Instance()
         _, queued = await _queue_one(instance)
         instance.remove_endpoints("plain")
         instance.move_routes()
@@ -263,7 +266,7 @@
     None
 ):
     async def scenario() -> None:
-        instance = _Instance()
+        instance = Instance()
         _, queued = await _queue_one(instance)
         instance.move_routes()
         await asyncio.sleep(CHANGE_S)
@@ -277,9 +280,30 @@
     _simulate(scenario)
 
 
+def test_a_queued_request_that_has_moved_is_placed_after_its_new_pool_was_dropped() -> (
+    None
+):
+    async def scenario() -> None:
+        instance = Instance()
+        _, queued = await _queue_one(instance)
+        instance.move_routes()
+        instance.register(attrs.evolve(NEW_ENDPOINT, slots=1))
+        instance.client.fault_by_endpoint[NEW_ENDPOINT.id] = "held"
+        first = instance.start("look")
+        await asyncio.sleep(CHANGE_S)
+        instance.remove_endpoints("plain")
+        await asyncio.sleep(CHANGE_S)
+        instance.drop_pool("new")
+        assert (await queued).status == OK
+        assert now() < 2 * SLOW_S + 2 * AT_ONCE_S
+        assert (await first).status == OK
+
+    _simulate(scenario)
+
+
 def test_a_queued_request_is_refused_at_once_when_its_pool_is_empty() -> None:
     async def scenario() -> None:
-        instance = _Instance()
+        instance = Instance()
         _, queued = await _queue_one(instance)
         instance.remove_endpoints("plain")
         changed_at = now()
@@ -295,7 +319,7 @@
     path: str,
 ) -> None:
     async def scenario() -> None:
-        instance = _Instance()
+        instance = Instance()
         instance.show_fault("cut" if path == "ask" else "reset")
         task = instance.start(path)
         await asyncio.sleep(CHANGE_S)
@@ -311,7 +335,7 @@
 
 def test_a_request_stays_at_its_pool_while_that_has_endpoints() -> None:
     async def scenario() -> None:
-        instance = _Instance()
+        instance = Instance()
         instance.show_fault("reset")
         task = instance.start("look")
         await asyncio.sleep(CHANGE_S)
@@ -323,21 +347,21 @@
     _simulate(scenario)
 
 
-def _make_other_kind(instance: _Instance) -> None:
+def _make_other_kind(instance: Instance) -> None:
     instance.move_routes(kind=RouteKind.UNSAFE)
 
 
-def _remove_key(instance: _Instance) -> None:
+def _remove_key(instance: Instance) -> None:
     instance.configure(organisations=(attrs.evolve(ACME, keys=("other",)),))
     instance.move_routes()
 
 
-def _give_key_away(instance: _Instance) -> None:
+def _give_key_away(instance: Instance) -> None:
     instance.configure(organisations=(Organisation("other", ("key",)),))
     instance.move_routes()
 
 
-def _remove_route(instance: _Instance) -> None:
+def _remove_route(instance: Instance) -> None:
     instance.move_routes()
     instance.configure(routes=())
 
@@ -346,10 +370,10 @@
     "change", [_make_other_kind, _remove_key, _give_key_away, _remove_route]
 )
 def test_a_request_moves_only_where_the_newest_configuration_allows_it(
-    change: Callable[[_Instance], None],
+    change: Callable[[Instance], None],
 ) -> None:
     async def scenario() -> None:
-        instance = _Instance()
+        instance = Instance()
         instance.configure(organisations=(ACME,))
         instance.show_fault("held")
         task = instance.start("look", key="key")
@@ -365,7 +389,7 @@
 
 def test_a_shorter_timeout_does_not_end_an_accepted_request() -> None:
     async def scenario() -> None:
-        instance = _Instance()
+        instance = Instance()
         instance.show_fault("held")
         task = instance.start("look")
         await asyncio.sleep(CHANGE_S)
@@ -385,7 +409,7 @@
     """It waits for the newer configuration, which allows it."""
 
     async def scenario() -> None:
-        instance = _Instance()
+        instance = Instance()
         service = instance.app.get("catalog")
         routes = service.catalog.routes
         instance.configure(routes=())
