Look for one live endpoint of a pool without sorting all of them

Each placement asks whether its pool has a live endpoint. Measured with 940 endpoints of 8 pools: 5.8 us instead of 205 us a question. 106 passed in test_gateway, test_placement and test_catalog, where the listed test of resumed streams alone failed.

--- a/cicadacourse/catalog/_registry.py
+++ b/cicadacourse/catalog/_registry.py
@@ -48,6 +48,10 @@
             key=lambda item: item.id,
         )
 
+    def has_ready(self, pool: str) -> bool:
+        """Returns whether any endpoint of a pool accepts new requests."""
+        return any(_is_ready(item) for item in self._in_pool(pool))
+
     def _in_pool(self, pool: str) -> Iterable[Endpoint]:
         return (item for item in self._endpoint_by_id.values() if item.pool == pool)
 
--- a/cicadacourse/placement/_model.py
+++ b/cicadacourse/placement/_model.py
@@ -16,6 +16,7 @@
     :param target: the path that the caller sent, with its query.
     :param key: the API key that the caller sent, or None.
     :param organisation: the owner of that key, or None.
+    :param route: the route as of the admission.
     :param pool: the pool that it was admitted to, None if that was not configured.
     """
 
--- a/cicadacourse/placement/_pools.py
+++ b/cicadacourse/placement/_pools.py
@@ -50,7 +50,7 @@
 
     def is_empty(self, pool: str) -> bool:
         """Returns whether a pool has no live endpoint."""
-        return not self._catalog_service.registry.ready(pool)
+        return not self._catalog_service.registry.has_ready(pool)
 
     def _find_successor(self, request: PlacementRequest) -> Pool | None:
         """Returns a pool to which the configuration in force admits a request."""
