--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -12,12 +12,13 @@
     Catalog,
     ConfigurationFreshness,
     Organisation,
+    Pool,
     Route,
     RouteKind,
 )
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.exchange import CallerRequest, Prompt
-from cicadacourse.placement import PlacementRequest
+from cicadacourse.placement import AdmissionTerms, PlacementRequest
 
 # Callers abandon a stream that is idle for this many seconds, this many latency
 # objectives, or this many inter-token gap objectives, whichever is longest.
@@ -43,6 +44,8 @@
 RETRY_AFTER_NOT_READY_S = 1.5
 # Most instances have the newest configuration, so another one can decide at once.
 RETRY_AFTER_SUPERSEDED_S = 0.3
+# Other instances accept the request at once.
+RETRY_AFTER_LEAVING_S = 0.1
 REASON_SUPERSEDED = "configuration_superseded"
 # The errors by which a configuration denies a request for good.
 DENIALS = frozenset(
@@ -62,6 +65,7 @@
     :param organisation: the owner of the request's key, or None without a known key.
     :param deadline: when the whole response is due, loop time in seconds.
     :param catalog_version: the version of the configuration that it was admitted under.
+    :param pools: the pools of its route in that configuration.
     """
 
     request: CallerRequest
@@ -69,6 +73,7 @@
     organisation: Organisation | None
     deadline: float
     catalog_version: int
+    pools: tuple[Pool, ...] = ()
 
     @property
     def prompt(self) -> Prompt | None:
@@ -113,21 +118,28 @@
             CALLER_IDLE_TIMEOUT_GAPS * (self.route.gap_target_s or 0.0),
         )
 
-    def _time_left_s(self, now_s: float) -> float:
-        """Returns the seconds until a response, or a first event, comes too late."""
+    def _time_left_s(self, now_s: float, last_event_at: float | None) -> float:
+        """Returns the seconds until a response, or the next event, comes too late."""
         left_s = self.deadline - now_s
         if not self.is_stream:
             return left_s
-        return min(left_s, self.request.arrived + self.caller_idle_timeout_s - now_s)
+        since = self.request.arrived if last_event_at is None else last_event_at
+        return min(left_s, since + self.caller_idle_timeout_s - now_s)
 
     def placement_request(
-        self, pool: str, now_s: float, avoided_ids: frozenset[str]
+        self,
+        pool: str,
+        now_s: float,
+        avoided_ids: frozenset[str],
+        last_event_at: float | None = None,
     ) -> PlacementRequest:
         """Returns the placement request of the next attempt.
 
         :param pool: the pool's name.
         :param now_s: the present, loop time in seconds.
         :param avoided_ids: ids of the endpoints that have failed this request.
+        :param last_event_at: when the caller got the last event of a stream that is to
+            be resumed, loop time in seconds.
         """
         prompt = self.prompt
         return PlacementRequest(
@@ -136,12 +148,27 @@
             priority=self.priority,
             target_s=max(0.0, self.request.arrived + self.route.target_s - now_s),
             wait_s=MAX_WAIT_SHARE * (self.deadline - now_s),
-            time_left_s=self._time_left_s(now_s),
+            time_left_s=self._time_left_s(now_s, last_event_at),
             prompt_tokens=prompt.tokens if prompt else 0,
             output_tokens=prompt.max_output_tokens if prompt else 0,
             gap_s=self.route.gap_target_s or 0.0,
             organisation=self.organisation.name if self.organisation else "",
             avoided_ids=avoided_ids,
+            terms=self._terms(pool),
+        )
+
+    def _terms(self, pool: str) -> AdmissionTerms:
+        """Returns what stays in force for this request, whatever changes.
+
+        :param pool: the name of the pool that it was admitted to.
+        """
+        return AdmissionTerms(
+            host=self.request.host,
+            target=self.request.target,
+            key=self.request.key,
+            organisation=self.organisation,
+            route=self.route,
+            pool=next((item for item in self.pools if item.name == pool), None),
         )
 
     def choose_pool(self) -> str | None:
@@ -172,15 +199,20 @@
     if route is None:
         detail = f"no route for {request.host}{request.target:.80}"
         return Failure(Error(ErrorKind.UNKNOWN_ROUTE, detail))
-    organisation = catalog.organisation_by_key.get(request.key or "")
-    if organisation is None and catalog.organisations and not route.is_public:
+    if not catalog.is_allowed(route, request.key):
         return Failure(Error(ErrorKind.UNKNOWN_KEY, "the key is not known"))
     limits_s = [route.timeout_s]
     if request.timeout_s is not None:
         limits_s.append(request.timeout_s)
-    deadline = request.arrived + min(limits_s)
     return Success(
-        AdmittedRequest(request, route, organisation, deadline, catalog.version)
+        AdmittedRequest(
+            request,
+            route,
+            organisation=catalog.find_organisation(request.key),
+            deadline=request.arrived + min(limits_s),
+            catalog_version=catalog.version,
+            pools=catalog.find_pools(route),
+        )
     )
 
 
@@ -211,6 +243,12 @@
     )
 
 
+def leaving_error() -> Error:
+    """Returns the error of a request that came too late in this instance's shutdown."""
+    detail = "this instance is leaving"
+    return Error(ErrorKind.LEAVING, detail, retry_after_s=RETRY_AFTER_LEAVING_S)
+
+
 def suspected_error(delay_s: float) -> Error:
     """Returns the error of a request whose prompt may crash the engine it is sent to.
 
