--- a/tests/test_gateway/test_gateway_configuration_changes.py
+++ b/tests/test_gateway/test_gateway_configuration_changes.py
@@ -12,7 +12,6 @@
 from typing import Any, AsyncIterator, Callable
 
 import attrs
-import looptime
 import pytest
 
 from cicadacourse.application import Application
@@ -28,6 +27,7 @@
 from cicadacourse.events import ENDPOINT_CHANGED
 from cicadacourse.exchange import CallerRequest, EndpointRequest, Prompt
 from cicadacourse.util.clock import now
+from tests.simulated_loop import new_event_loop
 from tests.test_gateway.test_gateway_histories import (
     EVENTS,
     HOST,
@@ -48,7 +48,7 @@
 
 def _simulate(scenario: Callable[[], Any]) -> None:
     """Runs a scenario on a simulated clock."""
-    with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
         runner.run(scenario())
 
 
--- a/tests/test_gateway/test_gateway_configuration_histories.py
+++ b/tests/test_gateway/test_gateway_configuration_histories.py
@@ -10,13 +10,13 @@
 import asyncio
 
 import attrs
-import looptime
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from cicadacourse.catalog import Endpoint, Pool, PoolShare, Route
 from cicadacourse.gateway._admission import MAX_WAIT_SHARE
 from cicadacourse.util.clock import now
+from tests.simulated_loop import new_event_loop
 from tests.test_gateway.test_gateway_configuration_changes import TIMEOUT_S, Instance
 from tests.test_gateway.test_gateway_histories import (
     CATALOG,
@@ -158,5 +158,5 @@
 def test_any_history_of_configurations_leaves_accepted_requests_whole(
     changes: list[Change], requests: list[Sent]
 ) -> None:
-    with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
         runner.run(_run(changes, requests))
--- a/tests/test_gateway/test_gateway_resumed_streams.py
+++ b/tests/test_gateway/test_gateway_resumed_streams.py
@@ -8,12 +8,12 @@
 
 import asyncio
 
-import looptime
 import pytest
 
 from cicadacourse.exchange import CallerRequest, Prompt
 from cicadacourse.gateway._admission import AdmittedRequest
 from tests.gateway_cluster import gateway_cluster, make_endpoints
+from tests.simulated_loop import new_event_loop
 from tests.test_gateway.test_gateway_histories import CATALOG, HOST, FakeReply
 
 REQUEST = CallerRequest(
@@ -53,7 +53,7 @@
 
 @pytest.mark.parametrize("at_s", [0.5, 2.2])
 def test_a_stream_is_resumed_however_long_ago_it_arrived(at_s: float) -> None:
-    with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
         reply = runner.run(_break_off_after(at_s))
     assert reply.is_complete
 
