--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -31,8 +31,12 @@
 import_services()
 
 OK = 200
+STREAMS = ("ask", "tell")
 ENDPOINT_LINK_S = 0.004
-EVENT_BYTES = b"data: x\n\n"
+CONNECT_TIMEOUT_S = 0.38
+# The simulated clock doesn't move by a shorter sleep.
+CLOCK_RESOLUTION_S = 1e-5
+FOR_GOOD = float("inf")
 
 
 @attrs.frozen
@@ -44,6 +48,11 @@
     request: EndpointRequest
 
 
+def make_event(request: CallerRequest, endpoint: Endpoint, number: int) -> bytes:
+    """Returns one event of the stream that answers a request."""
+    return f"id: {number}\ndata: {request.id} {endpoint.id}\n\n".encode()
+
+
 @attrs.define(eq=False)
 class SimulatedEndpoint:
     """An endpoint that takes a fixed time for each request.
@@ -51,8 +60,13 @@
     :param work_s: seconds until the head of a response.
     :param events: events of a stream, which follow the head.
     :param event_s: seconds before each event but the first.
+    :ivar status: the status of its responses.
     :ivar limit: the requests per second that its responses name, or None.
     :ivar is_down: whether its process has ended.
+    :ivar silent_until: until when it sends nothing, loop time in seconds.
+    :ivar muted_at: connections that were open then stay silent for good.
+    :ivar accepts_while_silent: whether it accepts connections while it is silent.
+    :ivar in_progress: exchanges that no instance has left yet.
     :ivar on_start: called with each request that it begins to answer.
     """
 
@@ -60,10 +74,41 @@
     work_s: float = 0.03
     events: int = 4
     event_s: float = 0.04
+    status: int = OK
     limit: float | None = None
     is_down: bool = False
+    silent_until: float = 0.0
+    muted_at: float = float("-inf")
+    accepts_while_silent: bool = True
+    in_progress: int = 0
     arrivals: list[Arrival] = attrs.field(factory=list)
     on_start: Callable[[SimulatedEndpoint, EndpointRequest], None] = lambda *_: None
+    _silence_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def fall_silent(self, seconds: float) -> None:
+        """Sends nothing for some seconds, then goes on; work in progress is kept."""
+        self.silent_until = now() + seconds
+        self._silence_changed.set()
+        self._silence_changed = asyncio.Event()
+
+    def mute_connections(self) -> None:
+        """Sends nothing more on the connections of now; later ones work."""
+        self.muted_at = now()
+
+    async def work(self, seconds: float, connected_at: float) -> None:
+        """Waits until that much work is done and its outcome can be sent.
+
+        :param connected_at: when the connection was made, loop time in seconds.
+        """
+        await asyncio.sleep(seconds)
+        while now() < self.silent_until:
+            left_s = max(CLOCK_RESOLUTION_S, self.silent_until - now())
+            timeout_s = left_s if left_s < FOR_GOOD else None
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(timeout_s):
+                    await self._silence_changed.wait()
+        if connected_at <= self.muted_at:
+            await asyncio.get_running_loop().create_future()
 
     def arrivals_since(self, since: float) -> list[float]:
         """Returns the times of the arrivals from a moment on."""
@@ -83,18 +128,36 @@
 class _SimulatedResponse(EndpointResponse):
     head: ResponseHead
     endpoint: SimulatedEndpoint
-    events_left: int
+    request: EndpointRequest
+    connected_at: float
+    number: int
 
     async def read_chunk(self) -> bytes:
         """Returns the next event; breaks off once the endpoint is down."""
-        if self.events_left == 0:
+        if self.number == self._events:
             return b""
-        if self.events_left < self.endpoint.events:
-            await asyncio.sleep(self.endpoint.event_s)
+        is_first = self.number == self._first
+        wait_s = 0.0 if is_first else self.endpoint.event_s
+        await self.endpoint.work(wait_s, self.connected_at)
         if self.endpoint.is_down:
             raise SendFailure("lost", True, "cut_short", is_broken_off=True)
-        self.events_left -= 1
-        return EVENT_BYTES
+        self.number += 1
+        return make_event(self.request.caller, self.endpoint.endpoint, self.number - 1)
+
+    @property
+    def _events(self) -> int:
+        is_stream = self.request.caller.prompt is not None
+        return self.endpoint.events if is_stream else 1
+
+    @property
+    def _first(self) -> int:
+        return first_number(self.request)
+
+
+def first_number(request: EndpointRequest) -> int:
+    """Returns the number of the first event that a request asks for."""
+    last_id = request.last_event_id
+    return 0 if last_id is None else int(last_id) + 1
 
 
 class SimulatedClient(Service, EndpointClient):
@@ -124,20 +187,33 @@
         if endpoint is None:
             raise SendFailure("connection refused", False, "unreachable")
         await asyncio.sleep(ENDPOINT_LINK_S)
+        if now() < endpoint.silent_until and not endpoint.accepts_while_silent:
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise SendFailure("not connected in time", False, "unreachable")
         if endpoint.is_down:
             raise SendFailure("connection refused", False, "unreachable")
         endpoint.arrivals.append(Arrival(now(), self._own_name, request))
+        endpoint.in_progress += 1
+        try:
+            yield await self._receive_head(endpoint, request, head_timeout_s)
+        finally:
+            endpoint.in_progress -= 1
+
+    async def _receive_head(
+        self, endpoint: SimulatedEndpoint, request: EndpointRequest, timeout_s: float
+    ) -> EndpointResponse:
+        connected_at = now()
         try:
-            async with asyncio.timeout(head_timeout_s):
-                await asyncio.sleep(endpoint.work_s)
+            async with asyncio.timeout(timeout_s):
+                await endpoint.work(endpoint.work_s, connected_at)
         except TimeoutError:
             raise SendFailure("no head in time", True, "no_answer") from None
         if endpoint.is_down:
             raise SendFailure("lost", True, "broken", is_broken_off=True)
-        head = ResponseHead(OK, (), request_limit=endpoint.limit)
+        head = ResponseHead(endpoint.status, (), request_limit=endpoint.limit)
         endpoint.on_start(endpoint, request)
-        is_stream = request.caller.prompt is not None
-        yield _SimulatedResponse(head, endpoint, endpoint.events if is_stream else 1)
+        first = first_number(request)
+        return _SimulatedResponse(head, endpoint, request, connected_at, first)
 
 
 class MemoryLoad(LoadService):
@@ -249,6 +325,8 @@
             endpoint,
             endpoint=attrs.evolve(former, id=f"{former.pool}-r{number}"),
             is_down=False,
+            silent_until=0.0,
+            in_progress=0,
             arrivals=[],
         )
         self.former_endpoints.append(endpoint)
@@ -279,7 +357,7 @@
             arrived=now(),
             timeout_s=timeout_s,
             last_event_id=None,
-            prompt=Prompt("m", tokens, 184, **prompt) if path == "ask" else None,
+            prompt=Prompt("m", tokens, 184, **prompt) if path in STREAMS else None,
             headers=(),
             body=b"",
         )
--- a/tests/test_gateway/test_gateway_histories.py
+++ b/tests/test_gateway/test_gateway_histories.py
@@ -8,7 +8,7 @@
 import asyncio
 import contextlib
 from collections import Counter, defaultdict
-from typing import AsyncIterator
+from typing import AsyncIterator, Callable
 
 import attrs
 import looptime
@@ -280,7 +280,10 @@
 )
 
 
-def make_app(name: str = "one") -> Application:
+def make_app(
+    name: str = "one",
+    make_client: Callable[[Application], Service] = FakeEndpointClient,
+) -> Application:
     """Returns an instance whose endpoints and membership are fakes."""
     settings = InstanceSettings(
         name=name,
@@ -297,7 +300,7 @@
         Permits,
         EndpointLimits,
         Quarantine,
-        FakeEndpointClient,
+        make_client,
         Placer,
         Gateway,
     ):
