--- a/cicadacourse/exchange/_endpoint_client.py
+++ b/cicadacourse/exchange/_endpoint_client.py
@@ -4,6 +4,7 @@
 
 import abc
 import contextlib
+from typing import Callable
 
 import attrs
 
@@ -51,20 +52,23 @@
         :raises SendFailure: if the response breaks off.
         """
 
-    async def read_all(self) -> bytes:
+    async def read_all(self, on_wait: Callable[[], None]) -> bytes:
         """Returns the rest of the body.
 
+        :param on_wait: called whenever the wait for the next bytes begins.
         :raises SendFailure: if the response breaks off, or if the rest is larger than
             ``MAX_BODY_BYTES``.
         """
         parts = []
         size = 0
+        on_wait()
         while part := await self.read_chunk():
             size += len(part)
             if size > MAX_BODY_BYTES:
                 detail = f"the body is larger than {MAX_BODY_BYTES} bytes"
                 raise SendFailure(detail, True, "body_too_large")
             parts.append(part)
+            on_wait()
         return b"".join(parts)
 
 
--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -24,14 +24,14 @@
 CALLER_IDLE_TIMEOUT_S = 2.0
 CALLER_IDLE_TIMEOUT_OBJECTIVES = 4
 CALLER_IDLE_TIMEOUT_GAPS = 8
-# An instance tries another endpoint after this share of the caller's idle timeout, so
-# that the caller still waits when the other endpoint responds.
+# An instance also tries another endpoint after this share of the caller's idle timeout,
+# so that the caller still waits when the other endpoint responds.
 IDLE_TIMEOUT_SHARE = 0.5
-# An endpoint that takes this many times the estimated time to the first event is taken
-# to have failed.
+# An endpoint that takes this many times the estimated time to the first event may have
+# failed.
 ESTIMATE_TIMEOUT_FACTOR = 2.0
-# An idempotent call without a response after this many latency objectives is retried at
-# another endpoint.
+# An idempotent call without a response after this many latency objectives is also sent
+# to another endpoint.
 CALL_TIMEOUT_OBJECTIVES = 2.2
 # Share of the remaining time that a request may wait for a placement. A longer wait
 # leaves too little time to serve it.
@@ -87,10 +87,10 @@
         """Whether the response is a stream of events."""
         return self.route.kind is RouteKind.STREAM
 
-    def read_timeout_s(
+    def hedging_delay_s(
         self, has_alternative: bool, time_left_s: float, expected_s: float = 0.0
     ) -> float:
-        """Returns after how many seconds without data an attempt is abandoned.
+        """Returns after how many seconds without data another endpoint is tried too.
 
         :param has_alternative: whether the request may be retried at another endpoint.
         :param time_left_s: seconds until the deadline.
@@ -113,21 +113,29 @@
             CALLER_IDLE_TIMEOUT_GAPS * (self.route.gap_target_s or 0.0),
         )
 
-    def _time_left_s(self, now_s: float) -> float:
-        """Returns the seconds until a response, or a first event, comes too late."""
+    def _time_left_s(self, now_s: float, last_event_at: float | None) -> float:
+        """Returns the seconds until a response, or a next event, comes too late."""
         left_s = self.deadline - now_s
         if not self.is_stream:
             return left_s
-        return min(left_s, self.request.arrived + self.caller_idle_timeout_s - now_s)
+        idle_since = self.request.arrived if last_event_at is None else last_event_at
+        return min(left_s, idle_since + self.caller_idle_timeout_s - now_s)
 
     def placement_request(
-        self, pool: str, now_s: float, avoided_ids: frozenset[str]
+        self,
+        pool: str,
+        now_s: float,
+        avoided_ids: frozenset[str],
+        last_event_at: float | None = None,
     ) -> PlacementRequest:
         """Returns the placement request of the next attempt.
 
         :param pool: the pool's name.
         :param now_s: the present, loop time in seconds.
-        :param avoided_ids: ids of the endpoints that have failed this request.
+        :param avoided_ids: ids of the endpoints that have failed this request, or at
+            which it is in progress.
+        :param last_event_at: when the caller was sent the last event of a stream, loop
+            time in seconds, or None.
         """
         prompt = self.prompt
         return PlacementRequest(
@@ -136,7 +144,7 @@
             priority=self.priority,
             target_s=max(0.0, self.request.arrived + self.route.target_s - now_s),
             wait_s=MAX_WAIT_SHARE * (self.deadline - now_s),
-            time_left_s=self._time_left_s(now_s),
+            time_left_s=self._time_left_s(now_s, last_event_at),
             prompt_tokens=prompt.tokens if prompt else 0,
             output_tokens=prompt.max_output_tokens if prompt else 0,
             gap_s=self.route.gap_target_s or 0.0,
--- a/cicadacourse/gateway/_events.py
+++ b/cicadacourse/gateway/_events.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import re
+from typing import Callable
 
 import attrs
 
+from cicadacourse.exchange import EndpointResponse, SendFailure
+
 # A larger event counts as malformed: a faulty endpoint may send bytes without end.
 MAX_EVENT_BYTES = 1024 * 1024
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
@@ -62,3 +65,50 @@
     def discard_partial(self) -> None:
         """Drops an incomplete event from the buffer."""
         self._partial.clear()
+
+
+@attrs.define
+class EventReader:
+    """Reads the whole events of one response."""
+
+    _splitter: EventSplitter = attrs.field(factory=EventSplitter)
+
+    @property
+    def last_id(self) -> str | None:
+        """The id of the last event that was read, or that it resumes after."""
+        return self._splitter.last_id
+
+    def resume_after(self, last_id: str | None) -> None:
+        """Sets the id of the event that the response resumes after, if any."""
+        self._splitter.last_id = last_id
+
+    async def read(
+        self, response: EndpointResponse, on_wait: Callable[[], None]
+    ) -> bytes:
+        """Returns the next whole events, or no bytes at the end of the response.
+
+        :param on_wait: called whenever the wait for the next bytes begins.
+        :raises SendFailure: if the response breaks off or ends within an event, or if
+            an event is too large.
+        """
+        while True:
+            on_wait()
+            data = await response.read_chunk()
+            if not data:
+                if self._splitter.has_partial:
+                    raise cut_short_failure()
+                return b""
+            if events := self._split(data):
+                return events
+
+    def _split(self, data: bytes) -> bytes:
+        try:
+            return self._splitter.feed(data)
+        except EventTooLarge as error:
+            raise SendFailure(str(error), True, "event_too_large") from error
+
+
+def cut_short_failure() -> SendFailure:
+    """Returns the failure of a stream that ended too early."""
+    detail = "the stream ended before its first event or within an event"
+    return SendFailure(detail, True, "cut_short", is_broken_off=True)
--- /dev/null
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -0,0 +1,259 @@
+"""One attempt at a request: it is placed and sent, and its response is read."""
+
+from __future__ import annotations
+
+from typing import TypeAlias
+
+import attrs
+from returns.result import Failure, Result, Success
+
+from cicadacourse.application import Application
+from cicadacourse.errors import Error
+from cicadacourse.exchange import (
+    EndpointClient,
+    EndpointResponse,
+    SendFailure,
+)
+from cicadacourse.gateway._admission import AdmittedRequest, suspected_error
+from cicadacourse.gateway._attempt_owner import AttemptOwner
+from cicadacourse.gateway._attempts import Progress
+from cicadacourse.gateway._endpoint_request import build_request
+from cicadacourse.gateway._events import EventReader, cut_short_failure
+from cicadacourse.gateway._outcomes import OutcomeReporter
+from cicadacourse.placement import Placement, Placer
+from cicadacourse.quarantine import Quarantine
+from cicadacourse.reservations import (
+    Reservation,
+    ReservationRefused,
+    ReservationService,
+)
+from cicadacourse.util.clock import now
+
+# The head of a response is awaited until the deadline, which cancels the attempt. This
+# is added so that a head that is late can't count against its endpoint just before.
+HEAD_TIMEOUT_MARGIN_S = 1.0
+
+# Whether the response is written, or the error if nothing was sent.
+AttemptResult: TypeAlias = Result[bool, Error]
+
+
+@attrs.define(eq=False)
+class ExchangeAttempt:
+    """One attempt at a request, which runs as a task of its own.
+
+    The task owns the placement, the reservations and the exchange, so cancelling it
+    also cancels the request at the endpoint.
+
+    :param pool: the name of the pool that serves the request.
+    :param owner: decides on the attempt and writes what it reads.
+    :ivar placement: where the request is sent; None until it is placed.
+    :ivar progress: how far the attempt got.
+    :ivar is_sent: whether the request was sent, or its reservations were refused.
+    :ivar has_failed: whether the endpoint gave no usable response.
+    :ivar waiting_since: since when it waits for data of its endpoint, loop time in
+        seconds; None while it does not wait.
+    """
+
+    app: Application
+    admitted: AdmittedRequest
+    client: EndpointClient
+    reporter: OutcomeReporter
+    pool: str
+    owner: AttemptOwner
+    placement: Placement | None = None
+    progress: Progress = Progress.WAITING
+    is_sent: bool = False
+    has_failed: bool = False
+    waiting_since: float | None = None
+    _events: EventReader = attrs.field(factory=EventReader)
+
+    @property
+    def last_event_id(self) -> str | None:
+        """The id of the last whole event that was read, or that it resumes after."""
+        return self._events.last_id
+
+    @property
+    def endpoint_id(self) -> str | None:
+        """The id of its endpoint; None until it is placed."""
+        return self.placement.endpoint.id if self.placement else None
+
+    @property
+    def silent_s(self) -> float:
+        """For how many seconds it has waited for data of its endpoint."""
+        return 0.0 if self.waiting_since is None else now() - self.waiting_since
+
+    def silence_limit_at(self, now_s: float) -> float:
+        """Returns when another endpoint should be tried if no data come until then.
+
+        :returns: loop time in seconds.
+        """
+        since = now_s if self.waiting_since is None else self.waiting_since
+        expected_s = 0.0
+        if self.placement is not None and self.progress is Progress.WAITING:
+            expected_s = self.placement.expected_first_event_s
+        time_left_s = self.admitted.deadline - since
+        return since + self.admitted.hedging_delay_s(True, time_left_s, expected_s)
+
+    async def run(self) -> AttemptResult:
+        """Makes the attempt."""
+        delay_s = await self._quarantine.delay_s(self._shared_parts)
+        if delay_s:
+            return Failure(suspected_error(delay_s))
+        error = self.owner.acquire(self)
+        if error is not None:
+            return Failure(error)
+        request = self.admitted.placement_request(
+            self.pool,
+            now(),
+            self.reporter.attempts.failed_ids | self.owner.used_ids(self),
+            self.owner.last_event_at,
+        )
+        async with self._placer.place(request) as result:
+            match result:
+                case Success(placement):
+                    return await self._make(placement)
+                case Failure(error):
+                    return Failure(error)
+        raise AssertionError("a result is a success or a failure")
+
+    async def _make(self, placement: Placement) -> AttemptResult:
+        self.placement = placement
+        error = self.owner.confirm(self)
+        if error is not None:
+            self.placement = None
+            return Failure(error)
+        if not placement.reservation_plans:
+            return Success(await self._send(placement, ()))
+        service: ReservationService = self.app.get("reservations")
+        try:
+            async with service.hold(
+                self.admitted.request.id,
+                placement.endpoint,
+                placement.reservation_plans,
+            ) as reservations:
+                return Success(await self._send(placement, reservations))
+        except ReservationRefused as refusal:
+            self.is_sent = True
+            self.has_failed = True
+            self.reporter.report_reservation_refused(placement, refusal)
+            return Success(False)
+
+    async def _send(
+        self, placement: Placement, reservations: tuple[Reservation, ...]
+    ) -> bool:
+        """Sends the request, forwards the response; returns whether that is written."""
+        self._events.resume_after(self.owner.last_event_id)
+        request = build_request(
+            self.admitted, placement, reservations, self._events.last_id
+        )
+        self.reporter.report_sent(placement, request)
+        self.reporter.attempts.record_sent()
+        self.is_sent = True
+        sent_at = self.waiting_since = now()
+        try:
+            async with self.client.exchange(
+                request,
+                self.admitted.route.is_idempotent,
+                request.time_left_s + HEAD_TIMEOUT_MARGIN_S,
+            ) as response:
+                self.app.get("limits").observe(
+                    placement.endpoint, response.head, sent_at
+                )
+                is_written = await self._handle_response(response, placement)
+                self.has_failed = not is_written
+                return is_written
+        except SendFailure as failure:
+            await self._record_failure(placement, failure)
+            return False
+
+    async def _record_failure(self, placement: Placement, failure: SendFailure) -> None:
+        self.has_failed = True
+        self.waiting_since = None
+        if failure.is_withdrawn:
+            self.is_sent = False
+        self.reporter.report_transport_failure(placement, failure, self.progress)
+        await self._record_crash(placement, failure)
+
+    async def _handle_response(
+        self, response: EndpointResponse, placement: Placement
+    ) -> bool:
+        head = response.head
+        if head.never_ran:
+            self.reporter.report_refusal(response, placement)
+            return False
+        if head.is_server_error and self.owner.has_alternative(self):
+            self.reporter.report_error_response(response, placement)
+            return False
+        if self.admitted.is_stream and head.is_success:
+            await self._forward_stream(response, placement)
+        elif not await self._forward_body(response):
+            # The caller already receives a stream; no other response can follow.
+            self.reporter.report_error_response(response, placement)
+            return False
+        self.reporter.report_forwarded(response, placement)
+        if head.is_success:
+            self._quarantine.record_success(self._shared_parts)
+        return True
+
+    async def _forward_body(self, response: EndpointResponse) -> bool:
+        """Forwards a whole body; returns False if the caller already has a stream."""
+        body = await response.read_all(self._restart_wait)
+        self.waiting_since = None
+        if not self.owner.may_write_response():
+            return False
+        await self.owner.write_response(self, response.head, body)
+        return True
+
+    async def _forward_stream(
+        self, response: EndpointResponse, placement: Placement
+    ) -> None:
+        """Forwards complete events, starting after the last one of a former attempt.
+
+        :raises SendFailure: if the stream breaks off, or ends before its first event or
+            within an event; a further attempt may then resume it at another endpoint.
+        """
+        self.progress = Progress.BEGUN
+        while events := await self._events.read(response, self._restart_wait):
+            self.waiting_since = None
+            self.progress = Progress.STREAMING
+            self._mark_prefilled(placement)
+            await self.owner.write_events(self, response.head, events)
+        self.waiting_since = None
+        is_resumed = self._events.last_id is not None
+        if not is_resumed and self.progress is not Progress.STREAMING:
+            raise cut_short_failure()
+        await self.owner.finish_stream(self, response.head)
+
+    def _restart_wait(self) -> None:
+        self.waiting_since = now()
+
+    async def _record_crash(self, placement: Placement, failure: SendFailure) -> None:
+        """Blames the prompt if the endpoint has crashed before its first event."""
+        if not failure.is_broken_off or self.progress is Progress.STREAMING:
+            return
+        if not self._shared_parts:
+            return
+        if await self.client.is_process_gone(placement.endpoint):
+            has_begun = self.progress is Progress.BEGUN
+            self._quarantine.record_crash(
+                placement.endpoint, self._shared_parts, has_begun
+            )
+
+    @property
+    def _shared_parts(self) -> tuple[str, ...]:
+        prompt = self.admitted.prompt
+        return prompt.shared_part_ids if prompt else ()
+
+    @property
+    def _quarantine(self) -> Quarantine:
+        return self.app.get("quarantine")
+
+    @property
+    def _placer(self) -> Placer:
+        return self.app.get("placement")
+
+    def _mark_prefilled(self, placement: Placement) -> None:
+        if not placement.assignments[0].is_prefilled:
+            for assignment in placement.assignments:
+                assignment.is_prefilled = True
+            self.app.get("load").notify_change(notify_peers=bool(placement.helpers))
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -1,4 +1,8 @@
-"""Forwards one request to endpoints until one has responded completely."""
+"""Forwards one request to endpoints until one has responded completely.
+
+An endpoint that is silent may go on, or stay silent for good. So its exchange is kept
+while a second endpoint is tried, and the first of them to send data is the source.
+"""
 
 from __future__ import annotations
 
@@ -9,34 +13,29 @@
 
 from cicadacourse.application import Application
 from cicadacourse.errors import Error, ErrorKind
-from cicadacourse.exchange import (
-    EndpointClient,
-    EndpointRequest,
-    EndpointResponse,
-    Helper,
-    Reply,
-    SendFailure,
-)
-from cicadacourse.gateway._admission import AdmittedRequest, suspected_error
-from cicadacourse.gateway._attempts import Attempts, Progress
-from cicadacourse.gateway._events import EventSplitter, EventTooLarge
+from cicadacourse.exchange import EndpointClient, Reply, ResponseHead
+from cicadacourse.gateway._admission import AdmittedRequest
+from cicadacourse.gateway._attempt_owner import AttemptOwner
+from cicadacourse.gateway._attempts import Attempts
+from cicadacourse.gateway._exchange_attempt import AttemptResult, ExchangeAttempt
+from cicadacourse.gateway._hedging import MIN_TIME_LEFT_S, TIMER_SLACK_S, HedgeTimer
 from cicadacourse.gateway._outcomes import OutcomeReporter
+from cicadacourse.gateway._retries import RetryGrants
 from cicadacourse.gateway._times import StreamTimes
-from cicadacourse.limits import EndpointLimits
-from cicadacourse.logs import RETRY_BUDGET_EXHAUSTED, log
-from cicadacourse.metrics import RETRIES
-from cicadacourse.placement import Placement, Placer, RetryBudget
-from cicadacourse.quarantine import Quarantine
-from cicadacourse.reservations import (
-    Reservation,
-    ReservationRefused,
-    ReservationService,
-)
+from cicadacourse.placement import Placer, RetryBudget
 from cicadacourse.util.clock import now
 
+_WRITTEN: AttemptResult = Success(True)
+
+
+def _no_other_endpoint(pool: str) -> Error:
+    """Returns the error of a hedge for which only the silent endpoints are left."""
+    detail = f"pool {pool} has no other endpoint"
+    return Error(ErrorKind.NO_ENDPOINT, detail, retry_after_s=1.0)
+
 
 @attrs.define
-class Forwarder:
+class Forwarder(AttemptOwner):
     """Forwards one request, with retries; each request has its own forwarder.
 
     :param app: the application.
@@ -45,7 +44,8 @@
     :param attempts: counts the attempts made so far.
     :param client: sends requests to endpoints.
     :param budget: bounds retries.
-    :param times: the times of the forwarded events of a stream.
+    :ivar times: the times of the forwarded events of a stream.
+    :ivar last_event_id: the id of the last event that was forwarded, or None.
     """
 
     app: Application
@@ -55,10 +55,20 @@
     client: EndpointClient
     budget: RetryBudget
     times: StreamTimes = attrs.field(factory=StreamTimes)
-    _events: EventSplitter = attrs.field(factory=EventSplitter)
-    _progress: Progress = Progress.WAITING
+    last_event_id: str | None = None
+    _pool: str = ""
+    _task_by_attempt: dict[ExchangeAttempt, asyncio.Task[AttemptResult]] = attrs.field(
+        factory=dict
+    )
+    _cancelled: list[asyncio.Task[AttemptResult]] = attrs.field(factory=list)
+    _timer: HedgeTimer = attrs.field(factory=HedgeTimer)
+    _grants: RetryGrants = attrs.field(init=False)
     _reporter: OutcomeReporter = attrs.field(init=False)
 
+    @_grants.default
+    def _make_grants(self) -> RetryGrants:
+        return RetryGrants(self.app, self.admitted, self.attempts, self.budget)
+
     @_reporter.default
     def _make_reporter(self) -> OutcomeReporter:
         return OutcomeReporter(self.app, self.admitted, self.attempts)
@@ -69,221 +79,191 @@
         if pool is None:
             detail = f"route {self.admitted.route.name} has no pool"
             return Error(ErrorKind.NO_ENDPOINT, detail, retry_after_s=1.0)
-        self._events.last_id = self.admitted.request.last_event_id
+        self._pool = pool
+        self.last_event_id = self.admitted.request.last_event_id
         self.budget.record_first_attempt(pool, now())
-        paid = 0
-        while True:
-            delay_s = await self._quarantine.delay_s(self._shared_parts)
-            if delay_s:
-                may_have_run = self.attempts.may_have_run
-                error = suspected_error(delay_s)
-                return self.attempts.final_error() if may_have_run else error
-            if self.attempts.made > paid and not self._acquire_retry(pool):
-                return self.attempts.final_error()
-            paid = self.attempts.made
-            request = self.admitted.placement_request(
-                pool, now(), self.attempts.failed_ids
-            )
-            async with self._placer.place(request) as result:
-                match result:
-                    case Failure(error):
-                        may_have_run = self.attempts.may_have_run
-                        return self.attempts.final_error() if may_have_run else error
-                    case Success(placement):
-                        if await self._attempt(placement):
-                            return None
-
-    async def _attempt(self, placement: Placement) -> bool:
-        """Makes one attempt; returns whether the response is written."""
-        if not placement.reservation_plans:
-            return await self._send(placement, ())
-        service: ReservationService = self.app.get("reservations")
         try:
-            async with service.hold(
-                self.admitted.request.id,
-                placement.endpoint,
-                placement.reservation_plans,
-            ) as reservations:
-                return await self._send(placement, reservations)
-        except ReservationRefused as refusal:
-            self._reporter.report_reservation_refused(placement, refusal)
-            return False
-
-    async def _send(
-        self, placement: Placement, reservations: tuple[Reservation, ...]
-    ) -> bool:
-        """Sends the request, forwards the response; returns whether that is written."""
-        request = self._build_request(placement, reservations)
-        self._reporter.report_sent(placement, request)
-        self.attempts.record_sent()
-        self._progress = Progress.WAITING
-        try:
-            sent_at = now()
-            timeout_s = self._read_timeout_s(placement.expected_first_event_s)
-            async with self.client.exchange(
-                request, self.admitted.route.is_idempotent, timeout_s
-            ) as response:
-                return await self._handle_response(response, placement, sent_at)
-        except SendFailure as failure:
-            self._reporter.report_transport_failure(placement, failure, self._progress)
-            await self._record_crash(placement, failure)
-            return False
-
-    async def _handle_response(
-        self, response: EndpointResponse, placement: Placement, sent_at: float
-    ) -> bool:
-        head = response.head
-        self._limits.observe(placement.endpoint, head, sent_at)
-        if head.never_ran:
-            self._reporter.report_refusal(response, placement)
-            return False
-        if head.is_server_error and self._has_alternative():
-            self._reporter.report_error_response(response, placement)
-            return False
-        if self.admitted.is_stream and head.is_success:
-            await self._forward_stream(response, placement)
-        else:
-            body = await response.read_all()
-            if self.reply.started:
-                # The caller already receives a stream; no other response can follow.
-                self._reporter.report_error_response(response, placement)
-                return False
-            await self.reply.send_response(head, body)
-        self._reporter.report_forwarded(response, placement)
-        if head.is_success:
-            self._quarantine.record_success(self._shared_parts)
-        return True
-
-    async def _forward_stream(
-        self, response: EndpointResponse, placement: Placement
-    ) -> None:
-        """Forwards complete events, starting after the last one of a former attempt.
+            self._start_attempt()
+            return await self._await_response()
+        except asyncio.CancelledError:
+            self._cancel(list(self._task_by_attempt))
+            raise
+        finally:
+            await self._end_attempts()
 
-        :raises SendFailure: if the stream breaks off, ends before its first event or
-            within an event, or is idle for too long; a further attempt may then resume
-            it at another endpoint.
-        """
-        self._events.discard_partial()
-        self._progress = Progress.BEGUN
+    async def _await_response(self) -> Error | None:
+        """Starts further attempts until one has written the response or none may."""
         while True:
-            data = await self._read_chunk(response)
-            if not data:
-                break
-            events = self._split_events(data)
-            if not events:
-                continue
-            self._progress = Progress.STREAMING
-            self.times.record_events(now())
-            self._mark_prefilled(placement)
-            if self.reply.started:
-                await self.reply.send_events(events)
-            else:
-                await self.reply.start_stream(response.head, events)
-        is_resumed = self._events.last_id is not None
-        if self._events.has_partial or not (self.reply.started or is_resumed):
-            detail = "the stream ended before its first event or within an event"
-            raise SendFailure(detail, True, "cut_short", is_broken_off=True)
-        if not self.reply.started:
-            await self.reply.start_stream(response.head, b"")
-        await self.reply.finish_stream()
+            for attempt in await self._wait():
+                task = self._task_by_attempt.pop(attempt)
+                self._grants.settle(attempt)
+                result = task.result()
+                if result == _WRITTEN:
+                    return None
+                error = self._go_on(result)
+                if error is not None:
+                    return error
 
-    def _split_events(self, data: bytes) -> bytes:
-        """Returns the events that bytes of a stream complete, possibly none.
+    def _go_on(self, result: AttemptResult) -> Error | None:
+        """Goes on after an attempt without a response; returns the error if it can't.
 
-        :raises SendFailure: if an event is too large.
+        The attempts that are still in progress go on in any case.
         """
-        try:
-            return self._events.feed(data)
-        except EventTooLarge as error:
-            raise SendFailure(str(error), True, "event_too_large") from error
+        if self._task_by_attempt:
+            if isinstance(result, Failure):
+                self._timer.defer(now())
+                self._reporter.report_hedge_denied(result.failure())
+            return None
+        if isinstance(result, Failure):
+            may_have_run = self.attempts.may_have_run
+            return self.attempts.final_error() if may_have_run else result.failure()
+        if not self._may_continue():
+            return self.attempts.final_error()
+        self._start_attempt()
+        return None
+
+    async def _wait(self) -> list[ExchangeAttempt]:
+        """Returns the attempts that have ended; hedges those that are silent."""
+        hedge_at = self._hedge_at()
+        if hedge_at is not None and hedge_at <= now():
+            self._start_hedge()
+            hedge_at = self._hedge_at()
+        timeout_s = None
+        if hedge_at is not None:
+            timeout_s = max(0.0, hedge_at - now()) + TIMER_SLACK_S
+        tasks = self._task_by_attempt.values()
+        await asyncio.wait(
+            tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+        )
+        ended = [item for item, task in self._task_by_attempt.items() if task.done()]
+        # An attempt that was not sent is no reason to end the request if another one
+        # has failed at the same time, so that a retry is due.
+        return sorted(ended, key=lambda item: item.has_failed)
 
-    async def _read_chunk(self, response: EndpointResponse) -> bytes:
-        """Returns the next bytes of a stream, or none at its end.
+    def _start_attempt(self) -> None:
+        attempt = ExchangeAttempt(
+            self.app, self.admitted, self.client, self._reporter, self._pool, self
+        )
+        self._task_by_attempt[attempt] = asyncio.create_task(attempt.run())
+
+    def _hedge_at(self) -> float | None:
+        """Returns when the attempts in progress have been silent for too long.
 
-        :raises SendFailure: if the stream breaks off or is idle for too long.
+        :returns: loop time in seconds, or None if no further attempt is allowed.
         """
-        timeout_s = self._read_timeout_s()
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await response.read_chunk()
-        except TimeoutError:
-            detail = f"no event in {timeout_s:.2f} s"
-            raise SendFailure(detail, True, "stream_silent") from None
-
-    async def _record_crash(self, placement: Placement, failure: SendFailure) -> None:
-        """Blames the prompt if the endpoint has crashed before its first event."""
-        if not failure.is_broken_off or self._progress is Progress.STREAMING:
-            return
-        if not self._shared_parts:
-            return
-        if await self.client.is_process_gone(placement.endpoint):
-            has_begun = self._progress is Progress.BEGUN
-            self._quarantine.record_crash(
-                placement.endpoint, self._shared_parts, has_begun
-            )
+        if not self.admitted.route.is_idempotent or not self._may_continue():
+            return None
+        limits = [item.silence_limit_at(now()) for item in self._task_by_attempt]
+        hedge_at = max(self._timer.not_before, *limits)
+        latest_at = self.admitted.deadline - MIN_TIME_LEFT_S
+        return hedge_at if hedge_at < latest_at else None
 
-    @property
-    def _shared_parts(self) -> tuple[str, ...]:
-        prompt = self.admitted.prompt
-        return prompt.shared_part_ids if prompt else ()
+    def _start_hedge(self) -> None:
+        self._reporter.report_hedged(self._pool, list(self._task_by_attempt))
+        self._start_attempt()
 
-    @property
-    def _quarantine(self) -> Quarantine:
-        return self.app.get("quarantine")
+    def _may_continue(self) -> bool:
+        """Returns whether another attempt could go on where the response is now.
 
-    @property
-    def _placer(self) -> Placer:
-        return self.app.get("placement")
+        A stream whose events have no ids can't be resumed.
+        """
+        is_resumable = not self.reply.started or self.last_event_id is not None
+        return is_resumable and self.attempts.may_retry()
+
+    def acquire(self, attempt: ExchangeAttempt) -> Error | None:
+        """Takes a retry from the budget unless the attempt is the first one."""
+        if self._is_hedge(attempt) and not self._has_other_endpoint(attempt):
+            return _no_other_endpoint(self._pool)
+        return self._grants.acquire(attempt)
+
+    def confirm(self, attempt: ExchangeAttempt) -> Error | None:
+        """Refuses an attempt at an endpoint at which another one is in progress."""
+        if attempt.endpoint_id in self.used_ids(attempt):
+            return _no_other_endpoint(self._pool)
+        return None
+
+    def used_ids(self, attempt: ExchangeAttempt) -> frozenset[str]:
+        """Returns the ids of the endpoints of the other attempts in progress."""
+        ids = (item.endpoint_id for item in self._others(attempt))
+        return frozenset(id for id in ids if id is not None)
+
+    def has_alternative(self, attempt: ExchangeAttempt) -> bool:
+        """Returns whether another attempt is in progress or may be retried."""
+        if any(not item.has_failed for item in self._others(attempt)):
+            return True
+        route = self.admitted.route
+        return route.is_idempotent and self.attempts.sent < route.max_attempts
 
     @property
-    def _limits(self) -> EndpointLimits:
-        return self.app.get("limits")
-
-    def _build_request(
-        self, placement: Placement, reservations: tuple[Reservation, ...]
-    ) -> EndpointRequest:
-        reservation_id_by_endpoint = {
-            item.endpoint.id: item.id for item in reservations
-        }
-        organisation = self.admitted.organisation
-        return EndpointRequest(
-            caller=self.admitted.request,
-            endpoint=placement.endpoint,
-            organisation=organisation.name if organisation else None,
-            time_left_s=self.admitted.deadline - now(),
-            helpers=tuple(
-                Helper(item.address, reservation_id_by_endpoint.get(item.id))
-                for item in placement.helpers
-            ),
-            last_event_id=self._events.last_id,
-        )
+    def last_event_at(self) -> float | None:
+        """When the last event was forwarded, loop time in seconds, or None."""
+        return self.times.last_at_s
 
-    def _read_timeout_s(self, expected_s: float = 0.0) -> float:
-        time_left_s = self.admitted.deadline - now()
-        return self.admitted.read_timeout_s(
-            self._has_alternative(), time_left_s, expected_s
-        )
+    def may_write_response(self) -> bool:
+        """Returns whether nothing has been written to the caller yet."""
+        return not self.reply.started
+
+    async def write_events(
+        self, attempt: ExchangeAttempt, head: ResponseHead, events: bytes
+    ) -> None:
+        """Writes whole events to the caller; waits while it reads too slowly."""
+        await self._choose(attempt)
+        self.last_event_id = attempt.last_event_id
+        self.times.record_events(now())
+        if self.reply.started:
+            await self.reply.send_events(events)
+        else:
+            await self.reply.start_stream(head, events)
 
-    def _has_alternative(self) -> bool:
-        is_retryable = self.admitted.route.is_idempotent
-        return is_retryable and self.attempts.sent < self.admitted.route.max_attempts
-
-    def _acquire_retry(self, pool: str) -> bool:
-        if not self.attempts.may_retry():
-            return False
-        instances = len(self.app.get("membership").members())
-        if not self.budget.try_acquire_retry(pool, instances, now()):
-            log(
-                RETRY_BUDGET_EXHAUSTED,
-                request=self.admitted.request.id,
-                pool=pool,
-            )
-            return False
-        self.app.metrics.count(RETRIES, reason=self.attempts.last_reason)
-        return True
-
-    def _mark_prefilled(self, placement: Placement) -> None:
-        if not placement.assignments[0].is_prefilled:
-            for assignment in placement.assignments:
-                assignment.is_prefilled = True
-            self.app.get("load").notify_change(notify_peers=bool(placement.helpers))
+    async def finish_stream(self, attempt: ExchangeAttempt, head: ResponseHead) -> None:
+        """Ends the stream as complete."""
+        await self._choose(attempt)
+        if not self.reply.started:
+            await self.reply.start_stream(head, b"")
+        await self.reply.finish_stream()
+
+    async def write_response(
+        self, attempt: ExchangeAttempt, head: ResponseHead, body: bytes
+    ) -> None:
+        """Writes a whole response to the caller."""
+        await self._choose(attempt)
+        await self.reply.send_response(head, body)
+
+    async def _choose(self, attempt: ExchangeAttempt) -> None:
+        """Makes an attempt the source of the response and cancels the others."""
+        if len(self._task_by_attempt) == 1:
+            return
+        if self._is_hedge(attempt):
+            # An older attempt whose data came at the same time is chosen meanwhile.
+            await asyncio.sleep(0)
+        others = [item for item in self._others(attempt) if not item.has_failed]
+        for other in others:
+            self._reporter.report_superseded(other, attempt)
+        self._cancel(others)
+
+    def _is_hedge(self, attempt: ExchangeAttempt) -> bool:
+        return attempt is not next(iter(self._task_by_attempt))
+
+    def _others(self, attempt: ExchangeAttempt) -> list[ExchangeAttempt]:
+        return [item for item in self._task_by_attempt if item is not attempt]
+
+    def _has_other_endpoint(self, attempt: ExchangeAttempt) -> bool:
+        placer: Placer = self.app.get("placement")
+        used = self.used_ids(attempt)
+        return any(item.id not in used for item in placer.usable_endpoints(self._pool))
+
+    def _cancel(self, attempts: list[ExchangeAttempt]) -> None:
+        for attempt in attempts:
+            task = self._task_by_attempt.pop(attempt)
+            task.cancel()
+            self._cancelled.append(task)
+            self._grants.settle(attempt)
+
+    async def _end_attempts(self) -> None:
+        """Cancels what is in progress and waits until it is cleaned up.
+
+        Attempts that have failed still find out whether their endpoints have crashed.
+        """
+        self._cancel([item for item in self._task_by_attempt if not item.has_failed])
+        tasks = [*self._task_by_attempt.values(), *self._cancelled]
+        await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/cicadacourse/gateway/_hedging.py
@@ -0,0 +1,30 @@
+"""When a hedge, a further attempt beside those in progress, may be started again."""
+
+from __future__ import annotations
+
+import attrs
+
+# Time after a denied hedge until the next one; it doubles with each, up to the maximum.
+# A slot or a permit is often free again within the first.
+FIRST_DEFERRAL_S = 0.25
+MAX_DEFERRAL_S = 2.0
+# A hedge that starts later than this before the deadline can't respond in time.
+MIN_TIME_LEFT_S = 0.05
+# Added to timers, which may fire early by the clock's resolution.
+TIMER_SLACK_S = 0.002
+
+
+@attrs.define
+class HedgeTimer:
+    """Defers the hedges of one request after each one that was denied.
+
+    :ivar not_before: when the next one may be started, loop time in seconds.
+    """
+
+    not_before: float = float("-inf")
+    _deferral_s: float = FIRST_DEFERRAL_S
+
+    def defer(self, now_s: float) -> None:
+        """Records that a hedge was denied."""
+        self.not_before = now_s + self._deferral_s
+        self._deferral_s = min(MAX_DEFERRAL_S, 2 * self._deferral_s)
--- a/cicadacourse/gateway/_outcomes.py
+++ b/cicadacourse/gateway/_outcomes.py
@@ -2,19 +2,35 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING, Sequence
+
 import attrs
 
 from cicadacourse.application import Application
 from cicadacourse.catalog import CatalogService
+from cicadacourse.errors import Error
 from cicadacourse.exchange import EndpointRequest, EndpointResponse, SendFailure
 from cicadacourse.gateway._admission import AdmittedRequest
 from cicadacourse.gateway._attempts import Attempts, Progress
 from cicadacourse.gateway._settings import ATTEMPT_FAILURES
-from cicadacourse.logs import ATTEMPT_FAILED, REQUEST_SENT, log
+from cicadacourse.logs import (
+    ATTEMPT_FAILED,
+    ATTEMPT_SUPERSEDED,
+    HEDGE_DENIED,
+    REQUEST_HEDGED,
+    REQUEST_SENT,
+    log,
+)
 from cicadacourse.placement import Placement, Placer
 from cicadacourse.reservations import ReservationRefused
 from cicadacourse.util.clock import now
 
+if TYPE_CHECKING:
+    from cicadacourse.gateway._exchange_attempt import ExchangeAttempt
+
+REASON_NO_RESPONSE = "no_answer"
+REASON_STREAM_SILENT = "stream_silent"
+
 
 @attrs.frozen
 class OutcomeReporter:
@@ -68,6 +84,52 @@
             parts=prompt.shared_part_ids if prompt else (),
         )
 
+    def report_hedged(self, pool: str, attempts: Sequence[ExchangeAttempt]) -> None:
+        """Reports that another endpoint is tried beside those that are silent."""
+        log(
+            REQUEST_HEDGED,
+            request=self.admitted.request.id,
+            pool=pool,
+            endpoints=[item.endpoint_id for item in attempts],
+            silent_s=round(min(item.silent_s for item in attempts), 3),
+        )
+
+    def report_hedge_denied(self, error: Error) -> None:
+        """Reports that an attempt was not sent while others go on."""
+        log(
+            HEDGE_DENIED,
+            request=self.admitted.request.id,
+            reason=error.label,
+            detail=error.detail,
+        )
+
+    def report_superseded(
+        self, attempt: ExchangeAttempt, chosen: ExchangeAttempt
+    ) -> None:
+        """Reports that an attempt is cancelled as another one was faster.
+
+        A long silence counts against its endpoint: the other one shows that this
+        instance and its network work.
+        """
+        is_overdue = now() >= attempt.silence_limit_at(now())
+        log(
+            ATTEMPT_SUPERSEDED,
+            request=self.admitted.request.id,
+            endpoint=attempt.endpoint_id,
+            chosen=chosen.endpoint_id,
+            silent_s=round(attempt.silent_s, 3),
+            is_blamed=attempt.is_sent and is_overdue,
+        )
+        if not attempt.is_sent or attempt.endpoint_id is None:
+            return
+        self.attempts.may_have_run = True
+        if is_overdue:
+            is_waiting = attempt.progress is Progress.WAITING
+            reason = REASON_NO_RESPONSE if is_waiting else REASON_STREAM_SILENT
+            detail = f"no data in {attempt.silent_s:.2f} s"
+            self._placer.report_transport_failure(attempt.endpoint_id, reason)
+            self._record_failure(attempt.endpoint_id, reason, detail, True)
+
     def report_refusal(self, response: EndpointResponse, placement: Placement) -> None:
         """Reports that the endpoint did not run the request.
 
--- /dev/null
+++ b/cicadacourse/gateway/_retries.py
@@ -0,0 +1,58 @@
+"""Takes the retries of one request from the budget, for hedges as well."""
+
+from __future__ import annotations
+
+import attrs
+
+from cicadacourse.application import Application
+from cicadacourse.errors import Error
+from cicadacourse.gateway._admission import AdmittedRequest
+from cicadacourse.gateway._attempts import Attempts
+from cicadacourse.gateway._exchange_attempt import ExchangeAttempt
+from cicadacourse.logs import RETRY_BUDGET_EXHAUSTED, log
+from cicadacourse.metrics import RETRIES
+from cicadacourse.placement import RetryBudget
+from cicadacourse.util.clock import now
+
+# The label of a retry that no failure preceded.
+REASON_SILENT = "silent"
+
+
+@attrs.define
+class RetryGrants:
+    """Grants the attempts at one request; the first one needs no retry.
+
+    :ivar unused: grants of attempts that were not sent, for the next ones.
+    """
+
+    app: Application
+    admitted: AdmittedRequest
+    attempts: Attempts
+    budget: RetryBudget
+    unused: int = 1
+    _holders: set[ExchangeAttempt] = attrs.field(factory=set)
+
+    def acquire(self, attempt: ExchangeAttempt) -> Error | None:
+        """Grants an attempt, or returns the error if the budget allows no retry."""
+        if self.unused:
+            self.unused -= 1
+        elif not self._acquire_retry(attempt.pool):
+            return self.attempts.final_error()
+        self._holders.add(attempt)
+        return None
+
+    def settle(self, attempt: ExchangeAttempt) -> None:
+        """Takes the grant of an attempt back if it has ended without being sent."""
+        if attempt in self._holders and not attempt.is_sent:
+            self.unused += 1
+        self._holders.discard(attempt)
+
+    def _acquire_retry(self, pool: str) -> bool:
+        instances = len(self.app.get("membership").members())
+        if not self.budget.try_acquire_retry(pool, instances, now()):
+            log(RETRY_BUDGET_EXHAUSTED, request=self.admitted.request.id, pool=pool)
+            return False
+        self.app.metrics.count(
+            RETRIES, reason=self.attempts.last_reason or REASON_SILENT
+        )
+        return True
--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -301,6 +301,24 @@
     " of `pool`.",
     True,
 )
+REQUEST_HEDGED = _declare(
+    "forward",
+    "request hedged",
+    "No data came for `silent_s` from `endpoints`, at which the request is in progress;"
+    " an attempt at another endpoint of `pool` is started beside them.",
+)
+HEDGE_DENIED = _declare(
+    "forward",
+    "hedge denied",
+    "The attempt beside those in progress was not sent because of `reason`; they go on"
+    " and another may be tried later.",
+)
+ATTEMPT_SUPERSEDED = _declare(
+    "forward",
+    "attempt superseded",
+    "The attempt at `endpoint`, without data for `silent_s`, is cancelled as `chosen`"
+    " sent data first; `is_blamed` is whether the silence counts against the endpoint.",
+)
 REQUEST_ENDED = _declare(
     "gateway",
     "request ended",
--- a/cicadacourse/metrics.py
+++ b/cicadacourse/metrics.py
@@ -90,4 +90,6 @@
 
 REQUESTS = declare("requests_total", "Requests ended, by outcome and by kind of route.")
 REFUSALS = declare("refusals_total", "Requests refused, by reason.")
-RETRIES = declare("retries_total", "Retries, by reason of the failed attempt.")
+RETRIES = declare(
+    "retries_total", "Retries, by reason of the failed attempt; `silent` is a hedge."
+)
