Tests: a process's exit status is left to the event loop

Process.send_signal polls the process first, which took the exit status before the loop's child watcher did.

--- a/tests/test_platform/test_platform_processes.py
+++ b/tests/test_platform/test_platform_processes.py
@@ -161,8 +161,9 @@
             process.send_signal(signal.SIGTERM)
             output = asyncio.create_task(process.communicate())
             while process.returncode is None:
+                # The method ``send_signal`` may take the exit status from the loop.
                 with contextlib.suppress(ProcessLookupError):
-                    process.send_signal(signal.SIGHUP)
+                    os.kill(process.pid, signal.SIGHUP)
                 await asyncio.sleep(0.002)
             await output
             assert process.returncode == 0
