Soak: scenario of endpoints and connections that fall silent

Endpoints send nothing for 1.0 to 1.4 s and go on, and open connections stay silent for good, beside changes of the request and idle timeouts and restarts. An exchange that reached an endpoint may not be cut or ended with 502 or 504 before its own time limit, and idempotent requests whose connections fell silent with 2.5 s left must be served.

The scenarios share their sender of requests and the selection of faults.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -23,6 +23,7 @@
 from soak._limit_scenario import LIMIT_FAULTS, run_limit_scenario
 from soak._prompt_scenario import PROMPT_FAULTS, run_prompt_scenario
 from soak._scenario import run_scenario
+from soak._silence_scenario import SILENCE_FAULTS, run_silence_scenario
 
 SEEDS = pathlib.Path(__file__).with_name("SEEDS.txt")
 SECONDS_PER_MINUTE = 60.0
@@ -31,6 +32,7 @@
     "configurations": (run_configuration_scenario, CONFIGURATION_FAULTS),
     "limits": (run_limit_scenario, LIMIT_FAULTS),
     "prompts": (run_prompt_scenario, PROMPT_FAULTS),
+    "silence": (run_silence_scenario, SILENCE_FAULTS),
 }
 
 
@@ -51,7 +53,8 @@
         choices=sorted(SCENARIOS),
         default="faults",
         help="faults of all kinds, a configuration that changes each second,"
-        " endpoints that name limits, or prompts that crash engines",
+        " endpoints that name limits, prompts that crash engines, or endpoints and"
+        " connections that fall silent",
     )
     add("--kept", action="store_true", help="run every line of SEEDS.txt instead")
     add(
--- a/soak/_configuration_scenario.py
+++ b/soak/_configuration_scenario.py
@@ -10,12 +10,11 @@
 import contextlib
 import pathlib
 
-from cicadacourse.registry import Registry
 from cicadacourse.util.clock import now
 from soak._callers import BOOKING, LOOKUP, REQUEST_PAUSE_S, Caller, RequestKind
 from soak._checks import REMOVAL_BOUND_S, InvariantChecker
 from soak._environment import Site, SoakEnvironment, running_environment
-from soak._faults import Fault, freeze, kill, restart
+from soak._faults import select_faults
 from soak._instances import InstanceProcess
 from soak._proxy import LinkState, Proxy
 from soak._scenario import FaultInjector, run_under_faults
@@ -35,10 +34,7 @@
 CONTACT_SAMPLE_S = 0.05
 REACHABLE_STATES = frozenset({LinkState.PASS, LinkState.DELAY})
 
-CONFIGURATION_FAULTS: Registry[Fault] = Registry("fault")
-CONFIGURATION_FAULTS.register("restart")(restart)
-CONFIGURATION_FAULTS.register("kill")(kill)
-CONFIGURATION_FAULTS.register("freeze")(freeze)
+CONFIGURATION_FAULTS = select_faults("restart", "kill", "freeze")
 
 
 async def run_configuration_scenario(
--- a/soak/_environment.py
+++ b/soak/_environment.py
@@ -66,6 +66,8 @@
     :ivar removed_at_by_key: when each former key was removed, loop times in seconds.
     :ivar added_prefixes: the path prefixes of further routes to the plain service.
     :ivar history: every configuration that was written.
+    :ivar route_fields: fields that are added to each route or replaced.
+    :ivar caller_limits: the limits on callers' connections, by their names there.
     """
 
     fleet: Fleet
@@ -81,6 +83,8 @@
     removed_at_by_key: dict[str, float] = attrs.field(factory=dict)
     added_prefixes: list[str] = attrs.field(factory=list)
     history: ConfigurationHistory = attrs.field(factory=ConfigurationHistory)
+    route_fields: dict[str, Any] = attrs.field(factory=dict)
+    caller_limits: dict[str, int] = attrs.field(factory=dict)
     _endpoints: itertools.count[int] = attrs.field(factory=itertools.count)
 
     def random_for(self, name: str) -> Random:
@@ -106,14 +110,16 @@
     def configure(self) -> None:
         """Writes the configuration with the current version and keys."""
         acme: dict[str, Any] = {"name": "acme", "apiKeys": self.keys, "priority": 1}
-        configuration = make_configuration(self.version, tenants=[acme])
+        configuration = make_configuration(
+            self.version, tenants=[acme], limits=self.caller_limits
+        )
         plain_route = configuration["routes"][-1]
         configuration["routes"] += [
             {**plain_route, "name": prefix.strip("/"), "pathPrefix": prefix}
             for prefix in self.added_prefixes
         ]
         for route in configuration["routes"]:
-            route["maxAttempts"] = MAX_ATTEMPTS
+            route.update({"maxAttempts": MAX_ATTEMPTS, **self.route_fields})
         sent_at = now()
         self.fleet.configure(configuration)
         self.history.record(sent_at, self.added_prefixes, self.keys)
--- a/soak/_faults.py
+++ b/soak/_faults.py
@@ -30,6 +30,14 @@
 MAX_INTERVAL_S = 2.0
 
 
+def select_faults(*names: str) -> Registry[Fault]:
+    """Returns a registry with some faults of this module, for one scenario."""
+    selected: Registry[Fault] = Registry("fault")
+    for name in names:
+        selected.register(name)(FAULTS.get(name))
+    return selected
+
+
 @attrs.frozen
 class PlannedFault:
     """One fault of a schedule.
--- a/soak/_limit_scenario.py
+++ b/soak/_limit_scenario.py
@@ -7,23 +7,27 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import pathlib
 import random
 
 import attrs
 
-from cicadacourse.registry import Registry
 from cicadacourse.util.clock import now
-from soak._callers import LONG, LOOKUP, REQUEST_PAUSE_S, SHORT, Caller
+from soak._callers import LONG, LOOKUP, SHORT, Attempt, Caller
 from soak._checks import InvariantChecker
 from soak._environment import Site, SoakEnvironment, running_environment
-from soak._faults import Fault, freeze, impair_store_link, kill, restart
-from soak._scenario import FaultInjector, run_under_faults, stop_tasks
+from soak._faults import select_faults
+from soak._scenario import (
+    FaultInjector,
+    run_under_faults,
+    send_requests,
+    stop_tasks,
+)
 from standins.platform import Worker
 
 ENGINES_PER_INSTANCE = 2
 CALLERS_PER_INSTANCE = 4
+KINDS = (SHORT, LOOKUP, LONG)
 LIMITS = (0.5, 1.0, 3.0)
 # A limit must be kept from this long after it is named or changed, and by an instance
 # from this long after its last fault.
@@ -33,11 +37,7 @@
 # A limit lasts longer than other faults, as it holds only after ``CONTACT_S``.
 DURATION_FACTOR = 4.0
 
-LIMIT_FAULTS: Registry[Fault] = Registry("fault")
-LIMIT_FAULTS.register("restart")(restart)
-LIMIT_FAULTS.register("kill")(kill)
-LIMIT_FAULTS.register("freeze")(freeze)
-LIMIT_FAULTS.register("store-link")(impair_store_link)
+LIMIT_FAULTS = select_faults("restart", "kill", "freeze", "store-link")
 
 
 @attrs.define
@@ -62,6 +62,11 @@
     impaired_at: dict[str, list[float]] = attrs.field(factory=dict)
     instance_by_request: dict[str, str] = attrs.field(factory=dict)
 
+    def record(self, attempts: list[Attempt]) -> None:
+        """Records the instances that got the attempts of one request."""
+        for attempt in attempts:
+            self.instance_by_request[attempt.id] = attempt.instance.name
+
     def counted(self, item: NamedLimit) -> list[float]:
         """Returns the arrivals that must keep to a limit, loop times in seconds."""
         return [
@@ -92,7 +97,8 @@
 
         runs = [_record_impaired(environment, records)]
         for number in range(CALLERS_PER_INSTANCE * size):
-            runs.append(_send(checker, Caller(environment, f"c{number}"), records))
+            caller = Caller(environment, f"c{number}")
+            runs.append(send_requests(checker, caller, KINDS, records.record))
         await run_under_faults(checker, runs, inject_while_limited, (SHORT, LOOKUP))
         _check_limits(checker, records)
     return checker
@@ -133,20 +139,6 @@
         await asyncio.sleep(SAMPLE_S)
 
 
-async def _send(
-    checker: InvariantChecker, caller: Caller, records: LimitRecords
-) -> None:
-    kinds, chooser = (SHORT, SHORT, LOOKUP, LOOKUP, LONG), caller.chooser
-    with contextlib.closing(caller):
-        while True:
-            kind = chooser.choice(kinds)
-            attempts = await caller.request(kind, checker.environment.keys[0])
-            for attempt in attempts:
-                records.instance_by_request[attempt.id] = attempt.instance.name
-            checker.check_request(attempts)
-            await asyncio.sleep(chooser.expovariate(1 / REQUEST_PAUSE_S))
-
-
 def _check_limits(checker: InvariantChecker, records: LimitRecords) -> None:
     for item in records.named:
         times = records.counted(item)
--- a/soak/_prompt_scenario.py
+++ b/soak/_prompt_scenario.py
@@ -14,12 +14,11 @@
 import attrs
 
 from cicadacourse.platform import _names as names
-from cicadacourse.registry import Registry
-from soak._callers import REQUEST_PAUSE_S, SHORT, Attempt, Caller
+from soak._callers import SHORT, Attempt, Caller
 from soak._checks import InvariantChecker
 from soak._environment import Site, SoakEnvironment, running_environment
-from soak._faults import Fault, freeze, impair_store_link, kill, restart
-from soak._scenario import FaultInjector, run_under_faults
+from soak._faults import select_faults
+from soak._scenario import FaultInjector, run_under_faults, send_requests
 
 ENGINES_PER_INSTANCE = 3
 SOUND_CALLERS_PER_INSTANCE = 2
@@ -34,11 +33,7 @@
 # The share of sound requests that must be served in the end, with callers' retries.
 MIN_SERVED_SHARE = 0.8
 
-PROMPT_FAULTS: Registry[Fault] = Registry("fault")
-PROMPT_FAULTS.register("restart")(restart)
-PROMPT_FAULTS.register("kill")(kill)
-PROMPT_FAULTS.register("freeze")(freeze)
-PROMPT_FAULTS.register("store-link")(impair_store_link)
+PROMPT_FAULTS = select_faults("restart", "kill", "freeze", "store-link")
 
 
 @attrs.define
@@ -64,7 +59,13 @@
         for endpoint in environment.fleet.endpoint_by_id.values():
             endpoint.worker.crashing_part_ids = {BAD_PART}
         runs = [
-            _send_sound(checker, Caller(environment, f"c{number}"), sound)
+            send_requests(
+                checker,
+                Caller(environment, f"c{number}"),
+                (SHORT,),
+                sound.record,
+                _draw_sound_headers,
+            )
             for number in range(SOUND_CALLERS_PER_INSTANCE * size)
         ]
         for number in range(BAD_CALLERS):
@@ -82,17 +83,8 @@
     return {names.HEADER_PROMPT_PARTS: value}
 
 
-async def _send_sound(
-    checker: InvariantChecker, caller: Caller, sound: SoundRequests
-) -> None:
-    chooser, key = caller.chooser, checker.environment.keys[0]
-    with contextlib.closing(caller):
-        while True:
-            headers = _draw_headers(chooser, f"s{int(chooser.paretovariate(0.7))}")
-            attempts = await caller.request(SHORT, key, headers)
-            sound.record(attempts)
-            checker.check_request(attempts)
-            await asyncio.sleep(chooser.expovariate(1 / REQUEST_PAUSE_S))
+def _draw_sound_headers(chooser: random.Random) -> dict[str, str]:
+    return _draw_headers(chooser, f"s{int(chooser.paretovariate(0.7))}")
 
 
 async def _send_bad(caller: Caller) -> None:
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -50,6 +50,16 @@
         await asyncio.sleep(self._free_at - now())
 
 
+@attrs.define(eq=False)
+class _Forwarding:
+    """A connection that is forwarded.
+
+    :ivar is_silent: whether its bytes and its end are held back for good.
+    """
+
+    is_silent: bool = False
+
+
 @attrs.define(eq=False)
 class Proxy:
     """Forwards connections from its own address to a target address.
@@ -62,6 +72,7 @@
     :param to_target_limit: limits the bytes to the target; None for no limit.
     :param from_target_limit: limits the bytes from the target; None for no limit.
     :ivar delay_s: the delay of each chunk in the state ``DELAY``, in seconds.
+    :ivar silenced_at: when its open connections fell silent, loop times in seconds.
     """
 
     address: str
@@ -70,8 +81,10 @@
     from_target_limit: RateLimit | None = None
     delay_s: float = 0.1
     state: LinkState = LinkState.PASS
+    silenced_at: list[float] = attrs.field(factory=list)
     _state_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
+    _forwardings: set[_Forwarding] = attrs.field(factory=set)
     _tasks: set[asyncio.Task[None]] = attrs.field(factory=set)
 
     @contextlib.asynccontextmanager
@@ -96,6 +109,15 @@
         if state is LinkState.RESET:
             self._reset_all()
 
+    def silence_open_connections(self) -> None:
+        """Holds back all bytes and ends of the open connections for good.
+
+        Neither side gets a reset, and connections that are opened later work.
+        """
+        self.silenced_at.append(now())
+        for forwarding in self._forwardings:
+            forwarding.is_silent = True
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -119,23 +141,25 @@
             writer.transport.abort()
             return
         self._writers.add(target_writer)
-        copies = [
-            self._start_copy(
-                self._copy_stream(
-                    reader, target_writer, _BLOCKS_TO_TARGET, self.to_target_limit
-                )
-            ),
-            self._start_copy(
-                self._copy_stream(
-                    target_reader, writer, _BLOCKS_FROM_TARGET, self.from_target_limit
-                )
-            ),
-        ]
+        forwarding = _Forwarding()
+        self._forwardings.add(forwarding)
+        to_target = self._copy_stream(
+            forwarding, reader, target_writer, _BLOCKS_TO_TARGET, self.to_target_limit
+        )
+        from_target = self._copy_stream(
+            forwarding,
+            target_reader,
+            writer,
+            _BLOCKS_FROM_TARGET,
+            self.from_target_limit,
+        )
+        copies = [self._start_copy(to_target), self._start_copy(from_target)]
         try:
             await asyncio.wait(copies, return_when=asyncio.FIRST_COMPLETED)
         finally:
             for copy in copies:
                 copy.cancel()
+            self._forwardings.discard(forwarding)
             self._writers.discard(target_writer)
             target_writer.close()
 
@@ -147,6 +171,7 @@
 
     async def _copy_stream(
         self,
+        forwarding: _Forwarding,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         blocking_states: frozenset[LinkState],
@@ -154,16 +179,20 @@
     ) -> None:
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
             while data := await reader.read(_READ_BYTES):
-                while self.state in blocking_states:
-                    await self._state_changed.wait()
+                await self._wait_until_passing(forwarding, blocking_states)
                 if self.state is LinkState.DELAY:
                     await asyncio.sleep(self.delay_s)
                 if limit is not None:
                     await limit.pass_bytes(len(data))
                 writer.write(data)
                 await writer.drain()
-            while self.state in blocking_states:
-                await self._state_changed.wait()
+            await self._wait_until_passing(forwarding, blocking_states)
+
+    async def _wait_until_passing(
+        self, forwarding: _Forwarding, blocking_states: frozenset[LinkState]
+    ) -> None:
+        while forwarding.is_silent or self.state in blocking_states:
+            await self._state_changed.wait()
 
     def _reset_all(self) -> None:
         for writer in list(self._writers):
--- a/soak/_scenario.py
+++ b/soak/_scenario.py
@@ -5,12 +5,15 @@
 import asyncio
 import contextlib
 import pathlib
-from typing import Any, Awaitable, Callable, Coroutine, Sequence
+import random
+from typing import Any, Awaitable, Callable, Coroutine, Mapping, Sequence
 
 from soak._callers import (
+    NO_HEADERS,
     REQUEST_KINDS,
     REQUEST_PAUSE_S,
     SHORT,
+    Attempt,
     Caller,
     RequestKind,
 )
@@ -44,7 +47,7 @@
     async with running_environment(folder, seed, Site(size)) as environment:
         checker = InvariantChecker(environment)
         runs = [
-            _send_requests(checker, Caller(environment, f"c{number}"))
+            send_requests(checker, Caller(environment, f"c{number}"), REQUEST_KINDS)
             for number in range(CALLERS_PER_INSTANCE * size)
         ]
         runs.append(_send_with_removed_keys(checker, Caller(environment, "old")))
@@ -76,13 +79,27 @@
     checker.check_final_state()
 
 
-async def _send_requests(checker: InvariantChecker, caller: Caller) -> None:
+async def send_requests(
+    checker: InvariantChecker,
+    caller: Caller,
+    kinds: Sequence[RequestKind],
+    record: Callable[[list[Attempt]], None] = lambda _: None,
+    draw_headers: Callable[[random.Random], Mapping[str, str]] = lambda _: NO_HEADERS,
+) -> None:
+    """Sends requests of these kinds, by their weights, until cancelled.
+
+    :param record: called with all attempts of each request.
+    :param draw_headers: draws further header fields of a request.
+    """
     environment, chooser = checker.environment, caller.chooser
-    weights = [kind.weight for kind in REQUEST_KINDS]
+    weights = [kind.weight for kind in kinds]
     with contextlib.closing(caller):
         while True:
-            kind = chooser.choices(REQUEST_KINDS, weights)[0]
-            checker.check_request(await caller.request(kind, environment.keys[0]))
+            kind = chooser.choices(kinds, weights)[0]
+            headers = draw_headers(chooser)
+            attempts = await caller.request(kind, environment.keys[0], headers)
+            record(attempts)
+            checker.check_request(attempts)
             await asyncio.sleep(chooser.expovariate(1 / REQUEST_PAUSE_S))
 
 
--- a/tests/test_soak/test_soak_configurations.py
+++ b/tests/test_soak/test_soak_configurations.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import pathlib
 from types import SimpleNamespace
 from typing import Any
 
@@ -19,8 +18,8 @@
 from soak._configuration_scenario import is_reachable
 from soak._configurations import APPLY_BOUND_S, ConfigurationHistory
 from soak._instances import InstanceProcess
-from soak._proxy import RATE_CATCH_UP_S, LinkState, Proxy, RateLimit
-from standins.callers import Response
+from soak._proxy import RATE_CATCH_UP_S, LinkState, RateLimit
+from tests.test_soak.histories import make_attempt, make_instance
 
 PREFIX = "/added/1/"
 
@@ -70,7 +69,7 @@
 async def test_an_instance_is_reachable_by_the_store_or_an_instance_it_reaches() -> (
     None
 ):
-    environment: Any = SimpleNamespace(instances=[_make_instance(), _make_instance()])
+    environment: Any = SimpleNamespace(instances=[make_instance(), make_instance()])
     first, second = environment.instances
     first.store_link.state = LinkState.CUT_BOTH_WAYS
     assert is_reachable(environment, first)
@@ -101,15 +100,8 @@
     history = ConfigurationHistory()
     history.record(now(), [PREFIX], ["key"])
     environment: Any = SimpleNamespace(history=history)
-    return InvariantChecker(environment), _make_instance()
-
-
-def _make_instance() -> InstanceProcess:
-    links = [Proxy("127.0.0.1:1", "127.0.0.1:2") for _ in range(2)]
-    return InstanceProcess("instance", "a", "127.0.0.1", pathlib.Path(), *links)
+    return InvariantChecker(environment), make_instance()
 
 
 def _make_attempt(instance: InstanceProcess, status: int) -> Attempt:
-    response = Response(status, {}, b"", True)
-    kind = RequestKind(f"{PREFIX}x")
-    return Attempt("id", kind, instance, "key", response, now(), now())
+    return make_attempt(instance, RequestKind(f"{PREFIX}x"), status, now(), now())
