--- a/soak/_scenario.py
+++ b/soak/_scenario.py
@@ -126,6 +126,19 @@
         checker.check_recovered(attempt)
 
 
+def inject_beside(
+    inject: FaultInjector, work: Callable[[], Coroutine[Any, Any, None]]
+) -> FaultInjector:
+    """Returns an injector of faults that also does some work, until the last one."""
+
+    async def inject_and_work(environment: SoakEnvironment) -> None:
+        task = asyncio.create_task(work())
+        await inject(environment)
+        await stop_tasks([task])
+
+    return inject_and_work
+
+
 async def stop_tasks(tasks: list[asyncio.Task[None]]) -> None:
     """Cancels tasks; raises the exception of one that has already failed."""
     for task in tasks:
