Soak: scenario of whole requests that crash endpoints

A call and a stream with one method, path, organisation and body each crash every endpoint 60 to 120 ms after it begins to run them, mostly without a byte of a response. The endpoint is back after 3 s as a new process at its address, four times of five under a new id. The requests come again at any instance, at times at three at once. At most three of each may reach endpoints later than 3 s after the third crash, and sound requests that share the caller, path or body must be served.

Endpoints that crash, those of the prompts too, are back at their address, and the registry drops them after three heartbeats as on the platform. The fleet keeps all endpoints that it started, so that one under a former id isn't taken for its predecessor. Worker and configuration have modules of their own.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,7 @@
 from soak._faults import FAULTS, inject_faults, plan_faults
 from soak._limit_scenario import LIMIT_FAULTS, run_limit_scenario
 from soak._prompt_scenario import PROMPT_FAULTS, run_prompt_scenario
+from soak._request_scenario import REQUEST_FAULTS, run_request_scenario
 from soak._scenario import run_scenario
 from soak._silence_scenario import SILENCE_FAULTS, run_silence_scenario
 
@@ -32,6 +33,7 @@
     "configurations": (run_configuration_scenario, CONFIGURATION_FAULTS),
     "limits": (run_limit_scenario, LIMIT_FAULTS),
     "prompts": (run_prompt_scenario, PROMPT_FAULTS),
+    "requests": (run_request_scenario, REQUEST_FAULTS),
     "silence": (run_silence_scenario, SILENCE_FAULTS),
 }
 
@@ -53,8 +55,8 @@
         choices=sorted(SCENARIOS),
         default="faults",
         help="faults of all kinds, a configuration that changes each second,"
-        " endpoints that name limits, prompts that crash engines, or endpoints and"
-        " connections that fall silent",
+        " endpoints that name limits, prompts that crash engines, whole requests that"
+        " crash endpoints, or endpoints and connections that fall silent",
     )
     add("--kept", action="store_true", help="run every line of SEEDS.txt instead")
     add(
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -39,6 +39,7 @@
     :param output_tokens: tokens to decode, 0 for calls.
     :param is_idempotent: whether it may be executed more than once.
     :param weight: how often it is sent, relative to the other kinds.
+    :param body: the body of each request.
     """
 
     path: str
@@ -46,6 +47,7 @@
     output_tokens: int = 0
     is_idempotent: bool = True
     weight: int = 1
+    body: bytes = b""
 
     @property
     def events(self) -> int:
@@ -155,7 +157,9 @@
         tokens = f"{kind.tokens},{kind.output_tokens}" if kind.tokens else None
         timeout_ms = int(TIMEOUT_S * 1000)
         connection.writer.write(
-            encode_request(kind.path, id, timeout_ms, key, tokens, headers=headers)
+            encode_request(
+                kind.path, id, timeout_ms, key, tokens, body=kind.body, headers=headers
+            )
         )
         response = None
         try:
--- a/soak/_checks.py
+++ b/soak/_checks.py
@@ -46,17 +46,14 @@
     statuses: Counter[int] = attrs.field(factory=Counter)
     _non_idempotent_ids: list[list[str]] = attrs.field(factory=list)
     _not_executed_ids: list[str] = attrs.field(factory=list)
-    _worker_by_id: dict[str, Worker] = attrs.field(factory=dict)
 
     @property
     def workers(self) -> list[Worker]:
         """The endpoints of the run, those that are gone included."""
-        self._record_workers()
-        return list(self._worker_by_id.values())
+        return self.environment.fleet.workers
 
     def check_request(self, attempts: list[Attempt]) -> None:
         """Checks all attempts of one request."""
-        self._record_workers()
         for attempt in attempts:
             self.statuses[attempt.status] += 1
             self._check_response(attempt)
@@ -104,9 +101,8 @@
 
     def check_final_state(self) -> None:
         """Checks executions, reservations and processes; all instances have stopped."""
-        self._record_workers()
         executions: Counter[str] = Counter()
-        for worker in self._worker_by_id.values():
+        for worker in self.workers:
             executions.update(worker.runs_by_request)
         for ids in self._non_idempotent_ids:
             if sum(executions[id] for id in ids) > 1:
@@ -116,7 +112,7 @@
                 self.violations.append(
                     f"{id} was executed though its response said that it was not"
                 )
-        for worker in self._worker_by_id.values():
+        for worker in self.workers:
             if worker.engine is not None and worker.engine.reserved_tokens:
                 self.violations.append(f"KV cache is still reserved at {worker.id}")
         for instance in self.environment.instances:
@@ -207,11 +203,6 @@
             and self.environment.store_fault_window.is_fault_free_since(since)
         )
 
-    def _record_workers(self) -> None:
-        """Records the endpoints' workers, as a fault may replace endpoints later."""
-        for endpoint in self.environment.fleet.endpoint_by_id.values():
-            self._worker_by_id[endpoint.worker.id] = endpoint.worker
-
     def _add_violation(self, attempt: Attempt, description: str) -> None:
         self.violations.append(
             f"{attempt.id} {attempt.kind.path} at {attempt.instance.name}, "
--- a/soak/_environment.py
+++ b/soak/_environment.py
@@ -16,7 +16,13 @@
 from soak._fault_window import FaultWindow
 from soak._instances import InstanceProcess
 from soak._proxy import LinkState, Proxy, RateLimit
-from standins.platform import KEY, Fleet, RegisteredEndpoint, make_configuration
+from standins.platform import (
+    KEY,
+    ORGANISATION,
+    Fleet,
+    RegisteredEndpoint,
+    make_configuration,
+)
 from standins.ports import free_port, next_host
 
 # Set on every route, so that only the kind of a route prevents retries.
@@ -66,6 +72,7 @@
     :ivar removed_at_by_key: when each former key was removed, loop times in seconds.
     :ivar added_prefixes: the path prefixes of further routes to the plain service.
     :ivar history: every configuration that was written.
+    :ivar key_by_other_organisation: the key of each further organisation.
     :ivar route_fields: fields that are added to each route or replaced.
     :ivar caller_limits: the limits on callers' connections, by their names there.
     """
@@ -83,6 +90,7 @@
     removed_at_by_key: dict[str, float] = attrs.field(factory=dict)
     added_prefixes: list[str] = attrs.field(factory=list)
     history: ConfigurationHistory = attrs.field(factory=ConfigurationHistory)
+    key_by_other_organisation: dict[str, str] = attrs.field(factory=dict)
     route_fields: dict[str, Any] = attrs.field(factory=dict)
     caller_limits: dict[str, int] = attrs.field(factory=dict)
     _endpoints: itertools.count[int] = attrs.field(factory=itertools.count)
@@ -109,9 +117,16 @@
 
     def configure(self) -> None:
         """Writes the configuration with the current version and keys."""
-        acme: dict[str, Any] = {"name": "acme", "apiKeys": self.keys, "priority": 1}
+        keys_by_name = {ORGANISATION: self.keys} | {
+            name: [key] for name, key in self.key_by_other_organisation.items()
+        }
         configuration = make_configuration(
-            self.version, tenants=[acme], limits=self.caller_limits
+            self.version,
+            tenants=[
+                {"name": name, "apiKeys": keys, "priority": 1}
+                for name, keys in keys_by_name.items()
+            ],
+            limits=self.caller_limits,
         )
         plain_route = configuration["routes"][-1]
         configuration["routes"] += [
--- a/soak/_prompt_scenario.py
+++ b/soak/_prompt_scenario.py
@@ -11,11 +11,10 @@
 import pathlib
 import random
 
-import attrs
-
 from cicadacourse.platform import _names as names
-from soak._callers import SHORT, Attempt, Caller
+from soak._callers import SHORT, Caller, RequestKind
 from soak._checks import InvariantChecker
+from soak._crash_checks import SoundRequests, find_later_requests
 from soak._environment import Site, SoakEnvironment, running_environment
 from soak._faults import select_faults
 from soak._scenario import FaultInjector, run_under_faults, send_requests
@@ -25,37 +24,19 @@
 BAD_PART = "bad"
 BAD_CALLERS = 4
 BAD_PAUSE_S = 1.0
-# Once as many engines have crashed, and all instances had time to be told of it, few
-# requests with the part may reach engines.
+# Once as many engines have crashed, few requests with the part may reach engines.
 CRASHES = 5
-CONTACT_S = 3.0
-MAX_LATER_REQUESTS = 3
-# The share of sound requests that must be served in the end, with callers' retries.
-MIN_SERVED_SHARE = 0.8
 
 PROMPT_FAULTS = select_faults("restart", "kill", "freeze", "store-link")
 
 
-@attrs.define
-class SoundRequests:
-    """Counts the sound requests of a run and those that were served."""
-
-    sent: int = 0
-    served: int = 0
-
-    def record(self, attempts: list[Attempt]) -> None:
-        """Records all attempts of one request."""
-        self.sent += 1
-        self.served += any(item.status == 200 for item in attempts)
-
-
 async def run_prompt_scenario(
     folder: pathlib.Path, seed: int, size: int, inject: FaultInjector
 ) -> InvariantChecker:
     """Runs one seed; see :func:`soak._scenario.run_scenario`."""
     site = Site(size, ENGINES_PER_INSTANCE, has_endpoint_links=False)
     async with running_environment(folder, seed, site) as environment:
-        checker, sound = InvariantChecker(environment), SoundRequests()
+        checker, sound = InvariantChecker(environment), SoundRequests("sound prompts")
         for endpoint in environment.fleet.endpoint_by_id.values():
             endpoint.worker.crashing_part_ids = {BAD_PART}
         runs = [
@@ -75,15 +56,23 @@
     return checker
 
 
-def _draw_headers(chooser: random.Random, *parts: str) -> dict[str, str]:
-    """Returns the header that names a prompt's parts: a common one, others, its own."""
+def make_part_headers(*parts: str) -> dict[str, str]:
+    """Returns the header that names a prompt's parts."""
+    return {names.HEADER_PROMPT_PARTS: ",".join(f"{part}:100" for part in parts)}
+
+
+def draw_own_part(chooser: random.Random) -> str:
+    """Returns the id of a part that no other prompt has."""
+    return f"own{chooser.randrange(10**9)}"
+
+
+def _draw_headers(chooser: random.Random, part: str) -> dict[str, str]:
+    """Returns the header of a prompt with a common part, another one and its own."""
     first = f"first{chooser.randrange(2)}"
-    own = f"own{chooser.randrange(10**9)}"
-    value = ",".join(f"{part}:100" for part in (first, *parts, own))
-    return {names.HEADER_PROMPT_PARTS: value}
+    return make_part_headers(first, part, draw_own_part(chooser))
 
 
-def _draw_sound_headers(chooser: random.Random) -> dict[str, str]:
+def _draw_sound_headers(chooser: random.Random, _: RequestKind) -> dict[str, str]:
     return _draw_headers(chooser, f"s{int(chooser.paretovariate(0.7))}")
 
 
@@ -104,20 +93,11 @@
         f"{len(crashed_at)} engines crashed;"
         f" {sound.served} of {sound.sent} sound requests served"
     )
-    if len(crashed_at) >= CRASHES:
-        since = crashed_at[CRASHES - 1] + CONTACT_S
-        later = [
-            arrival
-            for worker in checker.workers
-            for arrival in worker.arrivals
-            if BAD_PART in arrival.prefix_ids and arrival.at > since
-        ]
-        if len(later) > MAX_LATER_REQUESTS:
-            checker.violations.append(
-                f"{len(later)} requests with a part under which {CRASHES} engines had"
-                " crashed reached engines"
-            )
-    if sound.served < MIN_SERVED_SHARE * sound.sent:
-        checker.violations.append(
-            f"only {sound.served} of {sound.sent} sound requests were served"
-        )
+    bad = [
+        arrival
+        for worker in checker.workers
+        for arrival in worker.arrivals
+        if BAD_PART in arrival.prefix_ids
+    ]
+    checker.violations += find_later_requests("a part", crashed_at, CRASHES, bad)
+    checker.violations += sound.find_unserved()
--- a/soak/_scenario.py
+++ b/soak/_scenario.py
@@ -32,6 +32,7 @@
 RECOVERY_REQUESTS = 20
 
 FaultInjector = Callable[[SoakEnvironment], Awaitable[None]]
+HeaderDrawer = Callable[[random.Random, RequestKind], Mapping[str, str]]
 
 
 async def run_scenario(
@@ -84,20 +85,23 @@
     caller: Caller,
     kinds: Sequence[RequestKind],
     record: Callable[[list[Attempt]], None] = lambda _: None,
-    draw_headers: Callable[[random.Random], Mapping[str, str]] = lambda _: NO_HEADERS,
+    draw_headers: HeaderDrawer = lambda *_: NO_HEADERS,
+    key: str | None = None,
 ) -> None:
     """Sends requests of these kinds, by their weights, until cancelled.
 
     :param record: called with all attempts of each request.
     :param draw_headers: draws further header fields of a request.
+    :param key: the callers' key; None for the oldest one of the first organisation.
     """
     environment, chooser = checker.environment, caller.chooser
     weights = [kind.weight for kind in kinds]
     with contextlib.closing(caller):
         while True:
             kind = chooser.choices(kinds, weights)[0]
-            headers = draw_headers(chooser)
-            attempts = await caller.request(kind, environment.keys[0], headers)
+            headers = draw_headers(chooser, kind)
+            used_key = key or environment.keys[0]
+            attempts = await caller.request(kind, used_key, headers)
             record(attempts)
             checker.check_request(attempts)
             await asyncio.sleep(chooser.expovariate(1 / REQUEST_PAUSE_S))
--- a/standins/platform/__init__.py
+++ b/standins/platform/__init__.py
@@ -1,21 +1,21 @@
 """Stand-ins for the users' platform: its store, its engines and plain services."""
 
-from standins.platform._engine import Engine, EngineRefusal
-from standins.platform._fleet import (
+from standins.platform._configuration import (
     ENGINE_POOL,
     HOST,
     KEY,
     ORGANISATION,
     PLAIN_POOL,
     PROFILE,
-    Fleet,
-    RegisteredEndpoint,
     make_configuration,
 )
+from standins.platform._engine import Engine, EngineRefusal
+from standins.platform._fleet import Fleet, RegisteredEndpoint
 from standins.platform._store import StoreCore, StoreFaults
-from standins.platform._worker_http import Worker, WorkerFaults
+from standins.platform._worker import Arrival, RequestContent, Worker, WorkerFaults
 
 __all__ = [
+    "Arrival",
     "ENGINE_POOL",
     "Engine",
     "EngineRefusal",
@@ -26,6 +26,7 @@
     "ORGANISATION",
     "PLAIN_POOL",
     "PROFILE",
+    "RequestContent",
     "StoreCore",
     "StoreFaults",
     "Worker",
--- a/standins/platform/__main__.py
+++ b/standins/platform/__main__.py
@@ -5,7 +5,8 @@
 import argparse
 import asyncio
 
-from standins.platform._fleet import Fleet, make_configuration
+from standins.platform._configuration import make_configuration
+from standins.platform._fleet import Fleet
 
 DOMAINS = ("a", "b", "c")
 
--- a/standins/platform/_fleet.py
+++ b/standins/platform/_fleet.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+import random
 import time
 from typing import Any, AsyncIterator
 
@@ -12,87 +13,20 @@
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
-from cicadacourse.catalog import EngineProfile
-from cicadacourse.util.clock import now
+from standins.platform._configuration import ENGINE_POOL, PLAIN_POOL, PROFILE
 from standins.platform._engine import Engine
 from standins.platform._store import StoreCore
 from standins.platform._store_http import make_store_application
-from standins.platform._worker_http import Worker, make_worker_application
+from standins.platform._worker import Worker
+from standins.platform._worker_http import make_worker_application
 
 HEARTBEAT_S = 0.4
-# How long an engine that has crashed is gone.
+# How long an endpoint that has crashed is gone.
 CRASH_S = 1.5
-PROFILE = EngineProfile(
-    slots=8,
-    kv_tokens=450_000,
-    steps_per_pass=46,
-    step_s=0.000925,
-    step_per_writer_s=0.00000966,
-    step_per_1k_context_s=0.00000254,
-    read_tokens_per_s=256_000.0,
-    read_per_1m_pairs_s=0.0000917,
-    chunk_tokens=2048,
-    hop_s=0.0001,
-    models=("m",),
-)
-HOST = "fleet.example"
-ENGINE_POOL = "engines"
-PLAIN_POOL = "plain"
-KEY = "key-of-acme"
-ORGANISATION = "acme"
-
-
-def make_configuration(version: int = 1, **fields: Any) -> dict[str, Any]:
-    """Returns a configuration in the platform's format, with three routes.
-
-    :param fields: top-level fields that are added or replaced.
-    """
-    engine = {
-        "slots": PROFILE.slots,
-        "kvTokens": PROFILE.kv_tokens,
-        "stride": PROFILE.steps_per_pass,
-        "step_ms": PROFILE.step_s * 1000,
-        "per_seq_ms": PROFILE.step_per_writer_s * 1000,
-        "context_per_k": PROFILE.step_per_1k_context_s * 1000,
-        "read_per_s": PROFILE.read_tokens_per_s,
-        "pairs_per_m": PROFILE.read_per_1m_pairs_s * 1000,
-        "chunk": PROFILE.chunk_tokens,
-        "hopMs": PROFILE.hop_s * 1000,
-        "models": [{"name": "m"}],
-    }
-    return {
-        "version": version,
-        "routes": [
-            _route("stream", "/ask/", "streaming", ENGINE_POOL, 2, resumable=True),
-            _route("book", "/book/", "unsafe", PLAIN_POOL, 1),
-            _route("look", "/look/", "safe", PLAIN_POOL, 2),
-        ],
-        "services": [
-            {"name": ENGINE_POOL, "healthPath": "/health", "engine": engine},
-            {"name": PLAIN_POOL, "healthPath": "/health"},
-        ],
-        "tenants": [{"name": ORGANISATION, "apiKeys": [KEY], "priority": 1}],
-        **fields,
-    }
-
-
-def _route(
-    name: str, prefix: str, kind: str, pool: str, attempts: int, **fields: Any
-) -> dict[str, Any]:
-    return {
-        "name": name,
-        "host": HOST,
-        "pathPrefix": prefix,
-        "kind": kind,
-        "timeoutMs": 4000,
-        "targetLatencyMs": 300,
-        "gapTargetMs": 200,
-        "priority": 1,
-        "service": pool,
-        "maxAttempts": attempts,
-        "public": False,
-        **fields,
-    }
+# The registry drops an endpoint that has been silent for so long.
+EXPIRY_S = 3 * HEARTBEAT_S
+# The fraction of the endpoints that are back under the id that they had.
+SAME_ID_RATE = 0.2
 
 
 @attrs.define
@@ -100,6 +34,7 @@
     """An endpoint of a fleet and what its registry entry says of it.
 
     :ivar address: where instances reach it; that of a proxy, if one is in between.
+    :ivar port: where it listens itself.
     :ivar started_ms: when it started, in Unix milliseconds; a restart under the same id
         and address has another one.
     """
@@ -110,6 +45,11 @@
     failure_domain: str = "a"
     state: str = "ready"
     started_ms: int = attrs.field(factory=lambda: int(time.time() * 1000))
+    port: int = attrs.field(init=False)
+
+    @port.default
+    def _read_port(self) -> int:
+        return int(self.address.rpartition(":")[2])
 
     def encode_entry(self) -> bytes:
         """Returns the registry entry as an endpoint writes it to the store."""
@@ -134,7 +74,9 @@
     :param host: the IP address on which the store and the endpoints listen.
     :ivar store_address: where instances reach the store.
     :ivar operators_address: where operators reach it, who may write the configuration.
-    :ivar crashed_at: when engines have crashed, loop times in seconds.
+    :ivar workers: the endpoints that were started, in order, those that are gone
+        included.
+    :ivar crash_s: how long an endpoint that has crashed is gone, in seconds.
     """
 
     def __init__(self, host: str = "127.0.0.1") -> None:
@@ -143,7 +85,9 @@
         self.store_address = ""
         self.operators_address = ""
         self.endpoint_by_id: dict[str, RegisteredEndpoint] = {}
-        self.crashed_at: list[float] = []
+        self.workers: list[Worker] = []
+        self.crash_s = CRASH_S
+        self.random = random.Random(1)
         self._server_by_id: dict[str, HTTPServer] = {}
         self._crashes: set[asyncio.Task[None]] = set()
 
@@ -173,15 +117,14 @@
     def add_engine(self, id: str, failure_domain: str = "a") -> RegisteredEndpoint:
         """Starts an engine and registers it."""
         engine = Engine(PROFILE, name=id)
-        worker = Worker(id, engine=engine, find_engine=self._find_engine)
-        worker.on_crash = lambda: self._start_crash(id)
+        worker = self._make_worker(id, engine)
         return self._add(worker, ENGINE_POOL, failure_domain)
 
     def add_plain_service(
         self, id: str, failure_domain: str = "a"
     ) -> RegisteredEndpoint:
         """Starts an endpoint of the plain service and registers it."""
-        return self._add(Worker(id), PLAIN_POOL, failure_domain)
+        return self._add(self._make_worker(id), PLAIN_POOL, failure_domain)
 
     def register(self, endpoint: RegisteredEndpoint) -> None:
         """Writes an endpoint's registry entry to the store now."""
@@ -199,22 +142,31 @@
         server.stop()
         await server.close_all_connections()
 
+    @property
+    def crashed_at(self) -> list[float]:
+        """When endpoints have crashed, loop times in seconds, in order."""
+        return sorted(item.crash.at for item in self.workers if item.crash)
+
     def _start_crash(self, id: str) -> None:
         crashed = self.endpoint_by_id.pop(id, None)
         if crashed is not None:
-            self.crashed_at.append(now())
             task = asyncio.create_task(self._crash(crashed))
             self._crashes.add(task)
             task.add_done_callback(self._crashes.discard)
 
     async def _crash(self, crashed: RegisteredEndpoint) -> None:
-        """Ends an engine's process; another one registers after some time."""
-        id = crashed.worker.id
+        """Ends an endpoint's process; another one takes its address after some time."""
+        worker, id = crashed.worker, crashed.worker.id
         await self.kill(id)
-        await asyncio.sleep(CRASH_S)
+        await asyncio.sleep(EXPIRY_S)
         self.store.put("keyed.servers", id, None)
-        successor = self.add_engine(f"{id}+", crashed.failure_domain)
-        successor.worker.crashing_part_ids = crashed.worker.crashing_part_ids
+        await asyncio.sleep(self.crash_s - EXPIRY_S)
+        if self.random.random() >= SAME_ID_RATE:
+            id += "+"
+        successor = self._make_worker(id, worker.engine and Engine(PROFILE))
+        successor.crashing_part_ids = worker.crashing_part_ids
+        successor.crashing_contents = worker.crashing_contents
+        self._add(successor, crashed.pool, crashed.failure_domain, crashed.port)
 
     def count_runs(self, request_id: str) -> int:
         """Returns how often the registered endpoints have run a request, in total."""
@@ -223,11 +175,21 @@
             for item in self.endpoint_by_id.values()
         )
 
+    def _make_worker(self, id: str, engine: Engine | None = None) -> Worker:
+        seed = len(self.workers) + 1
+        return Worker(id, engine, find_engine=self._find_engine, seed=seed)
+
     def _add(
-        self, worker: Worker, pool: str, failure_domain: str
+        self, worker: Worker, pool: str, failure_domain: str, port: int = 0
     ) -> RegisteredEndpoint:
+        """Starts an endpoint and registers it.
+
+        :param port: where it listens; 0 for a free port.
+        """
+        worker.on_crash = lambda: self._start_crash(worker.id)
+        self.workers.append(worker)
         server = HTTPServer(make_worker_application(worker))
-        address = self._listen(server)
+        address = self._listen(server, port)
         if worker.engine is not None:
             worker.engine.name = address
         endpoint = RegisteredEndpoint(worker, address, pool, failure_domain)
@@ -236,8 +198,8 @@
         self.register(endpoint)
         return endpoint
 
-    def _listen(self, server: HTTPServer) -> str:
-        sockets = bind_sockets(0, self.host)
+    def _listen(self, server: HTTPServer, port: int = 0) -> str:
+        sockets = bind_sockets(port, self.host)
         server.add_sockets(sockets)
         return f"{self.host}:{sockets[0].getsockname()[1]}"
 
--- a/standins/platform/_worker_http.py
+++ b/standins/platform/_worker_http.py
@@ -4,18 +4,17 @@
 
 import asyncio
 import json
-import random
-from collections import Counter
-from typing import Any, Callable
+from typing import Any
 
-import attrs
 import tornado.web
-from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPServerRequest
+from tornado.iostream import StreamClosedError
 
 from cicadacourse.platform import _names as names
 from cicadacourse.util.clock import MS_PER_S, now
 from standins._http import stream_of
 from standins.platform._engine import Engine, EngineRefusal
+from standins.platform._worker import Arrival, RequestContent, Worker
 
 OK = 200
 SERVICE_UNAVAILABLE = 503
@@ -23,89 +22,10 @@
 CONFLICT = 409
 BAD_REQUEST = 400
 SERVER_ERROR = 500
-
-
-@attrs.define
-class WorkerFaults:
-    """The faults that an endpoint simulates at the moment.
-
-    :ivar error_rate: the fraction of calls that run and get an error response.
-    :ivar reset_rate: the fraction of calls that run and whose connection is then closed
-        without a response.
-    :ivar cut_rate: the fraction of streams whose connection is closed after their
-        second event.
-    :ivar is_unresponsive: whether requests are accepted but get no response.
-    :ivar extra_response_rate: the fraction of responses to calls that a second,
-        unsolicited response follows on the same connection.
-    """
-
-    error_rate: float = 0.0
-    reset_rate: float = 0.0
-    cut_rate: float = 0.0
-    is_unresponsive: bool = False
-    extra_response_rate: float = 0.0
-
-
-@attrs.frozen
-class Arrival:
-    """A request that reached an endpoint.
-
-    :param at: loop time in seconds.
-    :param request_id: the request's id.
-    :param prefix_ids: the ids of the parts of its prompt, in order.
-    """
-
-    at: float
-    request_id: str
-    prefix_ids: tuple[str, ...] = ()
-
-
-class Worker:
-    """One endpoint: an engine, or a plain service where ``engine`` is None.
-
-    :param id: the id under which it registers.
-    :param work_s: how long a call to a plain service takes, in seconds.
-    :param find_engine: returns the engine at an address, or None; finds helpers.
-    :param seed: seeds the choice of the requests that meet a fault.
-    :ivar is_leaving: whether health probes get a response with status 503.
-    :ivar runs_by_request: how often each request ran, by request id.
-    :ivar organisation_by_request: the organisation in each request's header, by
-        request id; None without the header.
-    :ivar in_progress: the number of requests in progress.
-    :ivar request_limit: the requests per second that it takes from all instances
-        together, which its responses name; None if they name none.
-    :ivar arrivals: the requests that reached it, whether or not it ran them.
-    :ivar crashing_part_ids: the parts of prompts under which it crashes as soon as it
-        begins to write an answer.
-    :ivar on_crash: ends its process.
-    """
-
-    def __init__(
-        self,
-        id: str,
-        engine: Engine | None = None,
-        work_s: float = 0.02,
-        find_engine: Callable[[str], Engine | None] = lambda _: None,
-        seed: int = 1,
-    ) -> None:
-        self.id = id
-        self.engine = engine
-        self.work_s = work_s
-        self.find_engine = find_engine
-        self.faults = WorkerFaults()
-        self.is_leaving = False
-        self.runs_by_request: Counter[str] = Counter()
-        self.organisation_by_request: dict[str, str | None] = {}
-        self.in_progress = 0
-        self.request_limit: float | None = None
-        self.arrivals: list[Arrival] = []
-        self.crashing_part_ids: set[str] = set()
-        self.on_crash: Callable[[], None] = lambda: None
-        self.random = random.Random(seed)
-
-    def draw_fault(self, probability: float) -> bool:
-        """Draws whether a fault of this probability occurs now."""
-        return probability > 0 and self.random.random() < probability
+# How long after it begins to run a crashing request an endpoint ends.
+CRASH_DELAYS_S = (0.06, 0.12)
+# The fraction of these crashes that some bytes of a response precede.
+FIRST_BYTES_RATE = 0.2
 
 
 class _WorkerHandler(tornado.web.RequestHandler):
@@ -179,14 +99,17 @@
         self.task = asyncio.current_task()
         worker = self.worker
         worker.in_progress += 1
-        worker.arrivals.append(_read_arrival(self.request.headers))
+        self.arrival = _read_arrival(self.request)
+        worker.arrivals.append(self.arrival)
         try:
             self._echo_request_id()
-            if worker.engine is None:
+            if self.arrival.content in worker.crashing_contents:
+                await self._crash_soon()
+            elif worker.engine is None:
                 await self._serve_call()
             else:
                 await self._serve_stream(worker.engine)
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, StreamClosedError):
             return
         finally:
             worker.in_progress -= 1
@@ -239,7 +162,7 @@
                     self.set_header("Content-Type", "text/event-stream")
                 sent_events += 1
                 if self._is_crashing():
-                    await self._crash()
+                    await self._crash_inside_event()
                     return
                 self.write(f"id: {number}\ndata: {headers['Host']} {number}\n\n")
                 await self.flush()
@@ -250,14 +173,28 @@
             self._refuse(refusal)
 
     def _is_crashing(self) -> bool:
-        parts = _read_arrival(self.request.headers).prefix_ids[:-1]
+        parts = self.arrival.prefix_ids[:-1]
         return not self.worker.crashing_part_ids.isdisjoint(parts)
 
-    async def _crash(self) -> None:
+    async def _crash_inside_event(self) -> None:
         """Ends the process inside the first event of an answer without a length."""
+        await self._send_first_bytes()
+        self.worker.start_crash(self.arrival.content)
+
+    async def _crash_soon(self) -> None:
+        """Ends the process shortly afterwards, even if the sender has disconnected."""
+        worker, delay_s = self.worker, self.worker.random.uniform(*CRASH_DELAYS_S)
+        self._record_run()
+        asyncio.get_running_loop().call_later(
+            delay_s, worker.start_crash, self.arrival.content
+        )
+        if worker.draw_fault(FIRST_BYTES_RATE):
+            await self._send_first_bytes()
+        await asyncio.Event().wait()
+
+    async def _send_first_bytes(self) -> None:
         self.write("id: 0\nda")
         await self.flush()
-        self.worker.on_crash()
 
     def _find_helpers(self) -> list[tuple[Engine, str | None]]:
         """Returns the helpers that the request names, with their reservation ids.
@@ -282,10 +219,17 @@
         self.finish()
 
 
-def _read_arrival(headers: HTTPHeaders) -> Arrival:
+def _read_arrival(request: HTTPServerRequest) -> Arrival:
+    headers = request.headers
     parts = filter(None, headers.get(names.HEADER_PROMPT_PARTS, "").split(","))
     prefix_ids = tuple(part.partition(":")[0].strip() for part in parts)
-    return Arrival(now(), headers.get(names.HEADER_REQUEST_ID, ""), prefix_ids)
+    content = RequestContent(
+        request.method or "",
+        request.path,
+        headers.get(names.HEADER_ORGANISATION),
+        request.body,
+    )
+    return Arrival(now(), headers.get(names.HEADER_REQUEST_ID, ""), prefix_ids, content)
 
 
 def make_worker_application(worker: Worker) -> tornado.web.Application:
--- a/tests/test_soak/test_soak_silence.py
+++ b/tests/test_soak/test_soak_silence.py
@@ -20,8 +20,7 @@
     OWN_LIMIT_S,
     ExchangeHistory,
 )
-from standins.platform import Worker
-from standins.platform._worker_http import Arrival
+from standins.platform import Arrival, Worker
 from standins.ports import free_port
 from tests.test_soak.histories import make_attempt, make_instance
 
