Soak: scenario of endpoints that leave or turn requests away

A leaving endpoint says so in all its responses; its registry entry says it at once, 1 or 3 s later, or never until it is removed. One in need turns requests away for 1 to 3 s, with a Retry-After of what is left of that. No request that a caller sent later than 2 s after an instance passed on that an endpoint leaves may reach it from there, and at most two may from 0.5 s after a 503 with Retry-After to the end of that time; faults of the instance in between excuse both.

Limits and declines share the records of requests and faults.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,6 +18,7 @@
     CONFIGURATION_FAULTS,
     run_configuration_scenario,
 )
+from soak._decline_scenario import DECLINE_FAULTS, run_decline_scenario
 from soak._environment import SoakEnvironment
 from soak._faults import FAULTS, inject_faults, plan_faults
 from soak._limit_scenario import LIMIT_FAULTS, run_limit_scenario
@@ -31,6 +32,7 @@
 SCENARIOS = {
     "faults": (run_scenario, FAULTS),
     "configurations": (run_configuration_scenario, CONFIGURATION_FAULTS),
+    "declines": (run_decline_scenario, DECLINE_FAULTS),
     "limits": (run_limit_scenario, LIMIT_FAULTS),
     "prompts": (run_prompt_scenario, PROMPT_FAULTS),
     "requests": (run_request_scenario, REQUEST_FAULTS),
@@ -56,7 +58,8 @@
         default="faults",
         help="faults of all kinds, a configuration that changes each second,"
         " endpoints that name limits, prompts that crash engines, whole requests that"
-        " crash endpoints, or endpoints and connections that fall silent",
+        " crash endpoints, endpoints and connections that fall silent, or endpoints"
+        " that leave or turn requests away",
     )
     add("--kept", action="store_true", help="run every line of SEEDS.txt instead")
     add(
--- a/soak/_limit_scenario.py
+++ b/soak/_limit_scenario.py
@@ -13,10 +13,11 @@
 import attrs
 
 from cicadacourse.util.clock import now
-from soak._callers import LONG, LOOKUP, SHORT, Attempt, Caller
+from soak._callers import LONG, LOOKUP, SHORT, Caller
 from soak._checks import InvariantChecker
 from soak._environment import Site, SoakEnvironment, running_environment
 from soak._faults import select_faults
+from soak._request_records import RequestRecords
 from soak._scenario import (
     FaultInjector,
     inject_beside,
@@ -33,7 +34,6 @@
 # from this long after its last fault.
 CONTACT_S = 3.0
 WINDOW_S = 4.0
-SAMPLE_S = 0.05
 # A limit lasts longer than other faults, as it holds only after ``CONTACT_S``.
 DURATION_FACTOR = 4.0
 
@@ -54,18 +54,12 @@
 class LimitRecords:
     """What the check needs to know of a run.
 
-    :ivar impaired_at: the moments at which each instance had a fault, by its name.
-    :ivar instance_by_request: the instance that got a request, by the request's id.
+    :ivar named: the limits, in the order in which they were named.
+    :ivar requests: the requests, and the faults of instances.
     """
 
     named: list[NamedLimit] = attrs.field(factory=list)
-    impaired_at: dict[str, list[float]] = attrs.field(factory=dict)
-    instance_by_request: dict[str, str] = attrs.field(factory=dict)
-
-    def record(self, attempts: list[Attempt]) -> None:
-        """Records the instances that got the attempts of one request."""
-        for attempt in attempts:
-            self.instance_by_request[attempt.id] = attempt.instance.name
+    requests: RequestRecords = attrs.field(factory=RequestRecords)
 
     def counted(self, item: NamedLimit) -> list[float]:
         """Returns the arrivals that must keep to a limit, loop times in seconds."""
@@ -77,9 +71,10 @@
         ]
 
     def _is_excused(self, request_id: str, at_s: float) -> bool:
-        name = self.instance_by_request.get(request_id)
-        moments = self.impaired_at.get(name, []) if name else [at_s]
-        return any(-CONTACT_S < moment - at_s < CONTACT_S for moment in moments)
+        name = self.requests.find_instance(request_id)
+        return name is None or self.requests.is_impaired(
+            name, at_s - CONTACT_S, at_s + CONTACT_S
+        )
 
 
 async def run_limit_scenario(
@@ -90,10 +85,10 @@
     async with running_environment(folder, seed, site) as environment:
         checker, records = InvariantChecker(environment), LimitRecords()
         inject = inject_beside(inject, lambda: _name(environment, records))
-        runs = [_record_impaired(environment, records)]
+        runs = [records.requests.sample_faults(environment)]
         for number in range(CALLERS_PER_INSTANCE * size):
             caller = Caller(environment, f"c{number}")
-            runs.append(send_requests(checker, caller, KINDS, records.record))
+            runs.append(send_requests(checker, caller, KINDS, records.requests.record))
         await run_under_faults(checker, runs, inject, (SHORT, LOOKUP))
         _check_limits(checker, records)
     return checker
@@ -126,14 +121,6 @@
         worker.request_limit = None
 
 
-async def _record_impaired(environment: SoakEnvironment, records: LimitRecords) -> None:
-    while True:
-        for instance in environment.instances:
-            if instance.fault_window.active_faults:
-                records.impaired_at.setdefault(instance.name, []).append(now())
-        await asyncio.sleep(SAMPLE_S)
-
-
 def _check_limits(checker: InvariantChecker, records: LimitRecords) -> None:
     for item in records.named:
         times = records.counted(item)
--- a/standins/platform/__init__.py
+++ b/standins/platform/__init__.py
@@ -12,10 +12,19 @@
 from standins.platform._engine import Engine, EngineRefusal
 from standins.platform._fleet import Fleet, RegisteredEndpoint
 from standins.platform._store import StoreCore, StoreFaults
-from standins.platform._worker import Arrival, RequestContent, Worker, WorkerFaults
+from standins.platform._worker import (
+    Arrival,
+    Crash,
+    Decline,
+    RequestContent,
+    Worker,
+    WorkerFaults,
+)
 
 __all__ = [
     "Arrival",
+    "Crash",
+    "Decline",
     "ENGINE_POOL",
     "Engine",
     "EngineRefusal",
--- a/standins/platform/_worker.py
+++ b/standins/platform/_worker.py
@@ -72,6 +72,19 @@
     content: RequestContent
 
 
+@attrs.frozen
+class Decline:
+    """A request that an endpoint in need turned away.
+
+    :param at: loop time in seconds.
+    :param retry_after_s: for how long it wants no more from the instance, in seconds.
+    """
+
+    at: float
+    request_id: str
+    retry_after_s: float
+
+
 class Worker:
     """One endpoint: an engine, or a plain service where ``engine`` is None.
 
@@ -93,6 +106,10 @@
         begins to run them.
     :ivar crash: its crash; None while it runs.
     :ivar on_crash: ends its process.
+    :ivar says_leaving: whether all its responses say that it is leaving.
+    :ivar leaving_ids: the ids of the requests whose responses said so.
+    :ivar declines_until: the loop time in seconds until which it turns requests away.
+    :ivar declines: the requests that it turned away.
     """
 
     def __init__(
@@ -118,6 +135,10 @@
         self.crashing_contents: set[RequestContent] = set()
         self.crash: Crash | None = None
         self.on_crash: Callable[[], None] = lambda: None
+        self.says_leaving = False
+        self.leaving_ids: set[str] = set()
+        self.declines_until = 0.0
+        self.declines: list[Decline] = []
         self.random = random.Random(seed)
 
     def draw_fault(self, probability: float) -> bool:
--- a/standins/platform/_worker_http.py
+++ b/standins/platform/_worker_http.py
@@ -14,8 +14,10 @@
 from cicadacourse.util.clock import MS_PER_S, now
 from standins._http import stream_of
 from standins.platform._engine import Engine, EngineRefusal
-from standins.platform._worker import Arrival, RequestContent, Worker
+from standins.platform._worker import Arrival, Decline, RequestContent, Worker
 
+HEADER_LEAVING = "Server-Leaving"
+HEADER_RETRY_AFTER = "Retry-After"
 OK = 200
 SERVICE_UNAVAILABLE = 503
 MISDIRECTED = 421
@@ -37,6 +39,9 @@
 
     def prepare(self) -> None:
         """Responds with 421 to a request for another endpoint; called by tornado."""
+        if self.worker.says_leaving:
+            self.set_header(HEADER_LEAVING, "1")
+            self.worker.leaving_ids.add(self.request_id)
         expected = self.request.headers.get(names.HEADER_EXPECTED_ENDPOINT)
         if expected is not None and expected != self.worker.id:
             self.set_header(names.HEADER_NOT_EXECUTED, "1")
@@ -45,6 +50,11 @@
         elif self.worker.request_limit is not None:
             self.set_header(names.HEADER_REQUEST_LIMIT, str(self.worker.request_limit))
 
+    @property
+    def request_id(self) -> str:
+        """The id of the request; empty without one."""
+        return self.request.headers.get(names.HEADER_REQUEST_ID, "")
+
     def send_json(self, body: dict[str, Any]) -> None:
         """Finishes the response with a JSON object."""
         self.set_header("Content-Type", "application/json")
@@ -102,8 +112,10 @@
         self.arrival = _read_arrival(self.request)
         worker.arrivals.append(self.arrival)
         try:
-            self._echo_request_id()
-            if self.arrival.content in worker.crashing_contents:
+            self.set_header(names.HEADER_REQUEST_ID, self.request_id)
+            if now() < worker.declines_until:
+                self._decline(worker.declines_until - now())
+            elif self.arrival.content in worker.crashing_contents:
                 await self._crash_soon()
             elif worker.engine is None:
                 await self._serve_call()
@@ -114,13 +126,16 @@
         finally:
             worker.in_progress -= 1
 
-    def _echo_request_id(self) -> None:
-        request_id = self.request.headers.get(names.HEADER_REQUEST_ID, "")
-        self.set_header(names.HEADER_REQUEST_ID, request_id)
+    def _decline(self, retry_after_s: float) -> None:
+        """Turns the request away; the endpoint wants no more for so many seconds."""
+        self.worker.declines.append(Decline(now(), self.request_id, retry_after_s))
+        self.set_status(SERVICE_UNAVAILABLE)
+        self.set_header(names.HEADER_NOT_EXECUTED, "1")
+        self.set_header(HEADER_RETRY_AFTER, f"{retry_after_s:.3f}")
+        self.finish()
 
     def _record_run(self) -> None:
-        headers = self.request.headers
-        request_id = headers.get(names.HEADER_REQUEST_ID, "")
+        headers, request_id = self.request.headers, self.request_id
         self.worker.runs_by_request[request_id] += 1
         organisation = headers.get(names.HEADER_ORGANISATION)
         self.worker.organisation_by_request[request_id] = organisation
@@ -137,8 +152,7 @@
             return
         if worker.draw_fault(worker.faults.error_rate):
             self.set_status(SERVER_ERROR)
-        request_id = self.request.headers.get(names.HEADER_REQUEST_ID, "")
-        self.finish(f"answer to {request_id}")
+        self.finish(f"answer to {self.request_id}")
         if worker.draw_fault(worker.faults.extra_response_rate):
             await asyncio.sleep(0)
             stale = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale"
--- a/tests/test_soak/test_soak_requests.py
+++ b/tests/test_soak/test_soak_requests.py
@@ -15,8 +15,7 @@
 from soak._crash_checks import CONTACT_S, MAX_LATER_REQUESTS, SoundRequests
 from soak._request_scenario import CRASHES, find_repeated_crashes, make_content
 from standins.callers import encode_request, read_response
-from standins.platform import Arrival, Fleet, RequestContent, Worker
-from standins.platform._worker import Crash
+from standins.platform import Arrival, Crash, Fleet, RequestContent, Worker
 from standins.ports import next_host
 from tests.test_soak.histories import make_attempt, make_instance
 
