Feed: fetchers of configurations and registries apart from the relay

The service now connects events and messages to one fetcher for each, which share a base for the task in progress, the calls and the failures' log lines. No change of behaviour; the test of the timeouts imports them from their new modules.

--- a/tests/test_feed/test_feed_relay.py
+++ b/tests/test_feed/test_feed_relay.py
@@ -19,8 +19,9 @@
 
 from cicadacourse.application import Application
 from cicadacourse.events import REGISTRY_OFFSET_RECEIVED
+from cicadacourse.feed._configuration_fetcher import WHOLE_FETCH_TIMEOUT_S
 from cicadacourse.feed._delta import make_delta
-from cicadacourse.feed._relay import FETCH_TIMEOUT_S, WHOLE_FETCH_TIMEOUT_S
+from cicadacourse.feed._fetcher import FETCH_TIMEOUT_S
 from cicadacourse.load import Configuration, FetchConfiguration
 from cicadacourse.logs import FETCH_FAILED
 from cicadacourse.peers import encode
