Soak: silences beside changes of routes and keys

A change of the configuration may take away what an exchange in progress needs, and only timeouts changed beside the silences. Narrower routes of the requests' paths now come and go, and keys are replaced.

--- a/soak/_environment.py
+++ b/soak/_environment.py
@@ -73,6 +73,8 @@
     :ivar added_prefixes: the path prefixes of further routes to the plain service.
     :ivar history: every configuration that was written.
     :ivar key_by_other_organisation: the key of each further organisation.
+    :ivar narrow_segment: a path segment for which each route has a narrower copy; empty
+        for none.
     :ivar route_fields: fields that are added to each route or replaced.
     :ivar caller_limits: the limits on callers' connections, by their names there.
     """
@@ -91,6 +93,7 @@
     added_prefixes: list[str] = attrs.field(factory=list)
     history: ConfigurationHistory = attrs.field(factory=ConfigurationHistory)
     key_by_other_organisation: dict[str, str] = attrs.field(factory=dict)
+    narrow_segment: str = ""
     route_fields: dict[str, Any] = attrs.field(factory=dict)
     caller_limits: dict[str, int] = attrs.field(factory=dict)
     _endpoints: itertools.count[int] = attrs.field(factory=itertools.count)
@@ -128,12 +131,15 @@
             ],
             limits=self.caller_limits,
         )
-        plain_route = configuration["routes"][-1]
-        configuration["routes"] += [
+        routes = configuration["routes"]
+        plain_route = routes[-1]
+        if self.narrow_segment:
+            routes += [_narrow(route, self.narrow_segment) for route in routes]
+        routes += [
             {**plain_route, "name": prefix.strip("/"), "pathPrefix": prefix}
             for prefix in self.added_prefixes
         ]
-        for route in configuration["routes"]:
+        for route in routes:
             route.update({"maxAttempts": MAX_ATTEMPTS, **self.route_fields})
         sent_at = now()
         self.fleet.configure(configuration)
@@ -173,6 +179,12 @@
         return [link for link in links if link is not None]
 
 
+def _narrow(route: dict[str, Any], segment: str) -> dict[str, Any]:
+    """Returns a copy of a route for the paths with one more segment."""
+    prefix = f"{route['pathPrefix']}{segment}/"
+    return {**route, "name": f"{route['name']}-{segment}", "pathPrefix": prefix}
+
+
 @contextlib.asynccontextmanager
 async def running_environment(
     folder: pathlib.Path, seed: int, site: Site
--- a/soak/_silence_scenario.py
+++ b/soak/_silence_scenario.py
@@ -24,8 +24,14 @@
 
 ENGINES_PER_INSTANCE = 3
 CALLERS_PER_INSTANCE = 6
-TALK = RequestKind("/ask/x", 4000, 690, weight=8)
-KINDS = (TALK, LOOKUP, BOOKING)
+# The segment of the requests' paths for which narrower routes come and go.
+SEGMENT = "x"
+TALK = RequestKind(f"/ask/{SEGMENT}/y", 4000, 690, weight=8)
+KINDS = (
+    TALK,
+    attrs.evolve(LOOKUP, path=f"/look/{SEGMENT}/y"),
+    attrs.evolve(BOOKING, path=f"/book/{SEGMENT}/y"),
+)
 MIN_SILENCE_S = 1.0
 MAX_SILENCE_S = 1.4
 # The pauses between the starts of silences.
@@ -50,7 +56,7 @@
 MIN_SERVED_SHARE = 0.7
 MIN_COUNTED = 5
 
-SILENCE_FAULTS = select_faults("restart")
+SILENCE_FAULTS = select_faults("restart", "new-keys")
 
 
 async def run_silence_scenario(
@@ -112,6 +118,13 @@
     environment.change_keys(environment.keys)
 
 
+@SILENCE_FAULTS.register("routes")
+async def change_routes(environment: SoakEnvironment, duration_s: float) -> None:
+    """Adds the narrower routes of the requests, or removes them again."""
+    environment.narrow_segment = "" if environment.narrow_segment else SEGMENT
+    environment.change_keys(environment.keys)
+
+
 def _draw_links(environment: SoakEnvironment) -> list[Proxy]:
     links = list(environment.link_by_endpoint_id.values())
     return environment.random.sample(links, max(1, round(AFFECTED_SHARE * len(links))))
