--- a/tests/test_soak/test_soak_silence.py
+++ b/tests/test_soak/test_soak_silence.py
@@ -13,13 +13,13 @@
 import pytest
 
 from soak._callers import BOOKING, LOOKUP
-from soak._proxy import LinkState, Proxy
-from soak._silence_scenario import (
+from soak._exchange_history import (
     CLOSING_SLACK_S,
     MIN_COUNTED,
-    OWN_LIMIT_S,
     ExchangeHistory,
 )
+from soak._proxy import LinkState, Proxy
+from soak._silence_scenario import OWN_LIMIT_S
 from standins.platform import Arrival, Worker
 from standins.ports import free_port
 from tests.test_soak.histories import make_attempt, make_instance
@@ -132,4 +132,4 @@
 def _make_history(items, worker: Worker, *silenced_at: float) -> ExchangeHistory:
     instance = make_instance()
     attempts = [make_attempt(instance, *item) for item in items]
-    return ExchangeHistory(attempts, [worker], {worker.id: silenced_at})
+    return ExchangeHistory(attempts, [worker], {worker.id: silenced_at}, OWN_LIMIT_S)
