--- a/cicadacourse/exchange/_endpoint_client.py
+++ b/cicadacourse/exchange/_endpoint_client.py
@@ -96,6 +96,10 @@
         An endpoint that doesn't respond may be cut off, and counts as running.
         """
 
+    @abc.abstractmethod
+    def close_idle_connections(self, endpoint_id: str) -> None:
+        """Closes the connections to an endpoint that wait for their next use."""
+
     @abc.abstractmethod
     def abort_exchanges(self, endpoint_id: str) -> None:
         """Aborts all exchanges with an endpoint that is known to be dead."""
--- a/cicadacourse/exchange/_model.py
+++ b/cicadacourse/exchange/_model.py
@@ -89,6 +89,8 @@
     :param helpers: engines that each prefill a part of the prompt.
     :param last_event_id: the event after which the stream resumes, or None for its
         start.
+    :param needs_new_connection: whether it may not be sent on a kept connection, as
+        these may be silent.
     """
 
     caller: CallerRequest
@@ -97,6 +99,7 @@
     time_left_s: float
     helpers: tuple[Helper, ...] = ()
     last_event_id: str | None = None
+    needs_new_connection: bool = False
 
 
 @attrs.frozen
--- a/cicadacourse/gateway/_attempt_owner.py
+++ b/cicadacourse/gateway/_attempt_owner.py
@@ -29,6 +29,10 @@
     def acquire(self, attempt: ExchangeAttempt) -> Error | None:
         """Returns None if an attempt may be made now, else why not."""
 
+    @abc.abstractmethod
+    def is_hedge(self, attempt: ExchangeAttempt) -> bool:
+        """Returns whether an attempt is made beside an older one in progress."""
+
     @abc.abstractmethod
     def used_ids(self, attempt: ExchangeAttempt) -> frozenset[str]:
         """Returns the ids of the endpoints of the other attempts in progress."""
--- a/cicadacourse/gateway/_endpoint_request.py
+++ b/cicadacourse/gateway/_endpoint_request.py
@@ -14,11 +14,14 @@
     placement: Placement,
     reservations: tuple[Reservation, ...],
     last_event_id: str | None,
+    is_hedge: bool,
 ) -> EndpointRequest:
     """Returns the request of an attempt that is sent now.
 
     :param reservations: KV cache that is reserved on the placement's helpers.
     :param last_event_id: the event after which the stream resumes, or None.
+    :param is_hedge: whether another attempt is in progress, which is silent. Kept
+        connections may have fallen silent together with that one's.
     """
     reservation_id_by_endpoint = {item.endpoint.id: item.id for item in reservations}
     organisation = admitted.organisation
@@ -32,4 +35,5 @@
             for item in placement.helpers
         ),
         last_event_id=last_event_id,
+        needs_new_connection=is_hedge,
     )
--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -144,7 +144,11 @@
         """Sends the request, forwards the response; returns whether that is written."""
         self._events.resume_after(self.owner.last_event_id)
         request = build_request(
-            self.admitted, placement, reservations, self._events.last_id
+            self.admitted,
+            placement,
+            reservations,
+            self._events.last_id,
+            self.owner.is_hedge(self),
         )
         self.reporter.report_sent(placement, request)
         self.reporter.attempts.record_sent()
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -172,7 +172,7 @@
 
     def acquire(self, attempt: ExchangeAttempt) -> Error | None:
         """Takes a retry from the budget unless the attempt is the first one."""
-        if self._is_hedge(attempt) and not self._has_other_endpoint(attempt):
+        if self.is_hedge(attempt) and not self._has_other_endpoint(attempt):
             return _no_other_endpoint(self._pool)
         return self._grants.acquire(attempt)
 
@@ -233,7 +233,7 @@
         """Makes an attempt the source of the response and cancels the others."""
         if len(self._task_by_attempt) == 1:
             return
-        if self._is_hedge(attempt):
+        if self.is_hedge(attempt):
             # An older attempt whose data came at the same time is chosen meanwhile.
             await asyncio.sleep(0)
         others = [item for item in self._others(attempt) if not item.has_failed]
@@ -241,7 +241,8 @@
             self._reporter.report_superseded(other, attempt)
         self._cancel(others)
 
-    def _is_hedge(self, attempt: ExchangeAttempt) -> bool:
+    def is_hedge(self, attempt: ExchangeAttempt) -> bool:
+        """Returns whether an attempt is made beside an older one in progress."""
         return attempt is not next(iter(self._task_by_attempt))
 
     def _others(self, attempt: ExchangeAttempt) -> list[ExchangeAttempt]:
--- a/cicadacourse/gateway/_outcomes.py
+++ b/cicadacourse/gateway/_outcomes.py
@@ -9,7 +9,12 @@
 from cicadacourse.application import Application
 from cicadacourse.catalog import CatalogService
 from cicadacourse.errors import Error
-from cicadacourse.exchange import EndpointRequest, EndpointResponse, SendFailure
+from cicadacourse.exchange import (
+    EndpointClient,
+    EndpointRequest,
+    EndpointResponse,
+    SendFailure,
+)
 from cicadacourse.gateway._admission import AdmittedRequest
 from cicadacourse.gateway._attempts import Attempts, Progress
 from cicadacourse.gateway._settings import ATTEMPT_FAILURES
@@ -128,6 +133,9 @@
             reason = REASON_NO_RESPONSE if is_waiting else REASON_STREAM_SILENT
             detail = f"no data in {attempt.silent_s:.2f} s"
             self._placer.report_transport_failure(attempt.endpoint_id, reason)
+            # Kept connections may have fallen silent together with this one.
+            client: EndpointClient = self.app.get("endpoint_caller")
+            client.close_idle_connections(attempt.endpoint_id)
             self._record_failure(attempt.endpoint_id, reason, detail, True)
 
     def report_refusal(self, response: EndpointResponse, placement: Placement) -> None:
--- a/cicadacourse/platform/_endpoint_client.py
+++ b/cicadacourse/platform/_endpoint_client.py
@@ -70,7 +70,7 @@
             yield
         finally:
             for endpoint_id in list(self._idle_by_endpoint):
-                self._drop_idle(endpoint_id)
+                self.close_idle_connections(endpoint_id)
 
     @contextlib.asynccontextmanager
     async def exchange(
@@ -79,7 +79,9 @@
         """Sends a request, yields its response; see :meth:`EndpointClient.exchange`."""
         endpoint = request.endpoint
         started = now()
-        connection = self._take_idle(endpoint, is_idempotent)
+        connection = None
+        if not request.needs_new_connection:
+            connection = self._take_idle(endpoint, is_idempotent)
         if connection is None:
             connection = await self._open(endpoint)
         time_left_s = request.time_left_s - (now() - started)
@@ -186,7 +188,7 @@
         """Closes every connection to an endpoint, including those in use."""
         for connection in self._busy_by_endpoint.get(endpoint_id, ()):
             connection.fail("the endpoint is dead")
-        self._drop_idle(endpoint_id)
+        self.close_idle_connections(endpoint_id)
 
     def _release(self, endpoint: Endpoint, connection: HttpConnection) -> None:
         busy = self._busy_by_endpoint[endpoint.id]
@@ -201,9 +203,10 @@
     def _endpoint_changed(self, endpoint: Endpoint) -> None:
         current = self.app.get("catalog").registry.find(endpoint.id)
         if current is None or not current.is_same_process(endpoint):
-            self._drop_idle(endpoint.id)
+            self.close_idle_connections(endpoint.id)
 
-    def _drop_idle(self, endpoint_id: str) -> None:
+    def close_idle_connections(self, endpoint_id: str) -> None:
+        """See :meth:`EndpointClient.close_idle_connections`."""
         for connection in self._idle_by_endpoint.pop(endpoint_id, ()):
             connection.close()
 
--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -170,6 +170,9 @@
         self._by_id = by_id
         self._own_name = own
 
+    def close_idle_connections(self, endpoint_id: str) -> None:
+        """Does nothing; no connection is kept here."""
+
     def abort_exchanges(self, endpoint_id: str) -> None:
         """Does nothing; no test here aborts exchanges."""
 
--- a/tests/test_gateway/test_gateway_histories.py
+++ b/tests/test_gateway/test_gateway_histories.py
@@ -135,6 +135,9 @@
         """Returns whether the endpoint is dead."""
         return self.fault_by_endpoint[endpoint.id] == "dead"
 
+    def close_idle_connections(self, endpoint_id: str) -> None:
+        """Does nothing; no connection is kept here."""
+
     def abort_exchanges(self, endpoint_id: str) -> None:
         """Does nothing; no test here aborts exchanges."""
 
--- a/tests/test_reservations/test_reservations_silence.py
+++ b/tests/test_reservations/test_reservations_silence.py
@@ -60,6 +60,9 @@
     name = "endpoint_caller"
     has_aborted = False
 
+    def close_idle_connections(self, endpoint_id: str) -> None:
+        """Does nothing; no connection is kept here."""
+
     def abort_exchanges(self, endpoint_id: str) -> None:
         """Records an abort."""
         self.has_aborted = True
