--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -59,7 +59,9 @@
 
     :param work_s: seconds until the head of a response.
     :param events: events of a stream, which follow the head.
-    :param event_s: seconds before each event but the first.
+    :param event_s: seconds before each event or chunk but the first.
+    :param call_chunks: chunks of the body of a response to a call.
+    :param has_ids: whether its events have ids.
     :ivar status: the status of its responses.
     :ivar limit: the requests per second that its responses name, or None.
     :ivar is_down: whether its process has ended.
@@ -74,6 +76,8 @@
     work_s: float = 0.03
     events: int = 4
     event_s: float = 0.04
+    call_chunks: int = 1
+    has_ids: bool = True
     status: int = OK
     limit: float | None = None
     is_down: bool = False
@@ -142,12 +146,14 @@
         if self.endpoint.is_down:
             raise SendFailure("lost", True, "cut_short", is_broken_off=True)
         self.number += 1
-        return make_event(self.request.caller, self.endpoint.endpoint, self.number - 1)
+        endpoint = self.endpoint.endpoint
+        event = make_event(self.request.caller, endpoint, self.number - 1)
+        return event if self.endpoint.has_ids else event.partition(b"\n")[2]
 
     @property
     def _events(self) -> int:
         is_stream = self.request.caller.prompt is not None
-        return self.endpoint.events if is_stream else 1
+        return self.endpoint.events if is_stream else self.endpoint.call_chunks
 
     @property
     def _first(self) -> int:
@@ -345,6 +351,7 @@
         path: str = "ask",
         tokens: int = 4000,
         timeout_s: float = 4.0,
+        reply: FakeReply | None = None,
         **prompt: object,
     ) -> FakeReply:
         """Sends one request to an instance and returns its reply, once it has ended."""
@@ -361,7 +368,7 @@
             headers=(),
             body=b"",
         )
-        reply = FakeReply()
+        reply = reply or FakeReply()
         reply.arrived = now()
         await self.memory.get(instance, "gateway").handle(request, reply)
         self.replies.append(reply)
--- a/tests/test_gateway/test_gateway_silence.py
+++ b/tests/test_gateway/test_gateway_silence.py
@@ -333,6 +333,49 @@
     run(_ready_at_once, offset_s)
 
 
+async def _released_together() -> None:
+    async with gateway_cluster(1, make_pools(2)) as cluster:
+        task = asyncio.create_task(cluster.send("n0"))
+        first = await wait_for_server(cluster)
+        await asyncio.sleep(0.2)
+        first.fall_silent(FOR_GOOD)
+        second = await wait_for_server(cluster, first)
+        second.on_start = lambda endpoint, _: endpoint.fall_silent(FOR_GOOD)
+        await asyncio.sleep(0.1)
+        second.fall_silent(0.0)
+        first.fall_silent(0.0)
+        assert set(check_whole(await task)) == {first.endpoint.id}
+        check_all_left(cluster)
+
+
+def test_the_first_endpoint_is_the_source_if_both_send_at_once() -> None:
+    run(_released_together)
+
+
+async def _without_ids(is_crashing: bool) -> None:
+    async with gateway_cluster(1, make_pools(2)) as cluster:
+        for endpoint in cluster.endpoint_by_id.values():
+            endpoint.has_ids = False
+        task = asyncio.create_task(cluster.send("n0"))
+        first = await wait_for_server(cluster)
+        await asyncio.sleep(0.2)
+        first.fall_silent(SILENCE_S)
+        if is_crashing:
+            cluster.crash(first)
+        reply = await task
+        assert reply.is_complete != is_crashing
+        assert (reply.body.count(b"data: ") == EVENTS) != is_crashing
+        endpoints = cluster.endpoint_by_id.values()
+        assert sum(len(item.arrivals) for item in endpoints) == 1
+        check_all_left(cluster)
+
+
+@pytest.mark.parametrize("is_crashing", [False, True])
+def test_a_stream_whose_events_have_no_ids_is_not_resumed(is_crashing: bool) -> None:
+    """Another endpoint would begin it again, and its events would come twice."""
+    run(_without_ids, is_crashing)
+
+
 async def _first_breaks_while_second_runs(is_second_failing: bool) -> None:
     async with gateway_cluster(1, make_pools(2)) as cluster:
         task = asyncio.create_task(cluster.send("n0"))
@@ -408,6 +451,114 @@
     run(_silent_before_connecting, path)
 
 
+async def _hedges_denied(denial: str) -> None:
+    async with gateway_cluster(1, make_pools(3)) as cluster:
+        task = asyncio.create_task(cluster.send("n0"))
+        first = await wait_for_server(cluster)
+        await asyncio.sleep(0.2)
+        first.fall_silent(1.8)
+        if denial == "quarantine":
+            quarantine = cluster.memory.get("n0", "quarantine")
+            quarantine.delay_s = lambda parts: asyncio.sleep(0.01, result=9.0)
+        elif denial == "pool":
+            placer = cluster.memory.get("n0", "placement")
+            placer._chooser.find_pool = lambda name: None
+        else:
+            for endpoint in cluster.endpoint_by_id.values():
+                endpoint.status = 500 if endpoint is not first else 200
+        assert set(check_whole(await task)) == {first.endpoint.id}
+        check_all_left(cluster)
+
+
+@pytest.mark.parametrize("denial", ["quarantine", "pool", "error"])
+def test_a_refusal_of_a_hedge_leaves_the_first_exchange_alone(denial: str) -> None:
+    run(_hedges_denied, denial)
+
+
+async def _few_retries() -> None:
+    async with gateway_cluster(1, make_pools(6)) as cluster:
+        budget = cluster.memory.get("n0", "gateway").budget
+        budget.started, budget.ratio, budget.slack = float("-inf"), 0.0, 5.0
+        tasks = [asyncio.create_task(cluster.send("n0")) for _ in range(12)]
+        await asyncio.sleep(0.15)
+        for endpoint in cluster.endpoint_by_id.values():
+            endpoint.fall_silent(1.8)
+        for reply in await asyncio.gather(*tasks):
+            check_whole(reply)
+        endpoints = cluster.endpoint_by_id.values()
+        assert sum(len(item.arrivals) for item in endpoints) == 12 + 3
+        check_all_left(cluster)
+
+
+def test_hedges_are_taken_from_the_retry_budget() -> None:
+    """Three of five retries may be used, as 0.7 of the budget is."""
+    run(_few_retries)
+
+
+async def _body_in_chunks() -> None:
+    async with gateway_cluster(1, make_pools(3)) as cluster:
+        for endpoint in cluster.endpoint_by_id.values():
+            endpoint.call_chunks, endpoint.event_s = 4, 0.2
+        task = asyncio.create_task(cluster.send("n0", "look"))
+        first = await wait_for_server(cluster)
+        await asyncio.sleep(0.3)
+        first.fall_silent(FOR_GOOD)
+        result = check_whole(await task, 4)
+        assert len(set(result)) == 1
+        assert first.endpoint.id not in result
+        check_all_left(cluster)
+
+
+def test_a_body_is_that_of_one_endpoint() -> None:
+    """The first endpoint falls silent within the body of its response."""
+    run(_body_in_chunks)
+
+
+class SlowReply(FakeReply):
+    """A caller that reads nothing for some seconds in the middle of a stream."""
+
+    async def send_events(self, data: bytes) -> None:
+        """Records events; waits once."""
+        if self.body.count(b"id: ") == 3:
+            await asyncio.sleep(2.5)
+        await super().send_events(data)
+
+
+async def _slow_caller() -> None:
+    async with gateway_cluster(1, make_pools(3)) as cluster:
+        check_whole(await cluster.send("n0", timeout_s=5.0, reply=SlowReply()))
+        endpoints = cluster.endpoint_by_id.values()
+        assert sum(len(item.arrivals) for item in endpoints) == 1
+
+
+def test_a_caller_that_reads_slowly_is_no_silence_of_the_endpoint() -> None:
+    run(_slow_caller)
+
+
+async def _crash_beside_hedge() -> None:
+    async with gateway_cluster(1, make_pools(3)) as cluster:
+        blamed = []
+        quarantine = cluster.memory.get("n0", "quarantine")
+        quarantine.record_crash = lambda *crash: blamed.append(crash)
+        client = cluster.memory.get("n0", "endpoint_caller")
+        client.is_process_gone = lambda _: asyncio.sleep(0.1, result=True)
+        request = cluster.send("n0", shared_part_ids=("p1",))
+        task = asyncio.create_task(request)
+        first = await wait_for_server(cluster)
+        first.fall_silent(1.02)
+        await asyncio.sleep(STREAM_DELAY_S)
+        cluster.crash(first)
+        check_whole(await task)
+        assert [(item.id, parts) for item, parts, _ in blamed] == [
+            (first.endpoint.id, ("p1",))
+        ]
+
+
+def test_a_crash_beside_a_hedge_is_still_put_down_to_the_prompt() -> None:
+    """The hedge sends data while it is found out that the first one has crashed."""
+    run(_crash_beside_hedge)
+
+
 def _disturb(cluster: GatewayCluster, chooser: random.Random) -> None:
     endpoint = chooser.choice(list(cluster.endpoint_by_id.values()))
     if chooser.random() < 0.3:
