--- a/tests/test_reservations/test_reservations_silence.py
+++ b/tests/test_reservations/test_reservations_silence.py
@@ -9,7 +9,6 @@
 import asyncio
 from typing import Any
 
-import looptime
 import pytest
 from returns.result import Result, Success
 
@@ -20,6 +19,7 @@
 from cicadacourse.platform._kv_cache_client import REACHABLE_TIMEOUT_S
 from cicadacourse.reservations import ReservationService
 from cicadacourse.util.clock import now
+from tests.simulated_loop import new_event_loop
 
 SILENCE_S = 1.2
 REQUEST_S = 8.0
@@ -86,7 +86,7 @@
 
 
 def _run(silent_from: float, silence_s: float) -> bool:
-    with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
         return runner.run(_is_aborted(silent_from, silence_s))
 
 
