Logs: attempts name the digest of the whole request

Symptom: endpoints ended one after the other under calls of one route and organisation, and the lines of an attempt named neither path nor body, so they could not show whether it was one request that came again.

Change: a digest of method, host, target, organisation and body (BLAKE2b of 16 bytes, with the fields' lengths) is made once for each admitted request; `request sent` and `attempt failed` bear it. The id, the deadline, the event after which a stream resumes and the sizes and parts of a prompt are left out: they may differ when a request comes again.

--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -18,6 +18,7 @@
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.exchange import CallerRequest, Prompt
 from cicadacourse.placement import PlacementRequest
+from cicadacourse.quarantine import make_digest
 
 # Callers abandon a stream that is idle for this many seconds, this many latency
 # objectives, or this many inter-token gap objectives, whichever is longest.
@@ -62,6 +63,7 @@
     :param organisation: the owner of the request's key, or None without a known key.
     :param deadline: when the whole response is due, loop time in seconds.
     :param catalog_version: the version of the configuration that it was admitted under.
+    :ivar digest: the same whenever and wherever the caller sends the request again.
     """
 
     request: CallerRequest
@@ -69,6 +71,12 @@
     organisation: Organisation | None
     deadline: float
     catalog_version: int
+    digest: str = attrs.field(init=False)
+
+    @digest.default
+    def _make_digest(self) -> str:
+        organisation = self.organisation.name if self.organisation else None
+        return make_digest(self.request, organisation)
 
     @property
     def prompt(self) -> Prompt | None:
--- a/cicadacourse/gateway/_outcomes.py
+++ b/cicadacourse/gateway/_outcomes.py
@@ -122,6 +122,7 @@
             reason=reason,
             detail=detail,
             may_have_run=may_have_run,
+            digest=self.admitted.digest,
             **fields,
         )
 
@@ -159,4 +160,5 @@
             waited_s=round(now() - self.admitted.request.arrived, 4),
             attempt=self.attempts.made + 1,
             after_event=request.last_event_id,
+            digest=self.admitted.digest,
         )
--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -283,7 +283,9 @@
     " `configuration` is the version in force, `configuration_age_s` the time since it"
     " came into force, `registry_age_s` the time since the registry was last read;"
     " `expected_s` is the estimated time to the first event, `time_left_s` is the time"
-    " until the whole response is due, `waited_s` is the time since arrival.",
+    " until the whole response is due, `waited_s` is the time since arrival; `digest`"
+    " is the same for each request of the same method, host, target, organisation and"
+    " body.",
 )
 ATTEMPT_FAILED = _declare(
     "forward",
@@ -291,7 +293,8 @@
     "`endpoint` gave no usable response because of `reason`; `may_have_run` is whether"
     " it may have executed the request. If the exchange broke, `progress` is `waiting`"
     " (no response), `begun` (no complete event of it) or `streaming`, and `parts` are"
-    " the parts of the prompt that other prompts may share.",
+    " the parts of the prompt that other prompts may share; `digest` is as in `request"
+    " sent`.",
     True,
 )
 RETRY_BUDGET_EXHAUSTED = _declare(
--- a/cicadacourse/quarantine/__init__.py
+++ b/cicadacourse/quarantine/__init__.py
@@ -1,5 +1,6 @@
 """Parts of prompts that are suspected of crashing the engines that answer them."""
 
+from cicadacourse.quarantine._digests import make_digest
 from cicadacourse.quarantine._service import Quarantine
 from cicadacourse.quarantine._verdicts import (
     PartCrash,
@@ -16,4 +17,5 @@
     "Verdict",
     "choose_blamed",
     "judge",
+    "make_digest",
 ]
