--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -32,6 +32,10 @@
 
 OK = 200
 ENDPOINT_LINK_S = 0.004
+# How long after it began to run a fatal request its endpoint ends, in seconds.
+FATAL_S = 0.09
+# How long a connection is tried to which a message was lost, in seconds.
+LOST_CONNECT_S = 0.1
 EVENT_BYTES = b"data: x\n\n"
 
 
@@ -53,7 +57,9 @@
     :param event_s: seconds before each event but the first.
     :ivar limit: the requests per second that its responses name, or None.
     :ivar is_down: whether its process has ended.
+    :ivar ended: set once its process has ended.
     :ivar on_start: called with each request that it begins to answer.
+    :ivar is_fatal: whether its process ends under a request, before it answers it.
     """
 
     endpoint: Endpoint
@@ -64,6 +70,8 @@
     is_down: bool = False
     arrivals: list[Arrival] = attrs.field(factory=list)
     on_start: Callable[[SimulatedEndpoint, EndpointRequest], None] = lambda *_: None
+    is_fatal: Callable[[EndpointRequest], bool] = lambda _: False
+    ended: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
 
     def arrivals_since(self, since: float) -> list[float]:
         """Returns the times of the arrivals from a moment on."""
@@ -102,16 +110,20 @@
 
     name = "endpoint_caller"
 
-    def __init__(self, app: Application, by_id: dict[str, SimulatedEndpoint], own: str):
+    def __init__(self, app: Application, cluster: GatewayCluster, own: str):
         super().__init__(app)
-        self._by_id = by_id
+        self._cluster = cluster
+        self._by_id = cluster.endpoint_by_id
         self._own_name = own
 
     def abort_exchanges(self, endpoint_id: str) -> None:
         """Does nothing; no test here aborts exchanges."""
 
     async def is_process_gone(self, endpoint: Endpoint) -> bool:
-        """Returns whether the endpoint's process has ended."""
+        """Returns whether the endpoint's process has certainly ended."""
+        if self._cluster.is_message_lost():
+            await asyncio.sleep(LOST_CONNECT_S)
+            return False
         await asyncio.sleep(2 * ENDPOINT_LINK_S)
         return endpoint.id not in self._by_id or self._by_id[endpoint.id].is_down
 
@@ -123,13 +135,15 @@
         endpoint = self._by_id.get(request.endpoint.id)
         if endpoint is None:
             raise SendFailure("connection refused", False, "unreachable")
+        if self._cluster.is_message_lost():
+            await asyncio.sleep(LOST_CONNECT_S)
         await asyncio.sleep(ENDPOINT_LINK_S)
         if endpoint.is_down:
             raise SendFailure("connection refused", False, "unreachable")
         endpoint.arrivals.append(Arrival(now(), self._own_name, request))
         try:
             async with asyncio.timeout(head_timeout_s):
-                await asyncio.sleep(endpoint.work_s)
+                await self._work(endpoint, request)
         except TimeoutError:
             raise SendFailure("no head in time", True, "no_answer") from None
         if endpoint.is_down:
@@ -139,6 +153,19 @@
         is_stream = request.caller.prompt is not None
         yield _SimulatedResponse(head, endpoint, endpoint.events if is_stream else 1)
 
+    async def _work(
+        self, endpoint: SimulatedEndpoint, request: EndpointRequest
+    ) -> None:
+        """Waits until an endpoint answers a request, or ends."""
+        work_s: float | None = endpoint.work_s
+        if endpoint.is_fatal(request):
+            loop = asyncio.get_running_loop()
+            loop.call_later(FATAL_S, self._cluster.crash, endpoint)
+            work_s = None
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(work_s):
+                await endpoint.ended.wait()
+
 
 class MemoryLoad(LoadService):
     """Exchanges load reports over the links of a :class:`MemoryCluster`."""
@@ -178,7 +205,10 @@
 
 @attrs.define(eq=False)
 class GatewayCluster:
-    """Gateways with the endpoints that they share."""
+    """Gateways with the endpoints that they share.
+
+    :ivar endpoint_loss: the share of the messages to endpoints that is lost.
+    """
 
     endpoint_by_id: dict[str, SimulatedEndpoint]
     catalog: Catalog = CATALOG
@@ -187,6 +217,8 @@
     replies: list[FakeReply] = attrs.field(factory=list)
     crashed_at: list[float] = attrs.field(factory=list)
     former_endpoints: list[SimulatedEndpoint] = attrs.field(factory=list)
+    endpoint_loss: float = 0.0
+    _chooser: random.Random = attrs.field(factory=lambda: random.Random(1))
     _numbers: itertools.count[int] = attrs.field(factory=itertools.count)
     _service_by_address: dict[str, MemoryLoad] = attrs.field(factory=dict)
 
@@ -219,7 +251,19 @@
     def _make_client(self, app: Application) -> Service:
         name = app.get("load")._instance.name
         self._fill(app)
-        return SimulatedClient(app, self.endpoint_by_id, name)
+        return SimulatedClient(app, self, name)
+
+    def is_message_lost(self) -> bool:
+        """Returns whether a message to an endpoint is lost, drawn at random."""
+        return self._chooser.random() < self.endpoint_loss
+
+    def lose_messages(self, share: float) -> None:
+        """Lets all links lose a share of their messages, those to endpoints too."""
+        self.endpoint_loss = share
+        network = self.memory.network
+        network.default_link.drop_probability = share
+        for pair in list(network._link_by_pair):
+            network.link(*pair).drop_probability = share
 
     def _fill(self, app: Application) -> None:
         catalog_service: CatalogService = app.get("catalog")
@@ -238,6 +282,7 @@
         if endpoint.is_down:
             return
         endpoint.is_down = True
+        endpoint.ended.set()
         self.crashed_at.append(now())
         loop = asyncio.get_running_loop()
         loop.call_later(down_s, self._restart, endpoint)
@@ -267,6 +312,8 @@
         path: str = "ask",
         tokens: int = 4000,
         timeout_s: float = 4.0,
+        name: str = "x",
+        body: bytes = b"",
         **prompt: object,
     ) -> FakeReply:
         """Sends one request to an instance and returns its reply, once it has ended."""
@@ -274,14 +321,14 @@
             id=f"r{next(self._numbers)}",
             method="POST",
             host=HOST,
-            target=f"/{path}/x",
+            target=f"/{path}/{name}",
             key=None,
             arrived=now(),
             timeout_s=timeout_s,
             last_event_id=None,
             prompt=Prompt("m", tokens, 184, **prompt) if path == "ask" else None,
             headers=(),
-            body=b"",
+            body=body,
         )
         reply = FakeReply()
         reply.arrived = now()
@@ -295,11 +342,13 @@
         seconds: float,
         seed: int = 1,
         make_parts: Callable[[random.Random], tuple[str, ...]] | None = None,
+        make_body: Callable[[random.Random], bytes] | None = None,
         **request: object,
     ) -> list[FakeReply]:
         """Sends requests at a mean rate per second to random instances, and waits.
 
         :param make_parts: draws the shared parts of each request's prompt.
+        :param make_body: draws the body of each request.
         """
         chooser = random.Random(seed)
         until = now() + seconds
@@ -308,6 +357,8 @@
             instance = chooser.choice(sorted(self.memory.application_by_name))
             if make_parts is not None:
                 request["shared_part_ids"] = make_parts(chooser)
+            if make_body is not None:
+                request["body"] = make_body(chooser)
             tasks.append(asyncio.create_task(self.send(instance, **request)))
             await asyncio.sleep(chooser.expovariate(rate))
         return list(await asyncio.gather(*tasks))
--- a/tests/test_gateway/test_gateway_histories.py
+++ b/tests/test_gateway/test_gateway_histories.py
@@ -190,6 +190,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.status = 0
+        self.reason = ""
         self.body = b""
         self.arrived = 0.0
         self.ended_at: float | None = None
@@ -221,6 +222,7 @@
         assert not self.started
         self.started = True
         self.status = error.response.status
+        self.reason = error.label
         self._end(is_complete=True)
 
     def abort(self) -> None:
