Quarantine: whole requests that crash endpoints, by their digest

Cause: the quarantine knew only shared parts of prompts. A call has none, so its crashes blamed nothing: each instance retried it and sent its next copies as any other. Besides, one lucky or lost connection decided whether the process counted as ended, and a caller that left during that check left no blame.

Change: the digest of a request is one more key of the same blame, as facts of kinds of their own, which older releases leave out. All whole requests that wait at a crash are blamed. After one crash a digest has one trial at a time over all instances, the first at once (a turn: a permit that one instance grants); copies wait up to 1 s or a quarter of their time for its outcome. After two crashes without a success (three if it was sound before) it is in quarantine and explains the crashes of its victims. Digests that share their crashes take turns until one stands out. Any response of an endpoint that ran it clears it (the first event of a stream as well), no 408, 421, 429 or 5xx does. Whether a process ended is tried up to three times, apart from the request. Requests that may not be retried ask for no turn. Calls wait for the others' facts after a start, as prompts did. Refusals have the kind prompt_suspected and the reason request_suspected.

--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -219,15 +219,6 @@
     )
 
 
-def suspected_error(delay_s: float) -> Error:
-    """Returns the error of a request whose prompt may crash the engine it is sent to.
-
-    :param delay_s: seconds until another request with the suspected part may be sent.
-    """
-    detail = "a part of the prompt is suspected of crashing endpoints"
-    return Error(ErrorKind.PROMPT_SUSPECTED, detail, retry_after_s=delay_s)
-
-
 def _check_size(request: CallerRequest, limits: CallerLimits) -> Error | None:
     """Returns an error if the headers or the body exceed the limits, else None."""
     if request.header_bytes > limits.max_header_bytes:
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -17,7 +17,7 @@
     Reply,
     SendFailure,
 )
-from cicadacourse.gateway._admission import AdmittedRequest, suspected_error
+from cicadacourse.gateway._admission import AdmittedRequest
 from cicadacourse.gateway._attempts import Attempts, Progress
 from cicadacourse.gateway._events import EventSplitter, EventTooLarge
 from cicadacourse.gateway._outcomes import OutcomeReporter
@@ -26,7 +26,7 @@
 from cicadacourse.logs import RETRY_BUDGET_EXHAUSTED, log
 from cicadacourse.metrics import RETRIES
 from cicadacourse.placement import Placement, Placer, RetryBudget
-from cicadacourse.quarantine import Quarantine
+from cicadacourse.quarantine import Quarantine, RequestKeys
 from cicadacourse.reservations import (
     Reservation,
     ReservationRefused,
@@ -58,11 +58,18 @@
     _events: EventSplitter = attrs.field(factory=EventSplitter)
     _progress: Progress = Progress.WAITING
     _reporter: OutcomeReporter = attrs.field(init=False)
+    _keys: RequestKeys = attrs.field(init=False)
 
     @_reporter.default
     def _make_reporter(self) -> OutcomeReporter:
         return OutcomeReporter(self.app, self.admitted, self.attempts)
 
+    @_keys.default
+    def _make_keys(self) -> RequestKeys:
+        prompt = self.admitted.prompt
+        parts = prompt.shared_part_ids if prompt else ()
+        return RequestKeys(parts, self.admitted.digest)
+
     async def run(self) -> Error | None:
         """Returns None once the response is written, else the error to respond with."""
         pool = self.admitted.choose_pool()
@@ -73,11 +80,14 @@
         self.budget.record_first_attempt(pool, now())
         paid = 0
         while True:
-            delay_s = await self._quarantine.delay_s(self._shared_parts)
-            if delay_s:
+            if self.attempts.made > paid and not self.attempts.may_retry():
+                return self.attempts.final_error()
+            refusal = await self._quarantine.find_refusal(
+                self._keys, self.admitted.deadline - now()
+            )
+            if refusal is not None:
                 may_have_run = self.attempts.may_have_run
-                error = suspected_error(delay_s)
-                return self.attempts.final_error() if may_have_run else error
+                return self.attempts.final_error() if may_have_run else refusal
             if self.attempts.made > paid and not self._acquire_retry(pool):
                 return self.attempts.final_error()
             paid = self.attempts.made
@@ -150,8 +160,7 @@
                 return False
             await self.reply.send_response(head, body)
         self._reporter.report_forwarded(response, placement)
-        if head.is_success:
-            self._quarantine.record_success(self._shared_parts)
+        self._quarantine.record_response(self._keys, head)
         return True
 
     async def _forward_stream(
@@ -172,6 +181,8 @@
             events = self._split_events(data)
             if not events:
                 continue
+            if self._progress is not Progress.STREAMING:
+                self._quarantine.record_first_event(self._keys)
             self._progress = Progress.STREAMING
             self.times.record_events(now())
             self._mark_prefilled(placement)
@@ -211,21 +222,13 @@
             raise SendFailure(detail, True, "stream_silent") from None
 
     async def _record_crash(self, placement: Placement, failure: SendFailure) -> None:
-        """Blames the prompt if the endpoint has crashed before its first event."""
+        """Blames the request if the endpoint has crashed before its first event."""
         if not failure.is_broken_off or self._progress is Progress.STREAMING:
             return
-        if not self._shared_parts:
-            return
-        if await self.client.is_process_gone(placement.endpoint):
-            has_begun = self._progress is Progress.BEGUN
-            self._quarantine.record_crash(
-                placement.endpoint, self._shared_parts, has_begun
-            )
-
-    @property
-    def _shared_parts(self) -> tuple[str, ...]:
-        prompt = self.admitted.prompt
-        return prompt.shared_part_ids if prompt else ()
+        has_begun = self._progress is Progress.BEGUN
+        await self._quarantine.check_crash(
+            self.client, placement.endpoint, self._keys, has_begun
+        )
 
     @property
     def _quarantine(self) -> Quarantine:
--- a/cicadacourse/limits/_messages.py
+++ b/cicadacourse/limits/_messages.py
@@ -12,11 +12,14 @@
     :param key: what the schedule is for.
     :param rate: permits per second, as far as the asking instance knows.
     :param max_wait_s: how long the asking instance would wait, in seconds.
+    :param is_initially_full: whether a schedule that begins with this request has a
+        permit at once.
     """
 
     key: str
     rate: float
     max_wait_s: float
+    is_initially_full: bool = False
 
 
 @message("limits.Permit")
--- a/cicadacourse/limits/_permits.py
+++ b/cicadacourse/limits/_permits.py
@@ -35,6 +35,8 @@
 UNREACHABLE_S = 1.0
 # How many instances are asked for one permit before it counts as not granted.
 MAX_ASKED = 2
+# How often the one instance that grants a turn is asked for it.
+MAX_TURN_CALLS = 2
 # Part of the rate that another instance grants while the first choice is a member but
 # did not reply: it may be granting permits to those that reach it.
 FALLBACK_SHARE = 0.25
@@ -64,7 +66,28 @@
         :param rate: permits per second of all instances together, over 0.
         :param max_wait_s: for how long from now the permit may be reserved at most.
         """
-        permit = await self._ask(key, rate, max_wait_s)
+        return self._counted(await self._ask(key, rate, max_wait_s))
+
+    async def acquire_turn(self, key: str, rate: float) -> Permit:
+        """Asks for a permit of a shared rate of which the first is available at once.
+
+        Only one instance is asked: two that don't know of each other's permits would
+        both grant a first one.
+
+        :param key: as for :meth:`acquire`.
+        :param rate: as for :meth:`acquire`.
+        """
+        request = AcquirePermit(
+            key=key, rate=rate, max_wait_s=0.0, is_initially_full=True
+        )
+        member = self._keepers(key)[0]
+        for _ in range(MAX_TURN_CALLS):
+            permit = await self._ask_member(member, request)
+            if permit is not None:
+                return self._counted(permit)
+        return self._counted(Permit(is_granted=False, wait_s=RETRY_S))
+
+    def _counted(self, permit: Permit) -> Permit:
         outcome = "granted" if permit.is_granted else "denied"
         self.app.metrics.count(PERMITS, outcome=outcome)
         return permit
@@ -80,19 +103,28 @@
     async def _ask(self, key: str, rate: float, max_wait_s: float) -> Permit:
         for member, share in self._reachable_keepers(key)[:MAX_ASKED]:
             request = AcquirePermit(key=key, rate=share * rate, max_wait_s=max_wait_s)
-            if member.name == self._own_name:
-                return self._grant(request)
-            result = await self.app.get("peers").call(
-                member.peer_address, request, CALL_TIMEOUT_S
-            )
-            match result:
-                case Success(Permit() as permit):
-                    return permit
-                case Failure(error):
-                    log(PERMIT_UNAVAILABLE, source=member.name, reason=error.detail)
+            permit = await self._ask_member(member, request)
+            if permit is not None:
+                return permit
             self._unreachable_until_by_name[member.name] = now() + UNREACHABLE_S
         return Permit(is_granted=False, wait_s=RETRY_S)
 
+    async def _ask_member(
+        self, member: Member, request: AcquirePermit
+    ) -> Permit | None:
+        """Returns the reply of an instance, or None if it did not reply in time."""
+        if member.name == self._own_name:
+            return self._grant(request)
+        result = await self.app.get("peers").call(
+            member.peer_address, request, CALL_TIMEOUT_S
+        )
+        match result:
+            case Success(Permit() as permit):
+                return permit
+            case Failure(error):
+                log(PERMIT_UNAVAILABLE, source=member.name, reason=error.detail)
+        return None
+
     def _reachable_keepers(self, key: str) -> list[tuple[Member, float]]:
         """Returns the instances that may grant permits of a key, the best first.
 
@@ -100,18 +132,21 @@
 
         :returns: pairs of an instance and the share of the rate that it may grant.
         """
-        members = self.app.get("membership").members()
-        staying = [item for item in members if item.state is not MemberState.LEAVING]
-        member_by_name = {item.name: item for item in staying or members}
-        names = hashing.rank(key, member_by_name)
         shares = itertools.chain([1.0], itertools.repeat(FALLBACK_SHARE))
         now_s = now()
         return [
-            (member_by_name[name], share)
-            for name, share in zip(names, shares)
-            if self._unreachable_until_by_name.get(name, 0.0) <= now_s
+            (member, share)
+            for member, share in zip(self._keepers(key), shares)
+            if self._unreachable_until_by_name.get(member.name, 0.0) <= now_s
         ]
 
+    def _keepers(self, key: str) -> list[Member]:
+        """Returns the instances that may grant permits of a key, the best first."""
+        members = self.app.get("membership").members()
+        staying = [item for item in members if item.state is not MemberState.LEAVING]
+        member_by_name = {item.name: item for item in staying or members}
+        return [member_by_name[name] for name in hashing.rank(key, member_by_name)]
+
     def _forget_member(self, member: Member) -> None:
         self._unreachable_until_by_name.pop(member.name, None)
 
@@ -119,7 +154,8 @@
         now_s = now()
         schedule = self._schedule_by_key.get(request.key)
         if schedule is None:
-            schedule = PermitSchedule(request.rate, now_s)
+            tokens = 1.0 if request.is_initially_full else 0.0
+            schedule = PermitSchedule(request.rate, now_s, tokens=tokens)
             self._schedule_by_key[request.key] = schedule
             self._drop_oldest_schedule()
         return schedule.acquire(request.rate, request.max_wait_s, now_s)
--- a/cicadacourse/limits/_schedule.py
+++ b/cicadacourse/limits/_schedule.py
@@ -17,11 +17,12 @@
 class PermitSchedule:
     """Grants permits at a rate.
 
-    It starts without tokens: another instance may have granted permits of the same key
-    until now.
+    It starts without tokens by default: another instance may have granted permits of
+    the same key until now.
 
     :param rate: permits per second.
     :param updated_at: when ``_tokens`` was last computed, loop time in seconds.
+    :param tokens: permits that are available at the start.
     :ivar used_at: when a permit was last asked for, loop time in seconds.
     """
 
--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -275,6 +275,29 @@
     " part explains the crashes, or they are long ago.",
 )
 
+REQUEST_BLAMED = _declare(
+    "quarantine",
+    "request blamed",
+    "`endpoint` has crashed under a request of this instance that had got no event;"
+    " requests with `digest` are blamed, `has_begun` is whether the response had"
+    " begun.",
+    True,
+)
+REQUEST_SUSPECTED = _declare(
+    "quarantine",
+    "request suspected",
+    "Requests with `digest` are sent by all instances together once in `interval_s`;"
+    " `weight` counts the crashes that they are blamed for. With `turn`, the first one"
+    " is sent at once, and those with the same `turn` wait for its outcome.",
+    True,
+)
+REQUEST_CLEARED = _declare(
+    "quarantine",
+    "request cleared",
+    "Requests with `digest` are no longer suspected: one has succeeded, another request"
+    " explains the crashes, or they are long ago.",
+)
+
 REQUEST_SENT = _declare(
     "forward",
     "request sent",
--- a/cicadacourse/quarantine/__init__.py
+++ b/cicadacourse/quarantine/__init__.py
@@ -1,19 +1,21 @@
-"""Parts of prompts that are suspected of crashing the engines that answer them."""
+"""What is suspected of crashing endpoints: parts of prompts, and whole requests."""
 
 from cicadacourse.quarantine._digests import make_digest
+from cicadacourse.quarantine._keys import RequestKeys
 from cicadacourse.quarantine._service import Quarantine
 from cicadacourse.quarantine._verdicts import (
-    PartCrash,
-    PartRecord,
+    Crash,
+    CrashRecord,
     Verdict,
     choose_blamed,
     judge,
 )
 
 __all__ = [
-    "PartCrash",
-    "PartRecord",
+    "Crash",
+    "CrashRecord",
     "Quarantine",
+    "RequestKeys",
     "Verdict",
     "choose_blamed",
     "judge",
--- a/cicadacourse/quarantine/_verdicts.py
+++ b/cicadacourse/quarantine/_verdicts.py
@@ -1,14 +1,16 @@
-"""Decides which parts of prompts are suspected of crashing engines.
-
-The expected load is requests with one bad part among many sound ones. An engine crashes
-as soon as it begins to answer a prompt with the bad part; all that is in progress there
-breaks off as well. A request that had got events can't be the cause. The parts of the
-others are blamed: one that was in a successful request since the crash is sound, and
-one that never was is more suspect than one that was before.
+"""Decides which parts of prompts and which whole requests are suspected of crashes.
+
+The expected load is requests with one bad part, or one bad request that comes again,
+among many sound ones. An engine crashes as soon as it begins to answer a prompt with
+the bad part, an endpoint as soon as it begins to run the bad request; all that is in
+progress there breaks off as well. A request that had got events can't be the cause. The
+others are blamed: one that succeeded since the crash is sound, and one that never did
+is more suspect than one that did before.
 """
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import Iterable, Mapping, Sequence
 
 import attrs
@@ -17,21 +19,28 @@
 # response, a request is rather a victim than the cause.
 BEGUN_WEIGHT = 1.0
 WAITING_WEIGHT = 0.5
-# A part that was sound before needs as much more weight as one crash gives.
+# The same for a whole request: two crashes under one are hardly by chance.
+REQUEST_WEIGHT = 1.0
+# A key that was sound before needs as much more weight as one crash gives.
 SOUND_CREDIT = 1.0
-# From these weights on, requests with a part are sent one at a time, or hardly at all.
+# From these weights on, requests with a key are sent one at a time, or hardly at all.
 SUSPECT_WEIGHT = 1.0
 QUARANTINE_WEIGHT = 2.0
 # How often all instances together send a request with a suspect part.
 SUSPECT_INTERVAL_S = 2.0
-# The same for a part in quarantine; it doubles with each further crash.
+# How often they send a request of one turn. Its outcome is mostly known sooner: an
+# endpoint ends soon after it has begun to run a bad one.
+TURN_INTERVAL_S = 1.0
+# The same for all requests that waited at the same crashes, as there are several.
+RIVALS_INTERVAL_S = 0.5
+# The same for a key in quarantine; it doubles with each further crash.
 QUARANTINE_INTERVAL_S = 30.0
 MAX_INTERVAL_S = 240.0
 
 
 @attrs.frozen
-class PartCrash:
-    """A crash of an engine for which a part is blamed.
+class Crash:
+    """A crash of an endpoint for which a key is blamed.
 
     :param id: identifies the crashed process.
     :param at: loop time in seconds.
@@ -43,84 +52,75 @@
 
 
 @attrs.frozen
-class PartRecord:
-    """What is known of one part.
+class CrashRecord:
+    """What is known of one key.
 
+    :param key: a part of prompts, or a whole request.
     :param succeeded_at: when a request with it last succeeded, loop time in seconds, or
         None if none is known to have.
     """
 
-    part: str
-    crashes: tuple[PartCrash, ...] = ()
+    key: str
+    crashes: tuple[Crash, ...] = ()
     succeeded_at: float | None = None
 
     @property
-    def open_crashes(self) -> tuple[PartCrash, ...]:
-        """The crashes since its last success."""
-        if self.succeeded_at is None:
-            return self.crashes
-        return tuple(item for item in self.crashes if item.at > self.succeeded_at)
+    def weight_by_crash(self) -> dict[int, float]:
+        """The weights of the crashes since its last success, by their ids."""
+        since = float("-inf") if self.succeeded_at is None else self.succeeded_at
+        return {item.id: item.weight for item in self.crashes if item.at > since}
 
     @property
-    def weight(self) -> float:
-        """The weight of its crashes since its last success."""
-        return sum(item.weight for item in self.open_crashes)
+    def credit(self) -> float:
+        """The weight that doesn't count against it."""
+        return 0.0 if self.succeeded_at is None else SOUND_CREDIT
 
 
 @attrs.frozen
 class Verdict:
-    """How strongly a part is suspected; parts without a verdict are not."""
+    """How strongly a key is suspected; keys without a verdict are not.
+
+    :param turn: the requests with the same turn are sent one at a time, the first one
+        at once, until the outcome of one of them is known; None if that is of no use.
+    """
 
     weight: float
+    turn: str | None = None
 
     @property
     def is_quarantined(self) -> bool:
-        """Whether requests with the part are hardly sent at all."""
-        return self.weight >= QUARANTINE_WEIGHT
+        """Whether requests with the key are hardly sent at all."""
+        return self.turn is None and self.weight >= QUARANTINE_WEIGHT
 
     @property
     def trial_interval_s(self) -> float:
-        """How often all instances together send a request with the part, in seconds."""
-        if not self.is_quarantined:
+        """How often all instances together send a request with the key, in seconds."""
+        if self.turn is not None:
+            is_rival = self.weight >= QUARANTINE_WEIGHT
+            return RIVALS_INTERVAL_S if is_rival else TURN_INTERVAL_S
+        if self.weight < QUARANTINE_WEIGHT:
             return SUSPECT_INTERVAL_S
         factor = 2.0 ** (self.weight - QUARANTINE_WEIGHT)
         return min(MAX_INTERVAL_S, QUARANTINE_INTERVAL_S * factor)
 
 
-def judge(records: Iterable[PartRecord]) -> dict[str, Verdict]:
-    """Returns the verdicts on the parts that are suspected, by part.
+def judge(
+    parts: Iterable[CrashRecord], requests: Iterable[CrashRecord] = ()
+) -> dict[str, Verdict]:
+    """Returns the verdicts on the keys that are suspected, by key.
 
-    A crash that a part in quarantine explains doesn't count against parts of less
-    weight: their requests were in progress there by chance.
+    A crash that a key in quarantine explains doesn't count against keys of less weight:
+    their requests were in progress there by chance. A part of a request in quarantine
+    may be the cause, too, if its prompts had begun or if it has further crashes.
     """
-    open_by_part = {
-        item.part: {crash.id: crash.weight for crash in item.open_crashes}
-        for item in records
-    }
-    credit_by_part = {
-        item.part: SOUND_CREDIT if item.succeeded_at is not None else 0.0
-        for item in records
-    }
-    verdict_by_part: dict[str, Verdict] = {}
+    requests = list(requests)
+    parts = [item for item in parts if not _is_explained(item, requests)]
     explained: set[int] = set()
-    while open_by_part:
-        weight_by_part = {
-            part: _unexplained(crashes, explained) - credit_by_part[part]
-            for part, crashes in open_by_part.items()
-        }
-        heaviest = max(weight_by_part.values())
-        if heaviest < SUSPECT_WEIGHT:
-            break
-        found = [part for part, weight in weight_by_part.items() if weight == heaviest]
-        for part in found:
-            verdict_by_part[part] = Verdict(heaviest)
-            crashes = open_by_part.pop(part)
-            if heaviest >= QUARANTINE_WEIGHT:
-                explained |= crashes.keys()
-    return verdict_by_part
+    verdict_by_part = _judge_parts(_Cases(parts, explained))
+    return verdict_by_part | _judge_requests(_Cases(requests, explained))
 
 
-def choose_blamed(records: Sequence[PartRecord], has_begun: bool) -> list[str]:
+def choose_blamed(records: Sequence[CrashRecord], has_begun: bool) -> list[str]:
     """Returns the parts of one prompt that are blamed for the crash of its engine.
 
     All of them are if the response had begun: successes clear those that are sound. If
@@ -129,8 +129,101 @@
     :param records: what is known of each shared part of the prompt.
     :param has_begun: whether the response had begun.
     """
-    return [item.part for item in records if has_begun or item.succeeded_at is None]
+    return [item.key for item in records if has_begun or item.succeeded_at is None]
+
+
+def _is_explained(part: CrashRecord, requests: Sequence[CrashRecord]) -> bool:
+    """Returns whether one request in quarantine explains all crashes of a part.
+
+    Those of a prompt that had begun to be answered count nevertheless.
+    """
+    weight_by_crash = part.weight_by_crash
+    if max(weight_by_crash.values(), default=0.0) > WAITING_WEIGHT:
+        return False
+    return any(
+        len(item.weight_by_crash) >= QUARANTINE_WEIGHT
+        and weight_by_crash.keys() <= item.weight_by_crash.keys()
+        for item in requests
+    )
+
+
+class _Cases:
+    """The keys that are not judged yet.
+
+    :ivar explained: the crashes that don't count any more.
+    """
+
+    def __init__(self, records: Iterable[CrashRecord], explained: set[int]) -> None:
+        records = list(records)
+        self.explained = explained
+        self._open_by_key = {item.key: item.weight_by_crash for item in records}
+        self._credit_by_key = {item.key: item.credit for item in records}
+
+    def weight_by_key(self, has_credit: bool = True) -> dict[str, float]:
+        """Returns the weights of the crashes that nothing explains yet.
+
+        :param has_credit: whether the credit of a former success is taken off.
+        """
+        weight_by_key = {}
+        for key, weights in self._open_by_key.items():
+            open_weights = (w for id, w in weights.items() if id not in self.explained)
+            credit = self._credit_by_key[key] if has_credit else 0.0
+            weight_by_key[key] = sum(open_weights) - credit
+        return weight_by_key
+
+    def take_heaviest(self, least: float) -> tuple[float, dict[str, set[int]]]:
+        """Takes out the keys of the greatest weight, if it is ``least`` or more.
+
+        :returns: their weight, and the ids of their unexplained crashes by key.
+        """
+        weight_by_key = self.weight_by_key()
+        heaviest = max(weight_by_key.values(), default=0.0)
+        if heaviest < least:
+            return heaviest, {}
+        keys = [key for key, weight in weight_by_key.items() if weight == heaviest]
+        return heaviest, {
+            key: self._open_by_key.pop(key).keys() - self.explained for key in keys
+        }
 
 
-def _unexplained(crashes: Mapping[int, float], explained: set[int]) -> float:
-    return sum(weight for id, weight in crashes.items() if id not in explained)
+def _judge_parts(cases: _Cases) -> dict[str, Verdict]:
+    verdict_by_part: dict[str, Verdict] = {}
+    while True:
+        weight, crashes_by_part = cases.take_heaviest(SUSPECT_WEIGHT)
+        if not crashes_by_part:
+            return verdict_by_part
+        for part, crashes in crashes_by_part.items():
+            verdict_by_part[part] = Verdict(weight)
+            if weight >= QUARANTINE_WEIGHT:
+                cases.explained |= crashes
+
+
+def _judge_requests(cases: _Cases) -> dict[str, Verdict]:
+    verdict_by_key: dict[str, Verdict] = {}
+    while True:
+        weight, crashes_by_key = cases.take_heaviest(QUARANTINE_WEIGHT)
+        if not crashes_by_key:
+            break
+        turn_by_key = _find_rivals(crashes_by_key)
+        for key, crashes in crashes_by_key.items():
+            verdict_by_key[key] = Verdict(weight, turn_by_key.get(key))
+            if key not in turn_by_key:
+                cases.explained |= crashes
+    for key, weight in cases.weight_by_key(has_credit=False).items():
+        if weight >= SUSPECT_WEIGHT:
+            verdict_by_key[key] = Verdict(weight, turn=key)
+    return verdict_by_key
+
+
+def _find_rivals(crashes_by_key: Mapping[str, set[int]]) -> dict[str, str]:
+    """Returns the turns of keys of one weight that share a crash, by key.
+
+    One of them is the cause, and the others were there by chance.
+    """
+    counts = Counter(id for crashes in crashes_by_key.values() for id in crashes)
+    turn_by_key = {}
+    for key, crashes in crashes_by_key.items():
+        shared = [id for id in crashes if counts[id] > 1]
+        if shared:
+            turn_by_key[key] = f"crash:{min(shared):x}"
+    return turn_by_key
--- a/cicadacourse/schema/limits.capnp
+++ b/cicadacourse/schema/limits.capnp
@@ -4,9 +4,11 @@
 struct AcquirePermit {
   # Asks the instance that keeps the schedule of a key for one permit. rate is in permits
   # per second, as far as the sender knows; maxWaitS is how long the sender would wait.
+  # If isInitiallyFull, a schedule that begins with this request has a permit at once.
   key @0 :Text;
   rate @1 :Float64;
   maxWaitS @2 :Float64;
+  isInitiallyFull @3 :Bool;
 }
 
 struct Permit {
--- a/tests/test_quarantine/test_quarantine_failures.py
+++ b/tests/test_quarantine/test_quarantine_failures.py
@@ -7,8 +7,9 @@
 
 import pytest
 
-from cicadacourse.quarantine import Quarantine
-from cicadacourse.quarantine._service import LIFETIME_S, MAX_SOUND_PARTS
+from cicadacourse.exchange import ResponseHead
+from cicadacourse.quarantine import Quarantine, RequestKeys
+from cicadacourse.quarantine._ledger import LIFETIME_S, MAX_FACTS, MAX_SOUND_KEYS
 from cicadacourse.util.clock import now
 from tests.gateway_cluster import GatewayCluster, gateway_cluster, make_endpoints
 from tests.test_limits.test_limits_cluster import run
@@ -24,6 +25,7 @@
 )
 
 BAD = ("first0", "bad")
+DIFFERENT_REQUESTS = 100_000
 
 
 def quarantines(cluster: GatewayCluster) -> list[Quarantine]:
@@ -220,14 +222,19 @@
     async with gateway_cluster(1, make_endpoints(1)) as cluster:
         (service,) = quarantines(cluster)
         (endpoint,) = cluster.endpoint_by_id.values()
-        for number in range(MAX_SOUND_PARTS + 500):
-            service.record_success((f"p{number}",))
-        assert len(service._succeeded_at_by_part) == MAX_SOUND_PARTS
+        for number in range(DIFFERENT_REQUESTS):
+            keys = RequestKeys((f"p{number}",), f"d{number}")
+            service.record_response(keys, ResponseHead(200, ()))
+        assert len(service._parts) == MAX_SOUND_KEYS
+        assert len(service._requests) == MAX_SOUND_KEYS
         for number in range(1200):
-            service.record_crash(endpoint.endpoint, (f"c{number}",), has_begun=True)
+            keys = RequestKeys((f"c{number}",), f"e{number}")
+            service.record_crash(endpoint.endpoint, keys, has_begun=True)
         evidence = cluster.memory.get("n0", "evidence")
-        assert len(evidence.keys("part-crash")) <= 1000
+        assert len(evidence.keys("part-crash")) <= MAX_FACTS
+        assert len(evidence.keys("request-crash")) <= MAX_FACTS
 
 
-def test_the_memory_of_parts_is_bounded() -> None:
+def test_the_memory_of_parts_and_requests_is_bounded() -> None:
+    """A minute of requests that never come again."""
     run(_bounded)
