Quarantine: a process that one instance has seen end is ejected by all

Change: the fact of a crash names the process by a hash that each instance finds in its registry; it announces the endpoint (endpoint-ended), and placement ejects it as after a failure of its own.

--- a/cicadacourse/events.py
+++ b/cicadacourse/events.py
@@ -18,6 +18,8 @@
 CATALOG_CHANGED = "catalog-changed"
 # The endpoint, in its state before or after the change.
 ENDPOINT_CHANGED = "endpoint-changed"
+# The endpoint, whose process another instance has seen ended.
+ENDPOINT_ENDED = "endpoint-ended"
 LOAD_CHANGED = "load-changed"
 # The reporting instance's name, and the version in force on it.
 CATALOG_VERSION_RECEIVED = "catalog-version-received"
@@ -38,6 +40,7 @@
         MEMBER_LEFT,
         CATALOG_CHANGED,
         ENDPOINT_CHANGED,
+        ENDPOINT_ENDED,
         LOAD_CHANGED,
         CATALOG_CONFIRMED,
         CATALOG_VERSION_RECEIVED,
--- a/cicadacourse/placement/_service.py
+++ b/cicadacourse/placement/_service.py
@@ -13,7 +13,12 @@
 from cicadacourse.catalog import Endpoint, Pool
 from cicadacourse.config import InstanceSettings
 from cicadacourse.errors import Error
-from cicadacourse.events import CATALOG_CHANGED, ENDPOINT_CHANGED, LOAD_CHANGED
+from cicadacourse.events import (
+    CATALOG_CHANGED,
+    ENDPOINT_CHANGED,
+    ENDPOINT_ENDED,
+    LOAD_CHANGED,
+)
 from cicadacourse.load import LoadService
 from cicadacourse.logs import PLACEMENT_YIELDED, REQUEST_QUEUED, log
 from cicadacourse.metrics import declare
@@ -54,6 +59,7 @@
         app.events.connect(LOAD_CHANGED, self._dispatcher.schedule)
         app.events.connect(CATALOG_CHANGED, self._dispatcher.schedule)
         app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
+        app.events.connect(ENDPOINT_ENDED, self._endpoint_ended)
 
     @property
     def health(self) -> EndpointHealth:
@@ -210,6 +216,9 @@
         self._ejections.forget_former_process(endpoint)
         self._schedule()
 
+    def _endpoint_ended(self, endpoint: Endpoint) -> None:
+        self.report_transport_failure(endpoint.id, "ended")
+
     def _schedule(self) -> None:
         self._dispatcher.schedule()
 
--- a/cicadacourse/quarantine/_ended.py
+++ b/cicadacourse/quarantine/_ended.py
@@ -1,15 +1,45 @@
-"""Finds out whether the process of an endpoint that broke off has ended."""
+"""Finds out whether processes of endpoints have ended, here or by others' evidence."""
 
 from __future__ import annotations
 
 import asyncio
 
+from cicadacourse.application import Application
 from cicadacourse.catalog import Endpoint
+from cicadacourse.events import ENDPOINT_ENDED
+from cicadacourse.evidence import Fact
 from cicadacourse.exchange import EndpointClient
+from cicadacourse.util import hashing
+from cicadacourse.util.clock import now
 
 # Pauses before the tries to connect, in seconds. A packet of one try may be lost, and a
 # process that ends may still accept a connection.
 TRY_PAUSES_S = (0.0, 0.05, 0.2)
+# A process that ended longer ago is mostly out of the registry or replaced.
+NEWS_S = 2.0
+
+
+def crash_id(endpoint: Endpoint) -> int:
+    """Returns what identifies the crash of an endpoint's process at all instances."""
+    return hashing.score(str(endpoint.started_ms), endpoint.id) >> 1
+
+
+class EndedNews:
+    """Announces endpoints whose processes other instances have seen ended."""
+
+    def __init__(self, app: Application) -> None:
+        self._app = app
+        self._last_id: int | None = None
+
+    def receive(self, crash: Fact) -> None:
+        """Announces the endpoint of another instance's crash, if it is known here."""
+        # The blame for one crash comes in several facts, mostly one after the other.
+        if crash.id == self._last_id or now() - crash.observed_at > NEWS_S:
+            return
+        self._last_id = crash.id
+        for endpoint in self._app.get("catalog").registry.all():
+            if crash_id(endpoint) == crash.id:
+                self._app.events.emit(ENDPOINT_ENDED, endpoint)
 
 
 class EndedProcesses:
--- a/cicadacourse/quarantine/_service.py
+++ b/cicadacourse/quarantine/_service.py
@@ -17,7 +17,7 @@
 from cicadacourse.limits import Permits
 from cicadacourse.logs import PART_BLAMED, REQUEST_BLAMED, log
 from cicadacourse.metrics import declare
-from cicadacourse.quarantine._ended import EndedProcesses
+from cicadacourse.quarantine._ended import EndedNews, EndedProcesses, crash_id
 from cicadacourse.quarantine._keys import RequestKeys, is_request_key
 from cicadacourse.quarantine._ledger import (
     PART_CRASH,
@@ -39,7 +39,6 @@
     choose_blamed,
     judge,
 )
-from cicadacourse.util import hashing
 from cicadacourse.util.clock import now
 
 SUSPECTED_PARTS = declare(
@@ -82,6 +81,7 @@
         self._parts = Ledger(self._evidence, PART_CRASH, PART_SUCCESS)
         self._requests = Ledger(self._evidence, REQUEST_CRASH, REQUEST_SUCCESS)
         self._ended: EndedProcesses | None = None
+        self._news = EndedNews(app)
         self._check_tasks: set[asyncio.Task[None]] = set()
         self._verdict_by_key: dict[str, Verdict] = {}
         self._verdicts_changed = asyncio.Event()
@@ -163,14 +163,14 @@
 
         :param has_begun: whether the response had begun.
         """
-        crash_id = hashing.score(str(endpoint.started_ms), endpoint.id) >> 1
+        id = crash_id(endpoint)
         keys.turn = None
         if keys.parts:
             records = [self._parts.record_of(part) for part in keys.parts]
             blamed = choose_blamed(records, has_begun)
             log(PART_BLAMED, endpoint=endpoint.id, parts=blamed, has_begun=has_begun)
             weight = BEGUN_WEIGHT if has_begun else WAITING_WEIGHT
-            self._parts.record_crash(blamed, weight, crash_id)
+            self._parts.record_crash(blamed, weight, id)
         if keys.request:
             log(
                 REQUEST_BLAMED,
@@ -178,7 +178,7 @@
                 digest=keys.digest,
                 has_begun=has_begun,
             )
-            self._requests.record_crash(keys.request, REQUEST_WEIGHT, crash_id)
+            self._requests.record_crash(keys.request, REQUEST_WEIGHT, id)
 
     async def _check(
         self,
@@ -238,6 +238,7 @@
             self._schedule_judgement()
             if not is_own:
                 ledger.tell_success_later(fact)
+                self._news.receive(fact)
 
         def success_received(fact: Fact, is_own: bool) -> None:
             self._schedule_judgement()
--- a/tests/test_quarantine/test_quarantine_blame.py
+++ b/tests/test_quarantine/test_quarantine_blame.py
@@ -96,3 +96,19 @@
         assert service.is_suspected(KEY) is not is_cleared
 
     run(_service, check)
+
+
+async def _ended() -> None:
+    async with gateway_cluster(6, make_endpoints(6, "plain")) as cluster:
+        (endpoint, *_) = cluster.endpoint_by_id.values()
+        endpoint.is_fatal = lambda _: True
+        while not cluster.crashed_at:
+            await cluster.send("n0", "book", body=str(now()).encode())
+        await asyncio.sleep(0.1)
+        for placer in cluster.memory.services("placement"):
+            assert placer.health.is_ejected(endpoint.endpoint.id, now())
+
+
+def test_an_endpoint_that_has_ended_is_left_out_by_all_instances() -> None:
+    """Each instance found out by a connection of its own that was refused."""
+    run(_ended)
