--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -31,12 +31,18 @@
 import_services()
 
 OK = 200
+STREAMS = ("ask", "tell")
 ENDPOINT_LINK_S = 0.004
 # How long after it began to run a fatal request its endpoint ends, in seconds.
 FATAL_S = 0.09
 # How long a connection is tried to which a message was lost, in seconds.
 LOST_CONNECT_S = 0.1
-EVENT_BYTES = b"data: x\n\n"
+# Longer than any test takes.
+NEVER_S = 10_000.0
+CONNECT_TIMEOUT_S = 0.38
+# The simulated clock doesn't move by a shorter sleep.
+CLOCK_RESOLUTION_S = 1e-5
+FOR_GOOD = float("inf")
 
 
 @attrs.frozen
@@ -48,16 +54,28 @@
     request: EndpointRequest
 
 
+def make_event(request: CallerRequest, endpoint: Endpoint, number: int) -> bytes:
+    """Returns one event of the stream that answers a request."""
+    return f"id: {number}\ndata: {request.id} {endpoint.id}\n\n".encode()
+
+
 @attrs.define(eq=False)
 class SimulatedEndpoint:
     """An endpoint that takes a fixed time for each request.
 
     :param work_s: seconds until the head of a response.
     :param events: events of a stream, which follow the head.
-    :param event_s: seconds before each event but the first.
+    :param event_s: seconds before each event or chunk but the first.
+    :param call_chunks: chunks of the body of a response to a call.
+    :param has_ids: whether its events have ids.
+    :ivar status: the status of its responses.
     :ivar limit: the requests per second that its responses name, or None.
     :ivar is_down: whether its process has ended.
     :ivar ended: set once its process has ended.
+    :ivar silent_until: until when it sends nothing, loop time in seconds.
+    :ivar muted_at: connections that were open then stay silent for good.
+    :ivar accepts_while_silent: whether it accepts connections while it is silent.
+    :ivar in_progress: exchanges that no instance has left yet.
     :ivar on_start: called with each request that it begins to answer.
     :ivar is_fatal: whether its process ends under a request, before it answers it.
     """
@@ -66,12 +84,45 @@
     work_s: float = 0.03
     events: int = 4
     event_s: float = 0.04
+    call_chunks: int = 1
+    has_ids: bool = True
+    status: int = OK
     limit: float | None = None
     is_down: bool = False
+    silent_until: float = 0.0
+    muted_at: float = float("-inf")
+    accepts_while_silent: bool = True
+    in_progress: int = 0
     arrivals: list[Arrival] = attrs.field(factory=list)
     on_start: Callable[[SimulatedEndpoint, EndpointRequest], None] = lambda *_: None
     is_fatal: Callable[[EndpointRequest], bool] = lambda _: False
     ended: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
+    _silence_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def fall_silent(self, seconds: float) -> None:
+        """Sends nothing for some seconds, then goes on; work in progress is kept."""
+        self.silent_until = now() + seconds
+        self._silence_changed.set()
+        self._silence_changed = asyncio.Event()
+
+    def mute_connections(self) -> None:
+        """Sends nothing more on the connections of now; later ones work."""
+        self.muted_at = now()
+
+    async def work(self, seconds: float, connected_at: float) -> None:
+        """Waits until that much work is done and its outcome can be sent.
+
+        :param connected_at: when the connection was made, loop time in seconds.
+        """
+        await asyncio.sleep(seconds)
+        while now() < self.silent_until:
+            left_s = max(CLOCK_RESOLUTION_S, self.silent_until - now())
+            timeout_s = left_s if left_s < FOR_GOOD else None
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(timeout_s):
+                    await self._silence_changed.wait()
+        if connected_at <= self.muted_at:
+            await asyncio.get_running_loop().create_future()
 
     def arrivals_since(self, since: float) -> list[float]:
         """Returns the times of the arrivals from a moment on."""
@@ -91,18 +142,38 @@
 class _SimulatedResponse(EndpointResponse):
     head: ResponseHead
     endpoint: SimulatedEndpoint
-    events_left: int
+    request: EndpointRequest
+    connected_at: float
+    number: int
 
     async def read_chunk(self) -> bytes:
         """Returns the next event; breaks off once the endpoint is down."""
-        if self.events_left == 0:
+        if self.number == self._events:
             return b""
-        if self.events_left < self.endpoint.events:
-            await asyncio.sleep(self.endpoint.event_s)
+        is_first = self.number == self._first
+        wait_s = 0.0 if is_first else self.endpoint.event_s
+        await self.endpoint.work(wait_s, self.connected_at)
         if self.endpoint.is_down:
             raise SendFailure("lost", True, "cut_short", is_broken_off=True)
-        self.events_left -= 1
-        return EVENT_BYTES
+        self.number += 1
+        endpoint = self.endpoint.endpoint
+        event = make_event(self.request.caller, endpoint, self.number - 1)
+        return event if self.endpoint.has_ids else event.partition(b"\n")[2]
+
+    @property
+    def _events(self) -> int:
+        is_stream = self.request.caller.prompt is not None
+        return self.endpoint.events if is_stream else self.endpoint.call_chunks
+
+    @property
+    def _first(self) -> int:
+        return first_number(self.request)
+
+
+def first_number(request: EndpointRequest) -> int:
+    """Returns the number of the first event that a request asks for."""
+    last_id = request.last_event_id
+    return 0 if last_id is None else int(last_id) + 1
 
 
 class SimulatedClient(Service, EndpointClient):
@@ -138,33 +209,53 @@
         if self._cluster.is_message_lost():
             await asyncio.sleep(LOST_CONNECT_S)
         await asyncio.sleep(ENDPOINT_LINK_S)
+        if now() < endpoint.silent_until and not endpoint.accepts_while_silent:
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise SendFailure("not connected in time", False, "unreachable")
         if endpoint.is_down:
             raise SendFailure("connection refused", False, "unreachable")
         endpoint.arrivals.append(Arrival(now(), self._own_name, request))
+        endpoint.in_progress += 1
         try:
-            async with asyncio.timeout(head_timeout_s):
-                await self._work(endpoint, request)
+            yield await self._receive_head(endpoint, request, head_timeout_s)
+        finally:
+            endpoint.in_progress -= 1
+
+    async def _receive_head(
+        self, endpoint: SimulatedEndpoint, request: EndpointRequest, timeout_s: float
+    ) -> EndpointResponse:
+        connected_at = now()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._work(endpoint, request, connected_at)
         except TimeoutError:
             raise SendFailure("no head in time", True, "no_answer") from None
         if endpoint.is_down:
             raise SendFailure("lost", True, "broken", is_broken_off=True)
-        head = ResponseHead(OK, (), request_limit=endpoint.limit)
+        head = ResponseHead(endpoint.status, (), request_limit=endpoint.limit)
         endpoint.on_start(endpoint, request)
-        is_stream = request.caller.prompt is not None
-        yield _SimulatedResponse(head, endpoint, endpoint.events if is_stream else 1)
+        first = first_number(request)
+        return _SimulatedResponse(head, endpoint, request, connected_at, first)
 
     async def _work(
-        self, endpoint: SimulatedEndpoint, request: EndpointRequest
+        self,
+        endpoint: SimulatedEndpoint,
+        request: EndpointRequest,
+        connected_at: float,
     ) -> None:
         """Waits until an endpoint answers a request, or ends."""
-        work_s: float | None = endpoint.work_s
+        work_s = endpoint.work_s
         if endpoint.is_fatal(request):
             loop = asyncio.get_running_loop()
             loop.call_later(FATAL_S, self._cluster.crash, endpoint)
-            work_s = None
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(work_s):
-                await endpoint.ended.wait()
+            work_s = NEVER_S
+        work = asyncio.create_task(endpoint.work(work_s, connected_at))
+        ended = asyncio.create_task(endpoint.ended.wait())
+        try:
+            await asyncio.wait({work, ended}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            work.cancel()
+            ended.cancel()
 
 
 class MemoryLoad(LoadService):
@@ -294,6 +385,8 @@
             endpoint,
             endpoint=attrs.evolve(former, id=f"{former.pool}-r{number}"),
             is_down=False,
+            silent_until=0.0,
+            in_progress=0,
             arrivals=[],
         )
         self.former_endpoints.append(endpoint)
@@ -314,6 +407,7 @@
         timeout_s: float = 4.0,
         name: str = "x",
         body: bytes = b"",
+        reply: FakeReply | None = None,
         **prompt: object,
     ) -> FakeReply:
         """Sends one request to an instance and returns its reply, once it has ended."""
@@ -326,11 +420,11 @@
             arrived=now(),
             timeout_s=timeout_s,
             last_event_id=None,
-            prompt=Prompt("m", tokens, 184, **prompt) if path == "ask" else None,
+            prompt=Prompt("m", tokens, 184, **prompt) if path in STREAMS else None,
             headers=(),
             body=body,
         )
-        reply = FakeReply()
+        reply = reply or FakeReply()
         reply.arrived = now()
         await self.memory.get(instance, "gateway").handle(request, reply)
         self.replies.append(reply)
--- a/tests/test_quarantine/test_quarantine_blame.py
+++ b/tests/test_quarantine/test_quarantine_blame.py
@@ -100,7 +100,7 @@
 
 async def _ended() -> None:
     async with gateway_cluster(6, make_endpoints(6, "plain")) as cluster:
-        (endpoint, *_) = cluster.endpoint_by_id.values()
+        endpoint, *_ = cluster.endpoint_by_id.values()
         endpoint.is_fatal = lambda _: True
         while not cluster.crashed_at:
             await cluster.send("n0", "book", body=str(now()).encode())
