--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -19,6 +19,7 @@
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.exchange import CallerRequest, Prompt
 from cicadacourse.placement import AdmissionTerms, PlacementRequest
+from cicadacourse.quarantine import RequestKeys, make_digest
 
 # Callers abandon a stream that is idle for this many seconds, this many latency
 # objectives, or this many inter-token gap objectives, whichever is longest.
@@ -66,6 +67,7 @@
     :param deadline: when the whole response is due, loop time in seconds.
     :param catalog_version: the version of the configuration that it was admitted under.
     :param pools: the pools of its route in that configuration.
+    :ivar keys: the same whenever and wherever the caller sends the request again.
     """
 
     request: CallerRequest
@@ -74,6 +76,13 @@
     deadline: float
     catalog_version: int
     pools: tuple[Pool, ...] = ()
+    keys: RequestKeys = attrs.field(init=False)
+
+    @keys.default
+    def _make_keys(self) -> RequestKeys:
+        parts = self.prompt.shared_part_ids if self.prompt else ()
+        organisation = self.organisation.name if self.organisation else None
+        return RequestKeys(parts, make_digest(self.request, organisation))
 
     @property
     def prompt(self) -> Prompt | None:
@@ -250,15 +259,6 @@
     return Error(ErrorKind.LEAVING, detail, retry_after_s=RETRY_AFTER_LEAVING_S)
 
 
-def suspected_error(delay_s: float) -> Error:
-    """Returns the error of a request whose prompt may crash the engine it is sent to.
-
-    :param delay_s: seconds until another request with the suspected part may be sent.
-    """
-    detail = "a part of the prompt is suspected of crashing endpoints"
-    return Error(ErrorKind.PROMPT_SUSPECTED, detail, retry_after_s=delay_s)
-
-
 def _check_size(request: CallerRequest, limits: CallerLimits) -> Error | None:
     """Returns an error if the headers or the body exceed the limits, else None."""
     if request.header_bytes > limits.max_header_bytes:
--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -14,7 +14,7 @@
     EndpointResponse,
     SendFailure,
 )
-from cicadacourse.gateway._admission import AdmittedRequest, suspected_error
+from cicadacourse.gateway._admission import AdmittedRequest
 from cicadacourse.gateway._attempt_owner import AttemptOwner
 from cicadacourse.gateway._attempts import Progress
 from cicadacourse.gateway._endpoint_request import build_request
@@ -96,9 +96,10 @@
 
     async def run(self) -> AttemptResult:
         """Makes the attempt."""
-        delay_s = await self._quarantine.delay_s(self._shared_parts)
-        if delay_s:
-            return Failure(suspected_error(delay_s))
+        time_left_s = self.admitted.deadline - now()
+        refusal = await self._quarantine.find_refusal(self.admitted.keys, time_left_s)
+        if refusal is not None:
+            return Failure(refusal)
         error = self.owner.acquire(self)
         if error is not None:
             return Failure(error)
@@ -195,8 +196,7 @@
             self.reporter.report_error_response(response, placement)
             return False
         self.reporter.report_forwarded(response, placement)
-        if head.is_success:
-            self._quarantine.record_success(self._shared_parts)
+        self._quarantine.record_response(self.admitted.keys, head)
         return True
 
     async def _forward_body(self, response: EndpointResponse) -> bool:
@@ -219,6 +219,8 @@
         self.progress = Progress.BEGUN
         while events := await self._events.read(response, self._restart_wait):
             self.waiting_since = None
+            if self.progress is not Progress.STREAMING:
+                self._quarantine.record_first_event(self.admitted.keys)
             self.progress = Progress.STREAMING
             self._mark_prefilled(placement)
             await self.owner.write_events(self, response.head, events)
@@ -232,21 +234,13 @@
         self.waiting_since = now()
 
     async def _record_crash(self, placement: Placement, failure: SendFailure) -> None:
-        """Blames the prompt if the endpoint has crashed before its first event."""
+        """Blames the request if the endpoint has crashed before its first event."""
         if not failure.is_broken_off or self.progress is Progress.STREAMING:
             return
-        if not self._shared_parts:
-            return
-        if await self.client.is_process_gone(placement.endpoint):
-            has_begun = self.progress is Progress.BEGUN
-            self._quarantine.record_crash(
-                placement.endpoint, self._shared_parts, has_begun
-            )
-
-    @property
-    def _shared_parts(self) -> tuple[str, ...]:
-        prompt = self.admitted.prompt
-        return prompt.shared_part_ids if prompt else ()
+        has_begun = self.progress is Progress.BEGUN
+        await self._quarantine.check_crash(
+            self.client, placement.endpoint, self.admitted.keys, has_begun
+        )
 
     @property
     def _quarantine(self) -> Quarantine:
--- a/cicadacourse/gateway/_outcomes.py
+++ b/cicadacourse/gateway/_outcomes.py
@@ -192,6 +192,7 @@
             reason=reason,
             detail=detail,
             may_have_run=may_have_run,
+            digest=self.admitted.keys.digest,
             **fields,
         )
 
@@ -229,4 +230,5 @@
             waited_s=round(now() - self.admitted.request.arrived, 4),
             attempt=self.attempts.made + 1,
             after_event=request.last_event_id,
+            digest=self.admitted.keys.digest,
         )
--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -281,6 +281,29 @@
     " part explains the crashes, or they are long ago.",
 )
 
+REQUEST_BLAMED = _declare(
+    "quarantine",
+    "request blamed",
+    "`endpoint` has crashed under a request of this instance that had got no event;"
+    " requests with `digest` are blamed, `has_begun` is whether the response had"
+    " begun.",
+    True,
+)
+REQUEST_SUSPECTED = _declare(
+    "quarantine",
+    "request suspected",
+    "Requests with `digest` are sent by all instances together once in `interval_s`;"
+    " `weight` counts the crashes that they are blamed for. With `turn`, the first one"
+    " is sent at once, and those with the same `turn` wait for its outcome.",
+    True,
+)
+REQUEST_CLEARED = _declare(
+    "quarantine",
+    "request cleared",
+    "Requests with `digest` are no longer suspected: one has succeeded, another request"
+    " explains the crashes, or they are long ago.",
+)
+
 REQUEST_SENT = _declare(
     "forward",
     "request sent",
@@ -289,7 +312,9 @@
     " `configuration` is the version in force, `configuration_age_s` the time since it"
     " came into force, `registry_age_s` the time since the registry was last read;"
     " `expected_s` is the estimated time to the first event, `time_left_s` is the time"
-    " until the whole response is due, `waited_s` is the time since arrival.",
+    " until the whole response is due, `waited_s` is the time since arrival; `digest`"
+    " is the same for each request of the same method, host, target, organisation and"
+    " body.",
 )
 ATTEMPT_FAILED = _declare(
     "forward",
@@ -297,7 +322,8 @@
     "`endpoint` gave no usable response because of `reason`; `may_have_run` is whether"
     " it may have executed the request. If the exchange broke, `progress` is `waiting`"
     " (no response), `begun` (no complete event of it) or `streaming`, and `parts` are"
-    " the parts of the prompt that other prompts may share.",
+    " the parts of the prompt that other prompts may share; `digest` is as in `request"
+    " sent`.",
     True,
 )
 RETRY_BUDGET_EXHAUSTED = _declare(
--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -33,6 +33,12 @@
 OK = 200
 STREAMS = ("ask", "tell")
 ENDPOINT_LINK_S = 0.004
+# How long after it began to run a fatal request its endpoint ends, in seconds.
+FATAL_S = 0.09
+# How long a connection is tried to which a message was lost, in seconds.
+LOST_CONNECT_S = 0.1
+# Longer than any test takes.
+NEVER_S = 10_000.0
 CONNECT_TIMEOUT_S = 0.38
 # The simulated clock doesn't move by a shorter sleep.
 CLOCK_RESOLUTION_S = 1e-5
@@ -65,11 +71,13 @@
     :ivar status: the status of its responses.
     :ivar limit: the requests per second that its responses name, or None.
     :ivar is_down: whether its process has ended.
+    :ivar ended: set once its process has ended.
     :ivar silent_until: until when it sends nothing, loop time in seconds.
     :ivar muted_at: connections that were open then stay silent for good.
     :ivar accepts_while_silent: whether it accepts connections while it is silent.
     :ivar in_progress: exchanges that no instance has left yet.
     :ivar on_start: called with each request that it begins to answer.
+    :ivar is_fatal: whether its process ends under a request, before it answers it.
     """
 
     endpoint: Endpoint
@@ -87,6 +95,8 @@
     in_progress: int = 0
     arrivals: list[Arrival] = attrs.field(factory=list)
     on_start: Callable[[SimulatedEndpoint, EndpointRequest], None] = lambda *_: None
+    is_fatal: Callable[[EndpointRequest], bool] = lambda _: False
+    ended: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
     _silence_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def fall_silent(self, seconds: float) -> None:
@@ -171,9 +181,10 @@
 
     name = "endpoint_caller"
 
-    def __init__(self, app: Application, by_id: dict[str, SimulatedEndpoint], own: str):
+    def __init__(self, app: Application, cluster: GatewayCluster, own: str):
         super().__init__(app)
-        self._by_id = by_id
+        self._cluster = cluster
+        self._by_id = cluster.endpoint_by_id
         self._own_name = own
 
     def close_idle_connections(self, endpoint_id: str) -> None:
@@ -183,7 +194,10 @@
         """Does nothing; no test here aborts exchanges."""
 
     async def is_process_gone(self, endpoint: Endpoint) -> bool:
-        """Returns whether the endpoint's process has ended."""
+        """Returns whether the endpoint's process has certainly ended."""
+        if self._cluster.is_message_lost():
+            await asyncio.sleep(LOST_CONNECT_S)
+            return False
         await asyncio.sleep(2 * ENDPOINT_LINK_S)
         return endpoint.id not in self._by_id or self._by_id[endpoint.id].is_down
 
@@ -195,6 +209,8 @@
         endpoint = self._by_id.get(request.endpoint.id)
         if endpoint is None:
             raise SendFailure("connection refused", False, "unreachable")
+        if self._cluster.is_message_lost():
+            await asyncio.sleep(LOST_CONNECT_S)
         await asyncio.sleep(ENDPOINT_LINK_S)
         if now() < endpoint.silent_until and not endpoint.accepts_while_silent:
             await asyncio.sleep(CONNECT_TIMEOUT_S)
@@ -214,7 +230,7 @@
         connected_at = now()
         try:
             async with asyncio.timeout(timeout_s):
-                await endpoint.work(endpoint.work_s, connected_at)
+                await self._work(endpoint, request, connected_at)
         except TimeoutError:
             raise SendFailure("no head in time", True, "no_answer") from None
         if endpoint.is_down:
@@ -224,6 +240,26 @@
         first = first_number(request)
         return _SimulatedResponse(head, endpoint, request, connected_at, first)
 
+    async def _work(
+        self,
+        endpoint: SimulatedEndpoint,
+        request: EndpointRequest,
+        connected_at: float,
+    ) -> None:
+        """Waits until an endpoint answers a request, or ends."""
+        work_s = endpoint.work_s
+        if endpoint.is_fatal(request):
+            loop = asyncio.get_running_loop()
+            loop.call_later(FATAL_S, self._cluster.crash, endpoint)
+            work_s = NEVER_S
+        work = asyncio.create_task(endpoint.work(work_s, connected_at))
+        ended = asyncio.create_task(endpoint.ended.wait())
+        try:
+            await asyncio.wait({work, ended}, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            work.cancel()
+            ended.cancel()
+
 
 class MemoryLoad(LoadService):
     """Exchanges load reports over the links of a :class:`MemoryCluster`."""
@@ -263,7 +299,10 @@
 
 @attrs.define(eq=False)
 class GatewayCluster:
-    """Gateways with the endpoints that they share."""
+    """Gateways with the endpoints that they share.
+
+    :ivar endpoint_loss: the share of the messages to endpoints that is lost.
+    """
 
     endpoint_by_id: dict[str, SimulatedEndpoint]
     catalog: Catalog = CATALOG
@@ -272,6 +311,8 @@
     replies: list[FakeReply] = attrs.field(factory=list)
     crashed_at: list[float] = attrs.field(factory=list)
     former_endpoints: list[SimulatedEndpoint] = attrs.field(factory=list)
+    endpoint_loss: float = 0.0
+    _chooser: random.Random = attrs.field(factory=lambda: random.Random(1))
     _numbers: itertools.count[int] = attrs.field(factory=itertools.count)
     _service_by_address: dict[str, MemoryLoad] = attrs.field(factory=dict)
 
@@ -304,7 +345,19 @@
     def _make_client(self, app: Application) -> Service:
         name = app.get("load")._instance.name
         self._fill(app)
-        return SimulatedClient(app, self.endpoint_by_id, name)
+        return SimulatedClient(app, self, name)
+
+    def is_message_lost(self) -> bool:
+        """Returns whether a message to an endpoint is lost, drawn at random."""
+        return self._chooser.random() < self.endpoint_loss
+
+    def lose_messages(self, share: float) -> None:
+        """Lets all links lose a share of their messages, those to endpoints too."""
+        self.endpoint_loss = share
+        network = self.memory.network
+        network.default_link.drop_probability = share
+        for pair in list(network._link_by_pair):
+            network.link(*pair).drop_probability = share
 
     def _fill(self, app: Application) -> None:
         catalog_service: CatalogService = app.get("catalog")
@@ -323,6 +376,7 @@
         if endpoint.is_down:
             return
         endpoint.is_down = True
+        endpoint.ended.set()
         self.crashed_at.append(now())
         loop = asyncio.get_running_loop()
         loop.call_later(down_s, self._restart, endpoint)
@@ -354,6 +408,8 @@
         path: str = "ask",
         tokens: int = 4000,
         timeout_s: float = 4.0,
+        name: str = "x",
+        body: bytes = b"",
         reply: FakeReply | None = None,
         **prompt: object,
     ) -> FakeReply:
@@ -362,14 +418,14 @@
             id=f"r{next(self._numbers)}",
             method="POST",
             host=HOST,
-            target=f"/{path}/x",
+            target=f"/{path}/{name}",
             key=None,
             arrived=now(),
             timeout_s=timeout_s,
             last_event_id=None,
             prompt=Prompt("m", tokens, 184, **prompt) if path in STREAMS else None,
             headers=(),
-            body=b"",
+            body=body,
         )
         reply = reply or FakeReply()
         reply.arrived = now()
@@ -383,11 +439,13 @@
         seconds: float,
         seed: int = 1,
         make_parts: Callable[[random.Random], tuple[str, ...]] | None = None,
+        make_body: Callable[[random.Random], bytes] | None = None,
         **request: object,
     ) -> list[FakeReply]:
         """Sends requests at a mean rate per second to random instances, and waits.
 
         :param make_parts: draws the shared parts of each request's prompt.
+        :param make_body: draws the body of each request.
         """
         chooser = random.Random(seed)
         until = now() + seconds
@@ -396,6 +454,8 @@
             instance = chooser.choice(sorted(self.memory.application_by_name))
             if make_parts is not None:
                 request["shared_part_ids"] = make_parts(chooser)
+            if make_body is not None:
+                request["body"] = make_body(chooser)
             tasks.append(asyncio.create_task(self.send(instance, **request)))
             await asyncio.sleep(chooser.expovariate(rate))
         return list(await asyncio.gather(*tasks))
