--- a/tests/test_gateway/test_gateway_silence.py
+++ b/tests/test_gateway/test_gateway_silence.py
@@ -18,6 +18,7 @@
 import looptime
 import pytest
 
+from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.util.clock import now
 from tests.gateway_cluster import (
     FOR_GOOD,
@@ -288,7 +289,9 @@
     apps = []
     for number in range(instances):
         name = f"n{number}"
-        make_client = functools.partial(SimulatedClient, by_id=endpoint_by_id, own=name)
+        make_client = functools.partial(
+            SimulatedClient, cluster=GatewayCluster(endpoint_by_id), own=name
+        )
         app = make_app(name, make_client)
         for endpoint in endpoint_by_id.values():
             app.get("catalog").registry.put(endpoint.endpoint)
@@ -459,7 +462,8 @@
         first.fall_silent(1.8)
         if denial == "quarantine":
             quarantine = cluster.memory.get("n0", "quarantine")
-            quarantine.delay_s = lambda parts: asyncio.sleep(0.01, result=9.0)
+            error = Error(ErrorKind.PROMPT_SUSPECTED, "", retry_after_s=9.0)
+            quarantine.find_refusal = lambda *_: asyncio.sleep(0.01, result=error)
         elif denial == "pool":
             placer = cluster.memory.get("n0", "placement")
             placer._chooser.find_pool = lambda name: None
