--- a/tests/test_gateway/test_gateway_silence.py
+++ b/tests/test_gateway/test_gateway_silence.py
@@ -553,7 +553,7 @@
         await asyncio.sleep(STREAM_DELAY_S)
         cluster.crash(first)
         check_whole(await task)
-        assert [(item.id, parts) for item, parts, _ in blamed] == [
+        assert [(item.id, keys.parts) for item, keys, _ in blamed] == [
             (first.endpoint.id, ("p1",))
         ]
 
