--- a/tests/test_gateway/test_gateway_silence.py
+++ b/tests/test_gateway/test_gateway_silence.py
@@ -16,6 +16,7 @@
 from typing import Any, Awaitable, Callable, Sequence
 
 import pytest
+from returns.result import Failure
 
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.util.clock import now
@@ -466,7 +467,8 @@
             quarantine.find_refusal = lambda *_: asyncio.sleep(0.01, result=error)
         elif denial == "pool":
             placer = cluster.memory.get("n0", "placement")
-            placer._chooser.find_pool = lambda name: None
+            error = Error(ErrorKind.NO_ENDPOINT, "", retry_after_s=1.0)
+            placer._pools.resolve = lambda request: Failure(error)
         else:
             for endpoint in cluster.endpoint_by_id.values():
                 endpoint.status = 500 if endpoint is not first else 200
