--- a/cicadacourse/platform/_endpoint_client.py
+++ b/cicadacourse/platform/_endpoint_client.py
@@ -4,9 +4,8 @@
 
 import asyncio
 import contextlib
-import math
 from collections import defaultdict
-from typing import AsyncIterator, Sequence
+from typing import AsyncIterator
 
 import attrs
 import h11
@@ -18,12 +17,12 @@
     EndpointClient,
     EndpointRequest,
     EndpointResponse,
-    Header,
     ResponseHead,
     SendFailure,
 )
 from cicadacourse.metrics import declare
 from cicadacourse.platform import _names as names
+from cicadacourse.platform._response_head import decode_headers, read_head
 from cicadacourse.util.clock import MS_PER_S, now
 from cicadacourse.util.connection import HttpConnection, HttpConnectionError
 
@@ -43,7 +42,6 @@
 # The endpoint may be closing one that idled for longer, and it would remain unknown
 # whether the request ran.
 MAX_IDLE_NON_IDEMPOTENT_S = 1.5
-_MISDIRECTED = 421
 
 
 @SERVICES.register("endpoint_caller")
@@ -129,7 +127,7 @@
             raise SendFailure(detail, True, "no_answer") from None
         if not isinstance(response, h11.Response):
             raise SendFailure("no response head was received", True, "malformed_answer")
-        head = _read_head(response)
+        head = read_head(response)
         if not _is_response_to(response, request):
             raise SendFailure(
                 "the response bears the id of another request", True, "foreign_answer"
@@ -266,51 +264,10 @@
     return headers
 
 
-def _read_head(response: h11.Response) -> ResponseHead:
-    headers = _decoded_headers(response)
-    by_name = {header.name.lower(): header.value for header in headers}
-    limit = by_name.get(names.HEADER_REQUEST_LIMIT.lower())
-    request_limit = None if limit is None else _parse_limit(limit)
-    is_misdirected = response.status_code == _MISDIRECTED
-    return ResponseHead(
-        status=response.status_code,
-        headers=tuple(
-            header
-            for header in headers
-            if header.name.lower() not in names.HEADERS_NOT_FORWARDED_TO_CALLERS
-        ),
-        never_ran=names.HEADER_NOT_EXECUTED.lower() in by_name or is_misdirected,
-        fault_address=by_name.get(names.HEADER_FAULTY_ENDPOINT.lower()),
-        request_limit=request_limit,
-        is_limit_malformed=limit is not None and request_limit is None,
-        is_misdirected=is_misdirected,
-    )
-
-
-def _parse_limit(text: str) -> float | None:
-    """Returns a limit in requests per second, or None if it is malformed.
-
-    >>> _parse_limit("1.5"), _parse_limit("-1"), _parse_limit("nan")
-    (1.5, None, None)
-    """
-    try:
-        limit = float(text)
-    except ValueError:
-        return None
-    return limit if math.isfinite(limit) and limit >= 0 else None
-
-
-def _decoded_headers(response: h11.Response) -> Sequence[Header]:
-    return [
-        Header(name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in response.headers.raw_items()
-    ]
-
-
 def _is_response_to(response: h11.Response, request: EndpointRequest) -> bool:
     """Returns False only if a response has the id of another request."""
     expected = request.caller.id
-    for header in _decoded_headers(response):
+    for header in decode_headers(response):
         if header.name.lower() == names.HEADER_REQUEST_ID.lower():
             return header.value == expected
     return True
@@ -318,7 +275,7 @@
 
 def _keep_alive_s(response: h11.Response) -> float:
     """Returns how long the connection may be idle before its next use, in seconds."""
-    for header in _decoded_headers(response):
+    for header in decode_headers(response):
         if header.name.lower() != "keep-alive":
             continue
         for part in header.value.split(","):
