Tests: endpoints that want no requests for a time, or that leave, still get them

The heads of responses have fields for both, which the simulated endpoints fill and nothing reads yet.

--- a/cicadacourse/exchange/_model.py
+++ b/cicadacourse/exchange/_model.py
@@ -112,6 +112,10 @@
         instances together, or None if it names no limit.
     :param is_limit_malformed: whether it names a limit that can't be read.
     :param is_misdirected: whether another endpoint responded than the request is for.
+    :param retry_after_s: for how many seconds the endpoint wants no further request
+        from this instance, or None if it states no such time.
+    :param is_retry_after_malformed: whether it states one that can't be read.
+    :param is_leaving: whether the endpoint states that its process is shutting down.
     """
 
     status: int
@@ -121,6 +125,9 @@
     request_limit: float | None = None
     is_limit_malformed: bool = False
     is_misdirected: bool = False
+    retry_after_s: float | None = None
+    is_retry_after_malformed: bool = False
+    is_leaving: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/cicadacourse/platform/_names.py
+++ b/cicadacourse/platform/_names.py
@@ -19,6 +19,8 @@
 HEADER_FAULTY_ENDPOINT = "At-Server"
 HEADER_LAST_EVENT_ID = "Last-Event-Id"
 HEADER_REQUEST_LIMIT = "Server-Limit"
+HEADER_RETRY_AFTER = "Retry-After"
+HEADER_ENDPOINT_LEAVING = "Server-Leaving"
 HEADER_STORE_ERA = "Store-Era"
 AUTH_SCHEME = "Bearer"
 
--- a/standins/platform/_worker_http.py
+++ b/standins/platform/_worker_http.py
@@ -74,6 +74,10 @@
     :ivar in_progress: the number of requests in progress.
     :ivar request_limit: the requests per second that it takes from all instances
         together, which its responses name; None if they name none.
+    :ivar retry_after: if not None, it refuses each request and states this value as the
+        time for which it wants no other.
+    :ivar leaving: the value by which its responses state whether it is shutting down;
+        None if they say nothing.
     :ivar arrivals: the requests that reached it, whether or not it ran them.
     :ivar crashing_part_ids: the parts of prompts under which it crashes as soon as it
         begins to write an answer.
@@ -98,6 +102,8 @@
         self.organisation_by_request: dict[str, str | None] = {}
         self.in_progress = 0
         self.request_limit: float | None = None
+        self.retry_after: str | None = None
+        self.leaving: str | None = None
         self.arrivals: list[Arrival] = []
         self.crashing_part_ids: set[str] = set()
         self.on_crash: Callable[[], None] = lambda: None
@@ -122,8 +128,18 @@
             self.set_header(names.HEADER_NOT_EXECUTED, "1")
             self.set_status(MISDIRECTED)
             self.finish()
-        elif self.worker.request_limit is not None:
+            return
+        if self.worker.request_limit is not None:
             self.set_header(names.HEADER_REQUEST_LIMIT, str(self.worker.request_limit))
+        if self.worker.leaving is not None:
+            self.set_header(names.HEADER_ENDPOINT_LEAVING, self.worker.leaving)
+
+    def refuse_for_now(self, retry_after: str) -> None:
+        """Refuses the request and states for how long no other is wanted."""
+        self.set_status(SERVICE_UNAVAILABLE)
+        self.set_header(names.HEADER_NOT_EXECUTED, "1")
+        self.set_header(names.HEADER_RETRY_AFTER, retry_after)
+        self.finish()
 
     def send_json(self, body: dict[str, Any]) -> None:
         """Finishes the response with a JSON object."""
@@ -144,6 +160,9 @@
         The status is 409 if too little is free, and 400 for another order or an
         endpoint without an engine.
         """
+        if self.worker.retry_after is not None:
+            self.refuse_for_now(self.worker.retry_after)
+            return
         order = json.loads(self.request.body)
         engine = self.worker.engine
         if engine is None or order.get("op") not in ("reserve", "release"):
@@ -182,7 +201,9 @@
         worker.arrivals.append(_read_arrival(self.request.headers))
         try:
             self._echo_request_id()
-            if worker.engine is None:
+            if worker.retry_after is not None:
+                self.refuse_for_now(worker.retry_after)
+            elif worker.engine is None:
                 await self._serve_call()
             else:
                 await self._serve_stream(worker.engine)
--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -31,6 +31,8 @@
 import_services()
 
 OK = 200
+UNAVAILABLE = 503
+MISDIRECTED = 421
 ENDPOINT_LINK_S = 0.004
 EVENT_BYTES = b"data: x\n\n"
 
@@ -44,6 +46,15 @@
     request: EndpointRequest
 
 
+@attrs.frozen
+class Answer:
+    """The head of a response that an instance received, at a loop time in seconds."""
+
+    at: float
+    instance: str
+    head: ResponseHead
+
+
 @attrs.define(eq=False)
 class SimulatedEndpoint:
     """An endpoint that takes a fixed time for each request.
@@ -52,6 +63,11 @@
     :param events: events of a stream, which follow the head.
     :param event_s: seconds before each event but the first.
     :ivar limit: the requests per second that its responses name, or None.
+    :ivar retry_after_s: if not None, it refuses each request and wants none for this
+        many seconds.
+    :ivar is_leaving: whether its responses state that it is shutting down.
+    :ivar fault_address: the address that its refusals blame, or None.
+    :ivar is_replaced: whether another endpoint responds at its address.
     :ivar is_down: whether its process has ended.
     :ivar on_start: called with each request that it begins to answer.
     """
@@ -61,14 +77,38 @@
     events: int = 4
     event_s: float = 0.04
     limit: float | None = None
+    retry_after_s: float | None = None
+    is_leaving: bool = False
+    fault_address: str | None = None
+    is_replaced: bool = False
     is_down: bool = False
     arrivals: list[Arrival] = attrs.field(factory=list)
+    answers: list[Answer] = attrs.field(factory=list)
     on_start: Callable[[SimulatedEndpoint, EndpointRequest], None] = lambda *_: None
 
     def arrivals_since(self, since: float) -> list[float]:
         """Returns the times of the arrivals from a moment on."""
         return [item.at for item in self.arrivals if item.at >= since]
 
+    def make_head(self) -> ResponseHead:
+        """Returns the head of its next response."""
+        if self.is_replaced:
+            status, retry_after_s = MISDIRECTED, None
+        elif self.retry_after_s is not None:
+            status, retry_after_s = UNAVAILABLE, self.retry_after_s
+        else:
+            status, retry_after_s = OK, None
+        return ResponseHead(
+            status,
+            (),
+            never_ran=status != OK,
+            fault_address=self.fault_address if status != OK else None,
+            request_limit=self.limit,
+            is_misdirected=self.is_replaced,
+            retry_after_s=retry_after_s,
+            is_leaving=self.is_leaving,
+        )
+
 
 def most_in_window(times: Sequence[float], window_s: float = 4.0) -> int:
     """Returns the largest number of times within any window of that length."""
@@ -127,15 +167,18 @@
         if endpoint.is_down:
             raise SendFailure("connection refused", False, "unreachable")
         endpoint.arrivals.append(Arrival(now(), self._own_name, request))
+        work_s = ENDPOINT_LINK_S if endpoint.make_head().never_ran else endpoint.work_s
         try:
             async with asyncio.timeout(head_timeout_s):
-                await asyncio.sleep(endpoint.work_s)
+                await asyncio.sleep(work_s)
         except TimeoutError:
             raise SendFailure("no head in time", True, "no_answer") from None
         if endpoint.is_down:
             raise SendFailure("lost", True, "broken", is_broken_off=True)
-        head = ResponseHead(OK, (), request_limit=endpoint.limit)
-        endpoint.on_start(endpoint, request)
+        head = endpoint.make_head()
+        endpoint.answers.append(Answer(now(), self._own_name, head))
+        if not head.never_ran:
+            endpoint.on_start(endpoint, request)
         is_stream = request.caller.prompt is not None
         yield _SimulatedResponse(head, endpoint, endpoint.events if is_stream else 1)
 
--- a/tests/test_gateway/test_gateway_histories.py
+++ b/tests/test_gateway/test_gateway_histories.py
@@ -194,6 +194,7 @@
         self.arrived = 0.0
         self.ended_at: float | None = None
         self.is_complete = False
+        self.error: Error | None = None
 
     async def send_response(self, head: ResponseHead, body: bytes) -> None:
         """Records a complete response."""
@@ -221,6 +222,7 @@
         assert not self.started
         self.started = True
         self.status = error.response.status
+        self.error = error
         self._end(is_complete=True)
 
     def abort(self) -> None:
