Placement: no requests to an endpoint that refused one and wants none for a time

Symptom: an endpoint that answers 503 with Retry-After got the next requests of the same instance as before, also right away if its whole pool did so. Cause: the header was not read. A refusal ejected an endpoint for 0.5 s, and at most 0.4 of a pool are ejected. If all endpoints of a pool decline, requests are refused at once with the time of the soonest return, unless that is within 1 s: then they wait, as a refused caller would come back no sooner and with one attempt less. Instances return spread over a tenth of the time, 0.5 s at most.

A request that arrives in the last second before the return may wait: "at once" is asserted for all earlier ones, the rule for all.

--- a/cicadacourse/catalog/_endpoint.py
+++ b/cicadacourse/catalog/_endpoint.py
@@ -37,6 +37,11 @@
     state: EndpointState = EndpointState.READY
     started_ms: int | None = None
 
+    @property
+    def process_key(self) -> str:
+        """What identifies its process at all instances: its id and its start."""
+        return f"{self.id}@{self.started_ms or 0}"
+
     def is_same_process(self, other: Endpoint) -> bool:
         """Returns whether both records describe the same process."""
         return (self.id, self.address, self.pool, self.started_ms) == (
--- a/cicadacourse/cmd/explain.py
+++ b/cicadacourse/cmd/explain.py
@@ -32,6 +32,7 @@
         logs.CONFIGURATION_IN_FORCE,
         logs.ENDPOINT_GONE,
         logs.ENDPOINT_EJECTED,
+        logs.ENDPOINT_DECLINES,
         logs.INSTANCE_LEAVING,
         logs.INSTANCE_STARTED,
         logs.MEMBER_DIED,
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -134,6 +134,7 @@
     ) -> bool:
         head = response.head
         self._limits.observe(placement.endpoint, head, sent_at)
+        self._placer.declines.observe(placement.endpoint, head)
         if head.never_ran:
             self._reporter.report_refusal(response, placement)
             return False
--- a/cicadacourse/limits/_service.py
+++ b/cicadacourse/limits/_service.py
@@ -68,7 +68,7 @@
         if head.is_limit_malformed:
             log(ENDPOINT_LIMIT_REFUSED, endpoint=endpoint.id)
             return
-        key = _key_of(endpoint)
+        key = endpoint.process_key
         known = self._limit_by_key.get(key)
         limit = head.request_limit
         if known is None and limit is None:
@@ -91,7 +91,7 @@
         """Returns the requests per second that an endpoint takes, or None."""
         if not self._limit_by_key:
             return None
-        return self._limit_by_key.get(_key_of(endpoint))
+        return self._limit_by_key.get(endpoint.process_key)
 
     def available_at(self, endpoint: Endpoint) -> float:
         """Returns from when on a permit for an endpoint is worth asking for.
@@ -100,7 +100,7 @@
         """
         if self.limit_of(endpoint) is None:
             return float("-inf")
-        return self._available_at_by_key.get(_key_of(endpoint), float("-inf"))
+        return self._available_at_by_key.get(endpoint.process_key, float("-inf"))
 
     async def acquire(self, endpoint: Endpoint, max_wait_s: float) -> Permit:
         """Asks for a permit to send one request to an endpoint.
@@ -110,7 +110,7 @@
         limit = self.limit_of(endpoint)
         if limit is None:
             return Permit(is_granted=True, wait_s=0.0)
-        key = _key_of(endpoint)
+        key = endpoint.process_key
         permit = await self._permits.acquire(
             f"{ENDPOINT_LIMIT} {key}", max(MIN_RATE, limit), max_wait_s
         )
@@ -149,15 +149,10 @@
     def _forget_former_process(self, endpoint: Endpoint) -> None:
         current = self.app.get("catalog").registry.find(endpoint.id)
         if current is None or not current.is_same_process(endpoint):
-            self._forget(_key_of(endpoint))
+            self._forget(endpoint.process_key)
             self.app.metrics.set(LIMITED_ENDPOINTS, len(self._limit_by_key))
 
     def _forget(self, key: str) -> None:
         self._limit_by_key.pop(key, None)
         self._available_at_by_key.pop(key, None)
         self._confirmed_at_by_key.pop(key, None)
-
-
-def _key_of(endpoint: Endpoint) -> str:
-    """Returns what identifies the process of an endpoint at all instances."""
-    return f"{endpoint.id}@{endpoint.started_ms or 0}"
--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -220,6 +220,25 @@
 ENDPOINT_READMITTED = _declare(
     "placement", "endpoint back", "`endpoint` is no longer ejected."
 )
+ENDPOINT_DECLINES = _declare(
+    "placement",
+    "endpoint declines requests",
+    "`endpoint` has refused a request and wants no other from this instance for"
+    " `for_s`, in which it gets none.",
+    True,
+)
+ENDPOINT_ACCEPTS = _declare(
+    "placement",
+    "endpoint accepts requests again",
+    "The time for which `endpoint` wanted no requests is over.",
+)
+ENDPOINT_RETRY_AFTER_REFUSED = _declare(
+    "placement",
+    "endpoint retry time refused",
+    "`endpoint` has refused a request and states a time that can't be read; it is"
+    " ignored.",
+    True,
+)
 FACTS_REFUSED = _declare(
     "evidence",
     "facts refused",
--- a/cicadacourse/placement/_chooser.py
+++ b/cicadacourse/placement/_chooser.py
@@ -12,6 +12,7 @@
 from cicadacourse.load import LoadService
 from cicadacourse.placement._admission import admit_prompt, soonest_first_event_s
 from cicadacourse.placement._calls import choose_endpoint
+from cicadacourse.placement._declines import Declines
 from cicadacourse.placement._ejections import Ejections
 from cicadacourse.placement._model import Candidate, Placement, PlacementRequest
 from cicadacourse.placement._placements import place_call, place_prompt
@@ -26,22 +27,43 @@
     """
 
     def __init__(
-        self, app: Application, instance: InstanceSettings, ejections: Ejections
+        self,
+        app: Application,
+        instance: InstanceSettings,
+        ejections: Ejections,
+        declines: Declines,
     ) -> None:
         self._catalog_service: CatalogService = app.get("catalog")
         self._load: LoadService = app.get("load")
         self._limits: EndpointLimits = app.get("limits")
         self._instance = instance
         self._ejections = ejections
+        self._declines = declines
 
     def find_pool(self, name: str) -> Pool | None:
         """Returns the pool of that name, or None if it is not configured."""
         catalog = self._catalog_service.catalog
         return catalog.pool_by_name.get(name) if catalog else None
 
-    def is_empty(self, pool: str) -> bool:
-        """Returns whether a pool has no live endpoint."""
-        return not self._catalog_service.registry.ready(pool)
+    def returns_at(self, pool: str) -> float:
+        """Returns from when on an endpoint of a pool accepts requests.
+
+        :returns: loop time in seconds, in the past if one accepts requests now;
+            infinity if the pool has no live endpoint.
+        """
+        ready = self._catalog_service.registry.ready(pool)
+        times = [self._declines.returns_at(item) for item in ready]
+        return min(times, default=float("inf"))
+
+    def usable_endpoints(self, pool: str) -> list[Endpoint]:
+        """Returns the endpoints of a pool that accept requests and may be used.
+
+        Those that decline requests are left out, and so are ejected ones, up to the
+        largest share of the others that may be ejected.
+        """
+        ready = self._catalog_service.registry.ready(pool)
+        accepting = [item for item in ready if self._declines.accepts(item)]
+        return self._ejections.select_usable(accepting)
 
     def is_deadline_unreachable(self, request: PlacementRequest, pool: Pool) -> bool:
         """Returns whether even an idle pool would miss the deadline of a prompt."""
@@ -62,7 +84,7 @@
         now_s = now()
         limit = pool.max_connections
         requests = self._load.table.count_own_requests() if limit else {}
-        usable = self._ejections.usable_endpoints(pool.name)
+        usable = self.usable_endpoints(pool.name)
         if self._limits.has_any and not with_limited:
             usable = [
                 item for item in usable if self._limits.available_at(item) <= now_s
@@ -83,7 +105,7 @@
         """Returns whether any usable endpoint of a pool names a limit."""
         if not self._limits.has_any:
             return False
-        usable = self._ejections.usable_endpoints(pool)
+        usable = self.usable_endpoints(pool)
         return any(self._limits.limit_of(item) is not None for item in usable)
 
     def endpoints_at_limit(self, pool: str) -> list[Endpoint]:
@@ -94,7 +116,7 @@
         """
         if not self._limits.has_any:
             return []
-        usable = self._ejections.usable_endpoints(pool)
+        usable = self.usable_endpoints(pool)
         now_s = now()
         if any(self._limits.available_at(item) <= now_s for item in usable):
             return []
--- /dev/null
+++ b/cicadacourse/placement/_declines.py
@@ -0,0 +1,132 @@
+"""Endpoints that want no requests from this instance for a time.
+
+An endpoint in need states with a refusal for how long it wants no other request from
+the instance that sent this one. That concerns one process of the endpoint and only this
+instance: the others learn it from refusals of their own.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from typing import Callable
+
+import attrs
+
+from cicadacourse.application import Application
+from cicadacourse.catalog import CatalogService, Endpoint
+from cicadacourse.events import ENDPOINT_CHANGED
+from cicadacourse.exchange import ResponseHead
+from cicadacourse.logs import (
+    ENDPOINT_ACCEPTS,
+    ENDPOINT_DECLINES,
+    ENDPOINT_RETRY_AFTER_REFUSED,
+    log,
+)
+from cicadacourse.metrics import declare
+from cicadacourse.placement._ejections import TIMER_SLACK_S
+from cicadacourse.util.clock import now
+
+DECLINING_ENDPOINTS = declare(
+    "declining_endpoints", "Endpoints that want no requests from this instance."
+)
+
+# Instances that were refused at the same time come back spread over this share of the
+# time, so that an endpoint in need does not get all that they hold back at once.
+RETURN_SPREAD_SHARE = 0.1
+MAX_RETURN_SPREAD_S = 0.5
+# Bounds the memory; the process that returns first is dropped.
+MAX_DECLINES = 2000
+
+
+@attrs.frozen
+class _Decline:
+    """One process that wants no requests until a loop time in seconds."""
+
+    endpoint: Endpoint
+    until: float
+    timer: asyncio.TimerHandle
+
+
+class Declines:
+    """Knows which processes of endpoints decline requests, and until when.
+
+    :param on_change: called after each change.
+    """
+
+    def __init__(self, app: Application, on_change: Callable[[], None]) -> None:
+        self._app = app
+        self._catalog_service: CatalogService = app.get("catalog")
+        self._on_change = on_change
+        self._decline_by_key: dict[str, _Decline] = {}
+        app.events.connect(ENDPOINT_CHANGED, self._forget_former_process)
+
+    def observe(self, endpoint: Endpoint, head: ResponseHead) -> None:
+        """Records what a response of an endpoint says about further requests.
+
+        A response of another endpoint at its address says nothing about it.
+        """
+        if head.is_misdirected:
+            return
+        if head.is_retry_after_malformed:
+            log(ENDPOINT_RETRY_AFTER_REFUSED, endpoint=endpoint.id)
+        if head.retry_after_s:
+            self._decline(endpoint, head.retry_after_s)
+
+    def accepts(self, endpoint: Endpoint) -> bool:
+        """Returns whether requests may be sent to an endpoint now."""
+        return self.returns_at(endpoint) <= now()
+
+    def returns_at(self, endpoint: Endpoint) -> float:
+        """Returns from when on an endpoint accepts requests, loop time in seconds.
+
+        :returns: minus infinity if it has not declined any.
+        """
+        decline = self._decline_by_key.get(endpoint.process_key)
+        return float("-inf") if decline is None else decline.until
+
+    def _decline(self, endpoint: Endpoint, for_s: float) -> None:
+        """Sends nothing to an endpoint for a time; never shortens an earlier one."""
+        spread_s = min(MAX_RETURN_SPREAD_S, RETURN_SPREAD_SHARE * for_s)
+        for_s += random.uniform(0.0, spread_s)
+        until = now() + for_s
+        if until <= self.returns_at(endpoint):
+            return
+        key = endpoint.process_key
+        self._forget(key)
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(for_s + TIMER_SLACK_S, self._end, key)
+        self._decline_by_key[key] = _Decline(endpoint, until, timer)
+        self._drop_first()
+        log(ENDPOINT_DECLINES, endpoint=endpoint.id, for_s=round(for_s, 3))
+        self._report_change()
+
+    def _end(self, key: str) -> None:
+        endpoint = self._decline_by_key[key].endpoint
+        self._forget(key)
+        log(ENDPOINT_ACCEPTS, endpoint=endpoint.id)
+        self._report_change()
+
+    def _drop_first(self) -> None:
+        if len(self._decline_by_key) > MAX_DECLINES:
+            declines = self._decline_by_key
+            self._forget(min(declines, key=lambda key: declines[key].until))
+
+    def _forget_former_process(self, endpoint: Endpoint) -> None:
+        """Forgets a process that has ended; one that lost its entry may be running."""
+        current = self._catalog_service.registry.find(endpoint.id)
+        is_unlisted = current is None and endpoint.started_ms is not None
+        if is_unlisted or (current is not None and current.is_same_process(endpoint)):
+            return
+        if endpoint.process_key in self._decline_by_key:
+            self._forget(endpoint.process_key)
+            self._report_change()
+
+    def _forget(self, key: str) -> None:
+        decline = self._decline_by_key.pop(key, None)
+        if decline is not None:
+            decline.timer.cancel()
+
+    def _report_change(self) -> None:
+        self._app.metrics.set(DECLINING_ENDPOINTS, len(self._decline_by_key))
+        self._on_change()
--- a/cicadacourse/placement/_ejections.py
+++ b/cicadacourse/placement/_ejections.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Callable
+from typing import Callable, Sequence
 
 from cicadacourse.application import Application
 from cicadacourse.catalog import CatalogService, Endpoint
@@ -31,14 +31,13 @@
         self._catalog_service: CatalogService = app.get("catalog")
         self._on_readmitted = on_readmitted
 
-    def usable_endpoints(self, pool: str) -> list[Endpoint]:
-        """Returns the endpoints of a pool that accept requests and may be used.
+    def select_usable(self, endpoints: Sequence[Endpoint]) -> list[Endpoint]:
+        """Returns endpoints of a pool without those that are ejected.
 
-        Ejected ones are left out, up to the largest share that may be ejected.
+        At most the largest share that may be ejected is left out.
         """
-        ready = self._catalog_service.registry.ready(pool)
-        ids = self.health.usable_ids([item.id for item in ready], now())
-        return [item for item in ready if item.id in ids]
+        ids = self.health.usable_ids([item.id for item in endpoints], now())
+        return [item for item in endpoints if item.id in ids]
 
     def forget_former_process(self, endpoint: Endpoint) -> None:
         """Removes the failures of an endpoint that was removed or has restarted."""
--- a/cicadacourse/placement/_errors.py
+++ b/cicadacourse/placement/_errors.py
@@ -10,6 +10,7 @@
 RETRY_AFTER_FULL_S = 0.5
 REASON_CONNECTIONS = "connections_in_use"
 REASON_LIMITS = "endpoint_limits"
+REASON_DECLINED = "endpoints_declined"
 # An earlier retry would find the same endpoints at their limits.
 MIN_RETRY_AFTER_LIMITED_S = 0.1
 
@@ -53,6 +54,19 @@
     )
 
 
+def pool_declines(pool: str, wait_s: float) -> Error:
+    """Returns the error for a request while all endpoints want none for a time.
+
+    :param wait_s: seconds until the first of them accepts requests again.
+    """
+    return Error(
+        ErrorKind.OVERLOADED,
+        f"the endpoints of pool {pool} want no requests for {wait_s:.1f} s",
+        reason=REASON_DECLINED,
+        retry_after_s=wait_s,
+    )
+
+
 def deadline_unreachable(pool: str) -> Error:
     """Returns the error for a prompt that can't be prefilled before its deadline."""
     detail = f"pool {pool} cannot prefill the prompt before the deadline"
--- a/cicadacourse/placement/_queue.py
+++ b/cicadacourse/placement/_queue.py
@@ -68,8 +68,8 @@
     :param since: when it arrived, loop time in seconds.
     :ivar was_queued: whether it has been in the queue.
     :ivar permit: a permit that was reserved for the request, or None.
-    :ivar placement: a future that is set on placement; replaced by a new one each time
-        that the request is queued.
+    :ivar placement: a future that is set on placement, or to None if the request has to
+        be looked at again; replaced by a new one each time that the request is queued.
     """
 
     request: PlacementRequest
@@ -78,7 +78,7 @@
     since: float
     was_queued: bool = False
     permit: HeldPermit | None = None
-    placement: asyncio.Future[Placement] = attrs.field(
+    placement: asyncio.Future[Placement | None] = attrs.field(
         factory=lambda: asyncio.get_running_loop().create_future()
     )
 
--- a/cicadacourse/placement/_service.py
+++ b/cicadacourse/placement/_service.py
@@ -20,6 +20,8 @@
 from cicadacourse.placement import _errors as errors
 from cicadacourse.placement._chooser import Chooser
 from cicadacourse.placement._contention import CONTENTION_WINDOW_S, must_yield
+from cicadacourse.placement._decline_gate import DeclineGate
+from cicadacourse.placement._declines import Declines
 from cicadacourse.placement._dispatcher import RECHECK_RANGE_S, Dispatcher
 from cicadacourse.placement._ejections import Ejections
 from cicadacourse.placement._health import EndpointHealth
@@ -37,7 +39,10 @@
 
 @SERVICES.register("placement")
 class Placer(Service):
-    """Places requests by the known load of the endpoints."""
+    """Places requests by the known load of the endpoints.
+
+    :ivar declines: the endpoints that want no requests from this instance.
+    """
 
     name = "placement"
 
@@ -48,7 +53,9 @@
         self._load: LoadService = app.get("load")
         self._queue = WaitQueue()
         self._ejections = Ejections(app, self._schedule)
-        self._chooser = Chooser(app, instance, self._ejections)
+        self.declines = Declines(app, self._declines_changed)
+        self._chooser = Chooser(app, instance, self._ejections, self.declines)
+        self._decline_gate = DeclineGate(self.declines, self._chooser, self._queue)
         self._limit_gate = LimitGate(app.get("limits"), self._chooser)
         self._dispatcher = Dispatcher(self._queue, self._chooser)
         app.events.connect(LOAD_CHANGED, self._dispatcher.schedule)
@@ -69,8 +76,8 @@
         Its assignments count as in progress while the context is open, and so does a
         connection to its endpoint. The result is a Failure if the pool is not
         configured or has no live endpoint, if the prompt can't be prefilled before its
-        deadline, if no endpoint's limit allows the request in time, or if its time in
-        the queue is over.
+        deadline, if no endpoint accepts the request in time, by its limit or as it
+        declines requests, or if the time in the queue is over.
         """
         pool = self._chooser.find_pool(request.pool)
         if pool is None:
@@ -90,7 +97,7 @@
             if self._chooser.has_connection(placement.endpoint):
                 with self._load.track(*placement.assignments):
                     if await self._is_confirmed(waiter, placement):
-                        if await self._limit_gate.may_send(waiter, placement):
+                        if await self._may_send(waiter, placement):
                             yield result
                             return
                         # Another endpoint may take it at once.
@@ -100,9 +107,9 @@
     def usable_endpoints(self, pool: str) -> list[Endpoint]:
         """Returns the endpoints of a pool that accept requests and may be used.
 
-        Ejected ones are left out, up to the largest share that may be ejected.
+        See :meth:`Chooser.usable_endpoints`.
         """
-        return self._ejections.usable_endpoints(pool)
+        return self._chooser.usable_endpoints(pool)
 
     def report_transport_failure(self, endpoint_id: str, reason: str) -> None:
         """Records a failed connection, an aborted exchange or a missing response."""
@@ -113,8 +120,13 @@
         self._ejections.report_error_response(endpoint_id)
 
     def report_refusal(self, endpoint_id: str) -> None:
-        """Records that an endpoint refused a request."""
-        self._ejections.report_refusal(endpoint_id)
+        """Records that an endpoint refused a request.
+
+        One that has stated for how long it declines requests is not ejected as well.
+        """
+        endpoint = self.app.get("catalog").registry.find(endpoint_id)
+        if endpoint is None or self.declines.accepts(endpoint):
+            self._ejections.report_refusal(endpoint_id)
 
     async def _find_placement(
         self, waiter: Waiter, pool: Pool
@@ -129,8 +141,9 @@
                 placement = self._chooser.try_place(request, pool, candidates)
                 if placement is not None:
                     return Success(placement)
-            if self._chooser.is_empty(pool.name):
-                return Failure(errors.pool_empty(pool.name))
+            refusal = self._decline_gate.find_refusal(waiter.request_at(now()))
+            if refusal is not None:
+                return Failure(refusal)
             result = None
             at_limit = self._chooser.endpoints_at_limit(pool.name)
             if at_limit:
@@ -159,13 +172,18 @@
         )
         return False
 
+    async def _may_send(self, waiter: Waiter, placement: Placement) -> bool:
+        """Returns whether the endpoints of a placement take the request now."""
+        may_send = await self._limit_gate.may_send(waiter, placement)
+        return may_send and self._decline_gate.may_send(placement)
+
     def _has_peers(self) -> bool:
         return len(self.app.get("membership").members()) > 1
 
     async def _wait(self, waiter: Waiter) -> Result[Placement, Error] | None:
         """Queues a request until it is placed or its time in the queue is over.
 
-        :returns: None if the limits of the pool's endpoints have to be looked at again.
+        :returns: None if what the pool's endpoints take has to be looked at again.
         """
         request = waiter.request_at(now())
         waiter.placement = asyncio.get_running_loop().create_future()
@@ -175,7 +193,8 @@
         self._dispatcher.schedule_recheck()
         try:
             async with asyncio.timeout(self._max_wait_s(request)):
-                return Success(await waiter.placement)
+                placement = await waiter.placement
+                return None if placement is None else Success(placement)
         except TimeoutError:
             if waiter.request_at(now()).wait_s > 0:
                 return None
@@ -210,6 +229,11 @@
         self._ejections.forget_former_process(endpoint)
         self._schedule()
 
+    def _declines_changed(self) -> None:
+        """Refuses queued requests that can't be served in time, and tries others."""
+        self._decline_gate.wake_refused()
+        self._schedule()
+
     def _schedule(self) -> None:
         self._dispatcher.schedule()
 
--- a/cicadacourse/platform/_endpoint_client.py
+++ b/cicadacourse/platform/_endpoint_client.py
@@ -95,15 +95,19 @@
             self._release(endpoint, connection)
 
     def _check_ready(self, endpoint: Endpoint) -> None:
-        """Checks the registry again, as time has passed since the endpoint was chosen.
+        """Checks the endpoint again, as time has passed since it was chosen.
 
-        :raises SendFailure: if the endpoint leaves, is gone or has restarted.
+        :raises SendFailure: if the endpoint leaves, is gone or has restarted, or if it
+            wants no requests from this instance for a time.
         """
         current = self.app.get("catalog").registry.find(endpoint.id)
         is_same = current is not None and current.is_same_process(endpoint)
         if not is_same or current.state is not EndpointState.READY:
             detail = "the endpoint no longer accepts requests"
             raise SendFailure(detail, False, "endpoint_leaving", is_withdrawn=True)
+        if not self.app.get("placement").declines.accepts(endpoint):
+            detail = "the endpoint wants no requests from this instance for a time"
+            raise SendFailure(detail, False, "endpoint_declined", is_withdrawn=True)
 
     async def _send(
         self,
--- a/cicadacourse/platform/_kv_cache_client.py
+++ b/cicadacourse/platform/_kv_cache_client.py
@@ -12,7 +12,9 @@
 from cicadacourse.application import SERVICES, Service
 from cicadacourse.catalog import Endpoint
 from cicadacourse.errors import Error, ErrorKind
+from cicadacourse.exchange import ResponseHead
 from cicadacourse.platform import _names as names
+from cicadacourse.platform._response_head import read_head
 from cicadacourse.reservations import KvCacheClient
 from cicadacourse.util.clock import MS_PER_S
 from cicadacourse.util.connection import HttpConnection, HttpConnectionError
@@ -63,16 +65,17 @@
     ) -> Result[None, Error]:
         try:
             async with asyncio.timeout(ORDER_TIMEOUT_S):
-                status = await _exchange(endpoint, order)
+                head = await _exchange(endpoint, order)
         except (TimeoutError, HttpConnectionError, h11.LocalProtocolError) as error:
             detail = f"no response to the order: {error!r}"
             return Failure(Error(ErrorKind.ENDPOINT_UNREACHABLE, detail))
-        if status == _OK:
+        self.app.get("placement").declines.observe(endpoint, head)
+        if head.status == _OK:
             return Success(None)
-        return Failure(Error(ErrorKind.ENDPOINT_REFUSED, f"HTTP status {status}"))
+        return Failure(Error(ErrorKind.ENDPOINT_REFUSED, f"HTTP status {head.status}"))
 
 
-async def _exchange(endpoint: Endpoint, order: dict[str, Any]) -> int:
+async def _exchange(endpoint: Endpoint, order: dict[str, Any]) -> ResponseHead:
     connection = await HttpConnection.connect(endpoint.address, ORDER_TIMEOUT_S)
     body = json.dumps(order).encode()
     headers = [
@@ -87,6 +90,6 @@
         response = await connection.receive()
         if not isinstance(response, h11.Response):
             raise HttpConnectionError("no response head was received")
-        return response.status_code
+        return read_head(response)
     finally:
         connection.close()
--- a/cicadacourse/platform/_response_head.py
+++ b/cicadacourse/platform/_response_head.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 from typing import Sequence
 
 import h11
@@ -10,7 +11,11 @@
 from cicadacourse.exchange import Header, ResponseHead
 from cicadacourse.platform import _names as names
 
+# Bounds the times that endpoints state: timers have no greater one.
+MAX_RETRY_AFTER_S = 86_400.0
+_SECONDS = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 _MISDIRECTED = 421
+_UNAVAILABLE = 503
 
 
 def read_head(response: h11.Response) -> ResponseHead:
@@ -20,6 +25,9 @@
     limit = by_name.get(names.HEADER_REQUEST_LIMIT.lower())
     request_limit = None if limit is None else _parse_limit(limit)
     is_misdirected = response.status_code == _MISDIRECTED
+    is_unavailable = response.status_code == _UNAVAILABLE
+    delay = by_name.get(names.HEADER_RETRY_AFTER.lower()) if is_unavailable else None
+    retry_after_s = None if delay is None else _parse_retry_after(delay)
     return ResponseHead(
         status=response.status_code,
         headers=tuple(
@@ -32,6 +40,8 @@
         request_limit=request_limit,
         is_limit_malformed=limit is not None and request_limit is None,
         is_misdirected=is_misdirected,
+        retry_after_s=retry_after_s,
+        is_retry_after_malformed=delay is not None and retry_after_s is None,
     )
 
 
@@ -48,6 +58,17 @@
     return limit if math.isfinite(limit) and limit >= 0 else None
 
 
+def _parse_retry_after(text: str) -> float | None:
+    """Returns a time in seconds, or None if it is malformed, as a date is.
+
+    >>> _parse_retry_after("0.5"), _parse_retry_after("-1"), _parse_retry_after("1e9")
+    (0.5, None, None)
+    """
+    if _SECONDS.fullmatch(text) is None:
+        return None
+    return min(float(text), MAX_RETRY_AFTER_S)
+
+
 def decode_headers(response: h11.Response) -> Sequence[Header]:
     """Returns the headers of a response in their order."""
     return [
--- a/tests/test_placement/test_placement_retry_after.py
+++ b/tests/test_placement/test_placement_retry_after.py
@@ -28,6 +28,8 @@
 GRACE_S = 0.5
 MAX_ARRIVALS = 2
 SEND_PERIOD_S = 0.03
+# Requests may wait for an endpoint that returns this soon.
+SOON_S = 1.0
 # A refusal that needs no wait is sent within this time.
 AT_ONCE_S = 0.2
 
@@ -92,13 +94,16 @@
         replies = await send_to(cluster, ["n0", "n1", "n2"][:instances], seconds, path)
         check(cluster)
         assert share_served(replies) == 0
-        late = [item for item in replies if took_s(item) > AT_ONCE_S]
-        assert not late
+        returns_at = min(
+            item.answers[0].at + RETRY_AFTER_S for item in endpoint_by_id.values()
+        )
+        early = [item for item in replies if item.arrived < returns_at - SOON_S]
+        assert early
+        assert all(took_s(item) <= AT_ONCE_S for item in early)
         assert {reply.status for reply in replies} == {503}
         if instances == 1:
-            last = replies[-1]
-            returns_at = endpoint_by_id[f"{pool}-0"].answers[0].at + RETRY_AFTER_S
-            assert last.error.retry_after_s >= returns_at - last.ended_at - 0.1
+            last = early[-1]
+            assert last.error.retry_after_s >= returns_at - last.ended_at
             assert last.error.retry_after_s <= RETRY_AFTER_S
 
 
@@ -286,10 +291,11 @@
 async def _helpers() -> None:
     endpoint_by_id = make_endpoints(4)
     async with gateway_cluster(1, endpoint_by_id) as cluster:
-        unwilling = endpoint_by_id["engines-1"]
+        await cluster.load(40.0, 0.5)
+        unwilling = cluster.busiest_endpoint()
         unwilling.retry_after_s = RETRY_AFTER_S
         await cluster.load(40.0, 0.5)
-        assert unwilling.answers
+        assert unwilling.answers[-1].head.retry_after_s
         since = now()
         await cluster.load(2.0, 3.0, tokens=150_000)
         helpers = {
