Placement: no requests to an endpoint whose responses state that it leaves

Symptom: an endpoint that answers with Server-Leaving: 1 got requests until the registry listed it as leaving or gone, which may be many seconds later, or never while the store is down. Cause: the header was not read; only the registry said that an endpoint leaves. Change: each response's head says whether its endpoint leaves (only the value 1). The process gets nothing more, in all uses that heed declined requests and whatever the share; the instance tells the others by one fact of that process. It holds until another process of the endpoint is listed; an entry that lapses and comes back doesn't end it. A pool all of whose endpoints leave is refused like one without endpoints, queued requests too.

--- a/cicadacourse/cmd/explain.py
+++ b/cicadacourse/cmd/explain.py
@@ -33,6 +33,7 @@
         logs.ENDPOINT_GONE,
         logs.ENDPOINT_EJECTED,
         logs.ENDPOINT_DECLINES,
+        logs.ENDPOINT_LEAVES,
         logs.INSTANCE_LEAVING,
         logs.INSTANCE_STARTED,
         logs.MEMBER_DIED,
--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -232,6 +232,14 @@
     "endpoint accepts requests again",
     "The time for which `endpoint` wanted no requests is over.",
 )
+ENDPOINT_LEAVES = _declare(
+    "placement",
+    "endpoint states that it leaves",
+    "`endpoint` gets no request any more, until another process of it starts; `source`"
+    " is `response`, or `peers` if another instance received the statement `age_s`"
+    " ago.",
+    True,
+)
 ENDPOINT_RETRY_AFTER_REFUSED = _declare(
     "placement",
     "endpoint retry time refused",
--- a/cicadacourse/placement/_chooser.py
+++ b/cicadacourse/placement/_chooser.py
@@ -49,12 +49,17 @@
         """Returns from when on an endpoint of a pool accepts requests.
 
         :returns: loop time in seconds, in the past if one accepts requests now;
-            infinity if the pool has no live endpoint.
+            infinity if the pool has no live endpoint, or if all of them leave.
         """
         ready = self._catalog_service.registry.ready(pool)
         times = [self._declines.returns_at(item) for item in ready]
         return min(times, default=float("inf"))
 
+    def _count_staying(self, pool: str) -> int:
+        """Returns how many endpoints of a pool accept requests now or later."""
+        ready = self._catalog_service.registry.ready(pool)
+        return sum(self._declines.returns_at(item) < float("inf") for item in ready)
+
     def usable_endpoints(self, pool: str) -> list[Endpoint]:
         """Returns the endpoints of a pool that accept requests and may be used.
 
@@ -71,7 +76,7 @@
             return False
         if pool.engine.prefill_s(request.prompt_tokens) < request.time_left_s:
             return False
-        engines = len(self._catalog_service.registry.ready(request.pool))
+        engines = self._count_staying(request.pool)
         soonest_s = soonest_first_event_s(request, pool.engine, engines)
         return engines > 0 and soonest_s >= request.time_left_s
 
--- a/cicadacourse/placement/_declines.py
+++ b/cicadacourse/placement/_declines.py
@@ -1,8 +1,9 @@
-"""Endpoints that want no requests from this instance for a time.
+"""Endpoints that want no requests from this instance, for a time or for good.
 
 An endpoint in need states with a refusal for how long it wants no other request from
 the instance that sent this one. That concerns one process of the endpoint and only this
-instance: the others learn it from refusals of their own.
+instance: the others learn it from refusals of their own. An endpoint that leaves wants
+no more requests from any instance.
 """
 
 from __future__ import annotations
@@ -25,10 +26,12 @@
 )
 from cicadacourse.metrics import declare
 from cicadacourse.placement._ejections import TIMER_SLACK_S
+from cicadacourse.placement._leaving import LeavingEndpoints
 from cicadacourse.util.clock import now
 
 DECLINING_ENDPOINTS = declare(
-    "declining_endpoints", "Endpoints that want no requests from this instance."
+    "declining_endpoints",
+    "Endpoints that want no requests from this instance for a time.",
 )
 
 # Instances that were refused at the same time come back spread over this share of the
@@ -59,6 +62,7 @@
         self._catalog_service: CatalogService = app.get("catalog")
         self._on_change = on_change
         self._decline_by_key: dict[str, _Decline] = {}
+        self._leaving = LeavingEndpoints(app, on_change)
         app.events.connect(ENDPOINT_CHANGED, self._forget_former_process)
 
     def observe(self, endpoint: Endpoint, head: ResponseHead) -> None:
@@ -72,6 +76,8 @@
             log(ENDPOINT_RETRY_AFTER_REFUSED, endpoint=endpoint.id)
         if head.retry_after_s:
             self._decline(endpoint, head.retry_after_s)
+        if head.is_leaving:
+            self._leaving.add(endpoint)
 
     def accepts(self, endpoint: Endpoint) -> bool:
         """Returns whether requests may be sent to an endpoint now."""
@@ -80,8 +86,10 @@
     def returns_at(self, endpoint: Endpoint) -> float:
         """Returns from when on an endpoint accepts requests, loop time in seconds.
 
-        :returns: minus infinity if it has not declined any.
+        :returns: minus infinity if it has not declined any, infinity if it leaves.
         """
+        if endpoint in self._leaving:
+            return float("inf")
         decline = self._decline_by_key.get(endpoint.process_key)
         return float("-inf") if decline is None else decline.until
 
@@ -114,9 +122,7 @@
 
     def _forget_former_process(self, endpoint: Endpoint) -> None:
         """Forgets a process that has ended; one that lost its entry may be running."""
-        current = self._catalog_service.registry.find(endpoint.id)
-        is_unlisted = current is None and endpoint.started_ms is not None
-        if is_unlisted or (current is not None and current.is_same_process(endpoint)):
+        if not self._catalog_service.registry.has_ended(endpoint):
             return
         if endpoint.process_key in self._decline_by_key:
             self._forget(endpoint.process_key)
--- a/cicadacourse/platform/_endpoint_client.py
+++ b/cicadacourse/platform/_endpoint_client.py
@@ -98,7 +98,7 @@
         """Checks the endpoint again, as time has passed since it was chosen.
 
         :raises SendFailure: if the endpoint leaves, is gone or has restarted, or if it
-            wants no requests from this instance for a time.
+            wants no requests from this instance.
         """
         current = self.app.get("catalog").registry.find(endpoint.id)
         is_same = current is not None and current.is_same_process(endpoint)
@@ -106,7 +106,7 @@
             detail = "the endpoint no longer accepts requests"
             raise SendFailure(detail, False, "endpoint_leaving", is_withdrawn=True)
         if not self.app.get("placement").declines.accepts(endpoint):
-            detail = "the endpoint wants no requests from this instance for a time"
+            detail = "the endpoint wants no requests from this instance"
             raise SendFailure(detail, False, "endpoint_declined", is_withdrawn=True)
 
     async def _send(
--- a/cicadacourse/platform/_response_head.py
+++ b/cicadacourse/platform/_response_head.py
@@ -14,6 +14,8 @@
 # Bounds the times that endpoints state: timers have no greater one.
 MAX_RETRY_AFTER_S = 86_400.0
 _SECONDS = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
+# Leaving is final, so no other value than the documented one begins it.
+_IS_LEAVING = "1"
 _MISDIRECTED = 421
 _UNAVAILABLE = 503
 
@@ -42,6 +44,7 @@
         is_misdirected=is_misdirected,
         retry_after_s=retry_after_s,
         is_retry_after_malformed=delay is not None and retry_after_s is None,
+        is_leaving=by_name.get(names.HEADER_ENDPOINT_LEAVING.lower()) == _IS_LEAVING,
     )
 
 
--- a/tests/test_platform/test_platform_declines.py
+++ b/tests/test_platform/test_platform_declines.py
@@ -6,10 +6,18 @@
 from typing import AsyncIterator
 
 import attrs
+import logbook
 import pytest
 from returns.result import Success
 
 from cicadacourse.catalog import Endpoint
+from cicadacourse.logs import (
+    ENDPOINT_ACCEPTS,
+    ENDPOINT_DECLINES,
+    ENDPOINT_LEAVES,
+    ENDPOINT_RETRY_AFTER_REFUSED,
+    LogEvent,
+)
 from cicadacourse.placement import RetryBudget
 from cicadacourse.util.connection import HttpConnection
 from standins.platform import Fleet, Worker
@@ -20,6 +28,7 @@
     make_instance,
     running_fleet,
     running_instance,
+    wait_until,
 )
 
 STREAM_TOKENS = "5000,92"
@@ -43,6 +52,11 @@
         return endpoint
 
 
+def count_lines(handler: logbook.TestHandler, event: LogEvent) -> int:
+    """Returns how many lines of a kind were logged."""
+    return sum(record.message == event.text for record in handler.records)
+
+
 @contextlib.asynccontextmanager
 async def _site(plain_services: int = 2) -> AsyncIterator[_Site]:
     async with running_fleet(engines=1, plain_services=plain_services) as fleet:
@@ -54,9 +68,34 @@
 async def test_a_refused_request_and_later_ones_go_elsewhere() -> None:
     async with _site() as site:
         site.worker("plain-0").retry_after = "30.5"
-        for _ in range(12):
-            assert (await site.caller.request("/book/x")).status == 200
+        with logbook.TestHandler().applicationbound() as handler:
+            for _ in range(12):
+                assert (await site.caller.request("/book/x")).status == 200
         assert len(site.worker("plain-0").arrivals) == 1
+        assert count_lines(handler, ENDPOINT_DECLINES) == 1
+        assert site.instance.app.metrics.value("declining_endpoints") == 1
+
+
+async def test_a_time_that_is_over_is_logged_and_no_longer_counted() -> None:
+    async with _site() as site:
+        site.worker("plain-0").retry_after = "0.1"
+        metrics = site.instance.app.metrics
+        with logbook.TestHandler().applicationbound() as handler:
+            while not site.worker("plain-0").arrivals:
+                await site.caller.request("/book/x")
+            site.worker("plain-0").retry_after = None
+            await wait_until(lambda: not metrics.value("declining_endpoints"))
+        assert count_lines(handler, ENDPOINT_ACCEPTS) == 1
+
+
+async def test_a_time_that_cannot_be_read_is_logged_and_ignored() -> None:
+    async with _site() as site:
+        site.worker("plain-0").retry_after = "soon"
+        with logbook.TestHandler().applicationbound() as handler:
+            while not site.worker("plain-0").arrivals:
+                await site.caller.request("/book/x")
+        assert count_lines(handler, ENDPOINT_RETRY_AFTER_REFUSED) == 1
+        assert site.instance.app.metrics.value("declining_endpoints") == 0
 
 
 async def test_callers_get_the_time_of_the_first_endpoint_to_return() -> None:
@@ -79,7 +118,10 @@
             response = await site.caller.request("/look/x")
             assert response.status == 200
             assert response.headers["server-leaving"] == "1"
-        assert (await site.caller.request("/look/x")).status == 503
+        with logbook.TestHandler().applicationbound() as handler:
+            assert (await site.caller.request("/look/x")).status == 503
+        assert not handler.has_warning(ENDPOINT_LEAVES.text)
+        assert site.instance.app.metrics.value("leaving_endpoints") == 2
         for number in range(2):
             assert len(site.worker(f"plain-{number}").arrivals) == 1
 
