--- a/cicadacourse/placement/_declines.py
+++ b/cicadacourse/placement/_declines.py
@@ -31,7 +31,7 @@
 
 DECLINING_ENDPOINTS = declare(
     "declining_endpoints",
-    "Endpoints that want no requests from this instance for a time.",
+    "Registered endpoints that want no requests from this instance for a time.",
 )
 
 # Instances that were refused at the same time come back spread over this share of the
@@ -63,7 +63,7 @@
         self._on_change = on_change
         self._decline_by_key: dict[str, _Decline] = {}
         self._leaving = LeavingEndpoints(app, on_change)
-        app.events.connect(ENDPOINT_CHANGED, self._forget_former_process)
+        app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
 
     def observe(self, endpoint: Endpoint, head: ResponseHead) -> None:
         """Records what a response of an endpoint says about further requests.
@@ -120,13 +120,13 @@
             declines = self._decline_by_key
             self._forget(min(declines, key=lambda key: declines[key].until))
 
-    def _forget_former_process(self, endpoint: Endpoint) -> None:
+    def _endpoint_changed(self, endpoint: Endpoint) -> None:
         """Forgets a process that has ended; one that lost its entry may be running."""
-        if not self._catalog_service.registry.has_ended(endpoint):
+        if endpoint.process_key not in self._decline_by_key:
             return
-        if endpoint.process_key in self._decline_by_key:
+        if self._catalog_service.registry.has_ended(endpoint):
             self._forget(endpoint.process_key)
-            self._report_change()
+        self._report_change()
 
     def _forget(self, key: str) -> None:
         decline = self._decline_by_key.pop(key, None)
@@ -134,5 +134,7 @@
             decline.timer.cancel()
 
     def _report_change(self) -> None:
-        self._app.metrics.set(DECLINING_ENDPOINTS, len(self._decline_by_key))
+        registered = self._catalog_service.registry.all()
+        count = sum(item.process_key in self._decline_by_key for item in registered)
+        self._app.metrics.set(DECLINING_ENDPOINTS, count)
         self._on_change()
