Placement: a request whose time in the queue is over is not queued again

Symptom: a test with one overloaded endpoint never ended on the simulated clock. Cause: after its time in the queue, a request looked at what was left of it; by rounding that could be over 0, so it was queued again for a time too short for a timer, without end while the clock stood still. Change: it is looked at again only if the timer was set for a look at the limits, as intended.

--- a/cicadacourse/placement/_service.py
+++ b/cicadacourse/placement/_service.py
@@ -191,12 +191,13 @@
         self._queue.add(waiter)
         self._update_queue_metric(request.pool)
         self._dispatcher.schedule_recheck()
+        max_wait_s = self._max_wait_s(request)
         try:
-            async with asyncio.timeout(self._max_wait_s(request)):
+            async with asyncio.timeout(max_wait_s):
                 placement = await waiter.placement
                 return None if placement is None else Success(placement)
         except TimeoutError:
-            if waiter.request_at(now()).wait_s > 0:
+            if max_wait_s < request.wait_s:
                 return None
             if self._chooser.lacks_connections(request.pool):
                 return Failure(errors.connections_in_use(request.pool))
--- a/tests/test_placement/test_placement_waiting.py
+++ b/tests/test_placement/test_placement_waiting.py
@@ -7,14 +7,20 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 import attrs
+import looptime
 import pytest
 
 from cicadacourse.placement import Candidate, PlacementRequest, WaitQueue, admit_prompt
 from standins.platform import PROFILE
+from tests.gateway_cluster import gateway_cluster, make_endpoints
 from tests.test_placement.candidates import engine
 
+# More than the requests of a test wait, each a few times.
+MAX_WAITS = 2000
+
 LONG = PlacementRequest(
     "r",
     "engines",
@@ -189,3 +195,29 @@
     remaining = waiter.request_at(12.5)
     assert (remaining.target_s, remaining.wait_s) == (0.5, 3.5)
     assert asyncio.isfuture(waiter.placement)
+
+
+async def _overload() -> None:
+    endpoint_by_id = make_endpoints(1, "plain")
+    (endpoint,) = endpoint_by_id.values()
+    endpoint.work_s = 0.5
+    async with gateway_cluster(1, endpoint_by_id) as cluster:
+        placer = cluster.memory.get("n0", "placement")
+        wait, waits = placer._wait, itertools.count()
+
+        async def count_and_wait(waiter):
+            assert next(waits) < MAX_WAITS
+            return await wait(waiter)
+
+        placer._wait = count_and_wait
+        replies = await cluster.load(30.0, 5.0, path="look")
+        assert {reply.status for reply in replies} == {200, 503}
+
+
+def test_a_request_whose_time_in_the_queue_is_over_does_not_wait_again() -> None:
+    """It waited again and again for a rest of the time too short for a timer.
+
+    On the simulated clock, this never ended.
+    """
+    with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+        runner.run(_overload())
