--- a/tests/test_placement/test_placement_retry_after.py
+++ b/tests/test_placement/test_placement_retry_after.py
@@ -14,6 +14,7 @@
 import pytest
 
 from cicadacourse.events import ENDPOINT_CHANGED
+from cicadacourse.exchange import ResponseHead
 from cicadacourse.util.clock import now
 from tests.gateway_cluster import (
     GatewayCluster,
@@ -312,3 +313,33 @@
 
 def test_an_engine_that_wants_no_requests_prefills_no_parts() -> None:
     run(_helpers)
+
+
+async def _placed() -> None:
+    endpoint_by_id = make_endpoints(6)
+    async with gateway_cluster(1, endpoint_by_id) as cluster:
+        placer = cluster.memory.get("n0", "placement")
+        confirm, unwilling = placer._is_confirmed, set()
+
+        async def decline_and_confirm(waiter, placement):
+            is_confirmed = await confirm(waiter, placement)
+            if not unwilling:
+                for endpoint in placement.helpers[:2]:
+                    unwilling.add(endpoint.address)
+                    head = ResponseHead(503, (), retry_after_s=RETRY_AFTER_S)
+                    placer.declines.observe(endpoint, head)
+            return is_confirmed
+
+        placer._is_confirmed = decline_and_confirm
+        reply = await cluster.send("n0", tokens=150_000)
+        (arrival,) = (
+            item for endpoint in endpoint_by_id.values() for item in endpoint.arrivals
+        )
+        helpers = {item.address for item in arrival.request.helpers}
+        assert reply.status == 200
+        assert len(unwilling) == 2
+        assert not unwilling & {*helpers, arrival.request.endpoint.address}
+
+
+def test_a_prompt_is_placed_again_if_a_helper_declines_before_it_is_sent() -> None:
+    run(_placed)
