--- a/cicadacourse/placement/_declines.py
+++ b/cicadacourse/placement/_declines.py
@@ -88,6 +88,8 @@
 
         :returns: minus infinity if it has not declined any, infinity if it leaves.
         """
+        if not self._decline_by_key and not self._leaving:
+            return float("-inf")
         if endpoint in self._leaving:
             return float("inf")
         decline = self._decline_by_key.get(endpoint.process_key)
--- a/cicadacourse/placement/_leaving.py
+++ b/cicadacourse/placement/_leaving.py
@@ -47,6 +47,10 @@
         self._evidence.subscribe(ENDPOINT_LEAVING, self._apply)
         app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
 
+    def __len__(self) -> int:
+        """Returns how many processes are known to leave."""
+        return len(self._process_keys)
+
     def __contains__(self, endpoint: Endpoint) -> bool:
         """Returns whether an endpoint's process leaves."""
         return endpoint.process_key in self._process_keys
