--- a/cicadacourse/logs.py
+++ b/cicadacourse/logs.py
@@ -205,6 +205,12 @@
     "No endpoint of `pool` has free capacity, or a long prompt waits for its turn;"
     " `usable` is the number of endpoints that are known and not ejected.",
 )
+REQUEST_MOVED = _declare(
+    "placement",
+    "request moved to another pool",
+    "`former_pool`, to which the request was admitted, has no live endpoint; the"
+    " version `configuration` allows `pool` instead.",
+)
 PLACEMENT_YIELDED = _declare(
     "placement",
     "placement yielded to another instance",
@@ -354,11 +360,19 @@
     "caller left",
     "The caller closed its connection; the request is cancelled.",
 )
+CONNECTIONS_CLOSED = _declare(
+    "ingress",
+    "callers' connections closed",
+    "`count` connections waited for a request for too long, the longest `waited_s`;"
+    " `reason` is `idle` (nothing of a request came) or `slow_head` (only a part of its"
+    " head came), `callers` are the addresses of some of them. One line tells of all"
+    " that are closed at once.",
+)
 REQUEST_FAILED = _declare(
     "ingress",
     "request failed",
     "An unexpected error, a malformed request, or a request that reached an instance"
-    " too late in its shutdown (`leaving`).",
+    " too late in its shutdown or was not placed when that ended (`leaving`).",
     True,
 )
 KV_CACHE_RESERVED = _declare(
--- a/cicadacourse/placement/_chooser.py
+++ b/cicadacourse/placement/_chooser.py
@@ -40,26 +40,6 @@
         self._ejections = ejections
         self._declines = declines
 
-    def find_pool(self, name: str) -> Pool | None:
-        """Returns the pool of that name, or None if it is not configured."""
-        catalog = self._catalog_service.catalog
-        return catalog.pool_by_name.get(name) if catalog else None
-
-    def returns_at(self, pool: str) -> float:
-        """Returns from when on an endpoint of a pool accepts requests.
-
-        :returns: loop time in seconds, in the past if one accepts requests now;
-            infinity if the pool has no live endpoint, or if all of them leave.
-        """
-        ready = self._catalog_service.registry.ready(pool)
-        times = [self._declines.returns_at(item) for item in ready]
-        return min(times, default=float("inf"))
-
-    def _count_staying(self, pool: str) -> int:
-        """Returns how many endpoints of a pool accept requests now or later."""
-        ready = self._catalog_service.registry.ready(pool)
-        return sum(self._declines.returns_at(item) < float("inf") for item in ready)
-
     def usable_endpoints(self, pool: str) -> list[Endpoint]:
         """Returns the endpoints of a pool that accept requests and may be used.
 
@@ -70,6 +50,11 @@
         accepting = [item for item in ready if self._declines.accepts(item)]
         return self._ejections.select_usable(accepting)
 
+    def _count_staying(self, pool: str) -> int:
+        """Returns how many endpoints of a pool accept requests now or later."""
+        ready = self._catalog_service.registry.ready(pool)
+        return sum(self._declines.returns_at(item) < float("inf") for item in ready)
+
     def is_deadline_unreachable(self, request: PlacementRequest, pool: Pool) -> bool:
         """Returns whether even an idle pool would miss the deadline of a prompt."""
         if pool.engine is None:
@@ -127,20 +112,17 @@
             return []
         return sorted(usable, key=self._limits.available_at)
 
-    def has_connection(self, endpoint: Endpoint) -> bool:
+    def has_connection(self, endpoint: Endpoint, pool: Pool) -> bool:
         """Returns whether its pool allows another connection to an endpoint now."""
-        pool = self.find_pool(endpoint.pool)
-        if pool is None or not pool.max_connections:
+        if not pool.max_connections:
             return True
         requests = self._load.table.count_own_requests()
         return requests[endpoint.id] < pool.max_connections
 
-    def lacks_connections(self, pool: str) -> bool:
+    def lacks_connections(self, pool: Pool) -> bool:
         """Returns whether an endpoint has a free slot but no connection to use it."""
-        current = self.find_pool(pool)
-        return current is not None and any(
-            item.has_slot and not item.has_connection
-            for item in self.candidates(current)
+        return any(
+            item.has_slot and not item.has_connection for item in self.candidates(pool)
         )
 
     def try_place(
--- a/cicadacourse/placement/_decline_gate.py
+++ b/cicadacourse/placement/_decline_gate.py
@@ -11,52 +11,42 @@
 
 from cicadacourse.errors import Error
 from cicadacourse.placement import _errors as errors
-from cicadacourse.placement._chooser import Chooser
 from cicadacourse.placement._declines import Declines
 from cicadacourse.placement._model import Placement, PlacementRequest
-from cicadacourse.placement._queue import WaitQueue
+from cicadacourse.placement._pools import Pools
 from cicadacourse.util.clock import now
 
 MAX_RETURN_WAIT_S = 1.0
 
 
 class DeclineGate:
-    """Decides which requests wait for an endpoint that declines requests."""
+    """Checks whether requests may wait for endpoints, and may be sent to them."""
 
-    def __init__(self, declines: Declines, chooser: Chooser, queue: WaitQueue) -> None:
+    def __init__(self, declines: Declines, pools: Pools) -> None:
         self._declines = declines
-        self._chooser = chooser
-        self._queue = queue
+        self._pools = pools
 
     def find_refusal(self, request: PlacementRequest) -> Error | None:
-        """Returns the error if no endpoint accepts a request in time, else None.
+        """Returns the error if no endpoint of its pool accepts a request in time.
 
         :param request: the request with the times that remain now.
+        :returns: None if it may wait for an endpoint.
         """
-        return _find_refusal(request, self._chooser.returns_at(request.pool))
+        returns_at = self._pools.returns_at(request.pool)
+        if may_wait(request, returns_at):
+            return None
+        return errors.pool_declines(request.pool, returns_at - now())
 
     def may_send(self, placement: Placement) -> bool:
         """Returns whether all endpoints of a placement still accept requests."""
         endpoints = (placement.endpoint, *placement.helpers)
         return all(self._declines.accepts(item) for item in endpoints)
 
-    def wake_refused(self) -> None:
-        """Wakes the queued requests that no endpoint accepts in time any more."""
-        returns_at_by_pool: dict[str, float] = {}
-        for waiter in self._queue:
-            pool = waiter.request.pool
-            if pool not in returns_at_by_pool:
-                returns_at_by_pool[pool] = self._chooser.returns_at(pool)
-            request = waiter.request_at(now())
-            if _find_refusal(request, returns_at_by_pool[pool]) is not None:
-                waiter.placement.set_result(None)
-
-
-def _find_refusal(request: PlacementRequest, returns_at: float) -> Error | None:
-    """Returns the error of a request whose pool accepts requests from a time on."""
-    if returns_at == float("inf"):
-        return errors.pool_empty(request.pool)
-    wait_s = returns_at - now()
-    if wait_s > min(request.wait_s, MAX_RETURN_WAIT_S):
-        return errors.pool_declines(request.pool, wait_s)
-    return None
+
+def may_wait(request: PlacementRequest, returns_at: float) -> bool:
+    """Returns whether a request may wait for an endpoint.
+
+    :param request: the request with the times that remain now.
+    :param returns_at: from when on an endpoint accepts requests, loop time in seconds.
+    """
+    return returns_at - now() <= min(request.wait_s, MAX_RETURN_WAIT_S)
--- a/cicadacourse/placement/_declines.py
+++ b/cicadacourse/placement/_declines.py
@@ -79,6 +79,11 @@
         if head.is_leaving:
             self._leaving.add(endpoint)
 
+    @property
+    def has_any(self) -> bool:
+        """Whether any process is known that declines requests."""
+        return bool(self._decline_by_key or self._leaving)
+
     def accepts(self, endpoint: Endpoint) -> bool:
         """Returns whether requests may be sent to an endpoint now."""
         return self.returns_at(endpoint) <= now()
@@ -88,7 +93,7 @@
 
         :returns: minus infinity if it has not declined any, infinity if it leaves.
         """
-        if not self._decline_by_key and not self._leaving:
+        if not self.has_any:
             return float("-inf")
         if endpoint in self._leaving:
             return float("inf")
--- a/cicadacourse/placement/_queue.py
+++ b/cicadacourse/placement/_queue.py
@@ -68,8 +68,9 @@
     :param since: when it arrived, loop time in seconds.
     :ivar was_queued: whether it has been in the queue.
     :ivar permit: a permit that was reserved for the request, or None.
-    :ivar placement: a future that is set on placement, or to None if the request has to
-        be looked at again; replaced by a new one each time that the request is queued.
+    :ivar placement: a future that is set on placement, or to None if the request's pool
+        has to be looked at again; replaced by a new one each time that the request is
+        queued.
     """
 
     request: PlacementRequest
--- a/cicadacourse/platform/_ingress.py
+++ b/cicadacourse/platform/_ingress.py
@@ -8,18 +8,22 @@
 
 import tornado.httputil
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
 from tornado.iostream import StreamClosedError
 
 from cicadacourse.application import SERVICES, Application, Service
+from cicadacourse.catalog import CallerLimits, CatalogSettings
 from cicadacourse.config import InstanceSettings
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.events import CATALOG_CHANGED
 from cicadacourse.exchange import CallerRequest
+from cicadacourse.gateway import leaving_error
 from cicadacourse.logs import CALLER_DISCONNECTED, log
+from cicadacourse.platform._caller_connections import WaitingConnections
 from cicadacourse.platform._caller_reply import CallerReply
 from cicadacourse.platform._caller_request import read_request
+from cicadacourse.platform._caller_stream import CallerServer, CallerStream
 from cicadacourse.platform._settings import ListenSettings
+from cicadacourse.platform._wait_limits import WaitLimits
 from cicadacourse.util.addresses import split_address
 from cicadacourse.util.clock import now
 from cicadacourse.util.logging import get_logger
@@ -42,8 +46,10 @@
 # How long no request must have arrived before a leaving instance stops, as requests may
 # be in transit on open connections.
 LEAVE_FINAL_IDLE_S = 0.2
-# Retry-After of the requests that a leaving instance refuses.
-RETRY_AFTER_LEAVING_S = 0.1
+# How long requests that come at the very end of a shutdown are still refused. Callers
+# have had the time to leave, and the platform's last signal comes soon.
+CLOSE_TIMEOUT_S = 0.2
+CLOSE_POLL_INTERVAL_S = 0.005
 
 
 @SERVICES.register("ingress")
@@ -51,6 +57,7 @@
     """Reads callers' requests and passes each to the gateway in a task of its own.
 
     :ivar is_leaving: whether a graceful shutdown is in progress.
+    :ivar waiting: the connections that wait for a request.
     """
 
     name = "ingress"
@@ -62,7 +69,13 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._last_request_at = 0.0
         self._refuses_requests = False
-        self._server: HTTPServer | None = None
+        self._server: CallerServer | None = None
+        self._wait_limits = WaitLimits(
+            app.settings.get(CatalogSettings).superseded_bound_s,
+            IDLE_MARGIN_S,
+            CallerLimits(idle_timeout_s=IDLE_TIMEOUT_S),
+        )
+        self.waiting = WaitingConnections(app.metrics, self._wait_limits)
         app.events.connect(CATALOG_CHANGED, self._apply_limits)
 
     @property
@@ -73,36 +86,47 @@
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Listens for callers while the instance runs."""
-        server = HTTPServer(
+        server = CallerServer(
             _RequestReaderFactory(self),
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=MAX_BODY_BYTES,
-            idle_connection_timeout=IDLE_TIMEOUT_S,
         )
+        # Tornado's own timer has neither a hook nor a limit that may change.
+        server.conn_params.header_timeout = None
         host, port = split_address(self._address)
         server.listen(port, host)
         self._server = server
         self._apply_limits()
+        closing = asyncio.create_task(self.waiting.close_periodically())
         try:
             yield
         finally:
-            server.stop()
-            for task in list(self._tasks):
-                task.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
-            await server.close_all_connections()
+            closing.cancel()
+            await asyncio.gather(closing, return_exceptions=True)
+            await self._stop(server)
 
-    def _apply_limits(self, *_: Any) -> None:
-        """Applies the configured idle and header timeouts from now on.
+    async def _stop(self, server: CallerServer) -> None:
+        """Answers the requests in progress, then closes all connections.
 
-        Tornado has a single limit for both, which is set to the longer of them.
+        One on which a request arrives meanwhile is closed after its refusal.
         """
+        self.is_leaving = self._refuses_requests = True
+        server.stop()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        deadline = now() + CLOSE_TIMEOUT_S
+        self.waiting.close_unused()
+        while server.has_connections() and now() < deadline:
+            await asyncio.sleep(CLOSE_POLL_INTERVAL_S)
+            self.waiting.close_unused()
+        await server.close_all_connections()
+
+    def _apply_limits(self, *_: Any) -> None:
+        """Applies the configured idle and header timeouts from now on."""
         catalog = self.app.get("catalog").catalog
-        if catalog is None or self._server is None:
-            return
-        limits = catalog.limits
-        longest_s = max(limits.idle_timeout_s, limits.header_timeout_s)
-        self._server.conn_params.header_timeout = longest_s + IDLE_MARGIN_S
+        if catalog is not None:
+            self._wait_limits.apply(catalog.limits, now())
 
     async def leave(self) -> None:
         """Announces that this instance is leaving, then drains its requests.
@@ -141,17 +165,12 @@
     def serve(self, request: CallerRequest, reply: CallerReply) -> None:
         """Starts a task that handles one request.
 
-        The task is cancelled if the caller disconnects. Once a leaving instance accepts
-        no more requests, the request is refused instead.
+        The task is cancelled if the caller disconnects or the instance stops. Once a
+        leaving instance accepts no more requests, the request is refused instead.
         """
         self._last_request_at = now()
         if self._refuses_requests:
-            error = Error(
-                ErrorKind.LEAVING,
-                "this instance is leaving",
-                retry_after_s=RETRY_AFTER_LEAVING_S,
-            )
-            asyncio.create_task(reply.fail(error))
+            asyncio.create_task(reply.fail(leaving_error()))
             return
         task = asyncio.create_task(self._handle(request, reply))
         self._tasks.add(task)
@@ -162,6 +181,9 @@
         try:
             await self.app.get("gateway").handle(request, reply)
         except asyncio.CancelledError:
+            if not reply.caller_disconnected.is_set():
+                await reply.fail(leaving_error())
+                return
             log(CALLER_DISCONNECTED, request=request.id)
             reply.abort()
         except StreamClosedError:
@@ -182,15 +204,20 @@
     ) -> tornado.httputil.HTTPMessageDelegate:
         """Returns the reader of one request; called by tornado."""
         assert isinstance(request_conn, HTTP1Connection)
-        return _RequestReader(self._ingress, request_conn)
+        assert isinstance(request_conn.stream, CallerStream)
+        self._ingress.waiting.begin_wait(request_conn.stream)
+        return _RequestReader(self._ingress, request_conn, request_conn.stream)
 
 
 class _RequestReader(tornado.httputil.HTTPMessageDelegate):
     """Collects one request and starts serving it once it is complete."""
 
-    def __init__(self, ingress: Ingress, connection: HTTP1Connection) -> None:
+    def __init__(
+        self, ingress: Ingress, connection: HTTP1Connection, stream: CallerStream
+    ) -> None:
         self._ingress = ingress
         self._connection = connection
+        self._stream = stream
         self._parts: list[bytes] = []
         self._arrived = 0.0
         self._start_line = tornado.httputil.RequestStartLine("", "", "")
@@ -198,6 +225,7 @@
 
     def headers_received(self, start_line: Any, headers: Any) -> None:
         """Stores the request line and the headers; called by tornado."""
+        self._ingress.waiting.end_wait(self._stream)
         self._arrived = now()
         self._start_line = start_line
         self._headers = headers
--- a/tests/test_placement/test_placement_retry_after.py
+++ b/tests/test_placement/test_placement_retry_after.py
@@ -10,7 +10,6 @@
 from typing import Any, Awaitable, Callable
 
 import attrs
-import looptime
 import pytest
 
 from cicadacourse.events import ENDPOINT_CHANGED
@@ -22,6 +21,7 @@
     gateway_cluster,
     make_endpoints,
 )
+from tests.simulated_loop import new_event_loop
 from tests.test_gateway.test_gateway_histories import FakeReply
 
 RETRY_AFTER_S = 5.0
@@ -37,7 +37,7 @@
 
 def run(scenario: Callable[..., Awaitable[None]], *arguments: Any) -> None:
     """Runs a scenario on a simulated clock."""
-    with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
         runner.run(scenario(*arguments))
 
 
--- a/tests/test_placement/test_placement_waiting.py
+++ b/tests/test_placement/test_placement_waiting.py
@@ -10,12 +10,12 @@
 import itertools
 
 import attrs
-import looptime
 import pytest
 
 from cicadacourse.placement import Candidate, PlacementRequest, WaitQueue, admit_prompt
 from standins.platform import PROFILE
 from tests.gateway_cluster import gateway_cluster, make_endpoints
+from tests.simulated_loop import new_event_loop
 from tests.test_placement.candidates import engine
 
 # More than the requests of a test wait, each a few times.
@@ -205,9 +205,9 @@
         placer = cluster.memory.get("n0", "placement")
         wait, waits = placer._wait, itertools.count()
 
-        async def count_and_wait(waiter):
+        async def count_and_wait(*arguments):
             assert next(waits) < MAX_WAITS
-            return await wait(waiter)
+            return await wait(*arguments)
 
         placer._wait = count_and_wait
         replies = await cluster.load(30.0, 5.0, path="look")
@@ -219,5 +219,5 @@
 
     On the simulated clock, this never ended.
     """
-    with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
         runner.run(_overload())
