--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -25,14 +25,14 @@
 CALLER_IDLE_TIMEOUT_S = 2.0
 CALLER_IDLE_TIMEOUT_OBJECTIVES = 4
 CALLER_IDLE_TIMEOUT_GAPS = 8
-# An instance tries another endpoint after this share of the caller's idle timeout, so
-# that the caller still waits when the other endpoint responds.
+# An instance also tries another endpoint after this share of the caller's idle timeout,
+# so that the caller still waits when the other endpoint responds.
 IDLE_TIMEOUT_SHARE = 0.5
-# An endpoint that takes this many times the estimated time to the first event is taken
-# to have failed.
+# An endpoint that takes this many times the estimated time to the first event may have
+# failed.
 ESTIMATE_TIMEOUT_FACTOR = 2.0
-# An idempotent call without a response after this many latency objectives is retried at
-# another endpoint.
+# An idempotent call without a response after this many latency objectives is also sent
+# to another endpoint.
 CALL_TIMEOUT_OBJECTIVES = 2.2
 # Share of the remaining time that a request may wait for a placement. A longer wait
 # leaves too little time to serve it.
@@ -92,10 +92,10 @@
         """Whether the response is a stream of events."""
         return self.route.kind is RouteKind.STREAM
 
-    def read_timeout_s(
+    def hedging_delay_s(
         self, has_alternative: bool, time_left_s: float, expected_s: float = 0.0
     ) -> float:
-        """Returns after how many seconds without data an attempt is abandoned.
+        """Returns after how many seconds without data another endpoint is tried too.
 
         :param has_alternative: whether the request may be retried at another endpoint.
         :param time_left_s: seconds until the deadline.
@@ -123,8 +123,8 @@
         left_s = self.deadline - now_s
         if not self.is_stream:
             return left_s
-        since = self.request.arrived if last_event_at is None else last_event_at
-        return min(left_s, since + self.caller_idle_timeout_s - now_s)
+        idle_since = self.request.arrived if last_event_at is None else last_event_at
+        return min(left_s, idle_since + self.caller_idle_timeout_s - now_s)
 
     def placement_request(
         self,
@@ -137,9 +137,10 @@
 
         :param pool: the pool's name.
         :param now_s: the present, loop time in seconds.
-        :param avoided_ids: ids of the endpoints that have failed this request.
-        :param last_event_at: when the caller got the last event of a stream that is to
-            be resumed, loop time in seconds.
+        :param avoided_ids: ids of the endpoints that have failed this request, or at
+            which it is in progress.
+        :param last_event_at: when the caller was sent the last event of a stream, loop
+            time in seconds, or None.
         """
         prompt = self.prompt
         return PlacementRequest(
--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -33,8 +33,12 @@
 OK = 200
 UNAVAILABLE = 503
 MISDIRECTED = 421
+STREAMS = ("ask", "tell")
 ENDPOINT_LINK_S = 0.004
-EVENT_BYTES = b"data: x\n\n"
+CONNECT_TIMEOUT_S = 0.38
+# The simulated clock doesn't move by a shorter sleep.
+CLOCK_RESOLUTION_S = 1e-5
+FOR_GOOD = float("inf")
 
 
 @attrs.frozen
@@ -55,6 +59,11 @@
     head: ResponseHead
 
 
+def make_event(request: CallerRequest, endpoint: Endpoint, number: int) -> bytes:
+    """Returns one event of the stream that answers a request."""
+    return f"id: {number}\ndata: {request.id} {endpoint.id}\n\n".encode()
+
+
 @attrs.define(eq=False)
 class SimulatedEndpoint:
     """An endpoint that takes a fixed time for each request.
@@ -62,6 +71,7 @@
     :param work_s: seconds until the head of a response.
     :param events: events of a stream, which follow the head.
     :param event_s: seconds before each event but the first.
+    :ivar status: the status of its responses.
     :ivar limit: the requests per second that its responses name, or None.
     :ivar retry_after_s: if not None, it refuses each request and wants none for this
         many seconds.
@@ -69,6 +79,10 @@
     :ivar fault_address: the address that its refusals blame, or None.
     :ivar is_replaced: whether another endpoint responds at its address.
     :ivar is_down: whether its process has ended.
+    :ivar silent_until: until when it sends nothing, loop time in seconds.
+    :ivar muted_at: connections that were open then stay silent for good.
+    :ivar accepts_while_silent: whether it accepts connections while it is silent.
+    :ivar in_progress: exchanges that no instance has left yet.
     :ivar on_start: called with each request that it begins to answer.
     """
 
@@ -76,15 +90,46 @@
     work_s: float = 0.03
     events: int = 4
     event_s: float = 0.04
+    status: int = OK
     limit: float | None = None
     retry_after_s: float | None = None
     is_leaving: bool = False
     fault_address: str | None = None
     is_replaced: bool = False
     is_down: bool = False
+    silent_until: float = 0.0
+    muted_at: float = float("-inf")
+    accepts_while_silent: bool = True
+    in_progress: int = 0
     arrivals: list[Arrival] = attrs.field(factory=list)
     answers: list[Answer] = attrs.field(factory=list)
     on_start: Callable[[SimulatedEndpoint, EndpointRequest], None] = lambda *_: None
+    _silence_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    def fall_silent(self, seconds: float) -> None:
+        """Sends nothing for some seconds, then goes on; work in progress is kept."""
+        self.silent_until = now() + seconds
+        self._silence_changed.set()
+        self._silence_changed = asyncio.Event()
+
+    def mute_connections(self) -> None:
+        """Sends nothing more on the connections of now; later ones work."""
+        self.muted_at = now()
+
+    async def work(self, seconds: float, connected_at: float) -> None:
+        """Waits until that much work is done and its outcome can be sent.
+
+        :param connected_at: when the connection was made, loop time in seconds.
+        """
+        await asyncio.sleep(seconds)
+        while now() < self.silent_until:
+            left_s = max(CLOCK_RESOLUTION_S, self.silent_until - now())
+            timeout_s = left_s if left_s < FOR_GOOD else None
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(timeout_s):
+                    await self._silence_changed.wait()
+        if connected_at <= self.muted_at:
+            await asyncio.get_running_loop().create_future()
 
     def arrivals_since(self, since: float) -> list[float]:
         """Returns the times of the arrivals from a moment on."""
@@ -97,12 +142,13 @@
         elif self.retry_after_s is not None:
             status, retry_after_s = UNAVAILABLE, self.retry_after_s
         else:
-            status, retry_after_s = OK, None
+            status, retry_after_s = self.status, None
+        is_refusal = self.is_replaced or self.retry_after_s is not None
         return ResponseHead(
             status,
             (),
-            never_ran=status != OK,
-            fault_address=self.fault_address if status != OK else None,
+            never_ran=is_refusal,
+            fault_address=self.fault_address if is_refusal else None,
             request_limit=self.limit,
             is_misdirected=self.is_replaced,
             retry_after_s=retry_after_s,
@@ -123,18 +169,36 @@
 class _SimulatedResponse(EndpointResponse):
     head: ResponseHead
     endpoint: SimulatedEndpoint
-    events_left: int
+    request: EndpointRequest
+    connected_at: float
+    number: int
 
     async def read_chunk(self) -> bytes:
         """Returns the next event; breaks off once the endpoint is down."""
-        if self.events_left == 0:
+        if self.number == self._events:
             return b""
-        if self.events_left < self.endpoint.events:
-            await asyncio.sleep(self.endpoint.event_s)
+        is_first = self.number == self._first
+        wait_s = 0.0 if is_first else self.endpoint.event_s
+        await self.endpoint.work(wait_s, self.connected_at)
         if self.endpoint.is_down:
             raise SendFailure("lost", True, "cut_short", is_broken_off=True)
-        self.events_left -= 1
-        return EVENT_BYTES
+        self.number += 1
+        return make_event(self.request.caller, self.endpoint.endpoint, self.number - 1)
+
+    @property
+    def _events(self) -> int:
+        is_stream = self.request.caller.prompt is not None
+        return self.endpoint.events if is_stream else 1
+
+    @property
+    def _first(self) -> int:
+        return first_number(self.request)
+
+
+def first_number(request: EndpointRequest) -> int:
+    """Returns the number of the first event that a request asks for."""
+    last_id = request.last_event_id
+    return 0 if last_id is None else int(last_id) + 1
 
 
 class SimulatedClient(Service, EndpointClient):
@@ -164,13 +228,26 @@
         if endpoint is None:
             raise SendFailure("connection refused", False, "unreachable")
         await asyncio.sleep(ENDPOINT_LINK_S)
+        if now() < endpoint.silent_until and not endpoint.accepts_while_silent:
+            await asyncio.sleep(CONNECT_TIMEOUT_S)
+            raise SendFailure("not connected in time", False, "unreachable")
         if endpoint.is_down:
             raise SendFailure("connection refused", False, "unreachable")
         endpoint.arrivals.append(Arrival(now(), self._own_name, request))
+        endpoint.in_progress += 1
+        try:
+            yield await self._receive_head(endpoint, request, head_timeout_s)
+        finally:
+            endpoint.in_progress -= 1
+
+    async def _receive_head(
+        self, endpoint: SimulatedEndpoint, request: EndpointRequest, timeout_s: float
+    ) -> EndpointResponse:
+        connected_at = now()
         work_s = ENDPOINT_LINK_S if endpoint.make_head().never_ran else endpoint.work_s
         try:
-            async with asyncio.timeout(head_timeout_s):
-                await asyncio.sleep(work_s)
+            async with asyncio.timeout(timeout_s):
+                await endpoint.work(work_s, connected_at)
         except TimeoutError:
             raise SendFailure("no head in time", True, "no_answer") from None
         if endpoint.is_down:
@@ -179,8 +256,8 @@
         endpoint.answers.append(Answer(now(), self._own_name, head))
         if not head.never_ran:
             endpoint.on_start(endpoint, request)
-        is_stream = request.caller.prompt is not None
-        yield _SimulatedResponse(head, endpoint, endpoint.events if is_stream else 1)
+        first = first_number(request)
+        return _SimulatedResponse(head, endpoint, request, connected_at, first)
 
 
 class MemoryLoad(LoadService):
@@ -292,6 +369,8 @@
             endpoint,
             endpoint=attrs.evolve(former, id=f"{former.pool}-r{number}"),
             is_down=False,
+            silent_until=0.0,
+            in_progress=0,
             arrivals=[],
         )
         self.former_endpoints.append(endpoint)
@@ -322,7 +401,7 @@
             arrived=now(),
             timeout_s=timeout_s,
             last_event_id=None,
-            prompt=Prompt("m", tokens, 184, **prompt) if path == "ask" else None,
+            prompt=Prompt("m", tokens, 184, **prompt) if path in STREAMS else None,
             headers=(),
             body=b"",
         )
