--- a/tests/test_placement/test_placement_retry_after.py
+++ b/tests/test_placement/test_placement_retry_after.py
@@ -343,3 +343,25 @@
 
 def test_a_prompt_is_placed_again_if_a_helper_declines_before_it_is_sent() -> None:
     run(_placed)
+
+
+async def _hedged(others: int) -> None:
+    endpoint_by_id = make_endpoints(2 + others, "plain")
+    silent, unwilling, *_ = endpoint_by_id.values()
+    async with gateway_cluster(1, endpoint_by_id) as cluster:
+        unwilling.retry_after_s = RETRY_AFTER_S
+        await asyncio.gather(*(cluster.send("n0", "look") for _ in range(6)))
+        assert unwilling.answers
+        silent.fall_silent(2.0)
+        replies = await send_to(cluster, ["n0"], 0.2, "look")
+        check(cluster)
+        assert silent.arrivals
+        assert share_served(replies) == 1
+        waited_s = max(took_s(reply) for reply in replies)
+        assert waited_s > 1.5 if not others else waited_s < 1.0
+
+
+@pytest.mark.parametrize("others", [0, 1])
+def test_a_hedge_is_not_sent_to_an_endpoint_that_wants_no_requests(others: int) -> None:
+    """Without another endpoint, the silent one is awaited."""
+    run(_hedged, others)
