--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -123,8 +123,8 @@
         left_s = self.deadline - now_s
         if not self.is_stream:
             return left_s
-        idle_since = self.request.arrived if last_event_at is None else last_event_at
-        return min(left_s, idle_since + self.caller_idle_timeout_s - now_s)
+        since = self.request.arrived if last_event_at is None else last_event_at
+        return min(left_s, since + self.caller_idle_timeout_s - now_s)
 
     def placement_request(
         self,
--- a/soak/_limit_scenario.py
+++ b/soak/_limit_scenario.py
@@ -7,37 +7,37 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import pathlib
 import random
 
 import attrs
 
-from cicadacourse.registry import Registry
 from cicadacourse.util.clock import now
-from soak._callers import LONG, LOOKUP, REQUEST_PAUSE_S, SHORT, Caller
+from soak._callers import LONG, LOOKUP, SHORT, Caller
 from soak._checks import InvariantChecker
 from soak._environment import Site, SoakEnvironment, running_environment
-from soak._faults import Fault, freeze, impair_store_link, kill, restart
-from soak._scenario import FaultInjector, run_under_faults, stop_tasks
+from soak._faults import select_faults
+from soak._request_records import RequestRecords
+from soak._scenario import (
+    FaultInjector,
+    inject_beside,
+    run_under_faults,
+    send_requests,
+)
 from standins.platform import Worker
 
 ENGINES_PER_INSTANCE = 2
 CALLERS_PER_INSTANCE = 4
+KINDS = (SHORT, LOOKUP, LONG)
 LIMITS = (0.5, 1.0, 3.0)
 # A limit must be kept from this long after it is named or changed, and by an instance
 # from this long after its last fault.
 CONTACT_S = 3.0
 WINDOW_S = 4.0
-SAMPLE_S = 0.05
 # A limit lasts longer than other faults, as it holds only after ``CONTACT_S``.
 DURATION_FACTOR = 4.0
 
-LIMIT_FAULTS: Registry[Fault] = Registry("fault")
-LIMIT_FAULTS.register("restart")(restart)
-LIMIT_FAULTS.register("kill")(kill)
-LIMIT_FAULTS.register("freeze")(freeze)
-LIMIT_FAULTS.register("store-link")(impair_store_link)
+LIMIT_FAULTS = select_faults("restart", "kill", "freeze", "store-link")
 
 
 @attrs.define
@@ -54,13 +54,12 @@
 class LimitRecords:
     """What the check needs to know of a run.
 
-    :ivar impaired_at: the moments at which each instance had a fault, by its name.
-    :ivar instance_by_request: the instance that got a request, by the request's id.
+    :ivar named: the limits, in the order in which they were named.
+    :ivar requests: the requests, and the faults of instances.
     """
 
     named: list[NamedLimit] = attrs.field(factory=list)
-    impaired_at: dict[str, list[float]] = attrs.field(factory=dict)
-    instance_by_request: dict[str, str] = attrs.field(factory=dict)
+    requests: RequestRecords = attrs.field(factory=RequestRecords)
 
     def counted(self, item: NamedLimit) -> list[float]:
         """Returns the arrivals that must keep to a limit, loop times in seconds."""
@@ -72,9 +71,10 @@
         ]
 
     def _is_excused(self, request_id: str, at_s: float) -> bool:
-        name = self.instance_by_request.get(request_id)
-        moments = self.impaired_at.get(name, []) if name else [at_s]
-        return any(-CONTACT_S < moment - at_s < CONTACT_S for moment in moments)
+        name = self.requests.find_instance(request_id)
+        return name is None or self.requests.is_impaired(
+            name, at_s - CONTACT_S, at_s + CONTACT_S
+        )
 
 
 async def run_limit_scenario(
@@ -84,16 +84,12 @@
     site = Site(size, ENGINES_PER_INSTANCE)
     async with running_environment(folder, seed, site) as environment:
         checker, records = InvariantChecker(environment), LimitRecords()
-
-        async def inject_while_limited(environment: SoakEnvironment) -> None:
-            naming = asyncio.create_task(_name(environment, records))
-            await inject(environment)
-            await stop_tasks([naming])
-
-        runs = [_record_impaired(environment, records)]
+        inject = inject_beside(inject, lambda: _name(environment, records))
+        runs = [records.requests.sample_faults(environment)]
         for number in range(CALLERS_PER_INSTANCE * size):
-            runs.append(_send(checker, Caller(environment, f"c{number}"), records))
-        await run_under_faults(checker, runs, inject_while_limited, (SHORT, LOOKUP))
+            caller = Caller(environment, f"c{number}")
+            runs.append(send_requests(checker, caller, KINDS, records.requests.record))
+        await run_under_faults(checker, runs, inject, (SHORT, LOOKUP))
         _check_limits(checker, records)
     return checker
 
@@ -125,28 +121,6 @@
         worker.request_limit = None
 
 
-async def _record_impaired(environment: SoakEnvironment, records: LimitRecords) -> None:
-    while True:
-        for instance in environment.instances:
-            if instance.fault_window.active_faults:
-                records.impaired_at.setdefault(instance.name, []).append(now())
-        await asyncio.sleep(SAMPLE_S)
-
-
-async def _send(
-    checker: InvariantChecker, caller: Caller, records: LimitRecords
-) -> None:
-    kinds, chooser = (SHORT, SHORT, LOOKUP, LOOKUP, LONG), caller.chooser
-    with contextlib.closing(caller):
-        while True:
-            kind = chooser.choice(kinds)
-            attempts = await caller.request(kind, checker.environment.keys[0])
-            for attempt in attempts:
-                records.instance_by_request[attempt.id] = attempt.instance.name
-            checker.check_request(attempts)
-            await asyncio.sleep(chooser.expovariate(1 / REQUEST_PAUSE_S))
-
-
 def _check_limits(checker: InvariantChecker, records: LimitRecords) -> None:
     for item in records.named:
         times = records.counted(item)
--- a/soak/_scenario.py
+++ b/soak/_scenario.py
@@ -5,12 +5,15 @@
 import asyncio
 import contextlib
 import pathlib
-from typing import Any, Awaitable, Callable, Coroutine, Sequence
+import random
+from typing import Any, Awaitable, Callable, Coroutine, Mapping, Sequence
 
 from soak._callers import (
+    NO_HEADERS,
     REQUEST_KINDS,
     REQUEST_PAUSE_S,
     SHORT,
+    Attempt,
     Caller,
     RequestKind,
 )
@@ -29,6 +32,7 @@
 RECOVERY_REQUESTS = 20
 
 FaultInjector = Callable[[SoakEnvironment], Awaitable[None]]
+HeaderDrawer = Callable[[random.Random, RequestKind], Mapping[str, str]]
 
 
 async def run_scenario(
@@ -44,7 +48,7 @@
     async with running_environment(folder, seed, Site(size)) as environment:
         checker = InvariantChecker(environment)
         runs = [
-            _send_requests(checker, Caller(environment, f"c{number}"))
+            send_requests(checker, Caller(environment, f"c{number}"), REQUEST_KINDS)
             for number in range(CALLERS_PER_INSTANCE * size)
         ]
         runs.append(_send_with_removed_keys(checker, Caller(environment, "old")))
@@ -76,13 +80,30 @@
     checker.check_final_state()
 
 
-async def _send_requests(checker: InvariantChecker, caller: Caller) -> None:
+async def send_requests(
+    checker: InvariantChecker,
+    caller: Caller,
+    kinds: Sequence[RequestKind],
+    record: Callable[[list[Attempt]], None] = lambda _: None,
+    draw_headers: HeaderDrawer = lambda *_: NO_HEADERS,
+    key: str | None = None,
+) -> None:
+    """Sends requests of these kinds, by their weights, until cancelled.
+
+    :param record: called with all attempts of each request.
+    :param draw_headers: draws further header fields of a request.
+    :param key: the callers' key; None for the oldest one of the first organisation.
+    """
     environment, chooser = checker.environment, caller.chooser
-    weights = [kind.weight for kind in REQUEST_KINDS]
+    weights = [kind.weight for kind in kinds]
     with contextlib.closing(caller):
         while True:
-            kind = chooser.choices(REQUEST_KINDS, weights)[0]
-            checker.check_request(await caller.request(kind, environment.keys[0]))
+            kind = chooser.choices(kinds, weights)[0]
+            headers = draw_headers(chooser, kind)
+            used_key = key or environment.keys[0]
+            attempts = await caller.request(kind, used_key, headers)
+            record(attempts)
+            checker.check_request(attempts)
             await asyncio.sleep(chooser.expovariate(1 / REQUEST_PAUSE_S))
 
 
@@ -109,6 +130,19 @@
         checker.check_recovered(attempt)
 
 
+def inject_beside(
+    inject: FaultInjector, work: Callable[[], Coroutine[Any, Any, None]]
+) -> FaultInjector:
+    """Returns an injector of faults that also does some work, until the last one."""
+
+    async def inject_and_work(environment: SoakEnvironment) -> None:
+        task = asyncio.create_task(work())
+        await inject(environment)
+        await stop_tasks([task])
+
+    return inject_and_work
+
+
 async def stop_tasks(tasks: list[asyncio.Task[None]]) -> None:
     """Cancels tasks; raises the exception of one that has already failed."""
     for task in tasks:
--- a/tests/test_gateway/test_gateway_silence.py
+++ b/tests/test_gateway/test_gateway_silence.py
@@ -15,7 +15,6 @@
 import re
 from typing import Any, Awaitable, Callable, Sequence
 
-import looptime
 import pytest
 
 from cicadacourse.util.clock import now
@@ -27,6 +26,7 @@
     gateway_cluster,
     make_endpoints,
 )
+from tests.simulated_loop import new_event_loop
 from tests.test_gateway.test_gateway_histories import (
     FakeReply,
     ScheduledRequest,
@@ -44,7 +44,7 @@
 
 def run(scenario: Callable[..., Awaitable[None]], *arguments: Any) -> None:
     """Runs a scenario on a simulated clock."""
-    with asyncio.Runner(loop_factory=looptime.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
         runner.run(scenario(*arguments))
 
 
