--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -164,6 +164,7 @@
                 self.app.get("limits").observe(
                     placement.endpoint, response.head, sent_at
                 )
+                self._placer.declines.observe(placement.endpoint, response.head)
                 is_written = await self._handle_response(response, placement)
                 self.has_failed = not is_written
                 return is_written
--- a/cicadacourse/placement/_dispatcher.py
+++ b/cicadacourse/placement/_dispatcher.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from cicadacourse.placement._chooser import Chooser
+from cicadacourse.placement._decline_gate import may_wait
 from cicadacourse.placement._model import Candidate
 from cicadacourse.placement._pools import Pools
 from cicadacourse.placement._queue import WaitQueue
@@ -36,7 +37,7 @@
             asyncio.get_running_loop().call_soon(self._place_scheduled)
 
     def schedule_release(self) -> None:
-        """Schedules a look for requests whose pool has no live endpoint any more.
+        """Schedules a look for requests whose pool does not take them in time any more.
 
         It follows in the next turn of the event loop, once all changes of the registry
         that came together are applied.
@@ -46,12 +47,13 @@
             asyncio.get_running_loop().call_soon(self._release)
 
     def _release(self) -> None:
-        """Ends the waits for pools without a live endpoint."""
+        """Ends the waits for endpoints that don't return in time or don't exist."""
         self._is_release_scheduled = False
         names = {waiter.request.pool for waiter in self._queue}
-        empty = {name for name in names if self._pools.is_empty(name)}
+        returns_at_by_pool = {name: self._pools.returns_at(name) for name in names}
         for waiter in self._queue:
-            if waiter.request.pool in empty:
+            request = waiter.request_at(now())
+            if not may_wait(request, returns_at_by_pool[request.pool]):
                 waiter.placement.set_result(None)
 
     def schedule_recheck(self) -> None:
--- a/cicadacourse/placement/_pools.py
+++ b/cicadacourse/placement/_pools.py
@@ -14,14 +14,16 @@
 from cicadacourse.errors import Error
 from cicadacourse.logs import REQUEST_MOVED, log
 from cicadacourse.placement import _errors as errors
+from cicadacourse.placement._declines import Declines
 from cicadacourse.placement._model import AdmissionTerms, PlacementRequest
 
 
 class Pools:
     """Finds the pools of requests in the configuration in force and the registry."""
 
-    def __init__(self, catalog_service: CatalogService) -> None:
+    def __init__(self, catalog_service: CatalogService, declines: Declines) -> None:
         self._catalog_service = catalog_service
+        self._declines = declines
 
     def resolve(self, request: PlacementRequest) -> Result[Pool, Error]:
         """Returns the pool that serves a request from now on.
@@ -49,8 +51,20 @@
         return admitted if admitted and admitted.name == request.pool else None
 
     def is_empty(self, pool: str) -> bool:
-        """Returns whether a pool has no live endpoint."""
-        return not self._catalog_service.registry.has_ready(pool)
+        """Returns whether a pool has no live endpoint, or only ones that leave."""
+        return self.returns_at(pool) == float("inf")
+
+    def returns_at(self, pool: str) -> float:
+        """Returns from when on an endpoint of a pool accepts requests.
+
+        :returns: loop time in seconds, in the past if one accepts requests now;
+            infinity if none will.
+        """
+        registry = self._catalog_service.registry
+        if not self._declines.has_any:
+            return float("-inf") if registry.has_ready(pool) else float("inf")
+        times = [self._declines.returns_at(item) for item in registry.ready(pool)]
+        return min(times, default=float("inf"))
 
     def _find_successor(self, request: PlacementRequest) -> Pool | None:
         """Returns a pool to which the configuration in force admits a request."""
--- a/cicadacourse/platform/_endpoint_client.py
+++ b/cicadacourse/platform/_endpoint_client.py
@@ -4,9 +4,8 @@
 
 import asyncio
 import contextlib
-import math
 from collections import defaultdict
-from typing import AsyncIterator, Sequence
+from typing import AsyncIterator
 
 import attrs
 import h11
@@ -18,12 +17,12 @@
     EndpointClient,
     EndpointRequest,
     EndpointResponse,
-    Header,
     ResponseHead,
     SendFailure,
 )
 from cicadacourse.metrics import declare
 from cicadacourse.platform import _names as names
+from cicadacourse.platform._response_head import decode_headers, read_head
 from cicadacourse.util.clock import MS_PER_S, now
 from cicadacourse.util.connection import HttpConnection, HttpConnectionError
 
@@ -43,7 +42,6 @@
 # The endpoint may be closing one that idled for longer, and it would remain unknown
 # whether the request ran.
 MAX_IDLE_NON_IDEMPOTENT_S = 1.5
-_MISDIRECTED = 421
 
 
 @SERVICES.register("endpoint_caller")
@@ -99,15 +97,19 @@
             self._release(endpoint, connection)
 
     def _check_ready(self, endpoint: Endpoint) -> None:
-        """Checks the registry again, as time has passed since the endpoint was chosen.
+        """Checks the endpoint again, as time has passed since it was chosen.
 
-        :raises SendFailure: if the endpoint leaves, is gone or has restarted.
+        :raises SendFailure: if the endpoint leaves, is gone or has restarted, or if it
+            wants no requests from this instance.
         """
         current = self.app.get("catalog").registry.find(endpoint.id)
         is_same = current is not None and current.is_same_process(endpoint)
         if not is_same or current.state is not EndpointState.READY:
             detail = "the endpoint no longer accepts requests"
             raise SendFailure(detail, False, "endpoint_leaving", is_withdrawn=True)
+        if not self.app.get("placement").declines.accepts(endpoint):
+            detail = "the endpoint wants no requests from this instance"
+            raise SendFailure(detail, False, "endpoint_declined", is_withdrawn=True)
 
     async def _send(
         self,
@@ -131,7 +133,7 @@
             raise SendFailure(detail, True, "no_answer") from None
         if not isinstance(response, h11.Response):
             raise SendFailure("no response head was received", True, "malformed_answer")
-        head = _read_head(response)
+        head = read_head(response)
         if not _is_response_to(response, request):
             raise SendFailure(
                 "the response bears the id of another request", True, "foreign_answer"
@@ -269,51 +271,10 @@
     return headers
 
 
-def _read_head(response: h11.Response) -> ResponseHead:
-    headers = _decoded_headers(response)
-    by_name = {header.name.lower(): header.value for header in headers}
-    limit = by_name.get(names.HEADER_REQUEST_LIMIT.lower())
-    request_limit = None if limit is None else _parse_limit(limit)
-    is_misdirected = response.status_code == _MISDIRECTED
-    return ResponseHead(
-        status=response.status_code,
-        headers=tuple(
-            header
-            for header in headers
-            if header.name.lower() not in names.HEADERS_NOT_FORWARDED_TO_CALLERS
-        ),
-        never_ran=names.HEADER_NOT_EXECUTED.lower() in by_name or is_misdirected,
-        fault_address=by_name.get(names.HEADER_FAULTY_ENDPOINT.lower()),
-        request_limit=request_limit,
-        is_limit_malformed=limit is not None and request_limit is None,
-        is_misdirected=is_misdirected,
-    )
-
-
-def _parse_limit(text: str) -> float | None:
-    """Returns a limit in requests per second, or None if it is malformed.
-
-    >>> _parse_limit("1.5"), _parse_limit("-1"), _parse_limit("nan")
-    (1.5, None, None)
-    """
-    try:
-        limit = float(text)
-    except ValueError:
-        return None
-    return limit if math.isfinite(limit) and limit >= 0 else None
-
-
-def _decoded_headers(response: h11.Response) -> Sequence[Header]:
-    return [
-        Header(name.decode("latin-1"), value.decode("latin-1"))
-        for name, value in response.headers.raw_items()
-    ]
-
-
 def _is_response_to(response: h11.Response, request: EndpointRequest) -> bool:
     """Returns False only if a response has the id of another request."""
     expected = request.caller.id
-    for header in _decoded_headers(response):
+    for header in decode_headers(response):
         if header.name.lower() == names.HEADER_REQUEST_ID.lower():
             return header.value == expected
     return True
@@ -321,7 +282,7 @@
 
 def _keep_alive_s(response: h11.Response) -> float:
     """Returns how long the connection may be idle before its next use, in seconds."""
-    for header in _decoded_headers(response):
+    for header in decode_headers(response):
         if header.name.lower() != "keep-alive":
             continue
         for part in header.value.split(","):
--- a/standins/platform/_worker_http.py
+++ b/standins/platform/_worker_http.py
@@ -16,8 +16,6 @@
 from standins.platform._engine import Engine, EngineRefusal
 from standins.platform._worker import Arrival, Decline, RequestContent, Worker
 
-HEADER_LEAVING = "Server-Leaving"
-HEADER_RETRY_AFTER = "Retry-After"
 OK = 200
 SERVICE_UNAVAILABLE = 503
 MISDIRECTED = 421
@@ -40,15 +38,25 @@
     def prepare(self) -> None:
         """Responds with 421 to a request for another endpoint; called by tornado."""
         if self.worker.says_leaving:
-            self.set_header(HEADER_LEAVING, "1")
+            self.set_header(names.HEADER_ENDPOINT_LEAVING, "1")
             self.worker.leaving_ids.add(self.request_id)
         expected = self.request.headers.get(names.HEADER_EXPECTED_ENDPOINT)
         if expected is not None and expected != self.worker.id:
             self.set_header(names.HEADER_NOT_EXECUTED, "1")
             self.set_status(MISDIRECTED)
             self.finish()
-        elif self.worker.request_limit is not None:
+            return
+        if self.worker.request_limit is not None:
             self.set_header(names.HEADER_REQUEST_LIMIT, str(self.worker.request_limit))
+        if self.worker.leaving is not None:
+            self.set_header(names.HEADER_ENDPOINT_LEAVING, self.worker.leaving)
+
+    def refuse_for_now(self, retry_after: str) -> None:
+        """Refuses the request and states for how long no other is wanted."""
+        self.set_status(SERVICE_UNAVAILABLE)
+        self.set_header(names.HEADER_NOT_EXECUTED, "1")
+        self.set_header(names.HEADER_RETRY_AFTER, retry_after)
+        self.finish()
 
     @property
     def request_id(self) -> str:
@@ -74,6 +82,9 @@
         The status is 409 if too little is free, and 400 for another order or an
         endpoint without an engine.
         """
+        if self.worker.retry_after is not None:
+            self.refuse_for_now(self.worker.retry_after)
+            return
         order = json.loads(self.request.body)
         engine = self.worker.engine
         if engine is None or order.get("op") not in ("reserve", "release"):
@@ -113,7 +124,9 @@
         worker.arrivals.append(self.arrival)
         try:
             self.set_header(names.HEADER_REQUEST_ID, self.request_id)
-            if now() < worker.declines_until:
+            if worker.retry_after is not None:
+                self.refuse_for_now(worker.retry_after)
+            elif now() < worker.declines_until:
                 self._decline(worker.declines_until - now())
             elif self.arrival.content in worker.crashing_contents:
                 await self._crash_soon()
@@ -129,10 +142,7 @@
     def _decline(self, retry_after_s: float) -> None:
         """Turns the request away; the endpoint wants no more for so many seconds."""
         self.worker.declines.append(Decline(now(), self.request_id, retry_after_s))
-        self.set_status(SERVICE_UNAVAILABLE)
-        self.set_header(names.HEADER_NOT_EXECUTED, "1")
-        self.set_header(HEADER_RETRY_AFTER, f"{retry_after_s:.3f}")
-        self.finish()
+        self.refuse_for_now(f"{retry_after_s:.3f}")
 
     def _record_run(self) -> None:
         headers, request_id = self.request.headers, self.request_id
--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -31,6 +31,8 @@
 import_services()
 
 OK = 200
+UNAVAILABLE = 503
+MISDIRECTED = 421
 STREAMS = ("ask", "tell")
 ENDPOINT_LINK_S = 0.004
 # How long after it began to run a fatal request its endpoint ends, in seconds.
@@ -54,6 +56,15 @@
     request: EndpointRequest
 
 
+@attrs.frozen
+class Answer:
+    """The head of a response that an instance received, at a loop time in seconds."""
+
+    at: float
+    instance: str
+    head: ResponseHead
+
+
 def make_event(request: CallerRequest, endpoint: Endpoint, number: int) -> bytes:
     """Returns one event of the stream that answers a request."""
     return f"id: {number}\ndata: {request.id} {endpoint.id}\n\n".encode()
@@ -70,6 +81,11 @@
     :param has_ids: whether its events have ids.
     :ivar status: the status of its responses.
     :ivar limit: the requests per second that its responses name, or None.
+    :ivar retry_after_s: if not None, it refuses each request and wants none for this
+        many seconds.
+    :ivar is_leaving: whether its responses state that it is shutting down.
+    :ivar fault_address: the address that its refusals blame, or None.
+    :ivar is_replaced: whether another endpoint responds at its address.
     :ivar is_down: whether its process has ended.
     :ivar ended: set once its process has ended.
     :ivar silent_until: until when it sends nothing, loop time in seconds.
@@ -88,12 +104,17 @@
     has_ids: bool = True
     status: int = OK
     limit: float | None = None
+    retry_after_s: float | None = None
+    is_leaving: bool = False
+    fault_address: str | None = None
+    is_replaced: bool = False
     is_down: bool = False
     silent_until: float = 0.0
     muted_at: float = float("-inf")
     accepts_while_silent: bool = True
     in_progress: int = 0
     arrivals: list[Arrival] = attrs.field(factory=list)
+    answers: list[Answer] = attrs.field(factory=list)
     on_start: Callable[[SimulatedEndpoint, EndpointRequest], None] = lambda *_: None
     is_fatal: Callable[[EndpointRequest], bool] = lambda _: False
     ended: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
@@ -128,6 +149,26 @@
         """Returns the times of the arrivals from a moment on."""
         return [item.at for item in self.arrivals if item.at >= since]
 
+    def make_head(self) -> ResponseHead:
+        """Returns the head of its next response."""
+        if self.is_replaced:
+            status, retry_after_s = MISDIRECTED, None
+        elif self.retry_after_s is not None:
+            status, retry_after_s = UNAVAILABLE, self.retry_after_s
+        else:
+            status, retry_after_s = self.status, None
+        is_refusal = self.is_replaced or self.retry_after_s is not None
+        return ResponseHead(
+            status,
+            (),
+            never_ran=is_refusal,
+            fault_address=self.fault_address if is_refusal else None,
+            request_limit=self.limit,
+            is_misdirected=self.is_replaced,
+            retry_after_s=retry_after_s,
+            is_leaving=self.is_leaving,
+        )
+
 
 def most_in_window(times: Sequence[float], window_s: float = 4.0) -> int:
     """Returns the largest number of times within any window of that length."""
@@ -228,15 +269,18 @@
         self, endpoint: SimulatedEndpoint, request: EndpointRequest, timeout_s: float
     ) -> EndpointResponse:
         connected_at = now()
+        work_s = ENDPOINT_LINK_S if endpoint.make_head().never_ran else endpoint.work_s
         try:
             async with asyncio.timeout(timeout_s):
-                await self._work(endpoint, request, connected_at)
+                await self._work(endpoint, request, work_s, connected_at)
         except TimeoutError:
             raise SendFailure("no head in time", True, "no_answer") from None
         if endpoint.is_down:
             raise SendFailure("lost", True, "broken", is_broken_off=True)
-        head = ResponseHead(endpoint.status, (), request_limit=endpoint.limit)
-        endpoint.on_start(endpoint, request)
+        head = endpoint.make_head()
+        endpoint.answers.append(Answer(now(), self._own_name, head))
+        if not head.never_ran:
+            endpoint.on_start(endpoint, request)
         first = first_number(request)
         return _SimulatedResponse(head, endpoint, request, connected_at, first)
 
@@ -244,10 +288,13 @@
         self,
         endpoint: SimulatedEndpoint,
         request: EndpointRequest,
+        work_s: float,
         connected_at: float,
     ) -> None:
-        """Waits until an endpoint answers a request, or ends."""
-        work_s = endpoint.work_s
+        """Waits until an endpoint answers a request, or ends.
+
+        :param work_s: seconds until the head of the response.
+        """
         if endpoint.is_fatal(request):
             loop = asyncio.get_running_loop()
             loop.call_later(FATAL_S, self._cluster.crash, endpoint)
--- a/tests/test_gateway/test_gateway_histories.py
+++ b/tests/test_gateway/test_gateway_histories.py
@@ -198,6 +198,7 @@
         self.arrived = 0.0
         self.ended_at: float | None = None
         self.is_complete = False
+        self.error: Error | None = None
 
     async def send_response(self, head: ResponseHead, body: bytes) -> None:
         """Records a complete response."""
@@ -226,6 +227,7 @@
         self.started = True
         self.status = error.response.status
         self.reason = error.label
+        self.error = error
         self._end(is_complete=True)
 
     def abort(self) -> None:
