--- a/cicadacourse/platform/_caller_stream.py
+++ b/cicadacourse/platform/_caller_stream.py
@@ -67,6 +67,10 @@
         """Returns whether a connection is open."""
         return any(not stream.closed() for stream in self._streams)
 
+    def is_writing(self) -> bool:
+        """Returns whether bytes of a response wait for their caller to read."""
+        return any(not item.closed() and item.writing() for item in self._streams)
+
     def handle_stream(self, stream: IOStream, address: tuple[Any, ...]) -> None:
         """Serves a new connection; called by tornado, which has not read from it."""
         own = CallerStream(
--- a/cicadacourse/platform/_ingress.py
+++ b/cicadacourse/platform/_ingress.py
@@ -149,16 +149,23 @@
             started + settings.leave_timeout_s, LEAVE_FINAL_IDLE_S
         )
 
+    def _is_writing(self) -> bool:
+        """Returns whether a caller has not received all bytes of a response yet."""
+        return self._server is not None and self._server.is_writing()
+
     async def _wait_until_idle(self, deadline: float, idle_limit_s: float) -> None:
         """Waits until no request is in progress and none arrived for ``idle_limit_s``.
 
+        A request is in progress until its response has been passed to the system.
+
         :param deadline: when to stop waiting, loop time in seconds.
         :param idle_limit_s: how long no request must have arrived.
         """
         started = now()
         while now() < deadline:
             idle_s = now() - max(started, self._last_request_at)
-            if not self._tasks and idle_s > idle_limit_s:
+            is_done = not self._tasks and not self._is_writing()
+            if is_done and idle_s > idle_limit_s:
                 return
             await asyncio.sleep(LEAVE_POLL_INTERVAL_S)
 
--- a/tests/test_platform/test_platform_shutdown.py
+++ b/tests/test_platform/test_platform_shutdown.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import contextlib
+import socket
 from typing import AsyncIterator
 
+from cicadacourse.exchange import CallerRequest, Reply, ResponseHead
 from standins.callers import Response, read_response
 from standins.platform import Fleet, make_configuration
 from standins.ports import next_host
@@ -20,6 +22,8 @@
 
 CONNECTIONS = 8
 LONG_WORK_S = 30.0
+LARGE_BODY_BYTES = 6_000_000
+SLOW_CALLER_S = 1.2
 
 
 @contextlib.asynccontextmanager
@@ -104,3 +108,36 @@
         assert fleet.count_runs(caller.sent_ids[1]) == 0
         for _, writer in (sent, queued):
             writer.close()
+
+
+async def test_a_response_that_is_not_read_yet_outlasts_a_shutdown() -> None:
+    """A caller that paused for a second found its response cut off."""
+    stack = contextlib.AsyncExitStack()
+    async with _running_until_closed(stack) as (_, instance):
+        written = asyncio.Event()
+
+        async def handle(request: CallerRequest, reply: Reply) -> None:
+            await reply.send_response(ResponseHead(200, ()), b"x" * LARGE_BODY_BYTES)
+            written.set()
+
+        instance.app.get("gateway").handle = handle
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        connection.setblocking(False)
+        address = (instance.host, instance.caller_port)
+        await asyncio.get_running_loop().sock_connect(connection, address)
+        reader, writer = await asyncio.open_connection(sock=connection, limit=4096)
+        await Caller(instance).send(writer, "/book/x")
+        await written.wait()
+        writer.transport.pause_reading()
+        stopping = asyncio.create_task(_stop(instance, stack))
+        await asyncio.sleep(SLOW_CALLER_S)
+        writer.transport.resume_reading()
+        assert len((await read_response(reader)).body) == LARGE_BODY_BYTES
+        writer.close()
+        await stopping
+
+
+async def _stop(instance: Instance, stack: contextlib.AsyncExitStack) -> None:
+    await instance.app.get("ingress").leave()
+    await stack.aclose()
