--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -24,8 +24,12 @@
 from cicadacourse.gateway._times import StreamTimes
 from cicadacourse.placement import Placer, RetryBudget
 from cicadacourse.util.clock import now
+from cicadacourse.util.logging import get_logger
+
+logger = get_logger("forward")
 
 _WRITTEN: AttemptResult = Success(True)
+_NOT_WRITTEN: AttemptResult = Success(False)
 
 
 def _no_other_endpoint(pool: str) -> Error:
@@ -97,21 +101,35 @@
             for attempt in await self._wait():
                 task = self._task_by_attempt.pop(attempt)
                 self._grants.settle(attempt)
-                result = task.result()
+                result = self._result_of(task)
                 if result == _WRITTEN:
                     return None
                 error = self._go_on(result)
                 if error is not None:
                     return error
 
+    def _result_of(self, task: asyncio.Task[AttemptResult]) -> AttemptResult:
+        """Returns the result of an attempt that has ended.
+
+        An unexpected error ends the request only if no other attempt is in progress.
+        """
+        error = task.exception()
+        if error is None or not self._task_by_attempt:
+            return task.result()
+        logger.error(
+            "attempt of request {} failed: {!r}", self.admitted.request.id, error
+        )
+        return _NOT_WRITTEN
+
     def _go_on(self, result: AttemptResult) -> Error | None:
         """Goes on after an attempt without a response; returns the error if it can't.
 
-        The attempts that are still in progress go on in any case.
+        The attempts that are still in progress go on in any case, and the next hedge
+        beside them is deferred.
         """
         if self._task_by_attempt:
+            self._timer.defer(now())
             if isinstance(result, Failure):
-                self._timer.defer(now())
                 self._reporter.report_hedge_denied(result.failure())
             return None
         if isinstance(result, Failure):
@@ -135,6 +153,8 @@
         await asyncio.wait(
             tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
         )
+        if hedge_at is not None:
+            self._timer.check_pause(hedge_at, now())
         ended = [item for item, task in self._task_by_attempt.items() if task.done()]
         # An attempt that was not sent is no reason to end the request if another one
         # has failed at the same time, so that a retry is due.
@@ -177,9 +197,15 @@
         return self._grants.acquire(attempt)
 
     def confirm(self, attempt: ExchangeAttempt) -> Error | None:
-        """Refuses an attempt at an endpoint at which another one is in progress."""
+        """Refuses an attempt at an endpoint at which another one is in progress.
+
+        Further attempts are made in the pool of this one.
+        """
         if attempt.endpoint_id in self.used_ids(attempt):
             return _no_other_endpoint(self._pool)
+        if attempt.placement is not None:
+            # The request may have moved to another pool, where it stays.
+            self._pool = attempt.placement.endpoint.pool
         return None
 
     def used_ids(self, attempt: ExchangeAttempt) -> frozenset[str]:
--- a/cicadacourse/gateway/_retries.py
+++ b/cicadacourse/gateway/_retries.py
@@ -20,32 +20,38 @@
 
 @attrs.define
 class RetryGrants:
-    """Grants the attempts at one request; the first one needs no retry.
-
-    :ivar unused: grants of attempts that were not sent, for the next ones.
-    """
+    """Grants the attempts at one request; the first one needs no retry."""
 
     app: Application
     admitted: AdmittedRequest
     attempts: Attempts
     budget: RetryBudget
-    unused: int = 1
-    _holders: set[ExchangeAttempt] = attrs.field(factory=set)
+    _is_first_due: bool = True
+    # The pool that was charged for a retry; None for the first attempt.
+    _charged_by_attempt: dict[ExchangeAttempt, str | None] = attrs.field(factory=dict)
 
     def acquire(self, attempt: ExchangeAttempt) -> Error | None:
         """Grants an attempt, or returns the error if the budget allows no retry."""
-        if self.unused:
-            self.unused -= 1
-        elif not self._acquire_retry(attempt.pool):
+        if self._is_first_due:
+            self._is_first_due = False
+            self._charged_by_attempt[attempt] = None
+            return None
+        if not self._acquire_retry(attempt.pool):
             return self.attempts.final_error()
-        self._holders.add(attempt)
+        self._charged_by_attempt[attempt] = attempt.pool
         return None
 
     def settle(self, attempt: ExchangeAttempt) -> None:
         """Takes the grant of an attempt back if it has ended without being sent."""
-        if attempt in self._holders and not attempt.is_sent:
-            self.unused += 1
-        self._holders.discard(attempt)
+        if attempt not in self._charged_by_attempt:
+            return
+        pool = self._charged_by_attempt.pop(attempt)
+        if attempt.is_sent:
+            return
+        if pool is None:
+            self._is_first_due = True
+        else:
+            self.budget.return_retry(pool)
 
     def _acquire_retry(self, pool: str) -> bool:
         instances = len(self.app.get("membership").members())
--- a/cicadacourse/placement/_budget.py
+++ b/cicadacourse/placement/_budget.py
@@ -71,6 +71,11 @@
         self._retries_by_pool[pool].append(now_s)
         return True
 
+    def return_retry(self, pool: str) -> None:
+        """Gives back the last retry that was taken, as it was not made."""
+        if self._retries_by_pool[pool]:
+            self._retries_by_pool[pool].pop()
+
     def _slack_share(self, instances: int, now_s: float) -> float:
         """Returns this instance's share of the slack, in retries.
 
