--- a/soak/_decline_scenario.py
+++ b/soak/_decline_scenario.py
@@ -91,7 +91,7 @@
         endpoint
         for endpoint in environment.fleet.endpoint_by_id.values()
         if (endpoint.worker.engine is not None) == is_engine
-        and not endpoint.worker.says_leaving
+        and endpoint.worker.leaving_header is None
         and endpoint.worker.declines_until < now()
     ]
     return chooser.choice(endpoints) if endpoints else None
@@ -103,7 +103,7 @@
     """Lets an endpoint leave, and starts another one in its place."""
     leaving_s = chooser.uniform(*LEAVING_S)
     draining_after_s = min(chooser.choice(DRAINING_AFTER_S), leaving_s)
-    endpoint.worker.says_leaving = True
+    endpoint.worker.leaving_header = "1"
     await environment.add_endpoint(is_engine=endpoint.worker.engine is not None)
     await asyncio.sleep(draining_after_s)
     if draining_after_s < leaving_s:
--- a/standins/platform/_worker.py
+++ b/standins/platform/_worker.py
@@ -106,12 +106,11 @@
         begins to run them.
     :ivar crash: its crash; None while it runs.
     :ivar on_crash: ends its process.
-    :ivar retry_after: if not None, it refuses each request and states this value as the
-        time for which it wants no other.
-    :ivar leaving: the value by which its responses state whether it is shutting down;
-        None if they say nothing.
-    :ivar says_leaving: whether all its responses say that it is leaving.
-    :ivar leaving_ids: the ids of the requests whose responses said so.
+    :ivar retry_after_header: if not None, it refuses each request and states this value
+        as the time for which it wants no other.
+    :ivar leaving_header: the value by which its responses state whether it is shutting
+        down; None if they say nothing.
+    :ivar leaving_ids: the ids of the requests whose responses had that header.
     :ivar declines_until: the loop time in seconds until which it turns requests away.
     :ivar declines: the requests that it turned away.
     """
@@ -139,9 +138,8 @@
         self.crashing_contents: set[RequestContent] = set()
         self.crash: Crash | None = None
         self.on_crash: Callable[[], None] = lambda: None
-        self.retry_after: str | None = None
-        self.leaving: str | None = None
-        self.says_leaving = False
+        self.retry_after_header: str | None = None
+        self.leaving_header: str | None = None
         self.leaving_ids: set[str] = set()
         self.declines_until = 0.0
         self.declines: list[Decline] = []
--- a/standins/platform/_worker_http.py
+++ b/standins/platform/_worker_http.py
@@ -37,8 +37,8 @@
 
     def prepare(self) -> None:
         """Responds with 421 to a request for another endpoint; called by tornado."""
-        if self.worker.says_leaving:
-            self.set_header(names.HEADER_ENDPOINT_LEAVING, "1")
+        if self.worker.leaving_header is not None:
+            self.set_header(names.HEADER_ENDPOINT_LEAVING, self.worker.leaving_header)
             self.worker.leaving_ids.add(self.request_id)
         expected = self.request.headers.get(names.HEADER_EXPECTED_ENDPOINT)
         if expected is not None and expected != self.worker.id:
@@ -48,8 +48,6 @@
             return
         if self.worker.request_limit is not None:
             self.set_header(names.HEADER_REQUEST_LIMIT, str(self.worker.request_limit))
-        if self.worker.leaving is not None:
-            self.set_header(names.HEADER_ENDPOINT_LEAVING, self.worker.leaving)
 
     def refuse_for_now(self, retry_after: str) -> None:
         """Refuses the request and states for how long no other is wanted."""
@@ -82,8 +80,8 @@
         The status is 409 if too little is free, and 400 for another order or an
         endpoint without an engine.
         """
-        if self.worker.retry_after is not None:
-            self.refuse_for_now(self.worker.retry_after)
+        if self.worker.retry_after_header is not None:
+            self.refuse_for_now(self.worker.retry_after_header)
             return
         order = json.loads(self.request.body)
         engine = self.worker.engine
@@ -124,8 +122,8 @@
         worker.arrivals.append(self.arrival)
         try:
             self.set_header(names.HEADER_REQUEST_ID, self.request_id)
-            if worker.retry_after is not None:
-                self.refuse_for_now(worker.retry_after)
+            if worker.retry_after_header is not None:
+                self.refuse_for_now(worker.retry_after_header)
             elif now() < worker.declines_until:
                 self._decline(worker.declines_until - now())
             elif self.arrival.content in worker.crashing_contents:
--- a/tests/test_platform/test_platform_declines.py
+++ b/tests/test_platform/test_platform_declines.py
@@ -67,7 +67,7 @@
 
 async def test_a_refused_request_and_later_ones_go_elsewhere() -> None:
     async with _site() as site:
-        site.worker("plain-0").retry_after = "30.5"
+        site.worker("plain-0").retry_after_header = "30.5"
         with logbook.TestHandler().applicationbound() as handler:
             for _ in range(12):
                 assert (await site.caller.request("/book/x")).status == 200
@@ -78,19 +78,19 @@
 
 async def test_a_time_that_is_over_is_logged_and_no_longer_counted() -> None:
     async with _site() as site:
-        site.worker("plain-0").retry_after = "0.1"
+        site.worker("plain-0").retry_after_header = "0.1"
         metrics = site.instance.app.metrics
         with logbook.TestHandler().applicationbound() as handler:
             while not site.worker("plain-0").arrivals:
                 await site.caller.request("/book/x")
-            site.worker("plain-0").retry_after = None
+            site.worker("plain-0").retry_after_header = None
             await wait_until(lambda: not metrics.value("declining_endpoints"))
         assert count_lines(handler, ENDPOINT_ACCEPTS) == 1
 
 
 async def test_a_time_that_cannot_be_read_is_logged_and_ignored() -> None:
     async with _site() as site:
-        site.worker("plain-0").retry_after = "soon"
+        site.worker("plain-0").retry_after_header = "soon"
         with logbook.TestHandler().applicationbound() as handler:
             while not site.worker("plain-0").arrivals:
                 await site.caller.request("/book/x")
@@ -100,8 +100,8 @@
 
 async def test_callers_get_the_time_of_the_first_endpoint_to_return() -> None:
     async with _site() as site:
-        site.worker("plain-0").retry_after = "30"
-        site.worker("plain-1").retry_after = "60"
+        site.worker("plain-0").retry_after_header = "30"
+        site.worker("plain-1").retry_after_header = "60"
         for _ in range(3):
             response = await site.caller.request("/book/x")
             assert response.status == 503
@@ -113,7 +113,7 @@
 async def test_an_endpoint_that_leaves_answers_one_last_request() -> None:
     async with _site() as site:
         for number in range(2):
-            site.worker(f"plain-{number}").leaving = "1"
+            site.worker(f"plain-{number}").leaving_header = "1"
         for _ in range(2):
             response = await site.caller.request("/look/x")
             assert response.status == 200
@@ -128,19 +128,19 @@
 
 async def test_a_stream_is_forwarded_though_its_engine_leaves() -> None:
     async with _site() as site:
-        site.worker("engine-0").leaving = "1"
+        site.worker("engine-0").leaving_header = "1"
         assert (await site.caller.request("/ask/x", STREAM_TOKENS)).status == 200
         assert (await site.caller.request("/ask/x", STREAM_TOKENS)).status == 503
 
 
 async def test_another_value_leaves_an_endpoint_in_use() -> None:
     async with _site(plain_services=1) as site:
-        site.worker("plain-0").leaving = "0"
+        site.worker("plain-0").leaving_header = "0"
         for _ in range(3):
             assert (await site.caller.request("/look/x")).status == 200
 
 
-@pytest.mark.parametrize("states", ["retry_after", "leaving"])
+@pytest.mark.parametrize("states", ["retry_after_header", "leaving_header"])
 async def test_nothing_is_sent_to_an_endpoint_that_declines_while_it_is_connected_to(
     monkeypatch: pytest.MonkeyPatch, states: str
 ) -> None:
@@ -155,7 +155,7 @@
             if not declined:
                 declined.append(endpoint.id)
                 worker = site.worker(endpoint.id)
-                setattr(worker, states, "1" if states == "leaving" else "30")
+                setattr(worker, states, "1" if states == "leaving_header" else "30")
                 orders = site.instance.app.get("memory_client")
                 await orders.release(endpoint, "none")
             return connection
@@ -169,7 +169,7 @@
 
 async def test_an_order_tells_as_well_that_an_engine_declines() -> None:
     async with _site() as site:
-        site.worker("engine-0").leaving = "1"
+        site.worker("engine-0").leaving_header = "1"
         orders = site.instance.app.get("memory_client")
         engine = site.endpoint("engine-0")
         assert isinstance(await orders.release(engine, "none"), Success)
--- a/tests/test_soak/test_soak_declines.py
+++ b/tests/test_soak/test_soak_declines.py
@@ -31,7 +31,7 @@
     async with Fleet(next_host()).running() as fleet:
         endpoint = fleet.add_plain_service("one")
         assert "server-leaving" not in (await _send(endpoint.address)).headers
-        endpoint.worker.says_leaving = True
+        endpoint.worker.leaving_header = "1"
         for headers in ({}, {"X-Cicadacourse-Expect-Instance": "other"}):
             response = await _send(endpoint.address, headers)
             assert response.headers["server-leaving"] == "1"
