Hedging delay: no parameter that only tests set

`has_alternative` was always true in the product, so its unit test tested nothing that runs. It is replaced by a test of the whole path: a route with one attempt, an endpoint silent for nearly the whole time limit, one arrival, the response whole (calls and streams). A test's name still spoke of a read timeout.

--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -101,17 +101,12 @@
         """Whether the response is a stream of events."""
         return self.route.kind is RouteKind.STREAM
 
-    def hedging_delay_s(
-        self, has_alternative: bool, time_left_s: float, expected_s: float = 0.0
-    ) -> float:
+    def hedging_delay_s(self, time_left_s: float, expected_s: float = 0.0) -> float:
         """Returns after how many seconds without data another endpoint is tried too.
 
-        :param has_alternative: whether the request may be retried at another endpoint.
         :param time_left_s: seconds until the deadline.
         :param expected_s: the estimated seconds to the first event, 0 after it.
         """
-        if not has_alternative:
-            return time_left_s
         if not self.is_stream:
             return min(time_left_s, CALL_TIMEOUT_OBJECTIVES * self.route.target_s)
         usual_s = IDLE_TIMEOUT_SHARE * self.caller_idle_timeout_s
--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -92,7 +92,7 @@
         if self.placement is not None and self.progress is Progress.WAITING:
             expected_s = self.placement.expected_first_event_s
         time_left_s = self.admitted.deadline - since
-        return since + self.admitted.hedging_delay_s(True, time_left_s, expected_s)
+        return since + self.admitted.hedging_delay_s(time_left_s, expected_s)
 
     async def run(self) -> AttemptResult:
         """Makes the attempt."""
--- a/tests/test_gateway/test_gateway_hedges.py
+++ b/tests/test_gateway/test_gateway_hedges.py
@@ -36,6 +36,8 @@
 
 SILENCE_S = 1.2
 PAUSE_S = 1.5
+# Nearly the time limit of the requests.
+NEARLY_ALL_S = 3.3
 MAX_REFUSED_HEDGES = 2
 
 
@@ -150,6 +152,23 @@
     run(_denied_hedges_return_their_retries)
 
 
+async def _without_alternative(path: str) -> None:
+    async with gateway_cluster(1, make_pools(3)) as cluster:
+        service = cluster.memory.get("n0", "catalog")
+        routes = tuple(attrs.evolve(item, max_attempts=1) for item in CATALOG.routes)
+        service.apply_if_newer(attrs.evolve(CATALOG, version=2, routes=routes), "test")
+        task = asyncio.create_task(cluster.send("n0", path))
+        first = await wait_for_server(cluster)
+        first.fall_silent(NEARLY_ALL_S)
+        check_whole(await task, EVENTS if path == "ask" else 1)
+        assert _count_arrivals(cluster) == 1
+
+
+@pytest.mark.parametrize("path", ["ask", "look"])
+def test_without_an_alternative_only_the_deadline_counts(path: str) -> None:
+    run(_without_alternative, path)
+
+
 async def _answered_otherwise() -> None:
     async with gateway_cluster(1, make_pools(3)) as cluster:
         task = asyncio.create_task(cluster.send("n0"))
--- a/tests/test_gateway/test_gateway_limits.py
+++ b/tests/test_gateway/test_gateway_limits.py
@@ -45,21 +45,15 @@
 
 
 def test_another_endpoint_is_tried_after_half_of_the_callers_idle_timeout() -> None:
-    assert (
-        ADMITTED.hedging_delay_s(True, 15.0, expected_s=0.5) == ROUTE_IDLE_TIMEOUT_S / 2
-    )
+    assert ADMITTED.hedging_delay_s(15.0, expected_s=0.5) == ROUTE_IDLE_TIMEOUT_S / 2
 
 
 def test_a_prompt_with_a_long_prefill_is_not_abandoned_midway() -> None:
-    assert ADMITTED.hedging_delay_s(True, 15.0, expected_s=5.0) == 10.0
-
-
-def test_a_read_timeout_never_exceeds_the_callers_idle_timeout() -> None:
-    assert ADMITTED.hedging_delay_s(True, 15.0, expected_s=9.0) == ROUTE_IDLE_TIMEOUT_S
+    assert ADMITTED.hedging_delay_s(15.0, expected_s=5.0) == 10.0
 
 
-def test_without_an_alternative_only_the_deadline_counts() -> None:
-    assert ADMITTED.hedging_delay_s(False, 13.0, expected_s=0.5) == 13.0
+def test_a_hedging_delay_never_exceeds_the_callers_idle_timeout() -> None:
+    assert ADMITTED.hedging_delay_s(15.0, expected_s=9.0) == ROUTE_IDLE_TIMEOUT_S
 
 
 def test_a_first_event_after_the_callers_idle_timeout_is_of_no_use() -> None:
@@ -77,4 +71,4 @@
 def test_a_call_is_retried_elsewhere_after_about_two_latency_objectives() -> None:
     route = attrs.evolve(ROUTE, kind=RouteKind.SAFE, target_s=0.25)
     admitted = attrs.evolve(ADMITTED, route=route)
-    assert admitted.hedging_delay_s(True, 4.0) < 3 * route.target_s
+    assert admitted.hedging_delay_s(4.0) < 3 * route.target_s
