Logs: one module a family of events

It is a package now: the kind of line and the function that logs it stand apart, and the events are declared in five modules by the parts that log them. Names, texts and fields are unchanged (a move of code; tests/test_logs.py and test_platform_names.py pass).

--- /dev/null
+++ b/cicadacourse/logs/_state.py
@@ -0,0 +1,81 @@
+"""Log events of the configuration, the registry and the store."""
+
+from __future__ import annotations
+
+from cicadacourse.logs._event import declare
+
+CONFIGURATION_IN_FORCE = declare(
+    "catalog",
+    "configuration in force",
+    "`version` is in force from now on; `source` is the store or an instance.",
+)
+CONFIGURATION_SUPERSEDED = declare(
+    "catalog",
+    "configuration superseded",
+    "The instance `source` has the version `newer`; `version` is in force here until"
+    " the newer one arrives.",
+)
+CONFIGURATION_REFUSED = declare(
+    "catalog",
+    "configuration refused",
+    "A version could not be parsed and is ignored.",
+    True,
+)
+CONFIGURATION_ENTRY_REFUSED = declare(
+    "catalog",
+    "entry of the configuration refused",
+    "A malformed row of `table`, or the part that `reason` names, is ignored; the rest"
+    " is in force.",
+    True,
+)
+ENDPOINT_LISTED = declare(
+    "registry",
+    "endpoint listed",
+    "An endpoint is new, or its `state`, `address` or start time changed.",
+)
+ENDPOINT_GONE = declare(
+    "registry", "endpoint gone", "`endpoint` was removed and gets no more requests."
+)
+ENDPOINT_ENTRY_REFUSED = declare(
+    "registry",
+    "entry refused",
+    "An entry of the registry or of the list of instances could not be parsed; the"
+    " endpoint or instance that it describes is not used.",
+    True,
+)
+REGISTRY_READ = declare(
+    "registry", "registry read", "All registry entries were read from the store."
+)
+REGISTRY_FETCHED = declare(
+    "relay",
+    "registry fetched",
+    "All registry entries were received from the instance `source`.",
+)
+FETCH_FAILED = declare(
+    "relay",
+    "fetch failed",
+    "The `subject` (configuration or registry) was not received from the instance"
+    " `source` because of `reason`; at most one line a second for each of both.",
+    True,
+)
+STORE_LOST = declare(
+    "store",
+    "store lost",
+    "Reads of `topic` fail; the last known records stay in use.",
+    True,
+)
+STORE_RECOVERED = declare(
+    "store", "store regained", "Reads of `topic` succeed again after `lost_for_s`."
+)
+STORE_RESTORED = declare(
+    "store",
+    "store restored",
+    "The store has come back from a copy and lost its latest records; `era` counts such"
+    " times. All topics are read again, and this instance announces itself again.",
+    True,
+)
+RECORDS_TRIMMED = declare(
+    "store",
+    "records were deleted before they were read",
+    "All of `topic` is read again.",
+)
