Endpoints: connecting apart from sending, and the client of endpoints above the platform's adapter

The platform's client of endpoints did three things: it chose and opened a connection, checked the endpoint again, and sent the request. Connecting is EndpointConnector now (platform), and the check and the exchange are ProxyingClient (proxy), which a way through another instance needs.

--- a/cicadacourse/cmd/_services.py
+++ b/cicadacourse/cmd/_services.py
@@ -11,6 +11,7 @@
     "catalog",
     "load",
     "evidence",
+    "proxy",
     "limits",
     "quarantine",
     "placement",
--- a/cicadacourse/cmd/serve.py
+++ b/cicadacourse/cmd/serve.py
@@ -46,6 +46,7 @@
     "quarantine",
     "feed",
     "relay",
+    "endpoint_connector",
     "endpoint_caller",
     "memory_client",
     "reservations",
--- a/cicadacourse/exchange/__init__.py
+++ b/cicadacourse/exchange/__init__.py
@@ -3,6 +3,8 @@
 from cicadacourse.exchange._endpoint_client import (
     MAX_BODY_BYTES,
     EndpointClient,
+    EndpointConnection,
+    EndpointConnector,
     EndpointResponse,
     SendFailure,
 )
@@ -21,6 +23,8 @@
     "CallerRequest",
     "EndpointResponse",
     "EndpointClient",
+    "EndpointConnection",
+    "EndpointConnector",
     "ResponseHead",
     "EndpointRequest",
     "Header",
--- a/cicadacourse/exchange/_endpoint_client.py
+++ b/cicadacourse/exchange/_endpoint_client.py
@@ -72,6 +72,60 @@
         return b"".join(parts)
 
 
+class EndpointConnection(abc.ABC):
+    """A connection to an endpoint, for one exchange; nothing has been sent on it yet.
+
+    :ivar via: the name of the instance through which it goes, None if it is direct.
+    """
+
+    via: str | None = None
+
+    @abc.abstractmethod
+    async def send(
+        self, request: EndpointRequest, head_timeout_s: float
+    ) -> EndpointResponse:
+        """Sends a request and returns the response once its head is read.
+
+        :param head_timeout_s: seconds to wait for the head of the response.
+        :raises SendFailure: if the connection breaks or no head comes in time.
+        """
+
+
+class EndpointConnector(abc.ABC):
+    """Connects this instance directly to endpoints.
+
+    Its service is named ``endpoint_connector``.
+    """
+
+    @abc.abstractmethod
+    def connect(
+        self, endpoint: Endpoint, is_idempotent: bool, needs_new_connection: bool
+    ) -> contextlib.AbstractAsyncContextManager[EndpointConnection]:
+        """Yields a connection, a kept one or a new one.
+
+        Leaving the context cancels an exchange that is not complete.
+
+        :param is_idempotent: whether the request may run more than once.
+        :param needs_new_connection: whether a kept connection may not be used.
+        :raises SendFailure: if the endpoint can't be connected to.
+        """
+
+    @abc.abstractmethod
+    async def is_refused(self, endpoint: Endpoint) -> bool:
+        """Returns whether the endpoint's host refuses a connection to its address.
+
+        A connection that isn't made in time is not refused.
+        """
+
+    @abc.abstractmethod
+    def close_idle_connections(self, endpoint_id: str) -> None:
+        """Closes the connections to an endpoint that wait for their next use."""
+
+    @abc.abstractmethod
+    def abort_exchanges(self, endpoint_id: str) -> None:
+        """Aborts all exchanges with an endpoint that is known to be dead."""
+
+
 class EndpointClient(abc.ABC):
     """Sends requests to endpoints; its service is named ``endpoint_caller``."""
 
--- a/cicadacourse/platform/__init__.py
+++ b/cicadacourse/platform/__init__.py
@@ -3,14 +3,15 @@
 No other package of ``cicadacourse`` uses the platform's names.
 
 Importing it registers its services: ``store`` is the client of the platform's store,
-``feed`` follows its topics, ``contacts`` finds the other instances, ``endpoint_caller``
+``feed`` follows its topics, ``contacts`` finds the other instances,
+``endpoint_connector``
 and ``memory_client`` send requests and orders to endpoints, ``ingress`` serves callers,
 and ``probes`` serves readiness probes, look-ups and scrapes. ``Publisher`` and
 ``Caller`` are used by the operators' commands.
 """
 
 from cicadacourse.platform._caller import Caller, RequestOutcome, RequestSpec
-from cicadacourse.platform._endpoint_client import PlatformEndpointClient
+from cicadacourse.platform._endpoint_connector import PlatformEndpointConnector
 from cicadacourse.platform._feed import Feed
 from cicadacourse.platform._ingress import Ingress
 from cicadacourse.platform._instances import StoredContacts
@@ -29,7 +30,7 @@
     "Feed",
     "Ingress",
     "ListenSettings",
-    "PlatformEndpointClient",
+    "PlatformEndpointConnector",
     "PlatformKvCacheClient",
     "Probes",
     "PublishOutcome",
--- a/cicadacourse/platform/_endpoint_client.py
+++ b/cicadacourse/platform/_endpoint_connector.py
@@ -1,4 +1,4 @@
-"""The HTTP client that sends requests to endpoints in the platform's protocol."""
+"""Direct HTTP connections to endpoints in the platform's protocol."""
 
 from __future__ import annotations
 
@@ -7,14 +7,14 @@
 from collections import defaultdict
 from typing import AsyncIterator
 
-import attrs
 import h11
 
 from cicadacourse.application import SERVICES, Application, Service
-from cicadacourse.catalog import Endpoint, EndpointState
+from cicadacourse.catalog import Endpoint
 from cicadacourse.events import ENDPOINT_CHANGED
 from cicadacourse.exchange import (
-    EndpointClient,
+    EndpointConnection,
+    EndpointConnector,
     EndpointRequest,
     EndpointResponse,
     ResponseHead,
@@ -44,8 +44,8 @@
 MAX_IDLE_NON_IDEMPOTENT_S = 1.5
 
 
-@SERVICES.register("endpoint_caller")
-class PlatformEndpointClient(Service, EndpointClient):
+@SERVICES.register("endpoint_connector")
+class PlatformEndpointConnector(Service, EndpointConnector):
     """Pools connections to endpoints; each carries one exchange at a time.
 
     A new connection to an endpoint is opened only once no idle one is left, so there
@@ -53,7 +53,7 @@
     together, so it may still reset some beyond its limit.
     """
 
-    name = "endpoint_caller"
+    name = "endpoint_connector"
 
     def __init__(self, app: Application) -> None:
         super().__init__(app)
@@ -71,75 +71,21 @@
                 self.close_idle_connections(endpoint_id)
 
     @contextlib.asynccontextmanager
-    async def exchange(
-        self, request: EndpointRequest, is_idempotent: bool, head_timeout_s: float
-    ) -> AsyncIterator[EndpointResponse]:
-        """Sends a request, yields its response; see :meth:`EndpointClient.exchange`."""
-        endpoint = request.endpoint
-        started = now()
+    async def connect(
+        self, endpoint: Endpoint, is_idempotent: bool, needs_new_connection: bool
+    ) -> AsyncIterator[EndpointConnection]:
+        """Yields a connection; see :meth:`EndpointConnector.connect`."""
         connection = None
-        if not request.needs_new_connection:
+        if not needs_new_connection:
             connection = self._take_idle(endpoint, is_idempotent)
         if connection is None:
             connection = await self._open(endpoint)
-        time_left_s = request.time_left_s - (now() - started)
-        request = attrs.evolve(request, time_left_s=time_left_s)
         self._busy_by_endpoint[endpoint.id].add(connection)
         try:
-            self._check_ready(endpoint)
-            response = await self._send(connection, request, head_timeout_s)
-            yield response
-        except HttpConnectionError as error:
-            raise SendFailure(
-                str(error), True, "connection_broken", is_broken_off=True
-            ) from error
+            yield _DirectConnection(connection)
         finally:
             self._release(endpoint, connection)
 
-    def _check_ready(self, endpoint: Endpoint) -> None:
-        """Checks the endpoint again, as time has passed since it was chosen.
-
-        :raises SendFailure: if the endpoint leaves, is gone or has restarted, or if it
-            wants no requests from this instance.
-        """
-        current = self.app.get("catalog").registry.find(endpoint.id)
-        is_same = current is not None and current.is_same_process(endpoint)
-        if not is_same or current.state is not EndpointState.READY:
-            detail = "the endpoint no longer accepts requests"
-            raise SendFailure(detail, False, "endpoint_leaving", is_withdrawn=True)
-        if not self.app.get("placement").declines.accepts(endpoint):
-            detail = "the endpoint wants no requests from this instance"
-            raise SendFailure(detail, False, "endpoint_declined", is_withdrawn=True)
-
-    async def _send(
-        self,
-        connection: HttpConnection,
-        request: EndpointRequest,
-        head_timeout_s: float,
-    ) -> _Response:
-        caller = request.caller
-        headers = _request_headers(request)
-        try:
-            connection.send(caller.method, caller.target, headers, caller.body)
-        except HttpConnectionError as error:
-            raise SendFailure(str(error), False, "connection_ended") from error
-        except h11.LocalProtocolError as error:
-            raise SendFailure(str(error), False, "malformed_request") from error
-        try:
-            async with asyncio.timeout(head_timeout_s):
-                response = await connection.receive()
-        except TimeoutError:
-            detail = f"no response head within {head_timeout_s:.2f} s"
-            raise SendFailure(detail, True, "no_answer") from None
-        if not isinstance(response, h11.Response):
-            raise SendFailure("no response head was received", True, "malformed_answer")
-        head = read_head(response)
-        if not _is_response_to(response, request):
-            raise SendFailure(
-                "the response bears the id of another request", True, "foreign_answer"
-            )
-        return _Response(head, connection, _keep_alive_s(response))
-
     async def _open(self, endpoint: Endpoint) -> HttpConnection:
         # Sockets of connections that were closed before are closed in the next turn of
         # the loop, so they don't count beside the new one.
@@ -174,11 +120,8 @@
             connection.close()
         return None
 
-    async def is_process_gone(self, endpoint: Endpoint) -> bool:
-        """See :meth:`EndpointClient.is_process_gone`."""
-        current = self.app.get("catalog").registry.find(endpoint.id)
-        if current is None or not current.is_same_process(endpoint):
-            return True
+    async def is_refused(self, endpoint: Endpoint) -> bool:
+        """See :meth:`EndpointConnector.is_refused`."""
         try:
             connection = await HttpConnection.connect(endpoint.address, GONE_TIMEOUT_S)
         except HttpConnectionError as error:
@@ -208,11 +151,52 @@
             self.close_idle_connections(endpoint.id)
 
     def close_idle_connections(self, endpoint_id: str) -> None:
-        """See :meth:`EndpointClient.close_idle_connections`."""
+        """See :meth:`EndpointConnector.close_idle_connections`."""
         for connection in self._idle_by_endpoint.pop(endpoint_id, ()):
             connection.close()
 
 
+class _DirectConnection(EndpointConnection):
+    """A connection from this instance to an endpoint."""
+
+    def __init__(self, connection: HttpConnection) -> None:
+        self._connection = connection
+
+    async def send(
+        self, request: EndpointRequest, head_timeout_s: float
+    ) -> EndpointResponse:
+        """Sends a request; see :meth:`EndpointConnection.send`."""
+        caller = request.caller
+        headers = _request_headers(request)
+        try:
+            self._connection.send(caller.method, caller.target, headers, caller.body)
+        except HttpConnectionError as error:
+            raise SendFailure(str(error), False, "connection_ended") from error
+        except h11.LocalProtocolError as error:
+            raise SendFailure(str(error), False, "malformed_request") from error
+        response = await self._receive_head(head_timeout_s)
+        if not isinstance(response, h11.Response):
+            raise SendFailure("no response head was received", True, "malformed_answer")
+        head = read_head(response)
+        if not _is_response_to(response, request):
+            raise SendFailure(
+                "the response bears the id of another request", True, "foreign_answer"
+            )
+        return _Response(head, self._connection, _keep_alive_s(response))
+
+    async def _receive_head(self, timeout_s: float) -> object:
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._connection.receive()
+        except TimeoutError:
+            detail = f"no response head within {timeout_s:.2f} s"
+            raise SendFailure(detail, True, "no_answer") from None
+        except HttpConnectionError as error:
+            raise SendFailure(
+                str(error), True, "connection_broken", is_broken_off=True
+            ) from error
+
+
 class _Response(EndpointResponse):
     """A response that is read from a connection."""
 
--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -16,7 +16,8 @@
 from cicadacourse.events import ENDPOINT_CHANGED
 from cicadacourse.exchange import (
     CallerRequest,
-    EndpointClient,
+    EndpointConnection,
+    EndpointConnector,
     EndpointRequest,
     EndpointResponse,
     Prompt,
@@ -217,10 +218,10 @@
     return 0 if last_id is None else int(last_id) + 1
 
 
-class SimulatedClient(Service, EndpointClient):
-    """Sends the requests of one instance to the endpoints of its cluster."""
+class SimulatedConnector(Service, EndpointConnector):
+    """Connects one instance to the endpoints of its cluster."""
 
-    name = "endpoint_caller"
+    name = "endpoint_connector"
 
     def __init__(self, app: Application, cluster: GatewayCluster, own: str):
         super().__init__(app)
@@ -234,8 +235,8 @@
     def abort_exchanges(self, endpoint_id: str) -> None:
         """Does nothing; no test here aborts exchanges."""
 
-    async def is_process_gone(self, endpoint: Endpoint) -> bool:
-        """Returns whether the endpoint's process has certainly ended."""
+    async def is_refused(self, endpoint: Endpoint) -> bool:
+        """Returns whether the endpoint's process has ended."""
         if self._cluster.is_message_lost():
             await asyncio.sleep(LOST_CONNECT_S)
             return False
@@ -243,11 +244,32 @@
         return endpoint.id not in self._by_id or self._by_id[endpoint.id].is_down
 
     @contextlib.asynccontextmanager
-    async def exchange(
-        self, request: EndpointRequest, is_idempotent: bool, head_timeout_s: float
-    ) -> AsyncIterator[EndpointResponse]:
-        """Simulates an exchange with an endpoint."""
-        endpoint = self._by_id.get(request.endpoint.id)
+    async def connect(
+        self, endpoint: Endpoint, is_idempotent: bool, needs_new_connection: bool
+    ) -> AsyncIterator[EndpointConnection]:
+        """Simulates a new connection to an endpoint."""
+        connection = _SimulatedConnection(self._cluster, self._own_name)
+        try:
+            await connection.open(self._by_id.get(endpoint.id))
+            yield connection
+        finally:
+            connection.close()
+
+
+@attrs.define
+class _SimulatedConnection(EndpointConnection):
+    """A connection of an instance to an endpoint, for one exchange."""
+
+    _cluster: GatewayCluster
+    _own_name: str
+    _endpoint: SimulatedEndpoint | None = None
+    _is_sent: bool = False
+
+    async def open(self, endpoint: SimulatedEndpoint | None) -> None:
+        """Connects to an endpoint.
+
+        :raises SendFailure: if the endpoint can't be connected to.
+        """
         if endpoint is None:
             raise SendFailure("connection refused", False, "unreachable")
         if self._cluster.is_message_lost():
@@ -258,12 +280,23 @@
             raise SendFailure("not connected in time", False, "unreachable")
         if endpoint.is_down:
             raise SendFailure("connection refused", False, "unreachable")
+        self._endpoint = endpoint
+
+    def close(self) -> None:
+        """Ends the exchange at the endpoint."""
+        if self._endpoint is not None and self._is_sent:
+            self._endpoint.in_progress -= 1
+
+    async def send(
+        self, request: EndpointRequest, head_timeout_s: float
+    ) -> EndpointResponse:
+        """Sends a request and returns the head of its response."""
+        endpoint = self._endpoint
+        assert endpoint is not None
         endpoint.arrivals.append(Arrival(now(), self._own_name, request))
         endpoint.in_progress += 1
-        try:
-            yield await self._receive_head(endpoint, request, head_timeout_s)
-        finally:
-            endpoint.in_progress -= 1
+        self._is_sent = True
+        return await self._receive_head(endpoint, request, head_timeout_s)
 
     async def _receive_head(
         self, endpoint: SimulatedEndpoint, request: EndpointRequest, timeout_s: float
@@ -379,7 +412,8 @@
             "permits",
             "limits",
             "quarantine",
-            self._make_client,
+            self._make_connector,
+            "endpoint_caller",
             "placement",
             "gateway",
         ]
@@ -389,10 +423,10 @@
         self._service_by_address[service._instance.peer_address] = service
         return service
 
-    def _make_client(self, app: Application) -> Service:
+    def _make_connector(self, app: Application) -> Service:
         name = app.get("load")._instance.name
         self._fill(app)
-        return SimulatedClient(app, self, name)
+        return SimulatedConnector(app, self, name)
 
     def is_message_lost(self) -> bool:
         """Returns whether a message to an endpoint is lost, drawn at random."""
--- a/tests/test_gateway/test_gateway_histories.py
+++ b/tests/test_gateway/test_gateway_histories.py
@@ -45,6 +45,7 @@
 from cicadacourse.load import LoadService
 from cicadacourse.membership import Member
 from cicadacourse.placement import Placer
+from cicadacourse.proxy import ProxyingClient
 from cicadacourse.quarantine import Quarantine
 from cicadacourse.util.clock import now
 from standins.platform import PROFILE
@@ -324,6 +325,18 @@
     return app
 
 
+def with_connector(
+    make_connector: Callable[[Application], Service],
+) -> Callable[[Application], Service]:
+    """Returns a function that makes the product's client, above a connector."""
+
+    def make_client(app: Application) -> Service:
+        app.add_service(make_connector(app))
+        return ProxyingClient(app)
+
+    return make_client
+
+
 async def serve(
     app: Application, number: int, scheduled: ScheduledRequest
 ) -> tuple[FakeReply, float]:
--- a/tests/test_gateway/test_gateway_silence.py
+++ b/tests/test_gateway/test_gateway_silence.py
@@ -23,7 +23,7 @@
 from tests.gateway_cluster import (
     FOR_GOOD,
     GatewayCluster,
-    SimulatedClient,
+    SimulatedConnector,
     SimulatedEndpoint,
     gateway_cluster,
     make_endpoints,
@@ -34,6 +34,7 @@
     ScheduledRequest,
     make_app,
     serve,
+    with_connector,
 )
 
 SILENCE_S = 1.2
@@ -290,10 +291,10 @@
     apps = []
     for number in range(instances):
         name = f"n{number}"
-        make_client = functools.partial(
-            SimulatedClient, cluster=GatewayCluster(endpoint_by_id), own=name
+        make_connector = functools.partial(
+            SimulatedConnector, cluster=GatewayCluster(endpoint_by_id), own=name
         )
-        app = make_app(name, make_client)
+        app = make_app(name, with_connector(make_connector))
         for endpoint in endpoint_by_id.values():
             app.get("catalog").registry.put(endpoint.endpoint)
         apps.append(app)
--- a/tests/test_platform/test_platform_declines.py
+++ b/tests/test_platform/test_platform_declines.py
@@ -146,7 +146,7 @@
 ) -> None:
     """The request goes elsewhere and uses neither an attempt nor the retry budget."""
     async with _site() as site:
-        client = site.instance.app.get("endpoint_caller")
+        client = site.instance.app.get("endpoint_connector")
         connect = client._open
         declined: list[str] = []
 
--- a/tests/test_platform/test_platform_path.py
+++ b/tests/test_platform/test_platform_path.py
@@ -380,7 +380,7 @@
     async with running_deployment(plain_services=2) as deployment:
         app, fleet = deployment.instance.app, deployment.fleet
         registry = app.get("catalog").registry
-        client = app.get("endpoint_caller")
+        client = app.get("endpoint_connector")
         connect = client._open
         left: list[RegisteredEndpoint] = []
 
--- a/tests/test_platform/test_platform_silent_connections.py
+++ b/tests/test_platform/test_platform_silent_connections.py
@@ -14,13 +14,14 @@
 
 from cicadacourse.application import Application
 from cicadacourse.catalog import CatalogService
-from cicadacourse.platform._endpoint_client import PlatformEndpointClient
+from cicadacourse.platform import PlatformEndpointConnector
 from cicadacourse.util.clock import now
 from tests.test_gateway.test_gateway_histories import (
     OK,
     ScheduledRequest,
     make_app,
     serve,
+    with_connector,
 )
 
 ENDPOINTS = 3
@@ -58,7 +59,7 @@
 @contextlib.asynccontextmanager
 async def _instance(endpoints: _Endpoints) -> AsyncIterator[Application]:
     """Yields an instance with endpoints of the pool of calls at real addresses."""
-    app = make_app(make_client=PlatformEndpointClient)
+    app = make_app(make_client=with_connector(PlatformEndpointConnector))
     catalog_service: CatalogService = app.get("catalog")
     async with contextlib.AsyncExitStack() as stack:
         for endpoint in catalog_service.registry.ready("plain"):
@@ -67,7 +68,7 @@
             host, port = server.sockets[0].getsockname()
             moved = attrs.evolve(endpoint, address=f"{host}:{port}")
             catalog_service.registry.put(moved)
-        await stack.enter_async_context(app.get("endpoint_caller").running())
+        await stack.enter_async_context(app.get("endpoint_connector").running())
         try:
             yield app
         finally:
@@ -102,7 +103,7 @@
         endpoints.silence_open_connections()
         await _send(app, 100)
         health = app.get("placement").health
-        idle = app.get("endpoint_caller")._idle_by_endpoint
+        idle = app.get("endpoint_connector")._idle_by_endpoint
         ids = [f"plain-{number}" for number in range(ENDPOINTS)]
         blamed = [id for id in ids if health.is_ejected(id, now())]
         assert len(blamed) == 1
