--- a/cicadacourse/cmd/_services.py
+++ b/cicadacourse/cmd/_services.py
@@ -11,6 +11,7 @@
     "catalog",
     "load",
     "evidence",
+    "reachability",
     "proxy",
     "limits",
     "quarantine",
--- a/cicadacourse/cmd/serve.py
+++ b/cicadacourse/cmd/serve.py
@@ -41,6 +41,7 @@
     "membership",
     "load",
     "evidence",
+    "reachability",
     "permits",
     "limits",
     "quarantine",
--- /dev/null
+++ b/cicadacourse/reachability/__init__.py
@@ -0,0 +1,5 @@
+"""Which instance reaches which endpoint."""
+
+from cicadacourse.reachability._service import Reachability
+
+__all__ = ["Reachability"]
--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -409,6 +409,7 @@
             "membership",
             self._make_load,
             "evidence",
+            "reachability",
             "permits",
             "limits",
             "quarantine",
