--- a/cicadacourse/cmd/_services.py
+++ b/cicadacourse/cmd/_services.py
@@ -11,6 +11,8 @@
     "catalog",
     "load",
     "evidence",
+    "reachability",
+    "proxy",
     "limits",
     "quarantine",
     "placement",
