--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -174,10 +174,13 @@
 
     async def _record_failure(self, placement: Placement, failure: SendFailure) -> None:
         self.has_failed = True
+        silent_s = self.silent_s
         self.waiting_since = None
         if failure.is_withdrawn:
             self.is_sent = False
-        self.reporter.report_transport_failure(placement, failure, self.progress)
+        self.reporter.report_transport_failure(
+            placement, failure, self.progress, silent_s
+        )
         await self._record_crash(placement, failure)
 
     async def _handle_response(
--- a/cicadacourse/gateway/_outcomes.py
+++ b/cicadacourse/gateway/_outcomes.py
@@ -63,13 +63,18 @@
         self._record_failure(placement.endpoint.id, "no_memory", detail, False)
 
     def report_transport_failure(
-        self, placement: Placement, failure: SendFailure, progress: Progress
+        self,
+        placement: Placement,
+        failure: SendFailure,
+        progress: Progress,
+        silent_s: float,
     ) -> None:
         """Reports that an endpoint was unreachable, broke off, timed out or left.
 
         The attempt doesn't count if the endpoint left before anything was sent.
 
         :param progress: how far the attempt got.
+        :param silent_s: for how many seconds no data had come.
         """
         endpoint_id = placement.endpoint.id
         if failure.is_withdrawn:
@@ -86,6 +91,7 @@
             failure.detail,
             failure.may_have_run,
             progress=progress.value,
+            silent_s=round(silent_s, 3),
             parts=prompt.shared_part_ids if prompt else (),
         )
 
--- a/cicadacourse/logs/_requests.py
+++ b/cicadacourse/logs/_requests.py
@@ -21,9 +21,9 @@
     "attempt failed",
     "`endpoint` gave no usable response because of `reason`; `may_have_run` is whether"
     " it may have executed the request. If the exchange broke, `progress` is `waiting`"
-    " (no response), `begun` (no complete event of it) or `streaming`, and `parts` are"
-    " the parts of the prompt that other prompts may share; `digest` is as in `request"
-    " sent`.",
+    " (no response), `begun` (no complete event of it) or `streaming`, no data had come"
+    " for `silent_s`, and `parts` are the parts of the prompt that other prompts may"
+    " share; `digest` is as in `request sent`.",
     True,
 )
 RETRY_BUDGET_EXHAUSTED = declare(
