--- a/cicadacourse/events.py
+++ b/cicadacourse/events.py
@@ -20,6 +20,8 @@
 ENDPOINT_CHANGED = "endpoint-changed"
 # The endpoint, whose process another instance has seen ended.
 ENDPOINT_ENDED = "endpoint-ended"
+# The id of the endpoint, which has sent a part of a response.
+ENDPOINT_SENT_DATA = "endpoint-sent-data"
 LOAD_CHANGED = "load-changed"
 # The reporting instance's name, and the version in force on it.
 CATALOG_VERSION_RECEIVED = "catalog-version-received"
@@ -41,6 +43,7 @@
         CATALOG_CHANGED,
         ENDPOINT_CHANGED,
         ENDPOINT_ENDED,
+        ENDPOINT_SENT_DATA,
         LOAD_CHANGED,
         CATALOG_CONFIRMED,
         CATALOG_VERSION_RECEIVED,
--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -9,6 +9,7 @@
 
 from cicadacourse.application import Application
 from cicadacourse.errors import Error
+from cicadacourse.events import ENDPOINT_SENT_DATA
 from cicadacourse.exchange import (
     EndpointClient,
     EndpointResponse,
@@ -138,6 +139,9 @@
             self.has_failed = True
             self.reporter.report_reservation_refused(placement, refusal)
             return Success(False)
+        except SendFailure as failure:
+            await self._record_failure(placement, failure)
+            return Success(False)
 
     async def _send(
         self, placement: Placement, reservations: tuple[Reservation, ...]
@@ -235,7 +239,9 @@
         await self.owner.finish_stream(self, response.head)
 
     def _restart_wait(self) -> None:
+        """Records that data came and that the wait for more of them begins."""
         self.waiting_since = now()
+        self.app.events.emit(ENDPOINT_SENT_DATA, self.endpoint_id)
 
     async def _record_crash(self, placement: Placement, failure: SendFailure) -> None:
         """Blames the request if the endpoint has crashed before its first event."""
--- a/cicadacourse/logs/_placement.py
+++ b/cicadacourse/logs/_placement.py
@@ -99,7 +99,8 @@
 DECODE_ENGINE_DEAD = declare(
     "reservations",
     "decode engine dead",
-    "`endpoint` accepts no connections; its exchanges are aborted.",
+    "`endpoint` accepts no connections and sends no data; the exchange of `request`"
+    " ends.",
     True,
 )
 RESERVATION_LEFT_TO_EXPIRE = declare(
--- /dev/null
+++ b/cicadacourse/reservations/_engine_watch.py
@@ -0,0 +1,66 @@
+"""Finds out whether the decode engine of a request that holds reservations is dead.
+
+The expected load is some tens of such requests, whose engines may prefill for seconds
+without sending data. A short silence of an engine, or one that refuses new connections
+while the open ones go on, must not end a request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+
+from cicadacourse.application import Application
+from cicadacourse.catalog import Endpoint
+from cicadacourse.events import ENDPOINT_SENT_DATA
+from cicadacourse.util.clock import now
+
+CHECK_PERIOD_S = 1.2
+# Until the next check after one that failed, so that two short silences are told from a
+# long one.
+RECHECK_PERIOD_S = 0.25
+# An engine is dead that accepts no connection and sends no data for this time.
+DEAD_AFTER_S = 2.0
+
+
+class EngineWatch:
+    """Keeps when the decode engines that are watched have last sent data."""
+
+    def __init__(self, app: Application) -> None:
+        self._app = app
+        self._watches_by_id: Counter[str] = Counter()
+        self._last_data_at_by_id: dict[str, float] = {}
+        app.events.connect(ENDPOINT_SENT_DATA, self._record_data)
+
+    async def wait_until_dead(self, engine: Endpoint) -> None:
+        """Returns once an engine has shown no sign of life for ``DEAD_AFTER_S``.
+
+        A sign of life is a connection that it accepts, or data of any exchange with it.
+        """
+        self._watches_by_id[engine.id] += 1
+        try:
+            await self._check_until_dead(engine)
+        finally:
+            self._watches_by_id[engine.id] -= 1
+            if not self._watches_by_id[engine.id]:
+                del self._watches_by_id[engine.id]
+                self._last_data_at_by_id.pop(engine.id, None)
+
+    async def _check_until_dead(self, engine: Endpoint) -> None:
+        unreachable_since: float | None = None
+        while True:
+            is_failing = unreachable_since is not None
+            await asyncio.sleep(RECHECK_PERIOD_S if is_failing else CHECK_PERIOD_S)
+            started = now()
+            if await self._app.get("memory_client").is_reachable(engine):
+                unreachable_since = None
+                continue
+            if unreachable_since is None:
+                unreachable_since = started
+            last_data_at = self._last_data_at_by_id.get(engine.id, unreachable_since)
+            if now() - max(unreachable_since, last_data_at) >= DEAD_AFTER_S:
+                return
+
+    def _record_data(self, endpoint_id: str) -> None:
+        if endpoint_id in self._watches_by_id:
+            self._last_data_at_by_id[endpoint_id] = now()
--- a/cicadacourse/reservations/_service.py
+++ b/cicadacourse/reservations/_service.py
@@ -18,6 +18,7 @@
 from cicadacourse.catalog import Endpoint
 from cicadacourse.config import InstanceSettings
 from cicadacourse.errors import CicadacourseError, Error, ErrorKind
+from cicadacourse.exchange import SendFailure
 from cicadacourse.logs import (
     DECODE_ENGINE_DEAD,
     KV_CACHE_NOT_RESERVED,
@@ -28,7 +29,7 @@
 )
 from cicadacourse.metrics import declare
 from cicadacourse.placement import ReservationPlan
-from cicadacourse.reservations._client import KvCacheClient
+from cicadacourse.reservations._engine_watch import EngineWatch
 from cicadacourse.util.clock import now
 
 RESERVATIONS = declare(
@@ -38,11 +39,10 @@
 # A reservation expires on its engine unless it is renewed within this time.
 LEASE_S = 3.5
 RENEW_PERIOD_S = 1.2
-# Consecutive failed connections after which the decode engine is taken to be dead.
-MAX_FAILED_CONNECTIONS = 2
 RELEASE_ATTEMPTS = 3
 RELEASE_RETRY_DELAY_S = 0.2
 RETRY_AFTER_S = 0.5
+REASON_DEAD = "connection_broken"
 
 
 @attrs.frozen
@@ -77,6 +77,7 @@
         self._numbers = itertools.count(1)
         self._started = f"{now():.3f}"
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._engine_watch = EngineWatch(app)
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
@@ -92,24 +93,32 @@
     ) -> AsyncIterator[tuple[Reservation, ...]]:
         """Holds all reservations while the context is open and the decode engine lives.
 
-        If the decode engine is unreachable, exchanges with it are aborted, so that no
-        KV cache stays reserved on the helpers for a request that is over.
+        The context is cancelled if the decode engine is dead, so that no KV cache stays
+        reserved on the helpers for a request that is over.
 
         :param decode_engine: the engine that the request is sent to.
         :param plans: the reservations to make on the helpers.
         :raises ReservationRefused: if one of them can't be made; none is kept then.
+        :raises SendFailure: if the decode engine is dead.
         """
         reservations = tuple(self._make_reservation(plan) for plan in plans)
-        renewal: asyncio.Task[None] | None = None
+        tasks: list[asyncio.Task[None]] = []
+        scope = asyncio.timeout(None)
         try:
             await self._reserve_all(request_id, reservations)
-            renewal = self._start_task(
-                self._renew(request_id, decode_engine, reservations)
-            )
-            yield reservations
+            tasks.append(self._start_task(self._renew(request_id, reservations)))
+            async with scope:
+                watch = self._end_when_dead(request_id, decode_engine, scope)
+                tasks.append(self._start_task(watch))
+                yield reservations
+        except TimeoutError as error:
+            if not scope.expired():
+                raise
+            detail = f"{decode_engine.id} accepts no connections and sends no data"
+            raise SendFailure(detail, True, REASON_DEAD, is_broken_off=True) from error
         finally:
-            if renewal is not None:
-                renewal.cancel()
+            for task in tasks:
+                task.cancel()
             for reservation in reservations:
                 self._start_task(self._release(reservation))
 
@@ -153,24 +162,23 @@
         return result
 
     async def _renew(
-        self,
-        request_id: str,
-        decode_engine: Endpoint,
-        reservations: Sequence[Reservation],
+        self, request_id: str, reservations: Sequence[Reservation]
     ) -> None:
-        """Renews the reservations until cancelled or the decode engine is dead."""
-        client: KvCacheClient = self.app.get("memory_client")
-        failures = 0
-        while failures < MAX_FAILED_CONNECTIONS:
+        """Renews the reservations until cancelled."""
+        while True:
             await asyncio.sleep(RENEW_PERIOD_S)
-            reached, *results = await asyncio.gather(
-                client.is_reachable(decode_engine),
-                *(self._reserve(item) for item in reservations),
+            results = await asyncio.gather(
+                *(self._reserve(item) for item in reservations)
             )
-            failures = 0 if reached else failures + 1
             _log_failures(request_id, reservations, results)
+
+    async def _end_when_dead(
+        self, request_id: str, decode_engine: Endpoint, scope: asyncio.Timeout
+    ) -> None:
+        """Ends the scope of a request once its decode engine is dead."""
+        await self._engine_watch.wait_until_dead(decode_engine)
         log(DECODE_ENGINE_DEAD, request=request_id, endpoint=decode_engine.id)
-        self.app.get("endpoint_caller").abort_exchanges(decode_engine.id)
+        scope.reschedule(asyncio.get_running_loop().time())
 
     async def _release(self, reservation: Reservation) -> None:
         client = self.app.get("memory_client")
--- a/tests/test_reservations/test_reservations_silence.py
+++ b/tests/test_reservations/test_reservations_silence.py
@@ -1,13 +1,14 @@
 """A decode engine that is silent for about a second is not taken to be dead.
 
-Its exchanges, those of other requests as well, are aborted once it has refused
-connections for so long that it must be dead; a short silence must not reach that.
+A request that holds reservations ends once its engine has accepted no connection and
+sent no data for so long that it must be dead; a short silence must not reach that, and
+no other request may end with it.
 """
 
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+from typing import Any, Sequence, TypeAlias
 
 import pytest
 from returns.result import Result, Success
@@ -16,6 +17,8 @@
 from cicadacourse.catalog import Endpoint
 from cicadacourse.config import InstanceSettings, Settings
 from cicadacourse.errors import Error
+from cicadacourse.events import ENDPOINT_SENT_DATA
+from cicadacourse.exchange import SendFailure
 from cicadacourse.platform._kv_cache_client import REACHABLE_TIMEOUT_S
 from cicadacourse.reservations import ReservationService
 from cicadacourse.util.clock import now
@@ -25,23 +28,33 @@
 REQUEST_S = 8.0
 ENGINE = Endpoint("engine", "engines", "10.0.0.1:1", "a", 8)
 LINK_S = 0.004
+DATA_PERIOD_S = 0.5
+FOR_GOOD = float("inf")
+
+# When a silence begins and ends.
+Silence: TypeAlias = tuple[float, float]
 
 
 class SilentEngineClient(Service):
-    """Orders and connections to an engine that is silent for a time."""
+    """Orders and connections to an engine that is silent for some times.
+
+    :param silences: when each silence begins and ends, loop times in seconds.
+    """
 
     name = "memory_client"
 
-    def __init__(self, app: Application, silent_from: float, silent_until: float):
+    def __init__(self, app: Application, silences: Sequence[Silence]) -> None:
         super().__init__(app)
-        self._silent_from = silent_from
-        self._silent_until = silent_until
+        self._silences = silences
+
+    def _is_silent(self) -> bool:
+        return any(begin <= now() < end for begin, end in self._silences)
 
     async def is_reachable(self, endpoint: Endpoint) -> bool:
         """Returns whether a connection is accepted in time."""
         started = now()
         await asyncio.sleep(LINK_S)
-        while self._silent_from <= now() < self._silent_until:
+        while self._is_silent():
             if now() - started >= REACHABLE_TIMEOUT_S:
                 return False
             await asyncio.sleep(LINK_S)
@@ -68,7 +81,12 @@
         self.has_aborted = True
 
 
-async def _is_aborted(silent_from: float, silence_s: float) -> bool:
+async def _is_ended(silences: Sequence[Silence], data_until_s: float) -> bool:
+    """Returns whether a request ends before its time.
+
+    :param silences: begins and ends, in seconds from the start.
+    :param data_until_s: until when another request gets data of the engine.
+    """
     instance = InstanceSettings(
         name="one",
         failure_domain="a",
@@ -76,25 +94,62 @@
         peer_address="127.0.0.1:2",
     )
     app = Application(Settings(instance))
-    start = now() + silent_from
-    app.add_service(SilentEngineClient(app, start, start + silence_s))
+    start = now()
+    app.add_service(
+        SilentEngineClient(
+            app, [(start + begin, start + end) for begin, end in silences]
+        )
+    )
     app.add_service(AbortingClient(app))
     service = ReservationService(app)
-    async with service.hold("r1", ENGINE, ()):
-        await asyncio.sleep(REQUEST_S)
-    return app.get("endpoint_caller").has_aborted
+    data = asyncio.create_task(_send_data(app, start + data_until_s))
+    try:
+        async with service.hold("r1", ENGINE, ()):
+            await asyncio.sleep(REQUEST_S)
+    except SendFailure as failure:
+        assert failure.may_have_run
+        return True
+    finally:
+        data.cancel()
+        assert not app.get("endpoint_caller").has_aborted
+    return False
+
 
+async def _send_data(app: Application, until: float) -> None:
+    while now() < until:
+        app.events.emit(ENDPOINT_SENT_DATA, ENGINE.id)
+        await asyncio.sleep(DATA_PERIOD_S)
 
-def _run(silent_from: float, silence_s: float) -> bool:
+
+def _run(*silences: Silence, data_until_s: float = 0.0) -> bool:
     with asyncio.Runner(loop_factory=new_event_loop) as runner:
-        return runner.run(_is_aborted(silent_from, silence_s))
+        return runner.run(_is_ended(silences, data_until_s))
 
 
 @pytest.mark.parametrize("tenths", range(0, 30, 3))
 def test_exchanges_outlast_a_short_silence_of_the_decode_engine(tenths: int) -> None:
-    assert not _run(tenths / 10, SILENCE_S)
+    begin = tenths / 10
+    assert not _run((begin, begin + SILENCE_S))
 
 
 def test_exchanges_with_an_engine_that_is_silent_for_good_are_aborted() -> None:
     """Else its helpers would keep their KV cache reserved for the request."""
-    assert _run(0.5, float("inf"))
+    assert _run((0.5, FOR_GOOD))
+
+
+@pytest.mark.parametrize("pause_s", [0.3, 0.5, 0.8, 1.2])
+def test_exchanges_outlast_two_short_silences_of_the_decode_engine(
+    pause_s: float,
+) -> None:
+    """Each met one of two consecutive checks."""
+    second = 0.5 + SILENCE_S + pause_s
+    assert not _run((0.5, 0.5 + SILENCE_S), (second, second + SILENCE_S))
+
+
+def test_data_of_another_request_prove_that_the_decode_engine_lives() -> None:
+    """Two connections that it did not accept ended all exchanges with it."""
+    assert not _run((0.5, FOR_GOOD), data_until_s=REQUEST_S)
+
+
+def test_an_engine_whose_data_end_is_dead_as_well() -> None:
+    assert _run((0.5, FOR_GOOD), data_until_s=3.0)
