--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -136,6 +136,7 @@
         now_s: float,
         avoided_ids: frozenset[str],
         last_event_at: float | None = None,
+        has_begun: bool = False,
     ) -> PlacementRequest:
         """Returns the placement request of the next attempt.
 
@@ -145,6 +146,7 @@
             which it is in progress.
         :param last_event_at: when the caller was sent the last event of a stream, loop
             time in seconds, or None.
+        :param has_begun: whether a refusal would lose what an attempt has done.
         """
         prompt = self.prompt
         return PlacementRequest(
@@ -160,6 +162,7 @@
             organisation=self.organisation.name if self.organisation else "",
             avoided_ids=avoided_ids,
             terms=self._terms(pool),
+            has_begun=has_begun,
         )
 
     def _terms(self, pool: str) -> AdmissionTerms:
--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -109,6 +109,7 @@
             now(),
             self.reporter.attempts.failed_ids | self.owner.used_ids(self),
             self.owner.last_event_at,
+            has_begun=not self.owner.is_hedge(self) and self._has_begun(),
         )
         async with self._placer.place(request) as result:
             match result:
@@ -118,6 +119,11 @@
                     return Failure(error)
         raise AssertionError("a result is a success or a failure")
 
+    def _has_begun(self) -> bool:
+        """Returns whether a former attempt may have run or has sent events."""
+        may_have_run = self.reporter.attempts.may_have_run
+        return may_have_run or not self.owner.may_write_response()
+
     async def _make(self, placement: Placement) -> AttemptResult:
         self.placement = placement
         error = self.owner.confirm(self)
--- a/cicadacourse/placement/_decline_gate.py
+++ b/cicadacourse/placement/_decline_gate.py
@@ -5,6 +5,7 @@
 wait for an endpoint that returns within ``MAX_RETURN_WAIT_S``: a refused caller would
 come back no sooner, with one attempt less and without its place in the queue. A longer
 wait would gather more requests than the endpoints serve in time after their return.
+Requests that have begun are few and can't come back, so they wait for longer.
 """
 
 from __future__ import annotations
@@ -49,4 +50,7 @@
     :param request: the request with the times that remain now.
     :param returns_at: from when on an endpoint accepts requests, loop time in seconds.
     """
-    return returns_at - now() <= min(request.wait_s, MAX_RETURN_WAIT_S)
+    max_wait_s = request.wait_s
+    if not request.has_begun:
+        max_wait_s = min(max_wait_s, MAX_RETURN_WAIT_S)
+    return returns_at - now() <= max_wait_s
--- a/cicadacourse/placement/_model.py
+++ b/cicadacourse/placement/_model.py
@@ -45,6 +45,8 @@
     :param avoided_ids: ids of endpoints that have failed this request.
     :param terms: what the request was admitted by. Without them it is refused once its
         pool is no longer configured.
+    :param has_begun: whether it may have run, or a part of its response was forwarded,
+        so that a refusal would lose more than the caller's time.
     """
 
     request_id: str
@@ -59,6 +61,7 @@
     organisation: str = ""
     avoided_ids: frozenset[str] = frozenset()
     terms: AdmissionTerms | None = None
+    has_begun: bool = False
 
     @property
     def context_tokens(self) -> int:
--- a/cicadacourse/placement/_service.py
+++ b/cicadacourse/placement/_service.py
@@ -32,6 +32,7 @@
 from cicadacourse.placement._health import EndpointHealth
 from cicadacourse.placement._limits import LimitGate
 from cicadacourse.placement._model import Placement, PlacementRequest
+from cicadacourse.placement._pool_waits import PoolWaits
 from cicadacourse.placement._pools import Pools
 from cicadacourse.placement._queue import Waiter, WaitQueue
 from cicadacourse.util.clock import now
@@ -61,6 +62,7 @@
         self._ejections = Ejections(app, self._schedule)
         self.declines = Declines(app, self._declines_changed)
         self._pools = Pools(app.get("catalog"), self.declines)
+        self._pool_waits = PoolWaits(app, self._pools)
         self._chooser = Chooser(app, instance, self._ejections, self.declines)
         self._decline_gate = DeclineGate(self.declines, self._pools)
         self._limit_gate = LimitGate(app.get("limits"), self._chooser)
@@ -83,7 +85,8 @@
 
         Its assignments count as in progress while the context is open, and so does a
         connection to its endpoint. The result is a Failure if neither its pool nor
-        another one that the configuration allows has a live endpoint, if the prompt
+        another one that the configuration allows has a live endpoint, for a request
+        that has begun if none comes back while it might be queued; if the prompt
         can't be prefilled before its deadline, if no endpoint accepts the request in
         time, by its limit or as it declines requests, or if the time in the queue is
         over.
@@ -99,9 +102,10 @@
         :param tracking: keeps the assignments of the placement in progress.
         """
         while True:
-            match self._pools.resolve(request):
+            started = now()
+            match await self._pool_waits.resolve(request):
                 case Success(Pool() as pool):
-                    request = request.in_pool(pool)
+                    request = request.after(now() - started).in_pool(pool)
                 case Failure(error):
                     return Failure(error)
             if self._chooser.is_deadline_unreachable(request, pool):
@@ -272,6 +276,7 @@
         self.report_transport_failure(endpoint.id, "ended")
 
     def _declines_changed(self) -> None:
+        self._pool_waits.report_change()
         self._dispatcher.schedule_release()
         self._schedule()
 
