Ingress: a pipelined part of a head has the time of a head (LOST)

A part of a head that came with the request before it counted as idle time until more of it came, so an idle limit shorter than the time of a head closed the connection in the middle of it. The test failed before. The wait for a head has begun if bytes are already in the buffer of the connection.

--- a/cicadacourse/platform/_caller_stream.py
+++ b/cicadacourse/platform/_caller_stream.py
@@ -28,7 +28,8 @@
     def begin_wait(self) -> None:
         """Records that the head of the next request may come."""
         self.waits_since = now()
-        self.head_began_at = None
+        # A part of the head may have come together with the request before.
+        self.head_began_at = now() if self._read_buffer_size else None
 
     def end_wait(self) -> None:
         """Records that a whole head was read."""
--- a/tests/test_platform/test_platform_caller_connections.py
+++ b/tests/test_platform/test_platform_caller_connections.py
@@ -90,6 +90,19 @@
         assert pair.is_kept()
 
 
+async def test_it_is_kept_for_the_time_of_a_head_that_was_pipelined() -> None:
+    """It counted as idle until more of the head came."""
+    with _pair(header_s=LONG_S) as pair:
+        pair.caller.send(LINE + LINE[:3])
+        assert await pair.line == LINE
+        pair.waiting.begin_wait(pair.stream)
+        line = pair.stream.read_until(b"\r\n")
+        assert pair.is_kept()
+        assert not pair.stream.is_unused
+        pair.caller.send(LINE[3:])
+        assert await line == LINE
+
+
 async def test_it_is_closed_if_only_a_part_of_a_head_is_there() -> None:
     with _pair(idle_s=LONG_S) as pair:
         pair.caller.send(LINE[:3])
