--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -122,13 +122,20 @@
             CALLER_IDLE_TIMEOUT_GAPS * (self.route.gap_target_s or 0.0),
         )
 
-    def _time_left_s(self, now_s: float, last_event_at: float | None) -> float:
-        """Returns the seconds until a response, or the next event, comes too late."""
+    def _time_left_s(
+        self, now_s: float, last_event_at: float | None, has_begun: bool
+    ) -> float:
+        """Returns the seconds until a response, or the next event, comes too late.
+
+        A caller that has not left after its idle timeout is one that waits for longer,
+        and what has begun is worth a try while its caller is there.
+        """
         left_s = self.deadline - now_s
-        if not self.is_stream:
+        if not self.is_stream or has_begun:
             return left_s
         since = self.request.arrived if last_event_at is None else last_event_at
-        return min(left_s, since + self.caller_idle_timeout_s - now_s)
+        idle_left_s = since + self.caller_idle_timeout_s - now_s
+        return min(left_s, idle_left_s) if idle_left_s > 0 else left_s
 
     def placement_request(
         self,
@@ -155,7 +162,7 @@
             priority=self.priority,
             target_s=max(0.0, self.request.arrived + self.route.target_s - now_s),
             wait_s=MAX_WAIT_SHARE * (self.deadline - now_s),
-            time_left_s=self._time_left_s(now_s, last_event_at),
+            time_left_s=self._time_left_s(now_s, last_event_at, has_begun),
             prompt_tokens=prompt.tokens if prompt else 0,
             output_tokens=prompt.max_output_tokens if prompt else 0,
             gap_s=self.route.gap_target_s or 0.0,
--- a/tests/test_gateway/test_gateway_silence.py
+++ b/tests/test_gateway/test_gateway_silence.py
@@ -215,6 +215,30 @@
     run(_two_silent_for_good)
 
 
+async def _caller_still_there(is_crashing: bool) -> None:
+    async with gateway_cluster(1, make_pools(3)) as cluster:
+        task = asyncio.create_task(cluster.send("n0"))
+        first = await wait_for_server(cluster)
+        await asyncio.sleep(0.2)
+        first.fall_silent(FOR_GOOD)
+        if is_crashing:
+            exhaust_budget(cluster)
+            await asyncio.sleep(2.4)
+            cluster.memory.get("n0", "gateway").budget.slack = 100.0
+            cluster.crash(first)
+        else:
+            second = await wait_for_server(cluster, first)
+            second.fall_silent(FOR_GOOD)
+        check_whole(await task)
+        check_all_left(cluster)
+
+
+@pytest.mark.parametrize("is_crashing", [False, True])
+def test_a_stream_is_helped_as_long_as_its_caller_is_there(is_crashing: bool) -> None:
+    """A caller whose idle timeout should have passed was taken to have left."""
+    run(_caller_still_there, is_crashing)
+
+
 async def _not_idempotent(path: str) -> None:
     async with gateway_cluster(1, make_pools(3)) as cluster:
         task = asyncio.create_task(cluster.send("n0", path))
