--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -35,6 +35,10 @@
 # An idempotent call without a response after this many latency objectives is also sent
 # to another endpoint.
 CALL_TIMEOUT_OBJECTIVES = 2.2
+# Endpoints may be silent for a second or so and go on.
+SHORT_SILENCE_S = 1.6
+# Time for connecting and for what the estimate of the first event omits.
+RESPONSE_MARGIN_S = 0.2
 # Share of the remaining time that a request may wait for a placement. A longer wait
 # leaves too little time to serve it.
 MAX_WAIT_SHARE = 0.5
@@ -113,6 +117,23 @@
         longest_s = max(usual_s, ESTIMATE_TIMEOUT_FACTOR * expected_s)
         return min(time_left_s, self.caller_idle_timeout_s, longest_s)
 
+    def late_hedging_delay_s(self, time_left_s: float, expected_s: float) -> float:
+        """Returns after how many seconds without data another one is the last hope.
+
+        A silence that has lasted so long is no short one, and another endpoint can
+        still respond before the caller abandons a stream.
+
+        :param time_left_s: seconds until the deadline.
+        :param expected_s: the estimated seconds to the first event.
+        """
+        early_s = self.hedging_delay_s(time_left_s, expected_s)
+        if self.is_stream:
+            limit_s = min(time_left_s, self.caller_idle_timeout_s)
+            needed_s = RESPONSE_MARGIN_S + ESTIMATE_TIMEOUT_FACTOR * expected_s
+        else:
+            limit_s, needed_s = time_left_s, early_s
+        return max(early_s, min(SHORT_SILENCE_S, limit_s - needed_s))
+
     @property
     def caller_idle_timeout_s(self) -> float:
         """After how many seconds without an event the caller abandons a stream."""
--- /dev/null
+++ b/cicadacourse/gateway/_endpoint_activity.py
@@ -0,0 +1,41 @@
+"""Which endpoints send data to this instance, by all exchanges.
+
+The expected load is a silence of one endpoint, of a few or of a whole pool. A request
+whose endpoint is silent looks for one that isn't, if there may be any.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+import attrs
+
+# A pool is not silent as a whole if data came so lately. Longer than the pauses between
+# the responses to rare calls, shorter than a silence after which a stream is hedged.
+RECENT_DATA_S = 0.7
+
+
+@attrs.define
+class EndpointActivity:
+    """When endpoints have last sent data."""
+
+    _data_at_by_id_by_pool: dict[str, dict[str, float]] = attrs.field(
+        factory=lambda: defaultdict(dict)
+    )
+
+    def record_data(self, pool: str, endpoint_id: str, now_s: float) -> None:
+        """Records that an endpoint of a pool has sent data."""
+        self._data_at_by_id_by_pool[pool][endpoint_id] = now_s
+
+    def has_recent_data(
+        self, pool: str, other_than: frozenset[str], now_s: float
+    ) -> bool:
+        """Returns whether an endpoint of a pool has sent data lately.
+
+        :param other_than: ids of endpoints that don't count.
+        """
+        data_at_by_id = self._data_at_by_id_by_pool[pool]
+        for endpoint_id, at_s in list(data_at_by_id.items()):
+            if at_s < now_s - RECENT_DATA_S:
+                del data_at_by_id[endpoint_id]
+        return any(item not in other_than for item in data_at_by_id)
--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -18,6 +18,7 @@
 from cicadacourse.gateway._admission import AdmittedRequest
 from cicadacourse.gateway._attempt_owner import AttemptOwner
 from cicadacourse.gateway._attempts import Progress
+from cicadacourse.gateway._endpoint_activity import EndpointActivity
 from cicadacourse.gateway._endpoint_request import build_request
 from cicadacourse.gateway._events import EventReader, cut_short_failure
 from cicadacourse.gateway._outcomes import OutcomeReporter
@@ -47,6 +48,7 @@
 
     :param pool: the name of the pool that serves the request.
     :param owner: decides on the attempt and writes what it reads.
+    :param activity: knows which endpoints send data, by the exchanges of all requests.
     :ivar placement: where the request is sent; None until it is placed.
     :ivar progress: how far the attempt got.
     :ivar is_sent: whether the request was sent, or its reservations were refused.
@@ -61,6 +63,7 @@
     reporter: OutcomeReporter
     pool: str
     owner: AttemptOwner
+    activity: EndpointActivity
     placement: Placement | None = None
     progress: Progress = Progress.WAITING
     is_sent: bool = False
@@ -89,12 +92,25 @@
         :returns: loop time in seconds.
         """
         since = now_s if self.waiting_since is None else self.waiting_since
-        expected_s = 0.0
-        if self.placement is not None and self.progress is Progress.WAITING:
-            expected_s = self.placement.expected_first_event_s
+        is_waiting = self.progress is Progress.WAITING
+        expected_s = self._expected_s if is_waiting else 0.0
         time_left_s = self.admitted.deadline - since
         return since + self.admitted.hedging_delay_s(time_left_s, expected_s)
 
+    def late_limit_at(self, now_s: float) -> float:
+        """Returns when another endpoint is the last hope if no data come until then.
+
+        :returns: loop time in seconds, no earlier than :meth:`silence_limit_at`.
+        """
+        since = now_s if self.waiting_since is None else self.waiting_since
+        time_left_s = self.admitted.deadline - since
+        late_s = self.admitted.late_hedging_delay_s(time_left_s, self._expected_s)
+        return max(self.silence_limit_at(now_s), since + late_s)
+
+    @property
+    def _expected_s(self) -> float:
+        return self.placement.expected_first_event_s if self.placement else 0.0
+
     async def run(self) -> AttemptResult:
         """Makes the attempt."""
         time_left_s = self.admitted.deadline - now()
@@ -247,7 +263,10 @@
     def _restart_wait(self) -> None:
         """Records that data came and that the wait for more of them begins."""
         self.waiting_since = now()
-        self.app.events.emit(ENDPOINT_SENT_DATA, self.endpoint_id)
+        if self.placement is not None:
+            endpoint = self.placement.endpoint
+            self.activity.record_data(endpoint.pool, endpoint.id, now())
+            self.app.events.emit(ENDPOINT_SENT_DATA, endpoint.id)
 
     async def _record_crash(self, placement: Placement, failure: SendFailure) -> None:
         """Blames the request if the endpoint has crashed before its first event."""
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -17,6 +17,7 @@
 from cicadacourse.gateway._admission import AdmittedRequest
 from cicadacourse.gateway._attempt_owner import AttemptOwner
 from cicadacourse.gateway._attempts import Attempts
+from cicadacourse.gateway._endpoint_activity import EndpointActivity
 from cicadacourse.gateway._exchange_attempt import AttemptResult, ExchangeAttempt
 from cicadacourse.gateway._hedging import MIN_TIME_LEFT_S, TIMER_SLACK_S, HedgeTimer
 from cicadacourse.gateway._outcomes import OutcomeReporter
@@ -28,6 +29,8 @@
 
 logger = get_logger("forward")
 
+REASON_RESERVED = "hedges_reserved"
+
 _WRITTEN: AttemptResult = Success(True)
 _NOT_WRITTEN: AttemptResult = Success(False)
 
@@ -38,6 +41,12 @@
     return Error(ErrorKind.NO_ENDPOINT, detail, retry_after_s=1.0)
 
 
+def _hedge_reserved(pool: str) -> Error:
+    """Returns the error of a hedge that comes too early for what is left of them."""
+    detail = f"the rest of the budget of pool {pool} is kept for longer silences"
+    return Error(ErrorKind.OVERLOADED, detail, reason=REASON_RESERVED)
+
+
 @attrs.define
 class Forwarder(AttemptOwner):
     """Forwards one request, with retries; each request has its own forwarder.
@@ -48,6 +57,7 @@
     :param attempts: counts the attempts made so far.
     :param client: sends requests to endpoints.
     :param budget: bounds retries.
+    :param activity: knows which endpoints send data, by the exchanges of all requests.
     :ivar times: the times of the forwarded events of a stream.
     :ivar last_event_id: the id of the last event that was forwarded, or None.
     """
@@ -58,6 +68,7 @@
     attempts: Attempts
     client: EndpointClient
     budget: RetryBudget
+    activity: EndpointActivity
     times: StreamTimes = attrs.field(factory=StreamTimes)
     last_event_id: str | None = None
     _pool: str = ""
@@ -144,7 +155,7 @@
         """Returns the attempts that have ended; hedges those that are silent."""
         hedge_at = self._hedge_at()
         if hedge_at is not None and hedge_at <= now():
-            self._start_hedge()
+            self._start_or_defer_hedge()
             hedge_at = self._hedge_at()
         timeout_s = None
         if hedge_at is not None:
@@ -162,7 +173,13 @@
 
     def _start_attempt(self) -> None:
         attempt = ExchangeAttempt(
-            self.app, self.admitted, self.client, self._reporter, self._pool, self
+            self.app,
+            self.admitted,
+            self.client,
+            self._reporter,
+            self._pool,
+            self,
+            self.activity,
         )
         self._task_by_attempt[attempt] = asyncio.create_task(attempt.run())
 
@@ -178,6 +195,26 @@
         latest_at = self.admitted.deadline - MIN_TIME_LEFT_S
         return hedge_at if hedge_at < latest_at else None
 
+    def _start_or_defer_hedge(self) -> None:
+        """Starts a hedge, or defers it until the silence is surely no short one."""
+        late_at = next(iter(self._task_by_attempt)).late_limit_at(now())
+        if now() >= late_at or self._may_hedge_early():
+            self._start_hedge()
+            return
+        self._timer.not_before = late_at
+        self._reporter.report_hedge_denied(_hedge_reserved(self._pool))
+
+    def _may_hedge_early(self) -> bool:
+        """Returns whether a hedge may be made for a silence that may be a short one.
+
+        Another endpoint is likely to be better if one sends data; else a few hedges
+        find out.
+        """
+        ids = frozenset(item.endpoint_id or "" for item in self._task_by_attempt)
+        if self.activity.has_recent_data(self._pool, ids, now()):
+            return self._grants.has_spare_retries(self._pool)
+        return self.budget.try_acquire_early_hedge(self._pool, now())
+
     def _start_hedge(self) -> None:
         self._reporter.report_hedged(self._pool, list(self._task_by_attempt))
         self._start_attempt()
--- a/cicadacourse/gateway/_retries.py
+++ b/cicadacourse/gateway/_retries.py
@@ -53,6 +53,11 @@
         else:
             self.budget.return_retry(pool)
 
+    def has_spare_retries(self, pool: str) -> bool:
+        """Returns whether so much of the budget is left that none need be saved."""
+        instances = len(self.app.get("membership").members())
+        return self.budget.has_spare(pool, instances, now())
+
     def _acquire_retry(self, pool: str) -> bool:
         instances = len(self.app.get("membership").members())
         if not self.budget.try_acquire_retry(pool, instances, now()):
--- a/cicadacourse/gateway/_service.py
+++ b/cicadacourse/gateway/_service.py
@@ -21,6 +21,7 @@
     superseded_error,
 )
 from cicadacourse.gateway._attempts import Attempts
+from cicadacourse.gateway._endpoint_activity import EndpointActivity
 from cicadacourse.gateway._forward import Forwarder
 from cicadacourse.gateway._settings import (
     DURATION,
@@ -62,6 +63,7 @@
             settings.repeat_window_s,
             started=now(),
         )
+        self._activity = EndpointActivity()
 
     async def handle(self, request: CallerRequest, reply: Reply) -> None:
         """Serves one request; returns when its response has been written.
@@ -95,7 +97,15 @@
     async def _serve(self, admitted: AdmittedRequest, reply: Reply) -> None:
         attempts = Attempts(admitted.route)
         client: EndpointClient = self.app.get("endpoint_caller")
-        forwarder = Forwarder(self.app, admitted, reply, attempts, client, self.budget)
+        forwarder = Forwarder(
+            self.app,
+            admitted,
+            reply,
+            attempts,
+            client,
+            self.budget,
+            self._activity,
+        )
         try:
             async with asyncio.timeout_at(admitted.deadline):
                 error = await forwarder.run()
--- a/cicadacourse/placement/_budget.py
+++ b/cicadacourse/placement/_budget.py
@@ -18,6 +18,12 @@
 # Part of this instance's slack that is used in the first window after a start, as its
 # retries before a restart are no longer known.
 FIRST_WINDOW_SHARE = 0.25
+# Share of the budget beyond which retries are kept for failures and long silences.
+SPARE_SHARE = 0.5
+# Hedges of silences that may be short, as a share of the first attempts. The rest of
+# the budget is left for failures and for silences that last; a short silence of many
+# endpoints would use it up.
+EARLY_HEDGE_SHARE = 0.05
 
 
 @attrs.frozen
@@ -49,28 +55,57 @@
     _retries_by_pool: dict[str, deque[float]] = attrs.field(
         factory=lambda: defaultdict(deque)
     )
+    _early_hedges_by_pool: dict[str, deque[float]] = attrs.field(
+        factory=lambda: defaultdict(deque)
+    )
 
     def record_first_attempt(self, pool: str, now_s: float) -> None:
         """Records the first attempt of a request."""
         self._first_attempts_by_pool[pool].append(now_s)
 
+    def try_acquire_early_hedge(self, pool: str, now_s: float) -> bool:
+        """Returns whether a hedge may be made for a silence that may be a short one.
+
+        One is always allowed in each window. It takes a retry as well, once it is made.
+        """
+        first_attempts = _trim(
+            self._first_attempts_by_pool[pool], now_s - self.window_s
+        )
+        hedges = _trim(self._early_hedges_by_pool[pool], now_s - self.window_s)
+        if hedges + 1 > max(1.0, EARLY_HEDGE_SHARE * first_attempts):
+            return False
+        self._early_hedges_by_pool[pool].append(now_s)
+        return True
+
     def try_acquire_retry(self, pool: str, instances: int, now_s: float) -> bool:
         """Takes a retry from the budget if it allows one, and returns whether it did.
 
         :param pool: the pool's name.
         :param instances: the number of instances that share the slack.
         """
-        first_attempts = _trim(
-            self._first_attempts_by_pool[pool], now_s - self.window_s
-        )
         retries = _trim(self._retries_by_pool[pool], now_s - self.window_s)
-        slack = self._slack_share(instances, now_s)
-        allowed_retries = USABLE_SHARE * (self.ratio * first_attempts + slack)
-        if retries + 1 > allowed_retries:
+        if retries + 1 > self._allowed_retries(pool, instances, now_s):
             return False
         self._retries_by_pool[pool].append(now_s)
         return True
 
+    def has_spare(self, pool: str, instances: int, now_s: float) -> bool:
+        """Returns whether less than ``SPARE_SHARE`` of the budget is used.
+
+        :param instances: the number of instances that share the slack.
+        """
+        retries = _trim(self._retries_by_pool[pool], now_s - self.window_s)
+        allowed_retries = self._allowed_retries(pool, instances, now_s)
+        return retries + 1 <= SPARE_SHARE * allowed_retries
+
+    def _allowed_retries(self, pool: str, instances: int, now_s: float) -> float:
+        """Returns how many retries the window up to now may have in total."""
+        first_attempts = _trim(
+            self._first_attempts_by_pool[pool], now_s - self.window_s
+        )
+        slack = self._slack_share(instances, now_s)
+        return USABLE_SHARE * (self.ratio * first_attempts + slack)
+
     def return_retry(self, pool: str) -> None:
         """Gives back the last retry that was taken, as it was not made."""
         if self._retries_by_pool[pool]:
--- a/tests/test_gateway/test_gateway_silence.py
+++ b/tests/test_gateway/test_gateway_silence.py
@@ -308,6 +308,50 @@
     run(_each_silent_twice, instances, endpoints, seconds)
 
 
+async def _count_sends(silence_s: float) -> float:
+    """Returns the sends for each request if all endpoints are silent together."""
+    endpoint_by_id = make_endpoints(18)
+    for endpoint in endpoint_by_id.values():
+        endpoint.events = EVENTS
+    async with gateway_cluster(6, endpoint_by_id) as cluster:
+        loop = asyncio.get_running_loop()
+        for gateway in cluster.memory.services("gateway"):
+            gateway.budget.started = float("-inf")
+        for endpoint in endpoint_by_id.values():
+            for after_s in (2.0, 5.0, 8.0):
+                loop.call_later(after_s, endpoint.fall_silent, silence_s)
+        replies = await cluster.load(24.0, 10.0)
+        for reply in replies:
+            check_whole(reply)
+        check_all_left(cluster)
+        sends = sum(len(item.arrivals) for item in endpoint_by_id.values())
+        return sends / len(replies)
+
+
+@pytest.mark.parametrize("silence_s", [1.0, 1.2, 1.5])
+def test_a_short_silence_of_all_endpoints_starts_few_hedges(silence_s: float) -> None:
+    """Each started a hedge after 1.0 s, so that 238 streams took up to 314 sends."""
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        assert runner.run(_count_sends(silence_s)) <= 1.05
+
+
+async def _one_of_many_is_silent() -> None:
+    async with gateway_cluster(1, make_pools(4)) as cluster:
+        load = asyncio.create_task(cluster.load(20.0, 3.0))
+        await asyncio.sleep(1.0)
+        cluster.busiest_endpoint().fall_silent(FOR_GOOD)
+        replies = await load
+        for reply in replies:
+            check_whole(reply)
+        assert any(took_s(reply) > STREAM_DELAY_S for reply in replies)
+        assert max(took_s(reply) for reply in replies) < STREAM_DELAY_S + 1.0
+        check_all_left(cluster)
+
+
+def test_a_silence_beside_endpoints_that_send_data_is_hedged_early() -> None:
+    run(_one_of_many_is_silent)
+
+
 async def _many_instances(instances: int) -> None:
     endpoint_by_id = make_endpoints(instances)
     for endpoint in endpoint_by_id.values():
--- a/tests/test_placement/test_placement_budget_histories.py
+++ b/tests/test_placement/test_placement_budget_histories.py
@@ -96,3 +96,26 @@
     early = sum(budget.try_acquire_retry(POOL, 1, now_s=1.0) for _ in range(100))
     later = sum(budget.try_acquire_retry(POOL, 1, now_s=30.0) for _ in range(100))
     assert 0 < early < later / 2
+
+
+def test_few_hedges_of_silences_that_may_be_short_are_granted() -> None:
+    """One in twenty of the requests of a window, and always one."""
+    budget = RetryBudget(RATIO, SLACK, WINDOW_S)
+    assert budget.try_acquire_early_hedge(POOL, 1.0)
+    assert not budget.try_acquire_early_hedge(POOL, 1.0)
+    for _ in range(60):
+        budget.record_first_attempt(POOL, 1.0)
+    granted = [budget.try_acquire_early_hedge(POOL, 2.0) for _ in range(5)]
+    assert granted == [True, True, False, False, False]
+    assert budget.try_acquire_early_hedge(POOL, 2.0 + WINDOW_S + 0.1)
+
+
+def test_half_of_the_retries_are_spare() -> None:
+    """The others are kept for failures and for silences that last."""
+    budget = RetryBudget(RATIO, SLACK, WINDOW_S)
+    spare, granted = 0, 0
+    while budget.try_acquire_retry(POOL, 1, 1.0):
+        granted += 1
+        spare += budget.has_spare(POOL, 1, 1.0)
+    assert granted == int(0.7 * SLACK)
+    assert spare == granted // 2 - 1
