--- a/cicadacourse/gateway/_endpoint_activity.py
+++ b/cicadacourse/gateway/_endpoint_activity.py
@@ -1,4 +1,4 @@
-"""Which endpoints send data to this instance, by all exchanges.
+"""Which endpoints send data to this instance, and which are silent, by all exchanges.
 
 The expected load is a silence of one endpoint, of a few or of a whole pool. A request
 whose endpoint is silent looks for one that isn't, if there may be any.
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
+from typing import Protocol
 
 import attrs
 
@@ -15,18 +16,46 @@
 RECENT_DATA_S = 0.7
 
 
+class Exchange(Protocol):
+    """An exchange with an endpoint that may wait for data."""
+
+    @property
+    def endpoint_id(self) -> str | None:
+        """The id of its endpoint; None until it is placed."""
+
+    def silence_limit_at(self, now_s: float) -> float:
+        """Returns when it will have waited for data for too long, in loop time."""
+
+
 @attrs.define
 class EndpointActivity:
-    """When endpoints have last sent data."""
+    """The exchanges in progress, and when endpoints have last sent data."""
 
+    _exchanges: set[Exchange] = attrs.field(factory=set)
     _data_at_by_id_by_pool: dict[str, dict[str, float]] = attrs.field(
         factory=lambda: defaultdict(dict)
     )
 
+    def add(self, exchange: Exchange) -> None:
+        """Adds an exchange that begins."""
+        self._exchanges.add(exchange)
+
+    def remove(self, exchange: Exchange) -> None:
+        """Removes an exchange that has ended."""
+        self._exchanges.discard(exchange)
+
     def record_data(self, pool: str, endpoint_id: str, now_s: float) -> None:
         """Records that an endpoint of a pool has sent data."""
         self._data_at_by_id_by_pool[pool][endpoint_id] = now_s
 
+    def silent_ids(self, now_s: float) -> frozenset[str]:
+        """Returns the ids of endpoints with an exchange that is silent for too long."""
+        return frozenset(
+            item.endpoint_id
+            for item in self._exchanges
+            if item.endpoint_id is not None and item.silence_limit_at(now_s) <= now_s
+        )
+
     def has_recent_data(
         self, pool: str, other_than: frozenset[str], now_s: float
     ) -> bool:
--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -15,7 +15,10 @@
     EndpointResponse,
     SendFailure,
 )
-from cicadacourse.gateway._admission import AdmittedRequest
+from cicadacourse.gateway._admission import (
+    ESTIMATE_TIMEOUT_FACTOR,
+    AdmittedRequest,
+)
 from cicadacourse.gateway._attempt_owner import AttemptOwner
 from cicadacourse.gateway._attempts import Progress
 from cicadacourse.gateway._endpoint_activity import EndpointActivity
@@ -34,6 +37,8 @@
 # The head of a response is awaited until the deadline, which cancels the attempt. This
 # is added so that a head that is late can't count against its endpoint just before.
 HEAD_TIMEOUT_MARGIN_S = 1.0
+# Time for connecting and for what the estimate of a hedge's first event omits.
+HEDGE_MARGIN_S = 0.3
 
 # Whether the response is written, or the error if nothing was sent.
 AttemptResult: TypeAlias = Result[bool, Error]
@@ -97,6 +102,21 @@
         time_left_s = self.admitted.deadline - since
         return since + self.admitted.hedging_delay_s(time_left_s, expected_s)
 
+    def hedge_limit_at(self, now_s: float) -> float:
+        """Returns when the next hedge should be made if no data come until then.
+
+        It follows a hedge sooner than a first attempt: a hedge has a new connection,
+        and its caller has waited for long.
+
+        :returns: loop time in seconds.
+        """
+        limit_at = self.silence_limit_at(now_s)
+        if not self.owner.is_hedge(self):
+            return limit_at
+        since = now_s if self.waiting_since is None else self.waiting_since
+        usual_s = HEDGE_MARGIN_S + ESTIMATE_TIMEOUT_FACTOR * self._expected_s
+        return min(limit_at, since + usual_s)
+
     def late_limit_at(self, now_s: float) -> float:
         """Returns when another endpoint is the last hope if no data come until then.
 
@@ -123,9 +143,9 @@
         request = self.admitted.placement_request(
             self.pool,
             now(),
-            self.reporter.attempts.failed_ids | self.owner.used_ids(self),
+            self._avoided_ids(),
             self.owner.last_event_at,
-            has_begun=not self.owner.is_hedge(self) and self._has_begun(),
+            has_begun=self._has_begun(),
         )
         async with self._placer.place(request) as result:
             match result:
@@ -135,10 +155,24 @@
                     return Failure(error)
         raise AssertionError("a result is a success or a failure")
 
+    def _avoided_ids(self) -> frozenset[str]:
+        """Returns the ids of endpoints that are used only if there are no others.
+
+        A hedge also avoids those that are silent for other requests, unless all are:
+        then their kept connections may be silent and new ones work.
+        """
+        ids = self.reporter.attempts.failed_ids | self.owner.used_ids(self)
+        if not self.owner.is_hedge(self):
+            return ids
+        silent_ids = self.activity.silent_ids(now())
+        usable_ids = {item.id for item in self._placer.usable_endpoints(self.pool)}
+        return ids | silent_ids if usable_ids - ids - silent_ids else ids
+
     def _has_begun(self) -> bool:
-        """Returns whether a former attempt may have run or has sent events."""
+        """Returns whether another attempt may have run or has sent events."""
         may_have_run = self.reporter.attempts.may_have_run
-        return may_have_run or not self.owner.may_write_response()
+        is_further = may_have_run or self.owner.is_hedge(self)
+        return is_further or not self.owner.may_write_response()
 
     async def _make(self, placement: Placement) -> AttemptResult:
         self.placement = placement
@@ -181,6 +215,7 @@
         self.reporter.attempts.record_sent()
         self.is_sent = True
         sent_at = self.waiting_since = now()
+        self.activity.add(self)
         try:
             async with self.client.exchange(
                 request,
@@ -197,6 +232,8 @@
         except SendFailure as failure:
             await self._record_failure(placement, failure)
             return False
+        finally:
+            self.activity.remove(self)
 
     async def _record_failure(self, placement: Placement, failure: SendFailure) -> None:
         self.has_failed = True
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -190,7 +190,7 @@
         """
         if not self.admitted.route.is_idempotent or not self._may_continue():
             return None
-        limits = [item.silence_limit_at(now()) for item in self._task_by_attempt]
+        limits = [item.hedge_limit_at(now()) for item in self._task_by_attempt]
         hedge_at = max(self._timer.not_before, *limits)
         latest_at = self.admitted.deadline - MIN_TIME_LEFT_S
         return hedge_at if hedge_at < latest_at else None
--- a/tests/test_gateway/test_gateway_silence.py
+++ b/tests/test_gateway/test_gateway_silence.py
@@ -19,6 +19,8 @@
 from returns.result import Failure
 
 from cicadacourse.errors import Error, ErrorKind
+from cicadacourse.exchange import ResponseHead
+from cicadacourse.gateway._admission import CALLER_IDLE_TIMEOUT_S
 from cicadacourse.util.clock import now
 from tests.gateway_cluster import (
     FOR_GOOD,
@@ -335,6 +337,60 @@
         assert runner.run(_count_sends(silence_s)) <= 1.05
 
 
+class TimedReply(FakeReply):
+    """Records the longest time for which its caller gets no event."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.last_at = now()
+        self.longest_gap_s = 0.0
+
+    def _record(self) -> None:
+        self.longest_gap_s = max(self.longest_gap_s, now() - self.last_at)
+        self.last_at = now()
+
+    async def start_stream(self, head: ResponseHead, data: bytes) -> None:
+        """Records the first events and their time."""
+        self._record()
+        await super().start_stream(head, data)
+
+    async def send_events(self, data: bytes) -> None:
+        """Records further events and their time."""
+        self._record()
+        await super().send_events(data)
+
+
+async def _one_can_help(is_muted: bool) -> None:
+    async with gateway_cluster(1, make_pools(3)) as cluster:
+        replies = [TimedReply() for _ in range(12)]
+        tasks = [
+            asyncio.create_task(cluster.send("n0", reply=reply)) for reply in replies
+        ]
+        await asyncio.sleep(0.2)
+        engines = [
+            item
+            for item in cluster.endpoint_by_id.values()
+            if item.endpoint.pool == "engines"
+        ]
+        for endpoint in engines if is_muted else engines[1:]:
+            if is_muted:
+                endpoint.mute_connections()
+            else:
+                endpoint.fall_silent(FOR_GOOD)
+        for reply in await asyncio.gather(*tasks):
+            check_whole(reply)
+        assert max(item.longest_gap_s for item in replies) < CALLER_IDLE_TIMEOUT_S
+        check_all_left(cluster)
+
+
+@pytest.mark.parametrize("is_muted", [False, True])
+def test_streams_that_one_endpoint_can_help_are_helped_before_callers_leave(
+    is_muted: bool,
+) -> None:
+    """Hedges went to endpoints that were silent for other requests."""
+    run(_one_can_help, is_muted)
+
+
 async def _one_of_many_is_silent() -> None:
     async with gateway_cluster(1, make_pools(4)) as cluster:
         load = asyncio.create_task(cluster.load(20.0, 3.0))
