--- a/cicadacourse/placement/_budget.py
+++ b/cicadacourse/placement/_budget.py
@@ -18,8 +18,9 @@
 # Part of this instance's slack that is used in the first window after a start, as its
 # retries before a restart are no longer known.
 FIRST_WINDOW_SHARE = 0.25
-# Share of the budget beyond which retries are kept for failures and long silences.
-SPARE_SHARE = 0.5
+# Share of the budget beyond which retries are kept for failures and long silences. A
+# short silence of a few endpoints is hedged for nothing.
+SPARE_SHARE = 0.25
 # Hedges of silences that may be short, as a share of the first attempts. The rest of
 # the budget is left for failures and for silences that last; a short silence of many
 # endpoints would use it up.
