--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -37,6 +37,8 @@
 CALL_TIMEOUT_OBJECTIVES = 2.2
 # Endpoints may be silent for a second or so and go on.
 SHORT_SILENCE_S = 1.6
+# Share of the time left that a silence may last, as the rest of a response takes time.
+MAX_SILENCE_SHARE = 0.5
 # Time for connecting and for what the estimate of the first event omits.
 RESPONSE_MARGIN_S = 0.2
 # Share of the remaining time that a request may wait for a placement. A longer wait
@@ -126,13 +128,11 @@
         :param time_left_s: seconds until the deadline.
         :param expected_s: the estimated seconds to the first event.
         """
-        early_s = self.hedging_delay_s(time_left_s, expected_s)
+        late_s = min(SHORT_SILENCE_S, MAX_SILENCE_SHARE * time_left_s)
         if self.is_stream:
-            limit_s = min(time_left_s, self.caller_idle_timeout_s)
             needed_s = RESPONSE_MARGIN_S + ESTIMATE_TIMEOUT_FACTOR * expected_s
-        else:
-            limit_s, needed_s = time_left_s, early_s
-        return max(early_s, min(SHORT_SILENCE_S, limit_s - needed_s))
+            late_s = min(late_s, self.caller_idle_timeout_s - needed_s)
+        return max(self.hedging_delay_s(time_left_s, expected_s), late_s)
 
     @property
     def caller_idle_timeout_s(self) -> float:
--- a/tests/test_gateway/test_gateway_silence.py
+++ b/tests/test_gateway/test_gateway_silence.py
@@ -431,6 +431,24 @@
     run(_silent_without_budget)
 
 
+async def _short_of_time() -> None:
+    async with gateway_cluster(1, make_pools(3)) as cluster:
+        for endpoint in cluster.endpoint_by_id.values():
+            endpoint.events = 30
+        budget = cluster.memory.get("n0", "gateway").budget
+        assert budget.try_acquire_early_hedge("engines", now())
+        task = asyncio.create_task(cluster.send("n0", timeout_s=2.8))
+        first = await wait_for_server(cluster)
+        await asyncio.sleep(0.2)
+        first.fall_silent(FOR_GOOD)
+        check_whole(await task, events=30)
+
+
+def test_a_hedge_that_waits_leaves_time_for_the_rest_of_the_stream() -> None:
+    """It was sent so late that the stream ended at its deadline."""
+    run(_short_of_time)
+
+
 async def _many_instances(instances: int) -> None:
     endpoint_by_id = make_endpoints(instances)
     for endpoint in endpoint_by_id.values():
