Gateway: what the parts know of an attempt stands in a module of its own

The owner of attempts, the attempts and their reporter imported each other for types. All three now know the protocol Attempt; behaviour is unchanged.

--- a/cicadacourse/gateway/_attempt_owner.py
+++ b/cicadacourse/gateway/_attempt_owner.py
@@ -3,13 +3,10 @@
 from __future__ import annotations
 
 import abc
-from typing import TYPE_CHECKING
 
 from cicadacourse.errors import Error
 from cicadacourse.exchange import ResponseHead
-
-if TYPE_CHECKING:
-    from cicadacourse.gateway._exchange_attempt import ExchangeAttempt
+from cicadacourse.gateway._attempt import Attempt
 
 
 class AttemptOwner(abc.ABC):
@@ -26,23 +23,23 @@
         """When the last event was written, loop time in seconds, or None."""
 
     @abc.abstractmethod
-    def acquire(self, attempt: ExchangeAttempt) -> Error | None:
+    def acquire(self, attempt: Attempt) -> Error | None:
         """Returns None if an attempt may be made now, else why not."""
 
     @abc.abstractmethod
-    def is_hedge(self, attempt: ExchangeAttempt) -> bool:
+    def is_hedge(self, attempt: Attempt) -> bool:
         """Returns whether an attempt is made beside an older one in progress."""
 
     @abc.abstractmethod
-    def used_ids(self, attempt: ExchangeAttempt) -> frozenset[str]:
+    def used_ids(self, attempt: Attempt) -> frozenset[str]:
         """Returns the ids of the endpoints of the other attempts in progress."""
 
     @abc.abstractmethod
-    def confirm(self, attempt: ExchangeAttempt) -> Error | None:
+    def confirm(self, attempt: Attempt) -> Error | None:
         """Returns None if an attempt may be sent as it is placed, else why not."""
 
     @abc.abstractmethod
-    def has_alternative(self, attempt: ExchangeAttempt) -> bool:
+    def has_alternative(self, attempt: Attempt) -> bool:
         """Returns whether another attempt runs, or is allowed, beside this one."""
 
     @abc.abstractmethod
@@ -51,16 +48,16 @@
 
     @abc.abstractmethod
     async def write_events(
-        self, attempt: ExchangeAttempt, head: ResponseHead, events: bytes
+        self, attempt: Attempt, head: ResponseHead, events: bytes
     ) -> None:
         """Writes whole events; the attempt's are the only ones from then on."""
 
     @abc.abstractmethod
-    async def finish_stream(self, attempt: ExchangeAttempt, head: ResponseHead) -> None:
+    async def finish_stream(self, attempt: Attempt, head: ResponseHead) -> None:
         """Ends a stream as complete."""
 
     @abc.abstractmethod
     async def write_response(
-        self, attempt: ExchangeAttempt, head: ResponseHead, body: bytes
+        self, attempt: Attempt, head: ResponseHead, body: bytes
     ) -> None:
         """Writes a whole response."""
--- a/cicadacourse/gateway/_endpoint_activity.py
+++ b/cicadacourse/gateway/_endpoint_activity.py
@@ -7,40 +7,30 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from typing import Protocol
 
 import attrs
 
+from cicadacourse.gateway._attempt import Attempt
+
 # A pool is not silent as a whole if data came so lately. Longer than the pauses between
 # the responses to rare calls, shorter than a silence after which a stream is hedged.
 RECENT_DATA_S = 0.7
 
 
-class Exchange(Protocol):
-    """An exchange with an endpoint that may wait for data."""
-
-    @property
-    def endpoint_id(self) -> str | None:
-        """The id of its endpoint; None until it is placed."""
-
-    def silence_limit_at(self, now_s: float) -> float:
-        """Returns when it will have waited for data for too long, in loop time."""
-
-
 @attrs.define
 class EndpointActivity:
     """The exchanges in progress, and when endpoints have last sent data."""
 
-    _exchanges: set[Exchange] = attrs.field(factory=set)
+    _exchanges: set[Attempt] = attrs.field(factory=set)
     _data_at_by_id_by_pool: dict[str, dict[str, float]] = attrs.field(
         factory=lambda: defaultdict(dict)
     )
 
-    def add(self, exchange: Exchange) -> None:
+    def add(self, exchange: Attempt) -> None:
         """Adds an exchange that begins."""
         self._exchanges.add(exchange)
 
-    def remove(self, exchange: Exchange) -> None:
+    def remove(self, exchange: Attempt) -> None:
         """Removes an exchange that has ended."""
         self._exchanges.discard(exchange)
 
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -15,6 +15,7 @@
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.exchange import EndpointClient, Reply, ResponseHead
 from cicadacourse.gateway._admission import AdmittedRequest
+from cicadacourse.gateway._attempt import Attempt
 from cicadacourse.gateway._attempt_owner import AttemptOwner
 from cicadacourse.gateway._attempts import Attempts
 from cicadacourse.gateway._endpoint_activity import EndpointActivity
@@ -236,13 +237,13 @@
         is_resumable = not self.reply.started or self.last_event_id is not None
         return is_resumable and self.attempts.may_retry()
 
-    def acquire(self, attempt: ExchangeAttempt) -> Error | None:
+    def acquire(self, attempt: Attempt) -> Error | None:
         """Takes a retry from the budget unless the attempt is the first one."""
         if self.is_hedge(attempt) and not self._has_other_endpoint(attempt):
             return _no_other_endpoint(self._pool)
         return self._grants.acquire(attempt)
 
-    def confirm(self, attempt: ExchangeAttempt) -> Error | None:
+    def confirm(self, attempt: Attempt) -> Error | None:
         """Refuses an attempt at an endpoint at which another one is in progress.
 
         Further attempts are made in the pool of this one.
@@ -254,12 +255,12 @@
             self._pool = attempt.placement.endpoint.pool
         return None
 
-    def used_ids(self, attempt: ExchangeAttempt) -> frozenset[str]:
+    def used_ids(self, attempt: Attempt) -> frozenset[str]:
         """Returns the ids of the endpoints of the other attempts in progress."""
         ids = (item.endpoint_id for item in self._others(attempt))
         return frozenset(id for id in ids if id is not None)
 
-    def has_alternative(self, attempt: ExchangeAttempt) -> bool:
+    def has_alternative(self, attempt: Attempt) -> bool:
         """Returns whether another attempt is in progress or may be retried."""
         if any(not item.has_failed for item in self._others(attempt)):
             return True
@@ -276,7 +277,7 @@
         return not self.reply.started
 
     async def write_events(
-        self, attempt: ExchangeAttempt, head: ResponseHead, events: bytes
+        self, attempt: Attempt, head: ResponseHead, events: bytes
     ) -> None:
         """Writes whole events to the caller; waits while it reads too slowly."""
         await self._choose(attempt)
@@ -287,7 +288,7 @@
         else:
             await self.reply.start_stream(head, events)
 
-    async def finish_stream(self, attempt: ExchangeAttempt, head: ResponseHead) -> None:
+    async def finish_stream(self, attempt: Attempt, head: ResponseHead) -> None:
         """Ends the stream as complete."""
         await self._choose(attempt)
         if not self.reply.started:
@@ -295,13 +296,13 @@
         await self.reply.finish_stream()
 
     async def write_response(
-        self, attempt: ExchangeAttempt, head: ResponseHead, body: bytes
+        self, attempt: Attempt, head: ResponseHead, body: bytes
     ) -> None:
         """Writes a whole response to the caller."""
         await self._choose(attempt)
         await self.reply.send_response(head, body)
 
-    async def _choose(self, attempt: ExchangeAttempt) -> None:
+    async def _choose(self, attempt: Attempt) -> None:
         """Makes an attempt the source of the response and cancels the others."""
         if len(self._task_by_attempt) == 1:
             return
@@ -313,14 +314,14 @@
             self._reporter.report_superseded(other, attempt)
         self._cancel(others)
 
-    def is_hedge(self, attempt: ExchangeAttempt) -> bool:
+    def is_hedge(self, attempt: Attempt) -> bool:
         """Returns whether an attempt is made beside an older one in progress."""
         return attempt is not next(iter(self._task_by_attempt))
 
-    def _others(self, attempt: ExchangeAttempt) -> list[ExchangeAttempt]:
+    def _others(self, attempt: Attempt) -> list[ExchangeAttempt]:
         return [item for item in self._task_by_attempt if item is not attempt]
 
-    def _has_other_endpoint(self, attempt: ExchangeAttempt) -> bool:
+    def _has_other_endpoint(self, attempt: Attempt) -> bool:
         placer: Placer = self.app.get("placement")
         used = self.used_ids(attempt)
         return any(item.id not in used for item in placer.usable_endpoints(self._pool))
--- a/cicadacourse/gateway/_outcomes.py
+++ b/cicadacourse/gateway/_outcomes.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Sequence
+from typing import Sequence
 
 import attrs
 
@@ -16,6 +16,7 @@
     SendFailure,
 )
 from cicadacourse.gateway._admission import AdmittedRequest
+from cicadacourse.gateway._attempt import Attempt
 from cicadacourse.gateway._attempts import Attempts, Progress
 from cicadacourse.gateway._settings import ATTEMPT_FAILURES
 from cicadacourse.logs import (
@@ -30,9 +31,6 @@
 from cicadacourse.reservations import ReservationRefused
 from cicadacourse.util.clock import now
 
-if TYPE_CHECKING:
-    from cicadacourse.gateway._exchange_attempt import ExchangeAttempt
-
 REASON_NO_RESPONSE = "no_answer"
 REASON_STREAM_SILENT = "stream_silent"
 
@@ -95,7 +93,7 @@
             parts=prompt.shared_part_ids if prompt else (),
         )
 
-    def report_hedged(self, pool: str, attempts: Sequence[ExchangeAttempt]) -> None:
+    def report_hedged(self, pool: str, attempts: Sequence[Attempt]) -> None:
         """Reports that another endpoint is tried beside those that are silent."""
         log(
             REQUEST_HEDGED,
@@ -114,9 +112,7 @@
             detail=error.detail,
         )
 
-    def report_superseded(
-        self, attempt: ExchangeAttempt, chosen: ExchangeAttempt
-    ) -> None:
+    def report_superseded(self, attempt: Attempt, chosen: Attempt) -> None:
         """Reports that an attempt is cancelled as another one was faster.
 
         A long silence counts against its endpoint: the other one shows that this
@@ -137,7 +133,7 @@
         if is_overdue:
             self.report_silent(attempt)
 
-    def report_silent(self, attempt: ExchangeAttempt) -> None:
+    def report_silent(self, attempt: Attempt) -> None:
         """Reports that an endpoint was silent for too long beside one that was not."""
         if attempt.endpoint_id is None:
             return
--- a/cicadacourse/gateway/_retries.py
+++ b/cicadacourse/gateway/_retries.py
@@ -7,8 +7,8 @@
 from cicadacourse.application import Application
 from cicadacourse.errors import Error
 from cicadacourse.gateway._admission import AdmittedRequest
+from cicadacourse.gateway._attempt import Attempt
 from cicadacourse.gateway._attempts import Attempts
-from cicadacourse.gateway._exchange_attempt import ExchangeAttempt
 from cicadacourse.logs import RETRY_BUDGET_EXHAUSTED, log
 from cicadacourse.metrics import RETRIES
 from cicadacourse.placement import RetryBudget
@@ -28,9 +28,9 @@
     budget: RetryBudget
     _is_first_due: bool = True
     # The pool that was charged for a retry; None for the first attempt.
-    _charged_by_attempt: dict[ExchangeAttempt, str | None] = attrs.field(factory=dict)
+    _charged_by_attempt: dict[Attempt, str | None] = attrs.field(factory=dict)
 
-    def acquire(self, attempt: ExchangeAttempt) -> Error | None:
+    def acquire(self, attempt: Attempt) -> Error | None:
         """Grants an attempt, or returns the error if the budget allows no retry."""
         if self._is_first_due:
             self._is_first_due = False
@@ -41,7 +41,7 @@
         self._charged_by_attempt[attempt] = attempt.pool
         return None
 
-    def settle(self, attempt: ExchangeAttempt) -> None:
+    def settle(self, attempt: Attempt) -> None:
         """Takes the grant of an attempt back if it has ended without being sent."""
         if attempt not in self._charged_by_attempt:
             return
