--- a/cicadacourse/catalog/_freshness.py
+++ b/cicadacourse/catalog/_freshness.py
@@ -28,7 +28,7 @@
 
 @attrs.define
 class _Evidence:
-    """What others reported of one version.
+    """What other instances reported of one version.
 
     :ivar heard_at: when this instance first heard of it, loop time in seconds.
     :ivar confirmed_at: the last time at which it was the newest one.
--- a/cicadacourse/evidence/__init__.py
+++ b/cicadacourse/evidence/__init__.py
@@ -1,4 +1,4 @@
-"""Observations of single instances, shared with all others."""
+"""Observations of single instances, shared with the other instances."""
 
 from cicadacourse.evidence._book import FactBook
 from cicadacourse.evidence._model import FACT_KINDS, Fact, FactKind
--- a/cicadacourse/evidence/_book.py
+++ b/cicadacourse/evidence/_book.py
@@ -1,4 +1,4 @@
-"""The facts that one instance knows, its own and those of others."""
+"""The facts that one instance knows, its own and those of other instances."""
 
 from __future__ import annotations
 
@@ -51,7 +51,7 @@
         return list(self._keys_by_kind.get(kind, ()))
 
     def all(self, now_s: float) -> list[Fact]:
-        """Returns the facts that still count, and drops all others."""
+        """Returns the facts that still count, and drops the expired ones."""
         for fact in self._facts():
             if now_s - fact.observed_at >= FACT_KINDS.get(fact.kind).lifetime_s:
                 self.remove(fact)
--- a/cicadacourse/evidence/_dissemination.py
+++ b/cicadacourse/evidence/_dissemination.py
@@ -35,7 +35,7 @@
 
 
 class Dissemination:
-    """The facts that are still news here, and the turn of all others."""
+    """The facts that are still news here, and whose turn it is among the known ones."""
 
     def __init__(self) -> None:
         self._news_by_identity: dict[tuple[str, str, int], _News] = {}
--- a/cicadacourse/evidence/_service.py
+++ b/cicadacourse/evidence/_service.py
@@ -1,4 +1,4 @@
-"""Shares observations of single instances with all others.
+"""Shares observations of single instances with the other instances.
 
 An instance sees only the responses to its own requests. What it learns from them about
 an endpoint or a prompt concerns all instances, so facts travel with load reports.
@@ -103,7 +103,7 @@
         id: int | None = None,
         observed_at: float | None = None,
     ) -> None:
-        """Records an observation of this instance and tells it to all others.
+        """Records an observation of this instance and tells the other instances.
 
         :param id: the id of the fact if several instances may observe the same one;
             a random one if None.
--- a/cicadacourse/feed/_configuration_fetcher.py
+++ b/cicadacourse/feed/_configuration_fetcher.py
@@ -31,7 +31,7 @@
 
 
 class ConfigurationFetcher(Fetcher):
-    """Fetches configurations that load reports say others have."""
+    """Fetches configurations that other instances have, by their load reports."""
 
     def __init__(self, app: Application) -> None:
         super().__init__(app, "configuration")
--- a/cicadacourse/feed/_history.py
+++ b/cicadacourse/feed/_history.py
@@ -1,4 +1,4 @@
-"""Keeps recent versions of the configuration, to send others only what changed."""
+"""Keeps recent versions of the configuration, to send other instances only changes."""
 
 from __future__ import annotations
 
--- a/cicadacourse/feed/_registry_fetcher.py
+++ b/cicadacourse/feed/_registry_fetcher.py
@@ -17,7 +17,7 @@
 
 
 class RegistryFetcher(Fetcher):
-    """Fetches registries that load reports say others have read further."""
+    """Fetches registries that other instances have read further, by their reports."""
 
     def __init__(self, app: Application) -> None:
         super().__init__(app, "registry")
--- a/cicadacourse/feed/_relay.py
+++ b/cicadacourse/feed/_relay.py
@@ -1,7 +1,7 @@
 """Relays the configuration and the registry between instances.
 
 An instance that can't read the store, or that leaves reading to its neighbours, learns
-from load reports that others have newer ones and fetches these from them.
+from load reports that other instances have newer ones and fetches these from them.
 """
 
 from __future__ import annotations
--- a/cicadacourse/limits/_service.py
+++ b/cicadacourse/limits/_service.py
@@ -2,8 +2,8 @@
 
 An endpoint in need names in its responses the requests per second that it takes from
 all instances together. Each instance learns that from its own responses and from the
-others' evidence, and sends a request to such an endpoint only with a permit of the
-shared rate.
+other instances' evidence, and sends a request to such an endpoint only with a permit
+of the shared rate.
 """
 
 from __future__ import annotations
--- a/cicadacourse/placement/_declines.py
+++ b/cicadacourse/placement/_declines.py
@@ -2,8 +2,8 @@
 
 An endpoint in need states with a refusal for how long it wants no other request from
 the instance that sent this one. That concerns one process of the endpoint and only this
-instance: the others learn it from refusals of their own. An endpoint that leaves wants
-no more requests from any instance.
+instance: other instances learn it from refusals of their own. An endpoint that leaves
+wants no more requests from any instance.
 """
 
 from __future__ import annotations
--- a/cicadacourse/placement/_leaving.py
+++ b/cicadacourse/placement/_leaving.py
@@ -2,7 +2,7 @@
 
 The registry may list such an endpoint as ready for many seconds: the store may be down,
 or the endpoint may not report that it leaves. Leaving is final for a process, so each
-instance sends it nothing more, and tells the others by a fact.
+instance sends it nothing more, and tells the other instances by a fact.
 """
 
 from __future__ import annotations
--- a/cicadacourse/quarantine/__init__.py
+++ b/cicadacourse/quarantine/__init__.py
@@ -1,4 +1,4 @@
-"""What is suspected of crashing endpoints: parts of prompts, and whole requests."""
+"""What is suspected of crashing endpoints: parts of prompts, and requests."""
 
 from cicadacourse.quarantine._digests import make_digest
 from cicadacourse.quarantine._keys import RequestKeys
--- a/cicadacourse/quarantine/_ledger.py
+++ b/cicadacourse/quarantine/_ledger.py
@@ -91,7 +91,7 @@
             self._succeeded_at_by_key.popitem(last=False)
 
     def tell_success_later(self, fact: Fact) -> None:
-        """Tells the others of a success with a key that another instance blames."""
+        """Tells other instances of a success with a key that one of them blames."""
         if fact.key in self._succeeded_at_by_key:
             delay_s = random.uniform(0.0, MAX_VINDICATION_DELAY_S)
             loop = asyncio.get_running_loop()
@@ -107,7 +107,7 @@
         return max(times, default=None)
 
     def _tell_success(self, key: str) -> None:
-        """Tells the others of a key's last success here, unless one is known already.
+        """Tells other instances of a key's last success here, unless one is known.
 
         A success that is later than a crash clears the key; an earlier one makes it
         less suspect.
--- a/cicadacourse/quarantine/_outcomes.py
+++ b/cicadacourse/quarantine/_outcomes.py
@@ -16,7 +16,7 @@
 from cicadacourse.quarantine._keys import digest_of, is_request_key
 from cicadacourse.quarantine._verdicts import Verdict
 
-# The label of the error of a whole request; that of a part is its kind.
+# The label of the error of a request; that of a part of a prompt is its kind.
 REASON_REQUEST_SUSPECTED = "request_suspected"
 # Statuses by which endpoints refuse requests without running them.
 REFUSAL_STATUSES = frozenset({408, 421, 429})
@@ -35,7 +35,7 @@
 def suspected_error(key: str, delay_s: float) -> Error:
     """Returns the error of a request that may crash the endpoint it is sent to.
 
-    :param key: what is suspected, a part of its prompt or the whole request.
+    :param key: what is suspected, a part of its prompt or the request itself.
     :param delay_s: seconds until another request with it may be sent.
     """
     if is_request_key(key):
--- a/cicadacourse/quarantine/_verdicts.py
+++ b/cicadacourse/quarantine/_verdicts.py
@@ -1,4 +1,4 @@
-"""Decides which parts of prompts and which whole requests are suspected of crashes.
+"""Decides which parts of prompts and which requests are suspected of crashes.
 
 The expected load is requests with one bad part, or one bad request that comes again,
 among many sound ones. An engine crashes as soon as it begins to answer a prompt with
@@ -19,7 +19,7 @@
 # response, a request is rather a victim than the cause.
 BEGUN_WEIGHT = 1.0
 WAITING_WEIGHT = 0.5
-# The same for a whole request: two crashes under one are hardly by chance.
+# The same for a request: two crashes under one are hardly by chance.
 REQUEST_WEIGHT = 1.0
 # A key that was sound before needs as much more weight as one crash gives.
 SOUND_CREDIT = 1.0
@@ -55,7 +55,7 @@
 class CrashRecord:
     """What is known of one key.
 
-    :param key: a part of prompts, or a whole request.
+    :param key: a part of prompts, or a request.
     :param succeeded_at: when a request with it last succeeded, loop time in seconds, or
         None if none is known to have.
     """
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -57,7 +57,7 @@
         choices=sorted(SCENARIOS),
         default="faults",
         help="faults of all kinds, a configuration that changes each second,"
-        " endpoints that name limits, prompts that crash engines, whole requests that"
+        " endpoints that name limits, prompts that crash engines, requests that"
         " crash endpoints, endpoints and connections that fall silent, or endpoints"
         " that leave or turn requests away",
     )
--- a/standins/platform/_worker.py
+++ b/standins/platform/_worker.py
@@ -102,7 +102,7 @@
     :ivar arrivals: the requests that reached it, whether or not it ran them.
     :ivar crashing_part_ids: the parts of prompts under which it crashes as soon as it
         begins to write an answer.
-    :ivar crashing_contents: the whole requests under which it crashes soon after it
+    :ivar crashing_contents: the requests under which it crashes soon after it
         begins to run them.
     :ivar crash: its crash; None while it runs.
     :ivar on_crash: ends its process.
