--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -35,6 +35,10 @@
 # An idempotent call without a response after this many latency objectives is also sent
 # to another endpoint.
 CALL_TIMEOUT_OBJECTIVES = 2.2
+# Endpoints may be silent for a second or so and go on.
+SHORT_SILENCE_S = 1.6
+# Time for connecting and for what the estimate of the first event omits.
+RESPONSE_MARGIN_S = 0.2
 # Share of the remaining time that a request may wait for a placement. A longer wait
 # leaves too little time to serve it.
 MAX_WAIT_SHARE = 0.5
@@ -113,6 +117,23 @@
         longest_s = max(usual_s, ESTIMATE_TIMEOUT_FACTOR * expected_s)
         return min(time_left_s, self.caller_idle_timeout_s, longest_s)
 
+    def late_hedging_delay_s(self, time_left_s: float, expected_s: float) -> float:
+        """Returns after how many seconds without data another one is the last hope.
+
+        A silence that has lasted so long is no short one, and another endpoint can
+        still respond before the caller abandons a stream.
+
+        :param time_left_s: seconds until the deadline.
+        :param expected_s: the estimated seconds to the first event.
+        """
+        early_s = self.hedging_delay_s(time_left_s, expected_s)
+        if self.is_stream:
+            limit_s = min(time_left_s, self.caller_idle_timeout_s)
+            needed_s = RESPONSE_MARGIN_S + ESTIMATE_TIMEOUT_FACTOR * expected_s
+        else:
+            limit_s, needed_s = time_left_s, early_s
+        return max(early_s, min(SHORT_SILENCE_S, limit_s - needed_s))
+
     @property
     def caller_idle_timeout_s(self) -> float:
         """After how many seconds without an event the caller abandons a stream."""
@@ -122,13 +143,20 @@
             CALLER_IDLE_TIMEOUT_GAPS * (self.route.gap_target_s or 0.0),
         )
 
-    def _time_left_s(self, now_s: float, last_event_at: float | None) -> float:
-        """Returns the seconds until a response, or the next event, comes too late."""
+    def _time_left_s(
+        self, now_s: float, last_event_at: float | None, has_begun: bool
+    ) -> float:
+        """Returns the seconds until a response, or the next event, comes too late.
+
+        A caller that has not left after its idle timeout is one that waits for longer,
+        and what has begun is worth a try while its caller is there.
+        """
         left_s = self.deadline - now_s
-        if not self.is_stream:
+        if not self.is_stream or has_begun:
             return left_s
         since = self.request.arrived if last_event_at is None else last_event_at
-        return min(left_s, since + self.caller_idle_timeout_s - now_s)
+        idle_left_s = since + self.caller_idle_timeout_s - now_s
+        return min(left_s, idle_left_s) if idle_left_s > 0 else left_s
 
     def placement_request(
         self,
@@ -136,6 +164,7 @@
         now_s: float,
         avoided_ids: frozenset[str],
         last_event_at: float | None = None,
+        has_begun: bool = False,
     ) -> PlacementRequest:
         """Returns the placement request of the next attempt.
 
@@ -145,6 +174,7 @@
             which it is in progress.
         :param last_event_at: when the caller was sent the last event of a stream, loop
             time in seconds, or None.
+        :param has_begun: whether a refusal would lose what an attempt has done.
         """
         prompt = self.prompt
         return PlacementRequest(
@@ -153,13 +183,14 @@
             priority=self.priority,
             target_s=max(0.0, self.request.arrived + self.route.target_s - now_s),
             wait_s=MAX_WAIT_SHARE * (self.deadline - now_s),
-            time_left_s=self._time_left_s(now_s, last_event_at),
+            time_left_s=self._time_left_s(now_s, last_event_at, has_begun),
             prompt_tokens=prompt.tokens if prompt else 0,
             output_tokens=prompt.max_output_tokens if prompt else 0,
             gap_s=self.route.gap_target_s or 0.0,
             organisation=self.organisation.name if self.organisation else "",
             avoided_ids=avoided_ids,
             terms=self._terms(pool),
+            has_begun=has_begun,
         )
 
     def _terms(self, pool: str) -> AdmissionTerms:
