--- a/cicadacourse/gateway/_attempt_owner.py
+++ b/cicadacourse/gateway/_attempt_owner.py
@@ -45,6 +45,10 @@
     def has_alternative(self, attempt: ExchangeAttempt) -> bool:
         """Returns whether another attempt runs, or is allowed, beside this one."""
 
+    @abc.abstractmethod
+    def has_begun(self) -> bool:
+        """Returns whether a failed attempt may have run or events were written."""
+
     @abc.abstractmethod
     def may_write_response(self) -> bool:
         """Returns whether nothing has been written to the caller yet."""
--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -47,6 +47,7 @@
 
     :param pool: the name of the pool that serves the request.
     :param owner: decides on the attempt and writes what it reads.
+    :param is_hedge: whether an older attempt was in progress when it was started.
     :ivar placement: where the request is sent; None until it is placed.
     :ivar progress: how far the attempt got.
     :ivar is_sent: whether the request was sent, or its reservations were refused.
@@ -61,6 +62,7 @@
     reporter: OutcomeReporter
     pool: str
     owner: AttemptOwner
+    is_hedge: bool = False
     placement: Placement | None = None
     progress: Progress = Progress.WAITING
     is_sent: bool = False
@@ -109,7 +111,7 @@
             now(),
             self.reporter.attempts.failed_ids | self.owner.used_ids(self),
             self.owner.last_event_at,
-            has_begun=not self.owner.is_hedge(self) and self._has_begun(),
+            has_begun=not self.owner.is_hedge(self) and self.owner.has_begun(),
         )
         async with self._placer.place(request) as result:
             match result:
@@ -119,11 +121,6 @@
                     return Failure(error)
         raise AssertionError("a result is a success or a failure")
 
-    def _has_begun(self) -> bool:
-        """Returns whether a former attempt may have run or has sent events."""
-        may_have_run = self.reporter.attempts.may_have_run
-        return may_have_run or not self.owner.may_write_response()
-
     async def _make(self, placement: Placement) -> AttemptResult:
         self.placement = placement
         error = self.owner.confirm(self)
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -104,10 +104,17 @@
                 result = self._result_of(task)
                 if result == _WRITTEN:
                     return None
-                error = self._go_on(result)
+                error = self._go_on(attempt, result)
                 if error is not None:
                     return error
 
+    def _is_retry_due(self, attempt: ExchangeAttempt) -> bool:
+        """Returns whether a retry may be placed where an attempt was refused.
+
+        A hedge is refused sooner than a retry of a request that has begun.
+        """
+        return attempt.is_hedge and self.has_begun()
+
     def _result_of(self, task: asyncio.Task[AttemptResult]) -> AttemptResult:
         """Returns the result of an attempt that has ended.
 
@@ -121,7 +128,7 @@
         )
         return _NOT_WRITTEN
 
-    def _go_on(self, result: AttemptResult) -> Error | None:
+    def _go_on(self, attempt: ExchangeAttempt, result: AttemptResult) -> Error | None:
         """Goes on after an attempt without a response; returns the error if it can't.
 
         The attempts that are still in progress go on in any case, and the next hedge
@@ -132,7 +139,7 @@
             if isinstance(result, Failure):
                 self._reporter.report_hedge_denied(result.failure())
             return None
-        if isinstance(result, Failure):
+        if isinstance(result, Failure) and not self._is_retry_due(attempt):
             may_have_run = self.attempts.may_have_run
             return self.attempts.final_error() if may_have_run else result.failure()
         if not self._may_continue():
@@ -162,7 +169,13 @@
 
     def _start_attempt(self) -> None:
         attempt = ExchangeAttempt(
-            self.app, self.admitted, self.client, self._reporter, self._pool, self
+            self.app,
+            self.admitted,
+            self.client,
+            self._reporter,
+            self._pool,
+            self,
+            is_hedge=bool(self._task_by_attempt),
         )
         self._task_by_attempt[attempt] = asyncio.create_task(attempt.run())
 
@@ -225,6 +238,10 @@
         """When the last event was forwarded, loop time in seconds, or None."""
         return self.times.last_at_s
 
+    def has_begun(self) -> bool:
+        """Returns whether a failed attempt may have run or events were written."""
+        return self.attempts.may_have_run or self.reply.started
+
     def may_write_response(self) -> bool:
         """Returns whether nothing has been written to the caller yet."""
         return not self.reply.started
