--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -135,6 +135,7 @@
                 self.admitted.request.id,
                 placement.endpoint,
                 placement.reservation_plans,
+                lambda: self.silent_s,
             ) as reservations:
                 return Success(await self._send(placement, reservations))
         except ReservationRefused as refusal:
--- a/cicadacourse/reservations/_engine_watch.py
+++ b/cicadacourse/reservations/_engine_watch.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections import Counter
+from typing import Callable
 
 from cicadacourse.application import Application
 from cicadacourse.catalog import Endpoint
@@ -32,21 +33,28 @@
         self._last_data_at_by_id: dict[str, float] = {}
         app.events.connect(ENDPOINT_SENT_DATA, self._record_data)
 
-    async def wait_until_dead(self, engine: Endpoint) -> None:
+    async def wait_until_dead(
+        self, engine: Endpoint, silent_s: Callable[[], float]
+    ) -> None:
         """Returns once an engine has shown no sign of life for ``DEAD_AFTER_S``.
 
         A sign of life is a connection that it accepts, or data of any exchange with it.
+        There is none to see while a request that it serves does not wait for data.
+
+        :param silent_s: returns for how many seconds that request has waited for data.
         """
         self._watches_by_id[engine.id] += 1
         try:
-            await self._check_until_dead(engine)
+            await self._check_until_dead(engine, silent_s)
         finally:
             self._watches_by_id[engine.id] -= 1
             if not self._watches_by_id[engine.id]:
                 del self._watches_by_id[engine.id]
                 self._last_data_at_by_id.pop(engine.id, None)
 
-    async def _check_until_dead(self, engine: Endpoint) -> None:
+    async def _check_until_dead(
+        self, engine: Endpoint, silent_s: Callable[[], float]
+    ) -> None:
         unreachable_since: float | None = None
         while True:
             is_failing = unreachable_since is not None
@@ -58,7 +66,8 @@
             if unreachable_since is None:
                 unreachable_since = started
             last_data_at = self._last_data_at_by_id.get(engine.id, unreachable_since)
-            if now() - max(unreachable_since, last_data_at) >= DEAD_AFTER_S:
+            dead_s = now() - max(unreachable_since, last_data_at)
+            if min(dead_s, silent_s()) >= DEAD_AFTER_S:
                 return
 
     def _record_data(self, endpoint_id: str) -> None:
--- a/cicadacourse/reservations/_service.py
+++ b/cicadacourse/reservations/_service.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 import itertools
-from typing import Any, AsyncIterator, Coroutine, Sequence
+from typing import Any, AsyncIterator, Callable, Coroutine, Sequence
 
 import attrs
 from returns.result import Failure, Success
@@ -89,7 +89,11 @@
 
     @contextlib.asynccontextmanager
     async def hold(
-        self, request_id: str, decode_engine: Endpoint, plans: Sequence[ReservationPlan]
+        self,
+        request_id: str,
+        decode_engine: Endpoint,
+        plans: Sequence[ReservationPlan],
+        silent_s: Callable[[], float],
     ) -> AsyncIterator[tuple[Reservation, ...]]:
         """Holds all reservations while the context is open and the decode engine lives.
 
@@ -98,6 +102,8 @@
 
         :param decode_engine: the engine that the request is sent to.
         :param plans: the reservations to make on the helpers.
+        :param silent_s: returns for how many seconds the request has waited for data of
+            the decode engine, 0 while it waits for its caller.
         :raises ReservationRefused: if one of them can't be made; none is kept then.
         :raises SendFailure: if the decode engine is dead.
         """
@@ -108,7 +114,7 @@
             await self._reserve_all(request_id, reservations)
             tasks.append(self._start_task(self._renew(request_id, reservations)))
             async with scope:
-                watch = self._end_when_dead(request_id, decode_engine, scope)
+                watch = self._end_when_dead(request_id, decode_engine, silent_s, scope)
                 tasks.append(self._start_task(watch))
                 yield reservations
         except TimeoutError as error:
@@ -173,10 +179,14 @@
             _log_failures(request_id, reservations, results)
 
     async def _end_when_dead(
-        self, request_id: str, decode_engine: Endpoint, scope: asyncio.Timeout
+        self,
+        request_id: str,
+        decode_engine: Endpoint,
+        silent_s: Callable[[], float],
+        scope: asyncio.Timeout,
     ) -> None:
         """Ends the scope of a request once its decode engine is dead."""
-        await self._engine_watch.wait_until_dead(decode_engine)
+        await self._engine_watch.wait_until_dead(decode_engine, silent_s)
         log(DECODE_ENGINE_DEAD, request=request_id, endpoint=decode_engine.id)
         scope.reschedule(asyncio.get_running_loop().time())
 
--- a/tests/test_reservations/test_reservations_silence.py
+++ b/tests/test_reservations/test_reservations_silence.py
@@ -104,7 +104,7 @@
     service = ReservationService(app)
     data = asyncio.create_task(_send_data(app, start + data_until_s))
     try:
-        async with service.hold("r1", ENGINE, ()):
+        async with service.hold("r1", ENGINE, (), lambda: now() - start):
             await asyncio.sleep(REQUEST_S)
     except SendFailure as failure:
         assert failure.may_have_run
