--- a/cicadacourse/reservations/_engine_watch.py
+++ b/cicadacourse/reservations/_engine_watch.py
@@ -22,6 +22,8 @@
 RECHECK_PERIOD_S = 0.25
 # An engine is dead that accepts no connection and sends no data for this time.
 DEAD_AFTER_S = 2.0
+# If a check takes longer than this, the process was paused, and it shows nothing.
+MAX_CHECK_S = 0.8
 
 
 class EngineWatch:
@@ -60,7 +62,8 @@
             is_failing = unreachable_since is not None
             await asyncio.sleep(RECHECK_PERIOD_S if is_failing else CHECK_PERIOD_S)
             started = now()
-            if await self._app.get("memory_client").is_reachable(engine):
+            is_reachable = await self._app.get("memory_client").is_reachable(engine)
+            if is_reachable or now() - started > MAX_CHECK_S:
                 unreachable_since = None
                 continue
             if unreachable_since is None:
--- a/tests/test_reservations/test_reservations_silence.py
+++ b/tests/test_reservations/test_reservations_silence.py
@@ -39,13 +39,17 @@
     """Orders and connections to an engine that is silent for some times.
 
     :param silences: when each silence begins and ends, loop times in seconds.
+    :param pause: when a pause of this process begins and ends, in the same way.
     """
 
     name = "memory_client"
 
-    def __init__(self, app: Application, silences: Sequence[Silence]) -> None:
+    def __init__(
+        self, app: Application, silences: Sequence[Silence], pause: Silence
+    ) -> None:
         super().__init__(app)
         self._silences = silences
+        self._pause = pause
 
     def _is_silent(self) -> bool:
         return any(begin <= now() < end for begin, end in self._silences)
@@ -53,12 +57,18 @@
     async def is_reachable(self, endpoint: Endpoint) -> bool:
         """Returns whether a connection is accepted in time."""
         started = now()
+        await self._wait()
+        while self._is_silent() and now() - started < REACHABLE_TIMEOUT_S:
+            await self._wait()
+        # A loop that was paused comes to the time limit before the connection.
+        return now() - started < REACHABLE_TIMEOUT_S
+
+    async def _wait(self) -> None:
+        """Waits for a short time, and until a pause that has begun is over."""
         await asyncio.sleep(LINK_S)
-        while self._is_silent():
-            if now() - started >= REACHABLE_TIMEOUT_S:
-                return False
-            await asyncio.sleep(LINK_S)
-        return True
+        begin, end = self._pause
+        if begin <= now() < end:
+            await asyncio.sleep(end - now())
 
     async def reserve(self, *_: Any) -> Result[None, Error]:
         """Reserves at once."""
@@ -81,11 +91,14 @@
         self.has_aborted = True
 
 
-async def _is_ended(silences: Sequence[Silence], data_until_s: float) -> bool:
+async def _is_ended(
+    silences: Sequence[Silence], data_until_s: float, pause: Silence
+) -> bool:
     """Returns whether a request ends before its time.
 
     :param silences: begins and ends, in seconds from the start.
     :param data_until_s: until when another request gets data of the engine.
+    :param pause: the begin and end of a pause of the process.
     """
     instance = InstanceSettings(
         name="one",
@@ -97,7 +110,9 @@
     start = now()
     app.add_service(
         SilentEngineClient(
-            app, [(start + begin, start + end) for begin, end in silences]
+            app,
+            [(start + begin, start + end) for begin, end in silences],
+            (start + pause[0], start + pause[1]),
         )
     )
     app.add_service(AbortingClient(app))
@@ -121,9 +136,11 @@
         await asyncio.sleep(DATA_PERIOD_S)
 
 
-def _run(*silences: Silence, data_until_s: float = 0.0) -> bool:
+def _run(
+    *silences: Silence, data_until_s: float = 0.0, pause: Silence = (0.0, 0.0)
+) -> bool:
     with asyncio.Runner(loop_factory=new_event_loop) as runner:
-        return runner.run(_is_ended(silences, data_until_s))
+        return runner.run(_is_ended(silences, data_until_s, pause))
 
 
 @pytest.mark.parametrize("tenths", range(0, 30, 3))
@@ -153,3 +170,12 @@
 
 def test_an_engine_whose_data_end_is_dead_as_well() -> None:
     assert _run((0.5, FOR_GOOD), data_until_s=3.0)
+
+
+def test_a_pause_of_the_process_is_no_silence_of_the_decode_engine() -> None:
+    """One check that began before the pause counted for all of its time."""
+    assert not _run((1.1, 1.1 + SILENCE_S), pause=(1.25, 4.25))
+
+
+def test_an_engine_that_is_silent_before_and_after_a_pause_is_dead() -> None:
+    assert _run((1.1, FOR_GOOD), pause=(1.25, 4.25))
