--- a/cicadacourse/gateway/_attempts.py
+++ b/cicadacourse/gateway/_attempts.py
@@ -15,6 +15,10 @@
 # A request is retried after up to this many refusals. They don't count as attempts, so
 # the route's maximum number of attempts doesn't bound them.
 MAX_REFUSALS = 4
+# A request that has begun pauses before a retry once it was refused this often, as no
+# endpoint may accept it for a moment. The pause doubles with each further refusal.
+REFUSALS_BEFORE_PAUSE = 2
+FIRST_PAUSE_S = 0.2
 
 
 class Progress(enum.Enum):
@@ -86,6 +90,11 @@
             return False
         return self.sent < self.route.max_attempts
 
+    def pause_s(self) -> float:
+        """Returns the seconds until the next attempt at a request that has begun."""
+        doublings = self.refused - REFUSALS_BEFORE_PAUSE
+        return FIRST_PAUSE_S * 2.0**doublings if doublings >= 0 else 0.0
+
     def final_error(self) -> Error:
         """Returns the error to respond with when no further attempt is allowed.
 
--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TypeAlias
 
 import attrs
@@ -48,6 +49,7 @@
     :param pool: the name of the pool that serves the request.
     :param owner: decides on the attempt and writes what it reads.
     :param is_hedge: whether an older attempt was in progress when it was started.
+    :param pause_s: how long it waits before it begins, in seconds.
     :ivar placement: where the request is sent; None until it is placed.
     :ivar progress: how far the attempt got.
     :ivar is_sent: whether the request was sent, or its reservations were refused.
@@ -63,6 +65,7 @@
     pool: str
     owner: AttemptOwner
     is_hedge: bool = False
+    pause_s: float = 0.0
     placement: Placement | None = None
     progress: Progress = Progress.WAITING
     is_sent: bool = False
@@ -99,6 +102,8 @@
 
     async def run(self) -> AttemptResult:
         """Makes the attempt."""
+        if self.pause_s:
+            await asyncio.sleep(self.pause_s)
         time_left_s = self.admitted.deadline - now()
         refusal = await self._quarantine.find_refusal(self.admitted.keys, time_left_s)
         if refusal is not None:
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -144,7 +144,7 @@
             return self.attempts.final_error() if may_have_run else result.failure()
         if not self._may_continue():
             return self.attempts.final_error()
-        self._start_attempt()
+        self._start_attempt(self.attempts.pause_s() if self.has_begun() else 0.0)
         return None
 
     async def _wait(self) -> list[ExchangeAttempt]:
@@ -167,7 +167,7 @@
         # has failed at the same time, so that a retry is due.
         return sorted(ended, key=lambda item: item.has_failed)
 
-    def _start_attempt(self) -> None:
+    def _start_attempt(self, pause_s: float = 0.0) -> None:
         attempt = ExchangeAttempt(
             self.app,
             self.admitted,
@@ -176,6 +176,7 @@
             self._pool,
             self,
             is_hedge=bool(self._task_by_attempt),
+            pause_s=pause_s,
         )
         self._task_by_attempt[attempt] = asyncio.create_task(attempt.run())
 
