--- a/cicadacourse/placement/_limits.py
+++ b/cicadacourse/placement/_limits.py
@@ -4,7 +4,7 @@
 per second from all instances together; at worst, all endpoints of a pool are in need. A
 request goes to another endpoint while one is at its limit. Only if all are, a permit is
 reserved for a later time, and a request that would have to wait for too long is refused
-at once.
+at once. One that has begun waits while no instance that grants permits replies.
 """
 
 from __future__ import annotations
@@ -54,7 +54,8 @@
         """Waits for a later permit of one of several endpoints at their limits.
 
         :returns: the placement once the permit is valid, a Failure if none would be in
-            time, or None if the endpoint had no capacity in the end.
+            time, or None if the endpoint had no capacity in the end or a permit is to
+            be asked for again.
         """
         soonest_s = float("inf")
         for endpoint in endpoints[:MAX_ASKED]:
@@ -66,6 +67,10 @@
                 await asyncio.sleep(permit.wait_s)
                 return self._place(waiter, pool, endpoint)
             soonest_s = min(soonest_s, permit.wait_s)
+        request = waiter.request_at(now())
+        if request.has_begun and soonest_s < request.wait_s:
+            await asyncio.sleep(soonest_s)
+            return None
         return Failure(errors.limits_reached(pool.name, soonest_s))
 
     def _place(
