--- a/cicadacourse/gateway/_endpoint_activity.py
+++ b/cicadacourse/gateway/_endpoint_activity.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections import defaultdict
 from typing import Protocol
 
 import attrs
@@ -29,12 +28,15 @@
 
 @attrs.define
 class EndpointActivity:
-    """The exchanges in progress, and when endpoints have last sent data."""
+    """The exchanges in progress, and when endpoints have last sent data.
+
+    The expected load is some hundred endpoints that send data within ``RECENT_DATA_S``;
+    older times are dropped.
+    """
 
     _exchanges: set[Exchange] = attrs.field(factory=set)
-    _data_at_by_id_by_pool: dict[str, dict[str, float]] = attrs.field(
-        factory=lambda: defaultdict(dict)
-    )
+    # Pairs of a pool and a loop time by the endpoint's id, the oldest first.
+    _data_by_id: dict[str, tuple[str, float]] = attrs.field(factory=dict)
 
     def add(self, exchange: Exchange) -> None:
         """Adds an exchange that begins."""
@@ -46,7 +48,9 @@
 
     def record_data(self, pool: str, endpoint_id: str, now_s: float) -> None:
         """Records that an endpoint of a pool has sent data."""
-        self._data_at_by_id_by_pool[pool][endpoint_id] = now_s
+        self._data_by_id.pop(endpoint_id, None)
+        self._data_by_id[endpoint_id] = (pool, now_s)
+        self._drop_old(now_s)
 
     def silent_ids(self, now_s: float) -> frozenset[str]:
         """Returns the ids of endpoints with an exchange that is silent for too long."""
@@ -63,8 +67,16 @@
 
         :param other_than: ids of endpoints that don't count.
         """
-        data_at_by_id = self._data_at_by_id_by_pool[pool]
-        for endpoint_id, at_s in list(data_at_by_id.items()):
-            if at_s < now_s - RECENT_DATA_S:
-                del data_at_by_id[endpoint_id]
-        return any(item not in other_than for item in data_at_by_id)
+        self._drop_old(now_s)
+        return any(
+            item == pool and endpoint_id not in other_than
+            for endpoint_id, (item, _) in self._data_by_id.items()
+        )
+
+    def _drop_old(self, now_s: float) -> None:
+        while self._data_by_id:
+            oldest_id = next(iter(self._data_by_id))
+            _, at_s = self._data_by_id[oldest_id]
+            if at_s >= now_s - RECENT_DATA_S:
+                return
+            del self._data_by_id[oldest_id]
