--- a/tests/test_gateway/test_gateway_empty_pools.py
+++ b/tests/test_gateway/test_gateway_empty_pools.py
@@ -128,3 +128,23 @@
         assert now() < AT_ONCE_S
 
     _simulate(scenario)
+
+
+@pytest.mark.parametrize(("path", "fault"), BEGUN)
+def test_a_wait_for_an_empty_pool_ends_with_its_caller(path: str, fault: str) -> None:
+    async def scenario() -> None:
+        instance, task, endpoints = await _begin(path, fault)
+        await asyncio.sleep(EMPTY_S)
+        assert not task.done()
+        instance.replies[-1].caller_disconnected.set()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        sent = list(instance.client.sent_to)
+        for endpoint in endpoints:
+            instance.register(endpoint)
+        await asyncio.sleep(EMPTY_S)
+        assert instance.client.sent_to == sent
+        assert not instance.client.in_progress
+        assert not instance.app.get("load").table.own_assignments()
+
+    _simulate(scenario)
--- a/tests/test_gateway/test_gateway_refused_retries.py
+++ b/tests/test_gateway/test_gateway_refused_retries.py
@@ -21,6 +21,7 @@
     SimulatedEndpoint,
     gateway_cluster,
 )
+from tests.test_gateway.test_gateway_histories import FakeReply
 from tests.test_gateway.test_gateway_silence import (
     EVENTS,
     check_all_left,
@@ -124,13 +125,15 @@
 async def _caller_leaves() -> None:
     async with gateway_cluster(1, make_pools(3)) as cluster:
         cluster.memory.get("n0", "gateway").budget.slack = 100.0
-        task = asyncio.create_task(cluster.send("n0", timeout_s=TIMEOUT_S))
+        reply = FakeReply()
+        task = asyncio.create_task(cluster.send("n0", timeout_s=TIMEOUT_S, reply=reply))
         first = await wait_for_server(cluster)
         await asyncio.sleep(BEGUN_S)
         _refuse_connections(cluster, 0.3)
         await _reset(first)
         await asyncio.sleep(0.1)
         arrivals = sum(len(item.arrivals) for item in cluster.endpoint_by_id.values())
+        reply.caller_disconnected.set()
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
         await asyncio.sleep(2.0)
