Tests: half of the retry budget is kept for silences that last (LOST)

No test of the gateway failed when hedges of silences that may be short took the whole budget (has_spare_retries always true); this one does.

--- a/tests/test_gateway/test_gateway_silence.py
+++ b/tests/test_gateway/test_gateway_silence.py
@@ -20,7 +20,8 @@
 
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.exchange import ResponseHead
-from cicadacourse.gateway._admission import CALLER_IDLE_TIMEOUT_S
+from cicadacourse.gateway._admission import CALLER_IDLE_TIMEOUT_S, SHORT_SILENCE_S
+from cicadacourse.placement._budget import USABLE_SHARE
 from cicadacourse.util.clock import now
 from tests.gateway_cluster import (
     FOR_GOOD,
@@ -44,6 +45,8 @@
 STREAM_DELAY_S = 1.0
 CALL_DELAY_S = 0.66
 EVENTS = 12
+# The slack of which one retry may be used.
+ONE_RETRY_SLACK = 1.0 / USABLE_SHARE + 0.01
 _EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+)\n\n")
 
 
@@ -408,6 +411,44 @@
     run(_one_of_many_is_silent)
 
 
+async def _keep_sending(cluster: GatewayCluster) -> None:
+    while True:
+        check_whole(await cluster.send("n0"))
+
+
+async def _silent_beside_data(slack: float) -> float:
+    """Returns how long a stream takes whose connection falls silent for good.
+
+    Another endpoint sends data meanwhile.
+
+    :param slack: that of the retry budget, of which there is nothing else.
+    """
+    async with gateway_cluster(1, make_pools(4)) as cluster:
+        budget = cluster.memory.get("n0", "gateway").budget
+        budget.started, budget.ratio, budget.slack = float("-inf"), 0.0, slack
+        task = asyncio.create_task(cluster.send("n0"))
+        endpoint = await wait_for_server(cluster)
+        await asyncio.sleep(0.2)
+        endpoint.mute_connections()
+        others = [asyncio.create_task(_keep_sending(cluster)) for _ in range(12)]
+        reply = await task
+        for other in others:
+            other.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+        check_whole(reply)
+        return took_s(reply)
+
+
+def test_the_rest_of_the_budget_is_kept_for_longer_silences() -> None:
+    """Half of the retries are for hedges of silences that may be short."""
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        early_s = runner.run(_silent_beside_data(100.0))
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        late_s = runner.run(_silent_beside_data(ONE_RETRY_SLACK))
+    assert early_s < STREAM_DELAY_S + 0.8
+    assert SHORT_SILENCE_S < late_s < SHORT_SILENCE_S + 0.8
+
+
 async def _many_instances(instances: int) -> None:
     endpoint_by_id = make_endpoints(instances)
     for endpoint in endpoint_by_id.values():
