Placement: the retry budget forgets first attempts without a retry (LOST)

Cause: the times of first attempts were dropped only when a retry was asked for, so a pool whose requests never fail kept one for each request since the start. A process that reaches the limit of its memory loses all that it has accepted.

Evidence: test_first_attempts_are_forgotten_without_any_retry failed before. What is counted is the same: the times only grow, so a dropped one never counts again.

--- a/cicadacourse/placement/_budget.py
+++ b/cicadacourse/placement/_budget.py
@@ -61,7 +61,9 @@
 
     def record_first_attempt(self, pool: str, now_s: float) -> None:
         """Records the first attempt of a request."""
-        self._first_attempts_by_pool[pool].append(now_s)
+        first_attempts = self._first_attempts_by_pool[pool]
+        first_attempts.append(now_s)
+        _trim(first_attempts, now_s - self.window_s)
 
     def try_acquire_early_hedge(self, pool: str, now_s: float) -> bool:
         """Returns whether a hedge may be made for a silence that may be a short one.
--- a/tests/test_placement/test_placement_budget_histories.py
+++ b/tests/test_placement/test_placement_budget_histories.py
@@ -119,3 +119,11 @@
         spare += budget.has_spare(POOL, 1, 1.0)
     assert granted == int(0.7 * SLACK)
     assert spare == granted // 2 - 1
+
+
+def test_first_attempts_are_forgotten_without_any_retry() -> None:
+    """They grew with each request until a retry was asked for."""
+    budget = RetryBudget(RATIO, SLACK, WINDOW_S)
+    for number in range(10_000):
+        budget.record_first_attempt(POOL, now_s=0.1 * number)
+    assert len(repr(budget)) < 5000
