--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -40,6 +40,8 @@
 HEAD_TIMEOUT_MARGIN_S = 1.0
 # Time for connecting and for what the estimate of a hedge's first event omits.
 HEDGE_MARGIN_S = 0.3
+# The largest share of a pool that new requests avoid as it is silent for other ones.
+MAX_AVOIDED_SHARE = 0.4
 
 # Whether the response is written, or the error if nothing was sent.
 AttemptResult: TypeAlias = Result[bool, Error]
@@ -163,15 +165,25 @@
     def _avoided_ids(self) -> frozenset[str]:
         """Returns the ids of endpoints that are used only if there are no others.
 
-        These include those that are silent for other requests, unless all are: then
-        their kept connections may be silent and new ones work.
+        These include those that are silent for other requests, if they are few: a
+        silent exchange may be due to its connection, and the rest must not get all
+        requests. A hedge avoids them unless all are silent.
         """
         ids = self.reporter.attempts.failed_ids | self.owner.used_ids(self)
         silent_ids = self.activity.silent_ids(now())
+        return ids | silent_ids if self._may_avoid(silent_ids, ids) else ids
+
+    def _may_avoid(self, silent_ids: frozenset[str], other_ids: frozenset[str]) -> bool:
+        """Returns whether enough endpoints are left without the silent ones.
+
+        :param other_ids: ids of endpoints that are avoided in any case.
+        """
         if not silent_ids:
-            return ids
+            return False
         usable_ids = {item.id for item in self._placer.usable_endpoints(self.pool)}
-        return ids | silent_ids if usable_ids - ids - silent_ids else ids
+        if self.owner.is_hedge(self):
+            return bool(usable_ids - other_ids - silent_ids)
+        return len(usable_ids & silent_ids) <= MAX_AVOIDED_SHARE * len(usable_ids)
 
     async def _make(self, placement: Placement) -> AttemptResult:
         self.placement = placement
--- a/tests/test_gateway/test_gateway_silence.py
+++ b/tests/test_gateway/test_gateway_silence.py
@@ -472,6 +472,34 @@
     run(_silent_without_budget)
 
 
+async def _most_have_a_silent_connection() -> None:
+    async with gateway_cluster(1, make_pools(4)) as cluster:
+        exhaust_budget(cluster)
+        engines = [
+            item
+            for item in cluster.endpoint_by_id.values()
+            if item.endpoint.pool == "engines"
+        ]
+        first = [asyncio.create_task(cluster.send("n0")) for _ in range(16)]
+        await asyncio.sleep(0.2)
+        for endpoint in engines[1:]:
+            assert endpoint.in_progress
+            endpoint.mute_connections()
+        await asyncio.sleep(1.2 * STREAM_DELAY_S)
+        slots = sum(item.endpoint.slots - item.in_progress for item in engines)
+        replies = await asyncio.gather(*(cluster.send("n0") for _ in range(slots)))
+        for reply in replies:
+            check_whole(reply)
+        assert max(took_s(reply) for reply in replies) < 1.0
+        await asyncio.gather(*first)
+        check_all_left(cluster)
+
+
+def test_sound_endpoints_are_used_of_which_most_have_a_silent_connection() -> None:
+    """All requests waited for the only endpoint without one."""
+    run(_most_have_a_silent_connection)
+
+
 async def _many_instances(instances: int) -> None:
     endpoint_by_id = make_endpoints(instances)
     for endpoint in endpoint_by_id.values():
