--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TypeAlias
 
 import attrs
@@ -39,6 +40,8 @@
 HEAD_TIMEOUT_MARGIN_S = 1.0
 # Time for connecting and for what the estimate of a hedge's first event omits.
 HEDGE_MARGIN_S = 0.3
+# The largest share of a pool that new requests avoid as it is silent for other ones.
+MAX_AVOIDED_SHARE = 0.4
 
 # Whether the response is written, or the error if nothing was sent.
 AttemptResult: TypeAlias = Result[bool, Error]
@@ -54,6 +57,7 @@
     :param pool: the name of the pool that serves the request.
     :param owner: decides on the attempt and writes what it reads.
     :param activity: knows which endpoints send data, by the exchanges of all requests.
+    :param pause_s: how long it waits before it begins, in seconds.
     :ivar placement: where the request is sent; None until it is placed.
     :ivar progress: how far the attempt got.
     :ivar is_sent: whether the request was sent, or its reservations were refused.
@@ -69,6 +73,7 @@
     pool: str
     owner: AttemptOwner
     activity: EndpointActivity
+    pause_s: float = 0.0
     placement: Placement | None = None
     progress: Progress = Progress.WAITING
     is_sent: bool = False
@@ -133,6 +138,8 @@
 
     async def run(self) -> AttemptResult:
         """Makes the attempt."""
+        if self.pause_s:
+            await asyncio.sleep(self.pause_s)
         time_left_s = self.admitted.deadline - now()
         refusal = await self._quarantine.find_refusal(self.admitted.keys, time_left_s)
         if refusal is not None:
@@ -145,7 +152,7 @@
             now(),
             self._avoided_ids(),
             self.owner.last_event_at,
-            has_begun=self._has_begun(),
+            has_begun=self.owner.is_hedge(self) or self.owner.has_begun(),
         )
         async with self._placer.place(request) as result:
             match result:
@@ -158,21 +165,25 @@
     def _avoided_ids(self) -> frozenset[str]:
         """Returns the ids of endpoints that are used only if there are no others.
 
-        A hedge also avoids those that are silent for other requests, unless all are:
-        then their kept connections may be silent and new ones work.
+        These include those that are silent for other requests, if they are few: a
+        silent exchange may be due to its connection, and the rest must not get all
+        requests. A hedge avoids them unless all are silent.
         """
         ids = self.reporter.attempts.failed_ids | self.owner.used_ids(self)
-        if not self.owner.is_hedge(self):
-            return ids
         silent_ids = self.activity.silent_ids(now())
-        usable_ids = {item.id for item in self._placer.usable_endpoints(self.pool)}
-        return ids | silent_ids if usable_ids - ids - silent_ids else ids
+        return ids | silent_ids if self._may_avoid(silent_ids, ids) else ids
+
+    def _may_avoid(self, silent_ids: frozenset[str], other_ids: frozenset[str]) -> bool:
+        """Returns whether enough endpoints are left without the silent ones.
 
-    def _has_begun(self) -> bool:
-        """Returns whether another attempt may have run or has sent events."""
-        may_have_run = self.reporter.attempts.may_have_run
-        is_further = may_have_run or self.owner.is_hedge(self)
-        return is_further or not self.owner.may_write_response()
+        :param other_ids: ids of endpoints that are avoided in any case.
+        """
+        if not silent_ids:
+            return False
+        usable_ids = {item.id for item in self._placer.usable_endpoints(self.pool)}
+        if self.owner.is_hedge(self):
+            return bool(usable_ids - other_ids - silent_ids)
+        return len(usable_ids & silent_ids) <= MAX_AVOIDED_SHARE * len(usable_ids)
 
     async def _make(self, placement: Placement) -> AttemptResult:
         self.placement = placement
@@ -188,6 +199,7 @@
                 self.admitted.request.id,
                 placement.endpoint,
                 placement.reservation_plans,
+                lambda: self.silent_s,
             ) as reservations:
                 return Success(await self._send(placement, reservations))
         except ReservationRefused as refusal:
--- a/cicadacourse/placement/_budget.py
+++ b/cicadacourse/placement/_budget.py
@@ -18,8 +18,9 @@
 # Part of this instance's slack that is used in the first window after a start, as its
 # retries before a restart are no longer known.
 FIRST_WINDOW_SHARE = 0.25
-# Share of the budget beyond which retries are kept for failures and long silences.
-SPARE_SHARE = 0.5
+# Share of the budget beyond which retries are kept for failures and long silences. A
+# short silence of a few endpoints is hedged for nothing.
+SPARE_SHARE = 0.25
 # Hedges of silences that may be short, as a share of the first attempts. The rest of
 # the budget is left for failures and for silences that last; a short silence of many
 # endpoints would use it up.
@@ -61,7 +62,9 @@
 
     def record_first_attempt(self, pool: str, now_s: float) -> None:
         """Records the first attempt of a request."""
-        self._first_attempts_by_pool[pool].append(now_s)
+        first_attempts = self._first_attempts_by_pool[pool]
+        first_attempts.append(now_s)
+        _trim(first_attempts, now_s - self.window_s)
 
     def try_acquire_early_hedge(self, pool: str, now_s: float) -> bool:
         """Returns whether a hedge may be made for a silence that may be a short one.
