--- a/tests/test_gateway/test_gateway_silence.py
+++ b/tests/test_gateway/test_gateway_silence.py
@@ -500,6 +500,24 @@
     run(_most_have_a_silent_connection)
 
 
+async def _short_of_time() -> None:
+    async with gateway_cluster(1, make_pools(3)) as cluster:
+        for endpoint in cluster.endpoint_by_id.values():
+            endpoint.events = 30
+        budget = cluster.memory.get("n0", "gateway").budget
+        assert budget.try_acquire_early_hedge("engines", now())
+        task = asyncio.create_task(cluster.send("n0", timeout_s=2.8))
+        first = await wait_for_server(cluster)
+        await asyncio.sleep(0.2)
+        first.fall_silent(FOR_GOOD)
+        check_whole(await task, events=30)
+
+
+def test_a_hedge_that_waits_leaves_time_for_the_rest_of_the_stream() -> None:
+    """It was sent so late that the stream ended at its deadline."""
+    run(_short_of_time)
+
+
 async def _many_instances(instances: int) -> None:
     endpoint_by_id = make_endpoints(instances)
     for endpoint in endpoint_by_id.values():
