RECOVER: log when an instance has lost links to endpoints and when it has them again

Change: a link counts as lost if a direct connection failed and another instance reaches the endpoint since. Two links in a row that are lost, with no connection in between, mean that others may be as well. Links of endpoints that are gone, restarted or from before a pause are forgotten.

--- a/cicadacourse/logs/__init__.py
+++ b/cicadacourse/logs/__init__.py
@@ -56,6 +56,7 @@
     REQUEST_CLEARED,
     REQUEST_SUSPECTED,
 )
+from cicadacourse.logs._reachability import LINKS_LOST, LINKS_RESTORED
 from cicadacourse.logs._requests import (
     ATTEMPT_FAILED,
     ATTEMPT_SUPERSEDED,
@@ -122,6 +123,8 @@
     "INSTANCE_STOPPED",
     "KV_CACHE_NOT_RESERVED",
     "KV_CACHE_RESERVED",
+    "LINKS_LOST",
+    "LINKS_RESTORED",
     "LogEvent",
     "MEMBER_DIED",
     "MEMBER_LIVE",
--- a/cicadacourse/reachability/_links.py
+++ b/cicadacourse/reachability/_links.py
@@ -4,31 +4,70 @@
 
 import attrs
 
+from cicadacourse.catalog import Endpoint
+
 NEVER = float("-inf")
+# From this many links on that were lost without any connection in between, this
+# instance counts as cut off from all endpoints.
+MIN_LOST_IN_A_ROW = 2
 
 
 @attrs.define
 class Link:
     """The link from this instance to one endpoint; all times are loop times in seconds.
 
-    :ivar connected_at: when a direct connection was made last.
+    :ivar has_failed: whether the last direct connection could not be made.
+    :ivar failing_since: when the first one could not be made since one was made.
     :ivar failed_at: when a direct connection could not be made last.
-    :ivar reached_by_peer_at: when another instance reached the endpoint last.
+    :ivar reached_by: the instance that reached the endpoint last, or None if no other
+        one is known to reach it.
+    :ivar checked_at: when another instance last told whether it reaches the endpoint.
+    :ivar is_denied: whether another instance did not reach it, and none did since.
     """
 
-    connected_at: float = NEVER
+    endpoint: Endpoint
+    has_failed: bool = False
+    failing_since: float = NEVER
     failed_at: float = NEVER
-    reached_by_peer_at: float = NEVER
-
-    @property
-    def has_failed(self) -> bool:
-        """Whether the last direct connection could not be made."""
-        return self.failed_at > self.connected_at
+    reached_by: str | None = None
+    checked_at: float = NEVER
+    is_denied: bool = False
 
     @property
     def is_lost(self) -> bool:
-        """Whether a peer has reached the endpoint since this instance has not."""
-        return self.has_failed and self.reached_by_peer_at > self.connected_at
+        """Whether this instance can't connect to an endpoint that another one reaches.
+
+        Otherwise the endpoint itself may have failed.
+        """
+        return self.has_failed and self.reached_by is not None
+
+    def record_connected(self) -> None:
+        """Records that a direct connection was made."""
+        self.has_failed = self.is_denied = False
+        self.reached_by = None
+
+    def record_failed(self, now_s: float) -> None:
+        """Records that a direct connection could not be made."""
+        if not self.has_failed:
+            self.failing_since = now_s
+        self.has_failed = True
+        self.failed_at = now_s
+
+    def record_reached_by(self, peer: str, now_s: float) -> None:
+        """Records that another instance reaches the endpoint."""
+        self.reached_by = peer
+        self.is_denied = False
+        self.checked_at = now_s
+
+    def record_not_reached_by(self, peer: str, now_s: float) -> None:
+        """Records that another instance does not reach the endpoint.
+
+        That says nothing against a third one that does.
+        """
+        self.checked_at = now_s
+        if self.reached_by in (None, peer):
+            self.reached_by = None
+            self.is_denied = True
 
 
 class Links:
@@ -36,15 +75,75 @@
 
     def __init__(self) -> None:
         self._link_by_id: dict[str, Link] = {}
+        # Links that have failed one after the other since any connection was made.
+        self._failed_in_a_row: set[str] = set()
+
+    def __len__(self) -> int:
+        return len(self._link_by_id)
 
-    def __getitem__(self, endpoint_id: str) -> Link:
-        """Returns the link to an endpoint, a new one if there is none."""
-        return self._link_by_id.setdefault(endpoint_id, Link())
+    def find(self, endpoint: Endpoint) -> Link | None:
+        """Returns the link to a process of an endpoint, or None if none was tried."""
+        link = self._link_by_id.get(endpoint.id)
+        if link is None or not link.endpoint.is_same_process(endpoint):
+            return None
+        return link
 
-    def lost_ids(self) -> list[str]:
-        """Returns the ids of the endpoints to which the links are lost."""
-        return [id for id, link in self._link_by_id.items() if link.is_lost]
+    def failed(self) -> list[Link]:
+        """Returns the links over which the last direct connection could not be made."""
+        return [item for item in self._link_by_id.values() if item.has_failed]
+
+    def lost(self) -> list[Link]:
+        """Returns the links to endpoints that only other instances reach."""
+        return [item for item in self._link_by_id.values() if item.is_lost]
+
+    @property
+    def are_most_lost(self) -> bool:
+        """Whether several links in a row are lost, so that the others may be as well.
+
+        A single connection that is made since shows that this is not so.
+        """
+        links = (self._link_by_id.get(id) for id in self._failed_in_a_row)
+        lost = sum(item is not None and item.is_lost for item in links)
+        return lost >= MIN_LOST_IN_A_ROW
+
+    def record_connected(self, endpoint: Endpoint) -> None:
+        """Records that a direct connection was made."""
+        self._failed_in_a_row.clear()
+        link = self.find(endpoint)
+        if link is not None:
+            link.record_connected()
+
+    def record_failed(self, endpoint: Endpoint, now_s: float) -> None:
+        """Records that a direct connection could not be made."""
+        link = self._make(endpoint)
+        if not link.has_failed:
+            self._failed_in_a_row.add(endpoint.id)
+        link.record_failed(now_s)
+
+    def record_reached_by(self, endpoint: Endpoint, peer: str, now_s: float) -> None:
+        """Records that another instance reaches an endpoint."""
+        self._make(endpoint).record_reached_by(peer, now_s)
+
+    def record_not_reached_by(
+        self, endpoint: Endpoint, peer: str, now_s: float
+    ) -> None:
+        """Records that another instance does not reach an endpoint."""
+        self._make(endpoint).record_not_reached_by(peer, now_s)
 
     def forget(self, endpoint_id: str) -> None:
         """Removes a link, as its endpoint is gone or has restarted."""
         self._link_by_id.pop(endpoint_id, None)
+        self._failed_in_a_row.discard(endpoint_id)
+
+    def clear(self) -> None:
+        """Removes all links, as what is known of them is out of date."""
+        self._link_by_id.clear()
+        self._failed_in_a_row.clear()
+
+    def _make(self, endpoint: Endpoint) -> Link:
+        """Returns the link to a process of an endpoint, a new one if there is none."""
+        link = self.find(endpoint)
+        if link is None:
+            self.forget(endpoint.id)
+            link = self._link_by_id[endpoint.id] = Link(endpoint)
+        return link
--- /dev/null
+++ b/tests/test_reachability/link_cluster.py
@@ -0,0 +1,143 @@
+"""Instances on a simulated clock whose links to endpoints can be cut."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any, AsyncIterator, Callable, Iterable
+
+import attrs
+
+from cicadacourse.application import Application, Service
+from cicadacourse.catalog import Endpoint
+from cicadacourse.exchange import EndpointConnection, SendFailure
+from cicadacourse.reachability import Reachability
+from cicadacourse.util.clock import now
+from standins.memory_cluster import memory_cluster
+from tests.gateway_cluster import (
+    CONNECT_TIMEOUT_S,
+    GatewayCluster,
+    SimulatedConnector,
+    make_endpoints,
+)
+
+# How long a refused connection is waited for by `is_refused`, in seconds.
+REFUSED_TIMEOUT_S = 0.1
+
+
+class CutConnector(SimulatedConnector):
+    """Connects an instance to endpoints unless the link is cut."""
+
+    @contextlib.asynccontextmanager
+    async def connect(
+        self, endpoint: Endpoint, is_idempotent: bool, needs_new_connection: bool
+    ) -> AsyncIterator[EndpointConnection]:
+        """Simulates a new connection; fails after a time if the link is cut."""
+        cluster = self._cluster
+        cluster.tries.append((now(), self._own_name, endpoint.id))
+        if cluster.is_cut(self._own_name, endpoint):
+            await asyncio.sleep(0.0 if cluster.is_refusing else CONNECT_TIMEOUT_S)
+            raise SendFailure("not connected", False, "unreachable")
+        async with super().connect(
+            endpoint, is_idempotent, needs_new_connection
+        ) as connection:
+            yield connection
+
+    async def is_refused(self, endpoint: Endpoint) -> bool:
+        """Returns whether a connection is refused."""
+        if self._cluster.is_cut(self._own_name, endpoint):
+            if self._cluster.is_refusing:
+                return True
+            await asyncio.sleep(REFUSED_TIMEOUT_S)
+            return False
+        return await super().is_refused(endpoint)
+
+
+@attrs.define(eq=False)
+class LinkCluster(GatewayCluster):
+    """Instances with the services that know of links to endpoints.
+
+    :ivar cut: the pairs of instance and endpoint id whose links are cut.
+    :ivar is_refusing: whether cut links refuse connections instead of being silent.
+    :ivar tries: when which instance tried to connect to which endpoint.
+    """
+
+    cut: set[tuple[str, str]] = attrs.field(factory=set)
+    is_refusing: bool = False
+    tries: list[tuple[float, str, str]] = attrs.field(factory=list)
+
+    def services(self) -> list[Callable[[Application], Service] | str]:
+        """Returns the services of each instance, in their order."""
+        return [
+            "catalog",
+            "membership",
+            self._make_load,
+            "evidence",
+            "reachability",
+            self._make_connector,
+        ]
+
+    def _make_connector(self, app: Application) -> Service:
+        self._fill(app)
+        return CutConnector(app, self, app.get("load")._instance.name)
+
+    def is_cut(self, instance: str, endpoint: Endpoint) -> bool:
+        """Returns whether the link from an instance to an endpoint is cut."""
+        return (instance, endpoint.id) in self.cut
+
+    def cut_off(self, *instances: str, ids: Iterable[str] | None = None) -> None:
+        """Cuts the links from instances to all endpoints, or to some."""
+        for id in self.endpoint_by_id if ids is None else ids:
+            self.cut |= {(instance, id) for instance in instances}
+
+    def restore(self, *instances: str) -> None:
+        """Ends the cuts of instances."""
+        self.cut = {pair for pair in self.cut if pair[0] not in instances}
+
+    def links(self, instance: str) -> Reachability:
+        """Returns the service under test of an instance."""
+        return self.memory.get(instance, "reachability")
+
+    def endpoint(self, number: int) -> Endpoint:
+        """Returns the record of an endpoint."""
+        return list(self.endpoint_by_id.values())[number].endpoint
+
+    async def try_connection(self, instance: str, endpoint: Endpoint) -> bool:
+        """Connects directly, else asks peers, as a request does."""
+        links = self.links(instance)
+        connector = self.memory.get(instance, "endpoint_connector")
+        try:
+            async with connector.connect(endpoint, True, True):
+                links.record_connected(endpoint)
+                return True
+        except SendFailure:
+            links.record_not_connected(endpoint)
+        for peer in links.peers_for(endpoint)[:3]:
+            if self.is_cut(peer.name, endpoint) or self.is_down(endpoint):
+                links.record_not_reached_by_peer(endpoint, peer.name)
+            else:
+                links.record_reached_by_peer(endpoint, peer.name)
+                break
+        return False
+
+    def is_down(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint's process has ended."""
+        return self.endpoint_by_id[endpoint.id].is_down
+
+
+@contextlib.asynccontextmanager
+async def link_cluster(
+    instances: int, endpoints: int, **settings: Any
+) -> AsyncIterator[LinkCluster]:
+    """Runs instances that know each other; ``settings`` are those of the cluster."""
+    cluster = LinkCluster(make_endpoints(endpoints), **settings)
+    names = [f"n{number}" for number in range(instances)]
+    async with memory_cluster(names, cluster.services()) as memory:
+        cluster.memory = memory
+        async with asyncio.timeout(30):
+            while not all(
+                len(item.members()) == instances
+                for item in memory.services("membership")
+            ):
+                await asyncio.sleep(0.1)
+        yield cluster
