RECOVER: instances tell each other how many links they have lost, and order peers by it

Cause: an instance that looks for a way to an endpoint could ask any other one, also one that has lost its own links, and nobody else knew of lost links. Change: a fact lost_endpoints per instance (latest only, 6 s). peers_for puts instances that lost half of their links last, those asked in vain within a second before them, and takes the second one from another failure domain than the own.

--- a/cicadacourse/reachability/_service.py
+++ b/cicadacourse/reachability/_service.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-import random
-
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.catalog import CatalogService, Endpoint, EndpointState
 from cicadacourse.config import InstanceSettings
 from cicadacourse.events import ENDPOINT_CHANGED, RESUMED_AFTER_PAUSE
-from cicadacourse.membership import Member
+from cicadacourse.membership import Member, MemberState
+from cicadacourse.reachability._facts import LossFacts
 from cicadacourse.reachability._links import NEVER, Links
+from cicadacourse.reachability._peers import PeerChoice
 from cicadacourse.reachability._report import LossReport
 from cicadacourse.util.clock import now
 
@@ -22,10 +22,13 @@
 
     def __init__(self, app: Application) -> None:
         super().__init__(app)
-        self._own_name = app.settings.get(InstanceSettings).name
+        instance = app.settings.get(InstanceSettings)
+        self._own_name = instance.name
         self._catalog_service: CatalogService = app.get("catalog")
         self._links = Links()
         self._report = LossReport()
+        self._facts = LossFacts(app.get("evidence"), instance.name)
+        self._peers = PeerChoice(instance.failure_domain)
         app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
         app.events.connect(RESUMED_AFTER_PAUSE, self._resume)
 
@@ -42,12 +45,14 @@
 
     def record_reached_by_peer(self, endpoint: Endpoint, peer: str) -> None:
         """Records that another instance is connected to an endpoint."""
+        self._peers.record_reached(peer, endpoint.id)
         if self._is_registered(endpoint):
             self._links.record_reached_by(endpoint, peer, now())
             self._update()
 
     def record_not_reached_by_peer(self, endpoint: Endpoint, peer: str) -> None:
         """Records that another instance can't connect to an endpoint, or is silent."""
+        self._peers.record_failed(peer, endpoint.id)
         if self._is_registered(endpoint):
             self._links.record_not_reached_by(endpoint, peer, now())
             self._update()
@@ -75,15 +80,21 @@
 
     def peers_for(self, endpoint: Endpoint) -> list[Member]:
         """Returns the instances to ask for a way to an endpoint, the best first."""
-        members = self.app.get("membership").alive_members()
-        peers = [item for item in members if item.name != self._own_name]
-        random.shuffle(peers)
-        return peers
+        peers = self._other_instances()
+        return self._peers.order(endpoint.id, peers, self._facts.share_by_instance())
+
+    def _other_instances(self) -> list[Member]:
+        return [
+            item
+            for item in self.app.get("membership").members()
+            if item.name != self._own_name and item.state is MemberState.ALIVE
+        ]
 
     def _update(self) -> None:
         """Tells changes of the links."""
         lost = self._links.lost()
-        self._report.update(lost, self._lost_share(len(lost)))
+        if self._report.update(lost, self._lost_share(len(lost))):
+            self._facts.publish(self._report.share)
 
     def _lost_share(self, lost: int) -> float:
         """Returns the share of the endpoints to which the links count as lost."""
@@ -110,4 +121,5 @@
     def _resume(self) -> None:
         """Forgets all links after a pause, as connections may have timed out in it."""
         self._links.clear()
+        self._peers.clear()
         self._update()
