RECOVER: try lost links in the background, and ask others whether they reach endpoints

Cause: only requests of callers found out whether a lost link was back, each by connections that timed out; nobody told whether an endpoint that can't be connected to is reached by others. Another instance is asked once a second (CheckEndpoint). The fact of lost links is repeated meanwhile.

--- a/cicadacourse/reachability/_links.py
+++ b/cicadacourse/reachability/_links.py
@@ -7,6 +7,10 @@
 from cicadacourse.catalog import Endpoint
 
 NEVER = float("-inf")
+# An answer of another instance counts this long for a link that fails after it.
+ANSWER_LIFETIME_S = 1.0
+# Endpoints that so many other instances don't reach either are asked for no further.
+MAX_DENIALS = 2
 # From this many links on that were lost without any connection in between, this
 # instance counts as cut off from all endpoints.
 MIN_LOST_IN_A_ROW = 2
@@ -16,22 +20,24 @@
 class Link:
     """The link from this instance to one endpoint; all times are loop times in seconds.
 
+    :ivar connected_at: when a direct connection was made last.
     :ivar has_failed: whether the last direct connection could not be made.
     :ivar failing_since: when the first one could not be made since one was made.
     :ivar failed_at: when a direct connection could not be made last.
     :ivar reached_by: the instance that reached the endpoint last, or None if no other
         one is known to reach it.
     :ivar checked_at: when another instance last told whether it reaches the endpoint.
-    :ivar is_denied: whether another instance did not reach it, and none did since.
+    :ivar denied_by: instances that did not reach the endpoint, since any did.
     """
 
     endpoint: Endpoint
+    connected_at: float = NEVER
     has_failed: bool = False
     failing_since: float = NEVER
     failed_at: float = NEVER
     reached_by: str | None = None
     checked_at: float = NEVER
-    is_denied: bool = False
+    denied_by: set[str] = attrs.field(factory=set)
 
     @property
     def is_lost(self) -> bool:
@@ -41,22 +47,33 @@
         """
         return self.has_failed and self.reached_by is not None
 
-    def record_connected(self) -> None:
+    def is_unreachable(self, peers: int) -> bool:
+        """Returns whether neither this instance nor others asked reach the endpoint.
+
+        :param peers: the number of other instances that can be asked.
+        """
+        is_denied = len(self.denied_by) >= min(peers, MAX_DENIALS)
+        return self.has_failed and self.reached_by is None and is_denied
+
+    def record_connected(self, now_s: float) -> None:
         """Records that a direct connection was made."""
-        self.has_failed = self.is_denied = False
-        self.reached_by = None
+        self.connected_at = now_s
+        self.has_failed = False
+        self._forget_answers()
 
     def record_failed(self, now_s: float) -> None:
         """Records that a direct connection could not be made."""
         if not self.has_failed:
             self.failing_since = now_s
+            if now_s - self.checked_at > ANSWER_LIFETIME_S:
+                self._forget_answers()
         self.has_failed = True
         self.failed_at = now_s
 
     def record_reached_by(self, peer: str, now_s: float) -> None:
         """Records that another instance reaches the endpoint."""
         self.reached_by = peer
-        self.is_denied = False
+        self.denied_by.clear()
         self.checked_at = now_s
 
     def record_not_reached_by(self, peer: str, now_s: float) -> None:
@@ -67,7 +84,12 @@
         self.checked_at = now_s
         if self.reached_by in (None, peer):
             self.reached_by = None
-            self.is_denied = True
+            if len(self.denied_by) < MAX_DENIALS:
+                self.denied_by.add(peer)
+
+    def _forget_answers(self) -> None:
+        self.reached_by = None
+        self.denied_by.clear()
 
 
 class Links:
@@ -88,9 +110,15 @@
             return None
         return link
 
-    def failed(self) -> list[Link]:
-        """Returns the links over which the last direct connection could not be made."""
-        return [item for item in self._link_by_id.values() if item.has_failed]
+    @property
+    def have_failed(self) -> bool:
+        """Whether the last direct connection to any endpoint could not be made."""
+        return any(item.has_failed for item in self._link_by_id.values())
+
+    def has_failed(self, endpoint: Endpoint) -> bool:
+        """Returns whether the last direct connection to it could not be made."""
+        link = self.find(endpoint)
+        return link is not None and link.has_failed
 
     def lost(self) -> list[Link]:
         """Returns the links to endpoints that only other instances reach."""
@@ -106,12 +134,10 @@
         lost = sum(item is not None and item.is_lost for item in links)
         return lost >= MIN_LOST_IN_A_ROW
 
-    def record_connected(self, endpoint: Endpoint) -> None:
+    def record_connected(self, endpoint: Endpoint, now_s: float) -> None:
         """Records that a direct connection was made."""
         self._failed_in_a_row.clear()
-        link = self.find(endpoint)
-        if link is not None:
-            link.record_connected()
+        self._make(endpoint).record_connected(now_s)
 
     def record_failed(self, endpoint: Endpoint, now_s: float) -> None:
         """Records that a direct connection could not be made."""
--- a/cicadacourse/reachability/_service.py
+++ b/cicadacourse/reachability/_service.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+from typing import AsyncIterator
+
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.catalog import CatalogService, Endpoint, EndpointState
 from cicadacourse.config import InstanceSettings
 from cicadacourse.events import ENDPOINT_CHANGED, RESUMED_AFTER_PAUSE
 from cicadacourse.membership import Member, MemberState
+from cicadacourse.peers import handles
+from cicadacourse.reachability._checks import EndpointChecks, try_connection
 from cicadacourse.reachability._facts import LossFacts
-from cicadacourse.reachability._links import NEVER, Links
+from cicadacourse.reachability._links import ANSWER_LIFETIME_S, NEVER, Links
+from cicadacourse.reachability._messages import CheckEndpoint, EndpointChecked
 from cicadacourse.reachability._peers import PeerChoice
+from cicadacourse.reachability._prober import LinkProber
 from cicadacourse.reachability._report import LossReport
 from cicadacourse.util.clock import now
 
@@ -29,19 +37,43 @@
         self._report = LossReport()
         self._facts = LossFacts(app.get("evidence"), instance.name)
         self._peers = PeerChoice(instance.failure_domain)
+        self._checks = EndpointChecks(app)
+        self._prober = LinkProber(
+            self._endpoints_to_try, self._probe, self._repeat, lambda s: self.sleep(s)
+        )
         app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
         app.events.connect(RESUMED_AFTER_PAUSE, self._resume)
 
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Tries lost links in the background while the instance runs."""
+        self._prober.start()
+        try:
+            yield
+        finally:
+            await self._prober.stop()
+
+    async def sleep(self, delay_s: float) -> None:
+        """Sleeps for some seconds; tests replace it to freeze an instance."""
+        await asyncio.sleep(delay_s)
+
+    @handles(CheckEndpoint)
+    async def on_check_endpoint(self, request: CheckEndpoint) -> EndpointChecked:
+        """Answers another instance whether this one reaches an endpoint."""
+        return await self._checks.check(request)
+
     def record_connected(self, endpoint: Endpoint) -> None:
         """Records that this instance has connected to an endpoint directly."""
-        self._links.record_connected(endpoint)
-        self._update()
+        if self._is_registered(endpoint):
+            self._links.record_connected(endpoint, now())
+            self._update()
 
     def record_not_connected(self, endpoint: Endpoint) -> None:
         """Records that a direct connection to an endpoint could not be made."""
         if self._is_registered(endpoint):
             self._links.record_failed(endpoint, now())
             self._update()
+            self._prober.wake()
 
     def record_reached_by_peer(self, endpoint: Endpoint, peer: str) -> None:
         """Records that another instance is connected to an endpoint."""
@@ -49,6 +81,7 @@
         if self._is_registered(endpoint):
             self._links.record_reached_by(endpoint, peer, now())
             self._update()
+            self._prober.wake()
 
     def record_not_reached_by_peer(self, endpoint: Endpoint, peer: str) -> None:
         """Records that another instance can't connect to an endpoint, or is silent."""
@@ -56,6 +89,7 @@
         if self._is_registered(endpoint):
             self._links.record_not_reached_by(endpoint, peer, now())
             self._update()
+            self._prober.wake()
 
     def is_lost(self, endpoint: Endpoint) -> bool:
         """Returns whether only other instances reach an endpoint, for all it knows."""
@@ -70,6 +104,30 @@
         """
         return self._links.are_most_lost or self.is_lost(endpoint)
 
+    def has_connected_lately(self, endpoint: Endpoint) -> bool:
+        """Returns whether this instance has made a connection within a second."""
+        link = self._links.find(endpoint)
+        if link is None or link.has_failed:
+            return False
+        return now() - link.connected_at < ANSWER_LIFETIME_S
+
+    def is_unreachable(self, endpoint: Endpoint) -> bool:
+        """Returns whether neither this instance nor those it asked reach an endpoint.
+
+        An endpoint that was not tried counts as reachable.
+        """
+        return bool(self._select_unreachable([endpoint]))
+
+    def is_pool_unreachable(self, pool: str) -> bool:
+        """Returns whether no ready endpoint of a pool is reachable, but there are some.
+
+        While that is so, connections are tried in the background.
+        """
+        if not self._links.have_failed:
+            return False
+        ready = self._catalog_service.registry.ready(pool)
+        return bool(ready) and len(self._select_unreachable(ready)) == len(ready)
+
     def failed_at(self, endpoint: Endpoint) -> float:
         """Returns when a direct connection failed last, loop time in seconds.
 
@@ -96,15 +154,64 @@
         if self._report.update(lost, self._lost_share(len(lost))):
             self._facts.publish(self._report.share)
 
+    def _endpoints_to_try(self) -> list[list[Endpoint]]:
+        """Returns the endpoints to which connections are tried in the background.
+
+        They are those to which the links are lost, those of pools of which none can be
+        reached, and, if most links may be lost, those that were not tried since.
+        """
+        if not self._links.have_failed:
+            return []
+        ready = self._ready_endpoints()
+        lost = [item for item in ready if self.is_lost(item)]
+        unreachable = self._select_unreachable(ready)
+        reachable = set(ready).difference(unreachable)
+        reachable_pools = {item.pool for item in reachable}
+        blocked = [item for item in unreachable if item.pool not in reachable_pools]
+        untried = []
+        if self._links.are_most_lost:
+            untried = [item for item in ready if not self._links.has_failed(item)]
+        return [group for group in (lost, blocked, untried) if group]
+
+    async def _probe(self, endpoint: Endpoint) -> bool:
+        """Tries a connection; if it fails, asks another instance once a second."""
+        if await try_connection(self.app, endpoint):
+            return True
+        link = self._links.find(endpoint)
+        peers = self.peers_for(endpoint)
+        if link is not None and peers:
+            if now() - link.checked_at >= ANSWER_LIFETIME_S:
+                await self._checks.ask(peers[0], endpoint, is_refused=False)
+        return False
+
+    def _repeat(self) -> None:
+        """Keeps the fact of this instance valid while links are lost."""
+        if self._report.lost_since is not None:
+            self._facts.repeat(self._report.share)
+
+    def _select_unreachable(self, endpoints: list[Endpoint]) -> list[Endpoint]:
+        """Returns those that neither this instance nor those it asked reach."""
+        failed = [item for item in endpoints if self._links.has_failed(item)]
+        if not failed:
+            return []
+        peers = len(self._other_instances())
+        return [
+            item
+            for item in failed
+            if (link := self._links.find(item)) and link.is_unreachable(peers)
+        ]
+
+    def _ready_endpoints(self) -> list[Endpoint]:
+        endpoints = self._catalog_service.registry.all()
+        return [item for item in endpoints if item.state is EndpointState.READY]
+
     def _lost_share(self, lost: int) -> float:
         """Returns the share of the endpoints to which the links count as lost."""
         if not lost:
             return 0.0
         if self._links.are_most_lost:
             return 1.0
-        endpoints = self._catalog_service.registry.all()
-        ready = sum(item.state is EndpointState.READY for item in endpoints)
-        return min(1.0, lost / max(1, ready))
+        return min(1.0, lost / max(1, len(self._ready_endpoints())))
 
     def _is_registered(self, endpoint: Endpoint) -> bool:
         """Returns whether an endpoint is known still, so that its link is kept."""
