--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -6,7 +6,8 @@
 import contextlib
 import itertools
 import random
-from typing import AsyncIterator, Callable, Sequence
+from collections import defaultdict
+from typing import Any, AsyncIterator, Callable, Iterable, Sequence
 
 import attrs
 
@@ -25,8 +26,16 @@
     SendFailure,
 )
 from cicadacourse.load import LoadService
+from cicadacourse.platform._endpoint_connector import CONNECT_TIMEOUTS_S
 from cicadacourse.util.clock import now
 from standins.memory_cluster import MemoryCluster, memory_cluster
+from tests.endpoint_links import (
+    ENDPOINT_LINK_S,
+    Channel,
+    EndpointLink,
+    EndpointLinks,
+    LinkFault,
+)
 from tests.test_gateway.test_gateway_histories import CATALOG, HOST, FakeReply
 
 import_services()
@@ -35,14 +44,12 @@
 UNAVAILABLE = 503
 MISDIRECTED = 421
 STREAMS = ("ask", "tell")
-ENDPOINT_LINK_S = 0.004
 # How long after it began to run a fatal request its endpoint ends, in seconds.
 FATAL_S = 0.09
 # How long a connection is tried to which a message was lost, in seconds.
 LOST_CONNECT_S = 0.1
 # Longer than any test takes.
 NEVER_S = 10_000.0
-CONNECT_TIMEOUT_S = 0.38
 # The simulated clock doesn't move by a shorter sleep.
 CLOCK_RESOLUTION_S = 1e-5
 FOR_GOOD = float("inf")
@@ -185,16 +192,24 @@
     head: ResponseHead
     endpoint: SimulatedEndpoint
     request: EndpointRequest
-    connected_at: float
+    channel: Channel
+    cluster: GatewayCluster
+    own_name: str
     number: int
 
     async def read_chunk(self) -> bytes:
-        """Returns the next event; breaks off once the endpoint is down."""
+        """Returns the next event; breaks off once the endpoint or the link is down."""
         if self.number == self._events:
+            self.channel.complete()
             return b""
         is_first = self.number == self._first
         wait_s = 0.0 if is_first else self.endpoint.event_s
-        await self.endpoint.work(wait_s, self.connected_at)
+        try:
+            await self.channel.until_broken(self._receive(wait_s))
+        except ConnectionResetError as error:
+            raise SendFailure(
+                str(error), True, "cut_short", is_broken_off=True
+            ) from error
         if self.endpoint.is_down:
             raise SendFailure("lost", True, "cut_short", is_broken_off=True)
         self.number += 1
@@ -202,6 +217,12 @@
         event = make_event(self.request.caller, endpoint, self.number - 1)
         return event if self.endpoint.has_ids else event.partition(b"\n")[2]
 
+    async def _receive(self, wait_s: float) -> None:
+        """Waits until the next event is received."""
+        await self.endpoint.work(wait_s, self.channel.made_at)
+        await self.channel.link.passes()
+        await self.cluster.wait_until_thawed(self.own_name)
+
     @property
     def _events(self) -> int:
         is_stream = self.request.caller.prompt is not None
@@ -219,7 +240,7 @@
 
 
 class SimulatedConnector(Service, EndpointConnector):
-    """Connects one instance to the endpoints of its cluster."""
+    """Connects one instance to the endpoints of its cluster, and keeps connections."""
 
     name = "endpoint_connector"
 
@@ -228,86 +249,125 @@
         self._cluster = cluster
         self._by_id = cluster.endpoint_by_id
         self._own_name = own
+        self._idle_by_id: dict[str, list[Channel]] = defaultdict(list)
+        self._busy_by_id: dict[str, set[Channel]] = defaultdict(set)
+        app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
+
+    def _endpoint_changed(self, endpoint: Endpoint) -> None:
+        current = self.app.get("catalog").registry.find(endpoint.id)
+        if current is None or not current.is_same_process(endpoint):
+            self.close_idle_connections(endpoint.id)
 
     def close_idle_connections(self, endpoint_id: str) -> None:
-        """Does nothing; no connection is kept here."""
+        """Closes the kept connections to an endpoint."""
+        for channel in self._idle_by_id.pop(endpoint_id, ()):
+            channel.close()
 
     def abort_exchanges(self, endpoint_id: str) -> None:
-        """Does nothing; no test here aborts exchanges."""
+        """Closes all connections to an endpoint."""
+        for channel in self._busy_by_id.get(endpoint_id, ()):
+            channel.close()
+        self.close_idle_connections(endpoint_id)
 
     async def is_refused(self, endpoint: Endpoint) -> bool:
-        """Returns whether the endpoint's process has ended."""
-        if self._cluster.is_message_lost():
+        """Returns whether the endpoint's process has ended, or the link refuses."""
+        link = self._cluster.links.get(self._own_name, endpoint)
+        if self._cluster.is_message_lost() or link.is_hanging:
             await asyncio.sleep(LOST_CONNECT_S)
             return False
         await asyncio.sleep(2 * ENDPOINT_LINK_S)
-        return endpoint.id not in self._by_id or self._by_id[endpoint.id].is_down
+        await self._cluster.wait_until_thawed(self._own_name)
+        is_ended = endpoint.id not in self._by_id or self._by_id[endpoint.id].is_down
+        return is_ended or link.is_refusing
 
     @contextlib.asynccontextmanager
     async def connect(
         self, endpoint: Endpoint, is_idempotent: bool, needs_new_connection: bool
     ) -> AsyncIterator[EndpointConnection]:
-        """Simulates a new connection to an endpoint."""
-        connection = _SimulatedConnection(self._cluster, self._own_name)
+        """Yields a kept or a new connection to an endpoint."""
+        channel = None
+        if not needs_new_connection:
+            channel = self._take_idle(endpoint, is_idempotent)
+        if channel is None:
+            channel = await self._open(endpoint)
+        else:
+            await self._cross()
+        self._busy_by_id[endpoint.id].add(channel)
         try:
-            await connection.open(self._by_id.get(endpoint.id))
-            yield connection
+            yield _SimulatedConnection(self._cluster, self._own_name, channel)
         finally:
-            connection.close()
-
-
-@attrs.define
-class _SimulatedConnection(EndpointConnection):
-    """A connection of an instance to an endpoint, for one exchange."""
-
-    _cluster: GatewayCluster
-    _own_name: str
-    _endpoint: SimulatedEndpoint | None = None
-    _is_sent: bool = False
-
-    async def open(self, endpoint: SimulatedEndpoint | None) -> None:
+            self._busy_by_id[endpoint.id].discard(channel)
+            if channel.is_reusable(is_idempotent=True):
+                self._idle_by_id[endpoint.id].append(channel)
+            else:
+                channel.close()
+
+    def _take_idle(self, endpoint: Endpoint, is_idempotent: bool) -> Channel | None:
+        """Returns the most recently used connection that may carry a request."""
+        channels = self._idle_by_id[endpoint.id]
+        while channels:
+            channel = channels.pop()
+            if channel.is_reusable(is_idempotent):
+                channel.take()
+                return channel
+            channel.close()
+        return None
+
+    async def _open(self, endpoint: Endpoint) -> Channel:
         """Connects to an endpoint.
 
         :raises SendFailure: if the endpoint can't be connected to.
         """
-        if endpoint is None:
+        simulated = self._by_id.get(endpoint.id)
+        if simulated is None:
             raise SendFailure("connection refused", False, "unreachable")
+        link = self._cluster.links.get(self._own_name, endpoint)
+        try:
+            await self._connect(simulated, link)
+        except OSError as error:
+            raise SendFailure(str(error), False, "unreachable") from error
+        channel = Channel(simulated, link)
+        link.channels.add(channel)
+        return channel
+
+    async def _connect(self, endpoint: SimulatedEndpoint, link: EndpointLink) -> None:
         if self._cluster.is_message_lost():
             await asyncio.sleep(LOST_CONNECT_S)
-        await asyncio.sleep(ENDPOINT_LINK_S)
+        await link.connect()
         if now() < endpoint.silent_until and not endpoint.accepts_while_silent:
-            await asyncio.sleep(CONNECT_TIMEOUT_S)
-            raise SendFailure("not connected in time", False, "unreachable")
+            await asyncio.sleep(sum(CONNECT_TIMEOUTS_S))
+            raise TimeoutError("not connected in time")
+        await self._cluster.wait_until_thawed(self._own_name)
         if endpoint.is_down:
-            raise SendFailure("connection refused", False, "unreachable")
-        self._endpoint = endpoint
+            raise ConnectionRefusedError("connection refused")
+
+    async def _cross(self) -> None:
+        """Waits as long as a new connection would take on a link that works."""
+        if self._cluster.is_message_lost():
+            await asyncio.sleep(LOST_CONNECT_S)
+        await asyncio.sleep(ENDPOINT_LINK_S)
+
+
+@attrs.define
+class _SimulatedConnection(EndpointConnection):
+    """A connection of an instance to an endpoint, for one exchange."""
 
-    def close(self) -> None:
-        """Ends the exchange at the endpoint."""
-        if self._endpoint is not None and self._is_sent:
-            self._endpoint.in_progress -= 1
+    _cluster: GatewayCluster
+    _own_name: str
+    _channel: Channel
 
     async def send(
         self, request: EndpointRequest, head_timeout_s: float
     ) -> EndpointResponse:
         """Sends a request and returns the head of its response."""
-        endpoint = self._endpoint
-        assert endpoint is not None
-        endpoint.arrivals.append(Arrival(now(), self._own_name, request))
-        endpoint.in_progress += 1
-        self._is_sent = True
-        return await self._receive_head(endpoint, request, head_timeout_s)
-
-    async def _receive_head(
-        self, endpoint: SimulatedEndpoint, request: EndpointRequest, timeout_s: float
-    ) -> EndpointResponse:
-        connected_at = now()
-        work_s = ENDPOINT_LINK_S if endpoint.make_head().never_ran else endpoint.work_s
         try:
-            async with asyncio.timeout(timeout_s):
-                await self._work(endpoint, request, work_s, connected_at)
+            async with asyncio.timeout(head_timeout_s):
+                await self._channel.until_broken(self._receive_head(request))
         except TimeoutError:
             raise SendFailure("no head in time", True, "no_answer") from None
+        except ConnectionResetError as error:
+            raise SendFailure(str(error), True, "broken", is_broken_off=True) from error
+        endpoint = self._channel.endpoint
         if endpoint.is_down:
             raise SendFailure("lost", True, "broken", is_broken_off=True)
         head = endpoint.make_head()
@@ -315,7 +375,29 @@
         if not head.never_ran:
             endpoint.on_start(endpoint, request)
         first = first_number(request)
-        return _SimulatedResponse(head, endpoint, request, connected_at, first)
+        return _SimulatedResponse(
+            head,
+            endpoint,
+            request,
+            self._channel,
+            self._cluster,
+            self._own_name,
+            first,
+        )
+
+    async def _receive_head(self, request: EndpointRequest) -> None:
+        """Waits until the head of the response is received, or the end of the endpoint.
+
+        A request that is sent while the link hangs arrives afterwards.
+        """
+        link, endpoint = self._channel.link, self._channel.endpoint
+        await link.passes()
+        endpoint.arrivals.append(Arrival(now(), self._own_name, request))
+        self._channel.begin()
+        work_s = ENDPOINT_LINK_S if endpoint.make_head().never_ran else endpoint.work_s
+        await self._work(endpoint, request, work_s, self._channel.made_at)
+        await link.passes()
+        await self._cluster.wait_until_thawed(self._own_name)
 
     async def _work(
         self,
@@ -382,6 +464,7 @@
     """Gateways with the endpoints that they share.
 
     :ivar endpoint_loss: the share of the messages to endpoints that is lost.
+    :ivar links: the links from the instances to the endpoints.
     """
 
     endpoint_by_id: dict[str, SimulatedEndpoint]
@@ -392,6 +475,12 @@
     crashed_at: list[float] = attrs.field(factory=list)
     former_endpoints: list[SimulatedEndpoint] = attrs.field(factory=list)
     endpoint_loss: float = 0.0
+    links: EndpointLinks = attrs.field(factory=EndpointLinks)
+    _thawed_by_name: dict[str, asyncio.Event] = attrs.field(factory=dict)
+    _reply_by_task: dict[str, dict[asyncio.Task[Any], FakeReply]] = attrs.field(
+        factory=lambda: defaultdict(dict)
+    )
+    _killed_tasks: set[asyncio.Task[Any]] = attrs.field(factory=set)
     _chooser: random.Random = attrs.field(factory=lambda: random.Random(1))
     _numbers: itertools.count[int] = attrs.field(factory=itertools.count)
     _service_by_address: dict[str, MemoryLoad] = attrs.field(factory=dict)
@@ -429,6 +518,67 @@
         self._fill(app)
         return SimulatedConnector(app, self, name)
 
+    def cut(
+        self,
+        instances: Iterable[str],
+        fault: LinkFault = LinkFault.HANG,
+        endpoints: Iterable[SimulatedEndpoint] | None = None,
+        seconds: float = FOR_GOOD,
+        is_reset_after: bool = False,
+    ) -> Callable[[], None]:
+        """Cuts instances off from endpoints, by default from all.
+
+        :param seconds: how long; cuts may overlap.
+        :param is_reset_after: whether connections that hung are reset afterwards.
+        :returns: a function that ends the cut, for cuts without a time.
+        """
+        if endpoints is None:
+            endpoints = list(self.endpoint_by_id.values())
+        ends = [item.endpoint for item in endpoints]
+        heal = self.links.cut(instances, ends, fault, is_reset_after)
+        if seconds < FOR_GOOD:
+            asyncio.get_running_loop().call_later(seconds, heal)
+        return heal
+
+    def freeze(self, instance: str) -> None:
+        """Suspends an instance: it sends and receives nothing, its loops wait."""
+        self._thawed_by_name.setdefault(instance, asyncio.Event())
+        self.frozen.add(self.memory.address(instance))
+        self.memory.freeze(instance)
+
+    def thaw(self, instance: str) -> None:
+        """Resumes an instance that was suspended."""
+        self._thawed_by_name.pop(instance).set()
+        self.frozen.discard(self.memory.address(instance))
+        self.memory.thaw(instance)
+
+    async def kill(self, instance: str) -> None:
+        """Ends an instance's process, with its connections to callers."""
+        self.links.reset(instance)
+        for task, reply in self._reply_by_task[instance].items():
+            reply.caller_disconnected.set()
+            self._killed_tasks.add(task)
+            task.cancel()
+        await self.memory.kill(instance)
+
+    async def leave(self, instance: str, drain_s: float = 1.0) -> None:
+        """Shuts an instance down gracefully, after some seconds for its requests."""
+        app = self.memory.application_by_name.pop(instance)
+        app.get("gateway").leaving = True
+        app.get("membership").set_leaving()
+        await asyncio.sleep(drain_s)
+        tasks = list(self._reply_by_task[instance])
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        self.memory.application_by_name[instance] = app
+        await self.memory.stop(instance)
+
+    async def wait_until_thawed(self, instance: str) -> None:
+        """Waits while an instance is suspended."""
+        while instance in self._thawed_by_name:
+            await self._thawed_by_name[instance].wait()
+
     def is_message_lost(self) -> bool:
         """Returns whether a message to an endpoint is lost, drawn at random."""
         return self._chooser.random() < self.endpoint_loss
@@ -511,10 +661,28 @@
         )
         reply = reply or FakeReply()
         reply.arrived = now()
-        await self.memory.get(instance, "gateway").handle(request, reply)
+        await self._handle(instance, request, reply)
         self.replies.append(reply)
         return reply
 
+    async def _handle(
+        self, instance: str, request: CallerRequest, reply: FakeReply
+    ) -> None:
+        """Lets an instance serve a request, until its process is killed."""
+        task = asyncio.current_task()
+        assert task is not None
+        reply_by_task = self._reply_by_task[instance]
+        reply_by_task[task] = reply
+        try:
+            await self.memory.get(instance, "gateway").handle(request, reply)
+        except asyncio.CancelledError:
+            if task not in self._killed_tasks:
+                raise
+            task.uncancel()
+            reply.abort()
+        finally:
+            del reply_by_task[task]
+
     async def load(
         self,
         rate: float,
