--- a/tests/test_reachability/link_cluster.py
+++ b/tests/test_reachability/link_cluster.py
@@ -1,4 +1,4 @@
-"""Instances on a simulated clock whose links to endpoints can be cut."""
+"""Instances on a simulated clock whose links to endpoints are cut, without gateways."""
 
 from __future__ import annotations
 
@@ -14,57 +14,36 @@
 from cicadacourse.reachability import Reachability
 from cicadacourse.util.clock import now
 from standins.memory_cluster import memory_cluster
-from tests.gateway_cluster import (
-    CONNECT_TIMEOUT_S,
-    GatewayCluster,
-    SimulatedConnector,
-    make_endpoints,
-)
+from tests.endpoint_links import LinkFault
+from tests.gateway_cluster import GatewayCluster, SimulatedConnector, make_endpoints
 
-# How long a refused connection is waited for by `is_refused`, in seconds.
-REFUSED_TIMEOUT_S = 0.1
 
-
-class CutConnector(SimulatedConnector):
-    """Connects an instance to endpoints unless the link is cut."""
+class CountingConnector(SimulatedConnector):
+    """Connects an instance to endpoints and records its tries."""
 
     @contextlib.asynccontextmanager
     async def connect(
         self, endpoint: Endpoint, is_idempotent: bool, needs_new_connection: bool
     ) -> AsyncIterator[EndpointConnection]:
-        """Simulates a new connection; fails after a time if the link is cut."""
-        cluster = self._cluster
-        cluster.tries.append((now(), self._own_name, endpoint.id))
-        if cluster.is_cut(self._own_name, endpoint):
-            await asyncio.sleep(0.0 if cluster.is_refusing else CONNECT_TIMEOUT_S)
-            raise SendFailure("not connected", False, "unreachable")
+        """Simulates a connection to an endpoint."""
+        self._cluster.tries.append((now(), self._own_name, endpoint.id))
         async with super().connect(
             endpoint, is_idempotent, needs_new_connection
         ) as connection:
             yield connection
 
-    async def is_refused(self, endpoint: Endpoint) -> bool:
-        """Returns whether a connection is refused."""
-        if self._cluster.is_cut(self._own_name, endpoint):
-            if self._cluster.is_refusing:
-                return True
-            await asyncio.sleep(REFUSED_TIMEOUT_S)
-            return False
-        return await super().is_refused(endpoint)
-
 
 @attrs.define(eq=False)
 class LinkCluster(GatewayCluster):
     """Instances with the services that know of links to endpoints.
 
-    :ivar cut: the pairs of instance and endpoint id whose links are cut.
-    :ivar is_refusing: whether cut links refuse connections instead of being silent.
+    :ivar fault: what a cut does to connections.
     :ivar tries: when which instance tried to connect to which endpoint.
     """
 
-    cut: set[tuple[str, str]] = attrs.field(factory=set)
-    is_refusing: bool = False
+    fault: LinkFault = LinkFault.HANG
     tries: list[tuple[float, str, str]] = attrs.field(factory=list)
+    _ends_by_instance: dict[str, list[Callable[[], None]]] = attrs.field(factory=dict)
 
     def services(self) -> list[Callable[[Application], Service] | str]:
         """Returns the services of each instance, in their order."""
@@ -79,22 +58,27 @@
 
     def _make_connector(self, app: Application) -> Service:
         self._fill(app)
-        return CutConnector(app, self, app.get("load")._instance.name)
+        return CountingConnector(app, self, app.get("load")._instance.name)
 
     def is_cut(self, instance: str, endpoint: Endpoint) -> bool:
         """Returns whether the link from an instance to an endpoint is cut."""
-        return (instance, endpoint.id) in self.cut
+        link = self.links.get(instance, endpoint)
+        return link.is_hanging or link.is_refusing
 
     def cut_off(self, *instances: str, ids: Iterable[str] | None = None) -> None:
         """Cuts the links from instances to all endpoints, or to some."""
-        for id in self.endpoint_by_id if ids is None else ids:
-            self.cut |= {(instance, id) for instance in instances}
+        endpoints = [self.endpoint_by_id[id] for id in ids or self.endpoint_by_id]
+        for instance in instances:
+            end = self.cut([instance], self.fault, endpoints)
+            self._ends_by_instance.setdefault(instance, []).append(end)
 
     def restore(self, *instances: str) -> None:
         """Ends the cuts of instances."""
-        self.cut = {pair for pair in self.cut if pair[0] not in instances}
+        for instance in instances:
+            for end in self._ends_by_instance.pop(instance, ()):
+                end()
 
-    def links(self, instance: str) -> Reachability:
+    def links_of(self, instance: str) -> Reachability:
         """Returns the service under test of an instance."""
         return self.memory.get(instance, "reachability")
 
@@ -104,7 +88,7 @@
 
     async def try_connection(self, instance: str, endpoint: Endpoint) -> bool:
         """Connects directly, else asks peers, as a request does."""
-        links = self.links(instance)
+        links = self.links_of(instance)
         connector = self.memory.get(instance, "endpoint_connector")
         try:
             async with connector.connect(endpoint, True, True):
--- a/tests/test_reachability/test_reachability_facts.py
+++ b/tests/test_reachability/test_reachability_facts.py
@@ -14,7 +14,7 @@
 
 def known_shares(cluster: LinkCluster, instance: str) -> dict[str, float]:
     """Returns the shares of lost links that an instance knows."""
-    return cluster.links(instance)._facts.share_by_instance()
+    return cluster.links_of(instance)._facts.share_by_instance()
 
 
 async def _lose_all(cluster: LinkCluster, *instances: str) -> None:
@@ -30,7 +30,9 @@
         await asyncio.sleep(1.0)
         for name in cluster.memory.application_by_name:
             assert known_shares(cluster, name) == {"n0": 1.0}
-            assert cluster.links(name)._facts.evidence.keys("lost_endpoints") == ["n0"]
+            assert cluster.links_of(name)._facts.evidence.keys("lost_endpoints") == [
+                "n0"
+            ]
         cluster.restore("n0")
         for number in range(2):
             assert await cluster.try_connection("n0", cluster.endpoint(number))
@@ -49,7 +51,7 @@
 async def _order() -> None:
     # Domains go round robin: n0, n3 and n6 are in the same one.
     async with link_cluster(9, 4) as cluster:
-        links = cluster.links("n0")
+        links = cluster.links_of("n0")
         endpoint = cluster.endpoint(0)
         firsts, seconds = set(), set()
         for _ in range(60):
@@ -80,10 +82,10 @@
         endpoint = cluster.endpoint(0)
         cluster.memory.get("n1", "membership").set_leaving()
         await asyncio.sleep(0.5)
-        peers: list[Member] = cluster.links("n0").peers_for(endpoint)
+        peers: list[Member] = cluster.links_of("n0").peers_for(endpoint)
         assert [item.name for item in peers] == ["n2"]
     async with link_cluster(1, 1) as cluster:
-        assert not cluster.links("n0").peers_for(cluster.endpoint(0))
+        assert not cluster.links_of("n0").peers_for(cluster.endpoint(0))
 
 
 def test_only_other_instances_that_are_alive_are_asked() -> None:
--- a/tests/test_reachability/test_reachability_links.py
+++ b/tests/test_reachability/test_reachability_links.py
@@ -46,8 +46,8 @@
         with logbook.TestHandler().applicationbound() as handler:
             assert not await cluster.try_connection("n0", endpoint)
             assert not lines_of(handler, LINKS_LOST)
-        assert not cluster.links("n0").is_lost(endpoint)
-        assert not cluster.links("n0").may_be_lost(endpoint)
+        assert not cluster.links_of("n0").is_lost(endpoint)
+        assert not cluster.links_of("n0").may_be_lost(endpoint)
 
 
 def test_a_dead_endpoint_is_not_a_lost_link() -> None:
@@ -56,7 +56,7 @@
 
 async def _most_lost() -> None:
     async with link_cluster(2, 4) as cluster:
-        links = cluster.links("n0")
+        links = cluster.links_of("n0")
         first, second, third, fourth = map(cluster.endpoint, range(4))
         cluster.cut_off("n0", ids=[first.id, second.id, third.id])
         await cluster.try_connection("n0", first)
@@ -73,7 +73,7 @@
 
 
 async def _peer_loses_it(cluster: LinkCluster) -> None:
-    links = cluster.links("n0")
+    links = cluster.links_of("n0")
     endpoint = cluster.endpoint(0)
     cluster.cut_off("n0")
     await cluster.try_connection("n0", endpoint)
@@ -96,7 +96,7 @@
 
 async def _forgotten() -> None:
     async with link_cluster(2, 2) as cluster:
-        links = cluster.links("n0")
+        links = cluster.links_of("n0")
         first, second = cluster.endpoint(0), cluster.endpoint(1)
         cluster.cut_off("n0")
         await cluster.try_connection("n0", first)
--- a/tests/test_reachability/test_reachability_probes.py
+++ b/tests/test_reachability/test_reachability_probes.py
@@ -13,6 +13,7 @@
 
 from cicadacourse.events import ENDPOINT_CHANGED, RESUMED_AFTER_PAUSE
 from cicadacourse.util.clock import now
+from tests.endpoint_links import LinkFault
 from tests.test_limits.test_limits_cluster import run
 from tests.test_reachability.link_cluster import LinkCluster, link_cluster
 
@@ -35,35 +36,42 @@
 
 def lost_ids(cluster: LinkCluster, instance: str) -> set[str]:
     """Returns the ids of the endpoints to which an instance has lost its links."""
-    links = cluster.links(instance)
+    links = cluster.links_of(instance)
     endpoints = [item.endpoint for item in cluster.endpoint_by_id.values()]
     return {item.id for item in endpoints if links.is_lost(item)}
 
 
-async def _back_soon(instances: int, endpoints: int, is_refusing: bool) -> None:
-    async with link_cluster(instances, endpoints, is_refusing=is_refusing) as cluster:
+async def _back_soon(instances: int, endpoints: int, fault: LinkFault) -> None:
+    async with link_cluster(instances, endpoints, fault=fault) as cluster:
         await lose(cluster, "n0")
         since = now()
         await asyncio.sleep(12.0)
         assert tries_since(cluster, "n0", since) <= 12.0 * MAX_TRIES_PER_S
-        assert cluster.links("n0").may_be_lost(cluster.endpoint(endpoints - 1))
+        assert cluster.links_of("n0").may_be_lost(cluster.endpoint(endpoints - 1))
         cluster.restore("n0")
         await asyncio.sleep(DIRECT_AGAIN_S)
         assert not lost_ids(cluster, "n0")
-        assert not cluster.links("n0").may_be_lost(cluster.endpoint(0))
+        assert not cluster.links_of("n0").may_be_lost(cluster.endpoint(0))
         since = now()
         await asyncio.sleep(5.0)
         assert tries_since(cluster, "n0", since) == 0
 
 
 @pytest.mark.parametrize(
-    ("instances", "endpoints", "is_refusing"),
-    [(2, 3, False), (6, 20, False), (6, 20, True), (3, 900, False), (80, 20, False)],
+    ("instances", "endpoints", "fault"),
+    [
+        (2, 3, LinkFault.HANG),
+        (6, 20, LinkFault.HANG),
+        (6, 20, LinkFault.RESET),
+        (6, 20, LinkFault.REFUSE_NEW),
+        (3, 900, LinkFault.HANG),
+        (80, 20, LinkFault.HANG),
+    ],
 )
 def test_links_are_used_again_soon_after_a_cut_and_tried_seldom_in_it(
-    instances: int, endpoints: int, is_refusing: bool
+    instances: int, endpoints: int, fault: LinkFault
 ) -> None:
-    run(_back_soon, instances, endpoints, is_refusing)
+    run(_back_soon, instances, endpoints, fault)
 
 
 async def _told_while_lost() -> None:
@@ -72,7 +80,7 @@
         for _ in range(10):
             await asyncio.sleep(2.0)
             for name in ("n1", "n5"):
-                known = cluster.links(name)._facts.share_by_instance()
+                known = cluster.links_of(name)._facts.share_by_instance()
                 assert known == {"n0": 1.0}
 
 
@@ -86,7 +94,7 @@
         await asyncio.sleep(1.0)
         await cluster.memory.kill("n0")
         await asyncio.sleep(7.0)
-        assert not cluster.links("n1")._facts.share_by_instance()
+        assert not cluster.links_of("n1")._facts.share_by_instance()
 
 
 def test_the_fact_of_an_instance_that_has_ended_expires() -> None:
@@ -127,8 +135,8 @@
             await cluster.try_connection("n0", cluster.endpoint(number))
         await asyncio.sleep(2.0)
         assert lost_ids(cluster, "n0") == {"engines-0", "engines-1", "engines-2"}
-        assert not cluster.links("n0").may_be_lost(cluster.endpoint(9))
-        assert cluster.links("n0")._report.share == pytest.approx(0.3)
+        assert not cluster.links_of("n0").may_be_lost(cluster.endpoint(9))
+        assert cluster.links_of("n0")._report.share == pytest.approx(0.3)
 
 
 def test_an_instance_that_lost_some_links_finds_out_that_the_others_work() -> None:
@@ -144,14 +152,14 @@
                 for number in range(4):
                     await cluster.try_connection(name, cluster.endpoint(number))
         for name in names:
-            assert cluster.links(name).is_pool_unreachable("engines")
+            assert cluster.links_of(name).is_pool_unreachable("engines")
         since = now()
         await asyncio.sleep(5.0)
         assert tries_since(cluster, "n0", since) <= 5.0 * 2 * MAX_TRIES_PER_S
         cluster.restore(*names)
         await asyncio.sleep(DIRECT_AGAIN_S)
         for name in names:
-            assert not cluster.links(name).is_pool_unreachable("engines")
+            assert not cluster.links_of(name).is_pool_unreachable("engines")
 
 
 @pytest.mark.parametrize("instances", [1, 2, 6])
@@ -167,10 +175,10 @@
         for _ in range(3):
             for number in range(4):
                 await cluster.try_connection("n0", cluster.endpoint(number))
-        assert cluster.links("n0").is_pool_unreachable("engines")
+        assert cluster.links_of("n0").is_pool_unreachable("engines")
         cluster.restore("n1", "n2")
         await asyncio.sleep(2.0)
-        assert not cluster.links("n0").is_pool_unreachable("engines")
+        assert not cluster.links_of("n0").is_pool_unreachable("engines")
         assert lost_ids(cluster, "n0")
 
 
@@ -189,7 +197,7 @@
         await asyncio.sleep(DIRECT_AGAIN_S)
         assert not lost_ids(cluster, "n0")
         await asyncio.sleep(0.5)
-        assert not cluster.links("n1")._facts.share_by_instance()
+        assert not cluster.links_of("n1")._facts.share_by_instance()
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -203,12 +211,12 @@
         await lose(cluster, "n0")
         await asyncio.sleep(3.0)
         for name in ("n1", "n2", "n3", "n4", "n5"):
-            assert cluster.links(name)._facts.share_by_instance() == {"n0": 1.0}
+            assert cluster.links_of(name)._facts.share_by_instance() == {"n0": 1.0}
         cluster.restore("n0")
         await asyncio.sleep(2.0)
         for name in cluster.memory.application_by_name:
             assert not lost_ids(cluster, name)
-            assert not cluster.links(name)._facts.share_by_instance()
+            assert not cluster.links_of(name)._facts.share_by_instance()
 
 
 def test_a_loss_of_some_messages_does_not_change_what_is_found() -> None:
@@ -218,12 +226,10 @@
 async def _frozen() -> None:
     async with link_cluster(4, 4) as cluster:
         await lose(cluster, "n0")
-        cluster.memory.freeze("n0")
-        cluster.frozen.add(cluster.memory.address("n0"))
+        cluster.freeze("n0")
         await asyncio.sleep(5.0)
         cluster.restore("n0")
-        cluster.memory.thaw("n0")
-        cluster.frozen.clear()
+        cluster.thaw("n0")
         await asyncio.sleep(DIRECT_AGAIN_S)
         assert not lost_ids(cluster, "n0")
 
@@ -239,7 +245,7 @@
         for endpoint in list(app.get("catalog").registry.all()):
             app.get("catalog").registry.remove(endpoint.id)
             app.events.emit(ENDPOINT_CHANGED, endpoint)
-        assert len(cluster.links("n0")._links) == 0
+        assert len(cluster.links_of("n0")._links) == 0
         since = now() + 0.5
         await asyncio.sleep(3.0)
         assert tries_since(cluster, "n0", since) == 0
