RECOVER: look-ups leave out instances that have lost their links, while enough remain

Cause: look-ups went on naming instances without links to any endpoint, so callers kept coming. Readiness is as it was. One log line for each change.

--- a/cicadacourse/logs/_instance.py
+++ b/cicadacourse/logs/_instance.py
@@ -33,6 +33,13 @@
     "The readiness probe fails; the instance is shutting down, or its configuration was"
     " superseded long ago.",
 )
+INSTANCES_LEFT_OUT = declare(
+    "probes",
+    "instances left out of look-ups",
+    "Look-ups here leave out `count` of the `alive` instances, some of which are"
+    " `instances`, as they have lost their links to endpoints; `cut_off` instances"
+    " have. The next line tells of the next change; `count` 0 ends it.",
+)
 INSTANCES_NOT_READ = declare(
     "instances",
     "instances not read",
--- a/cicadacourse/membership/__init__.py
+++ b/cicadacourse/membership/__init__.py
@@ -4,7 +4,7 @@
 alive member is in the state ``alive``.
 """
 
-from cicadacourse.membership._callers import choose_for_callers
+from cicadacourse.membership._callers import choose_for_callers, select_connected
 from cicadacourse.membership._contacts import Contact, ContactSource
 from cicadacourse.membership._model import Member, MemberState
 from cicadacourse.membership._service import Membership
@@ -18,4 +18,5 @@
     "Membership",
     "MembershipSettings",
     "choose_for_callers",
+    "select_connected",
 ]
--- a/cicadacourse/membership/_callers.py
+++ b/cicadacourse/membership/_callers.py
@@ -3,12 +3,32 @@
 from __future__ import annotations
 
 import random
-from typing import Iterable
+from typing import Collection, Iterable, Sequence
 
 from cicadacourse.membership._model import Member
 
 # With fewer instances in its failure domain, a caller also gets those of other domains.
 MIN_SAME_DOMAIN_MEMBERS = 2
+# So many members are named at least, and this share of those that are alive: if fewer
+# reach endpoints, they could not carry the load of all callers.
+MIN_CONNECTED_MEMBERS = 2
+MIN_CONNECTED_SHARE = 1 / 3
+
+
+def select_connected(
+    alive: Sequence[Member], cut_off_names: Collection[str]
+) -> list[Member]:
+    """Returns the members that reach endpoints, if they are enough for all callers.
+
+    A caller keeps what it was told for seconds, and each request to an instance that
+    has lost its links takes a longer way. All members are returned if too few are left.
+
+    :param alive: members that callers may be sent to.
+    :param cut_off_names: the names of those that have lost their links to endpoints.
+    """
+    connected = [item for item in alive if item.name not in cut_off_names]
+    least = max(MIN_CONNECTED_MEMBERS, MIN_CONNECTED_SHARE * len(alive))
+    return connected if len(connected) >= least else list(alive)
 
 
 def choose_for_callers(
--- a/cicadacourse/platform/_probes.py
+++ b/cicadacourse/platform/_probes.py
@@ -14,8 +14,8 @@
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.catalog import CatalogService
 from cicadacourse.gateway import PATH_STATUS, get_instance_status
-from cicadacourse.logs import NOT_READY, READY, log
-from cicadacourse.membership import Member, choose_for_callers
+from cicadacourse.logs import INSTANCES_LEFT_OUT, NOT_READY, READY, log
+from cicadacourse.membership import Member, choose_for_callers, select_connected
 from cicadacourse.platform._names import PATH_READY, PATH_RESOLVE
 from cicadacourse.platform._settings import ListenSettings
 from cicadacourse.util.addresses import split_address
@@ -23,6 +23,8 @@
 
 # Limit of the addresses in the response to a look-up.
 MAX_ADDRESSES = 64
+# Limit of the names in one log line.
+MAX_LOGGED = 8
 PATH_METRICS = "/metrics"
 _OK = 200
 _UNAVAILABLE = 503
@@ -38,6 +40,7 @@
         super().__init__(app)
         self._settings = app.settings.get(ListenSettings)
         self._was_ready = False
+        self._left_out: frozenset[str] = frozenset()
         self._random = random.Random()
 
     @contextlib.asynccontextmanager
@@ -87,7 +90,7 @@
     def addresses(self, failure_domain: str) -> list[str]:
         """Returns addresses for callers in a failure domain, in random order."""
         chosen = choose_for_callers(
-            self._members(), failure_domain, MAX_ADDRESSES, self._random
+            self._connected_members(), failure_domain, MAX_ADDRESSES, self._random
         )
         return [item.caller_address for item in chosen]
 
@@ -96,6 +99,27 @@
         """How long a caller may cache the addresses, in seconds."""
         return self._settings.directory_ttl_s
 
+    def _connected_members(self) -> list[Member]:
+        """Returns the members that callers may be sent to and that reach endpoints.
+
+        If too few do, all that callers may be sent to. Logs each change.
+        """
+        members = self._members()
+        cut_off_names = self.app.get("reachability").cut_off_instances()
+        connected = select_connected(members, cut_off_names)
+        kept = {item.name for item in connected}
+        left_out = frozenset(item.name for item in members if item.name not in kept)
+        if left_out != self._left_out:
+            self._left_out = left_out
+            log(
+                INSTANCES_LEFT_OUT,
+                count=len(left_out),
+                instances=sorted(left_out)[:MAX_LOGGED],
+                cut_off=len(cut_off_names),
+                alive=len(members),
+            )
+        return connected
+
     def _members(self) -> list[Member]:
         """Returns the members that callers may be sent to.
 
--- a/cicadacourse/reachability/_service.py
+++ b/cicadacourse/reachability/_service.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import random
 from typing import AsyncIterator
 
 from cicadacourse.application import SERVICES, Application, Service
@@ -18,7 +19,7 @@
 from cicadacourse.reachability._messages import CheckEndpoint, EndpointChecked
 from cicadacourse.reachability._peers import PeerChoice
 from cicadacourse.reachability._prober import LinkProber
-from cicadacourse.reachability._report import LossReport
+from cicadacourse.reachability._report import CUT_OFF_SHARE, LossReport
 from cicadacourse.util.clock import now
 
 
@@ -51,6 +52,7 @@
         try:
             yield
         finally:
+            self._facts.stop()
             await self._prober.stop()
 
     async def sleep(self, delay_s: float) -> None:
@@ -141,6 +143,11 @@
         peers = self._other_instances()
         return self._peers.order(endpoint.id, peers, self._facts.share_by_instance())
 
+    def cut_off_instances(self) -> set[str]:
+        """Returns the names of the instances that have lost most links to endpoints."""
+        shares = self._facts.share_by_instance()
+        return {name for name, share in shares.items() if share >= CUT_OFF_SHARE}
+
     def _other_instances(self) -> list[Member]:
         return [
             item
@@ -158,7 +165,8 @@
         """Returns the endpoints to which connections are tried in the background.
 
         They are those to which the links are lost, those of pools of which none can be
-        reached, and, if most links may be lost, those that were not tried since.
+        reached, and, if most links may be lost, those that were not tried since. Those
+        that were tried longest ago come first.
         """
         if not self._links.have_failed:
             return []
@@ -171,17 +179,26 @@
         untried = []
         if self._links.are_most_lost:
             untried = [item for item in ready if not self._links.has_failed(item)]
-        return [group for group in (lost, blocked, untried) if group]
+        random.shuffle(untried)
+        return [
+            sorted(group, key=self.failed_at)
+            for group in (lost, blocked, untried)
+            if group
+        ]
 
     async def _probe(self, endpoint: Endpoint) -> bool:
-        """Tries a connection; if it fails, asks another instance once a second."""
+        """Tries a connection; if it fails, asks another instance once a second.
+
+        That is the one that has reached the endpoint last, if it is alive.
+        """
         if await try_connection(self.app, endpoint):
             return True
         link = self._links.find(endpoint)
-        peers = self.peers_for(endpoint)
-        if link is not None and peers:
-            if now() - link.checked_at >= ANSWER_LIFETIME_S:
-                await self._checks.ask(peers[0], endpoint, is_refused=False)
+        if link is not None and now() - link.checked_at >= ANSWER_LIFETIME_S:
+            peers = self.peers_for(endpoint)
+            peers.sort(key=lambda item: item.name != link.reached_by)
+            for peer in peers[:1]:
+                await self._checks.ask(peer, endpoint, is_refused=False)
         return False
 
     def _repeat(self) -> None:
