RECOVER: requests prefer endpoints with links, and lost links eject no endpoint

Cause: a link that this instance had lost counted as a failure of the endpoint, which was ejected though others reached it; and endpoints without a link were chosen like others. Change: endpoints with lost links are left out of a pool while the others are 0.6 of it, else all are used; together with ejections never more than 0.4 is left out. Ejections of an endpoint end once its link is known to be lost, and later transport failures there eject nothing.

--- a/cicadacourse/events.py
+++ b/cicadacourse/events.py
@@ -28,6 +28,8 @@
 # The reporting instance's name, its offset in the registry, and how many seconds ago it
 # last read the registry.
 REGISTRY_OFFSET_RECEIVED = "registry-offset-received"
+# The endpoint of which this instance knows more, or None if it may be any.
+LINKS_CHANGED = "links-changed"
 RESUMED_AFTER_PAUSE = "resumed-after-pause"
 # The store has come back from a copy and has lost the latest records.
 STORE_RESTORED = "store-restored"
@@ -45,6 +47,7 @@
         CATALOG_CONFIRMED,
         CATALOG_VERSION_RECEIVED,
         REGISTRY_OFFSET_RECEIVED,
+        LINKS_CHANGED,
         RESUMED_AFTER_PAUSE,
         STORE_RESTORED,
         ATTACHMENT_RECEIVED,
--- a/cicadacourse/placement/_ejections.py
+++ b/cicadacourse/placement/_ejections.py
@@ -7,9 +7,11 @@
 
 from cicadacourse.application import Application
 from cicadacourse.catalog import CatalogService, Endpoint
+from cicadacourse.events import LINKS_CHANGED
 from cicadacourse.logs import ENDPOINT_EJECTED, ENDPOINT_READMITTED, log
 from cicadacourse.metrics import declare
 from cicadacourse.placement._health import EndpointHealth
+from cicadacourse.reachability import Reachability
 from cicadacourse.util.clock import now
 
 EJECTIONS = declare("endpoints_set_aside_total", "Endpoints ejected, by reason.")
@@ -30,13 +32,17 @@
         self._app = app
         self._catalog_service: CatalogService = app.get("catalog")
         self._on_readmitted = on_readmitted
+        self._lost_ids: set[str] = set()
+        app.events.connect(LINKS_CHANGED, self._links_changed)
 
     def select_usable(self, endpoints: Sequence[Endpoint]) -> list[Endpoint]:
-        """Returns endpoints of a pool without those that are ejected.
+        """Returns endpoints of a pool without lost links and without ejected ones.
 
-        At most the largest share that may be ejected is left out.
+        At most the largest share that may be left out is.
         """
-        ids = self.health.usable_ids([item.id for item in endpoints], now())
+        all_ids = [item.id for item in endpoints]
+        lost_ids = {item for item in all_ids if self._is_link_lost(item)}
+        ids = self.health.usable_ids(all_ids, now(), lost_ids)
         return [item for item in endpoints if item.id in ids]
 
     def forget_former_process(self, endpoint: Endpoint) -> None:
@@ -44,9 +50,15 @@
         current = self._catalog_service.registry.find(endpoint.id)
         if current is None or not current.is_same_process(endpoint):
             self.health.forget(endpoint.id)
+            self._lost_ids.discard(endpoint.id)
 
     def report_transport_failure(self, endpoint_id: str, reason: str) -> None:
-        """Records a failed connection, an aborted exchange or a missing response."""
+        """Records a failed connection, an aborted exchange or a missing response.
+
+        An endpoint that other instances reach has not failed: the link to it is lost.
+        """
+        if self._is_link_lost(endpoint_id):
+            return
         for_s = self.health.record_transport_failure(endpoint_id, now())
         self._record_ejection(endpoint_id, for_s, reason)
 
@@ -60,6 +72,24 @@
         for_s = self.health.record_refusal(endpoint_id, now())
         self._record_ejection(endpoint_id, for_s, "refusal")
 
+    def _links_changed(self, endpoint: Endpoint | None) -> None:
+        """Forgets the failures of an endpoint once its link is known to be lost."""
+        if endpoint is None:
+            return
+        was_lost = endpoint.id in self._lost_ids
+        self._lost_ids.discard(endpoint.id)
+        if self._is_link_lost(endpoint.id):
+            self._lost_ids.add(endpoint.id)
+            if not was_lost:
+                self.health.forget(endpoint.id)
+
+    def _is_link_lost(self, endpoint_id: str) -> bool:
+        reachability: Reachability | None = self._app.find("reachability")
+        endpoint = self._catalog_service.registry.find(endpoint_id)
+        if reachability is None or endpoint is None:
+            return False
+        return reachability.is_lost(endpoint)
+
     def _record_ejection(self, endpoint_id: str, for_s: float, reason: str) -> None:
         if for_s:
             self._app.metrics.count(EJECTIONS, reason=reason)
--- a/cicadacourse/placement/_health.py
+++ b/cicadacourse/placement/_health.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+from typing import Collection
+
 import attrs
 
 # Duration of an ejection for a refusal. In most cases a slot becomes free within this
@@ -26,9 +28,9 @@
 FAILURE_SHARE_WEIGHT = 0.2
 # Responses that the failure share needs before it counts.
 MIN_SAMPLES = 4
-# The largest share of a pool that is ejected. More failures at the same time point to a
-# fault of this instance or its network.
-MAX_EJECTED_SHARE = 0.4
+# The largest share of a pool that is left out. More failures at the same time point to
+# a fault of this instance or its network, and the rest could not carry the load.
+MAX_LEFT_OUT_SHARE = 0.4
 
 
 @attrs.define
@@ -100,16 +102,27 @@
         record = self._record_by_id.get(endpoint_id)
         return record is not None and now_s < record.ejected_until
 
-    def usable_ids(self, endpoint_ids: list[str], now_s: float) -> set[str]:
+    def usable_ids(
+        self, endpoint_ids: list[str], now_s: float, lost_ids: Collection[str] = ()
+    ) -> set[str]:
         """Returns the ids of endpoints that may be used.
 
-        At most ``MAX_EJECTED_SHARE`` of them are left out. If more are ejected, those
-        ejected first are used nevertheless.
+        At most ``MAX_LEFT_OUT_SHARE`` of them are left out. If more links are lost, all
+        are used through other instances; if more endpoints are ejected, those ejected
+        first are used nevertheless.
+
+        :param lost_ids: endpoints to which the links of this instance are lost.
         """
-        ejected = [item for item in endpoint_ids if self.is_ejected(item, now_s)]
+        limit = int(MAX_LEFT_OUT_SHARE * len(endpoint_ids))
+        left_out = set(lost_ids) if len(lost_ids) <= limit else set()
+        ejected = [
+            item
+            for item in endpoint_ids
+            if item not in left_out and self.is_ejected(item, now_s)
+        ]
         ejected.sort(key=lambda item: -self._record_by_id[item].ejected_since)
-        limit = int(MAX_EJECTED_SHARE * len(endpoint_ids))
-        return set(endpoint_ids) - set(ejected[:limit])
+        left_out.update(ejected[: limit - len(left_out)])
+        return set(endpoint_ids) - left_out
 
     def _record(self, endpoint_id: str) -> _Record:
         return self._record_by_id.setdefault(endpoint_id, _Record())
--- a/cicadacourse/reachability/_links.py
+++ b/cicadacourse/reachability/_links.py
@@ -15,7 +15,7 @@
 MAX_DENIALS = 2
 # From this many links on that were lost without any connection in between, this
 # instance counts as cut off from all endpoints.
-MIN_LOST_IN_A_ROW = 2
+MIN_IN_A_ROW = 2
 
 
 @attrs.define
@@ -129,6 +129,14 @@
         """Returns the links to endpoints that only other instances reach."""
         return [item for item in self._link_by_id.values() if item.is_lost]
 
+    @property
+    def are_most_failing(self) -> bool:
+        """Whether several links in a row have failed, and no connection was made since.
+
+        That may be the links or the endpoints.
+        """
+        return len(self._failed_in_a_row) >= MIN_IN_A_ROW
+
     @property
     def are_most_lost(self) -> bool:
         """Whether several links in a row are lost, so that the others may be as well.
@@ -137,7 +145,7 @@
         """
         links = (self._link_by_id.get(id) for id in self._failed_in_a_row)
         lost = sum(item is not None and item.is_lost for item in links)
-        return lost >= MIN_LOST_IN_A_ROW
+        return lost >= MIN_IN_A_ROW
 
     def record_connected(self, endpoint: Endpoint, now_s: float) -> None:
         """Records that a direct connection was made."""
--- a/cicadacourse/reachability/_service.py
+++ b/cicadacourse/reachability/_service.py
@@ -10,7 +10,7 @@
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.catalog import CatalogService, Endpoint, EndpointState
 from cicadacourse.config import InstanceSettings
-from cicadacourse.events import ENDPOINT_CHANGED, RESUMED_AFTER_PAUSE
+from cicadacourse.events import ENDPOINT_CHANGED, LINKS_CHANGED, RESUMED_AFTER_PAUSE
 from cicadacourse.membership import Member, MemberState
 from cicadacourse.peers import handles
 from cicadacourse.reachability._checks import EndpointChecks, try_connection
@@ -67,31 +67,30 @@
     def record_connected(self, endpoint: Endpoint) -> None:
         """Records that this instance has connected to an endpoint directly."""
         if self._is_registered(endpoint):
+            have_failed = self._links.have_failed
             self._links.record_connected(endpoint, now())
-            self._update()
+            if have_failed:
+                self._update(endpoint)
 
     def record_not_connected(self, endpoint: Endpoint) -> None:
         """Records that a direct connection to an endpoint could not be made."""
         if self._is_registered(endpoint):
             self._links.record_failed(endpoint, now())
-            self._update()
-            self._prober.wake()
+            self._update(endpoint)
 
     def record_reached_by_peer(self, endpoint: Endpoint, peer: str) -> None:
         """Records that another instance is connected to an endpoint."""
         self._peers.record_reached(peer, endpoint.id)
         if self._is_registered(endpoint):
             self._links.record_reached_by(endpoint, peer, now())
-            self._update()
-            self._prober.wake()
+            self._update(endpoint)
 
     def record_not_reached_by_peer(self, endpoint: Endpoint, peer: str) -> None:
         """Records that another instance can't connect to an endpoint, or is silent."""
         self._peers.record_failed(peer, endpoint.id)
         if self._is_registered(endpoint):
             self._links.record_not_reached_by(endpoint, peer, now())
-            self._update()
-            self._prober.wake()
+            self._update(endpoint)
 
     def is_lost(self, endpoint: Endpoint) -> bool:
         """Returns whether only other instances reach an endpoint, for all it knows."""
@@ -155,18 +154,20 @@
             if item.name != self._own_name and item.state is MemberState.ALIVE
         ]
 
-    def _update(self) -> None:
-        """Tells changes of the links."""
+    def _update(self, endpoint: Endpoint | None = None) -> None:
+        """Tells changes of the links, and tries connections if any are lost."""
         lost = self._links.lost()
         if self._report.update(lost, self._lost_share(len(lost))):
             self._facts.publish(self._report.share)
+        self._prober.wake()
+        self.app.events.emit(LINKS_CHANGED, endpoint)
 
     def _endpoints_to_try(self) -> list[list[Endpoint]]:
         """Returns the endpoints to which connections are tried in the background.
 
         They are those to which the links are lost, those of pools of which none can be
-        reached, and, if most links may be lost, those that were not tried since. Those
-        that were tried longest ago come first.
+        reached, and, if several have failed in a row, those that were not tried since.
+        Those that were tried longest ago come first.
         """
         if not self._links.have_failed:
             return []
@@ -177,7 +178,7 @@
         reachable_pools = {item.pool for item in reachable}
         blocked = [item for item in unreachable if item.pool not in reachable_pools]
         untried = []
-        if self._links.are_most_lost:
+        if self._links.are_most_failing:
             untried = [item for item in ready if not self._links.has_failed(item)]
         random.shuffle(untried)
         return [
