RECOVER: refuse requests at once while no instance reaches an endpoint of their pool

Cause: each request paid for connections that timed out until its deadline or the retry budget ended. Change: if the last connection to each ready endpoint of a pool failed, and all or two of the other instances that were asked since reach none either, requests are refused with 503 and Retry-After 1 s, also those that wait. Connections are tried in the background, so that this ends within 1 s after a link is back. An endpoint that was not tried counts as reachable.

--- a/cicadacourse/placement/_dispatcher.py
+++ b/cicadacourse/placement/_dispatcher.py
@@ -11,6 +11,7 @@
 from cicadacourse.placement._model import Candidate
 from cicadacourse.placement._pools import Pools
 from cicadacourse.placement._queue import WaitQueue
+from cicadacourse.placement._reach_gate import ReachGate
 from cicadacourse.util.clock import now
 
 # Range of the random interval at which queued long prompts are tried again. A change of
@@ -22,10 +23,13 @@
 class Dispatcher:
     """Places queued requests: short ones on a change, long ones at intervals."""
 
-    def __init__(self, queue: WaitQueue, chooser: Chooser, pools: Pools) -> None:
+    def __init__(
+        self, queue: WaitQueue, chooser: Chooser, pools: Pools, reach_gate: ReachGate
+    ) -> None:
         self._queue = queue
         self._chooser = chooser
         self._pools = pools
+        self._reach_gate = reach_gate
         self._is_scheduled = False
         self._is_release_scheduled = False
         self._recheck_timer: asyncio.TimerHandle | None = None
@@ -47,13 +51,18 @@
             asyncio.get_running_loop().call_soon(self._release)
 
     def _release(self) -> None:
-        """Ends the waits for endpoints that don't return in time or don't exist."""
+        """Ends the waits for endpoints that don't return in time or don't exist.
+
+        Endpoints to which no connection can be made are none either.
+        """
         self._is_release_scheduled = False
         names = {waiter.request.pool for waiter in self._queue}
+        unreachable = {name for name in names if self._reach_gate.find_refusal(name)}
         returns_at_by_pool = {name: self._pools.returns_at(name) for name in names}
         for waiter in self._queue:
             request = waiter.request_at(now())
-            if not may_wait(request, returns_at_by_pool[request.pool]):
+            may_stay = may_wait(request, returns_at_by_pool[request.pool])
+            if not may_stay or request.pool in unreachable:
                 waiter.placement.set_result(None)
 
     def schedule_recheck(self) -> None:
--- a/cicadacourse/placement/_errors.py
+++ b/cicadacourse/placement/_errors.py
@@ -11,6 +11,10 @@
 REASON_CONNECTIONS = "connections_in_use"
 REASON_LIMITS = "endpoint_limits"
 REASON_DECLINED = "endpoints_declined"
+REASON_UNREACHABLE = "endpoints_unreachable"
+# Connections to endpoints that nobody reaches are tried in the background; once the
+# links are back, that is known within this time.
+RETRY_AFTER_UNREACHABLE_S = 1.0
 # An earlier retry would find the same endpoints at their limits.
 MIN_RETRY_AFTER_LIMITED_S = 0.1
 
@@ -67,6 +71,16 @@
     )
 
 
+def pool_unreachable(pool: str) -> Error:
+    """Returns the error for a request while no endpoint can be connected to."""
+    return Error(
+        ErrorKind.NO_ENDPOINT,
+        f"no endpoint of pool {pool} is reached from here or through other instances",
+        reason=REASON_UNREACHABLE,
+        retry_after_s=RETRY_AFTER_UNREACHABLE_S,
+    )
+
+
 def deadline_unreachable(pool: str) -> Error:
     """Returns the error for a prompt that can't be prefilled before its deadline."""
     detail = f"pool {pool} cannot prefill the prompt before the deadline"
--- a/cicadacourse/placement/_service.py
+++ b/cicadacourse/placement/_service.py
@@ -17,6 +17,7 @@
     CATALOG_CHANGED,
     ENDPOINT_CHANGED,
     ENDPOINT_ENDED,
+    LINKS_CHANGED,
     LOAD_CHANGED,
 )
 from cicadacourse.load import LoadService
@@ -34,6 +35,7 @@
 from cicadacourse.placement._model import Placement, PlacementRequest
 from cicadacourse.placement._pools import Pools
 from cicadacourse.placement._queue import Waiter, WaitQueue
+from cicadacourse.placement._reach_gate import ReachGate
 from cicadacourse.util.clock import now
 
 QUEUED = declare("placement_waiting", "Requests queued for an endpoint, by pool.")
@@ -64,9 +66,13 @@
         self._chooser = Chooser(app, instance, self._ejections, self.declines)
         self._decline_gate = DeclineGate(self.declines, self._pools)
         self._limit_gate = LimitGate(app.get("limits"), self._chooser)
-        self._dispatcher = Dispatcher(self._queue, self._chooser, self._pools)
+        self._reach_gate = ReachGate(app)
+        self._dispatcher = Dispatcher(
+            self._queue, self._chooser, self._pools, self._reach_gate
+        )
         app.events.connect(LOAD_CHANGED, self._dispatcher.schedule)
         app.events.connect(CATALOG_CHANGED, self._dispatcher.schedule)
+        app.events.connect(LINKS_CHANGED, self._links_changed)
         app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
         app.events.connect(ENDPOINT_ENDED, self._endpoint_ended)
 
@@ -84,9 +90,9 @@
         Its assignments count as in progress while the context is open, and so does a
         connection to its endpoint. The result is a Failure if neither its pool nor
         another one that the configuration allows has a live endpoint, if the prompt
-        can't be prefilled before its deadline, if no endpoint accepts the request in
-        time, by its limit or as it declines requests, or if the time in the queue is
-        over.
+        can't be prefilled before its deadline, if no endpoint is reached, if none
+        accepts the request in time, by its limit or as it declines requests, or if the
+        time in the queue is over.
         """
         with contextlib.ExitStack() as tracking:
             yield await self._place(request, tracking)
@@ -168,6 +174,9 @@
         while True:
             # Its limits may have changed while the request was queued.
             pool = self._pools.current(waiter.request) or pool
+            refusal = self._reach_gate.find_refusal(pool.name)
+            if refusal is not None:
+                return Failure(refusal)
             if self._queue.is_next(waiter):
                 request = waiter.request_at(now())
                 candidates = self._chooser.candidates(pool)
@@ -271,6 +280,10 @@
     def _endpoint_ended(self, endpoint: Endpoint) -> None:
         self.report_transport_failure(endpoint.id, "ended")
 
+    def _links_changed(self, endpoint: Endpoint | None) -> None:
+        self._dispatcher.schedule_release()
+        self._schedule()
+
     def _declines_changed(self) -> None:
         self._dispatcher.schedule_release()
         self._schedule()
