RECOVER: a connection that can't be made takes no retry from the budget

Cause: callers of instances without links got 503 as the retry budget was spent on connections over which nothing was sent, while the budget is there to bound arrivals. Change: an attempt gives its retry back if nothing of it can have arrived. Attempts that were not sent stay bounded by MAX_REFUSALS and the deadline.

--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -49,6 +49,7 @@
     :ivar placement: where the request is sent; None until it is placed.
     :ivar progress: how far the attempt got.
     :ivar is_sent: whether the request was sent, or its reservations were refused.
+    :ivar has_arrived: whether the endpoint may have received anything of it.
     :ivar has_failed: whether the endpoint gave no usable response.
     :ivar waiting_since: since when it waits for data of its endpoint, loop time in
         seconds; None while it does not wait.
@@ -63,6 +64,7 @@
     placement: Placement | None = None
     progress: Progress = Progress.WAITING
     is_sent: bool = False
+    has_arrived: bool = False
     has_failed: bool = False
     waiting_since: float | None = None
     _events: EventReader = attrs.field(factory=EventReader)
@@ -134,7 +136,7 @@
             ) as reservations:
                 return Success(await self._send(placement, reservations))
         except ReservationRefused as refusal:
-            self.is_sent = True
+            self.is_sent = self.has_arrived = True
             self.has_failed = True
             self.reporter.report_reservation_refused(placement, refusal)
             return Success(False)
@@ -153,7 +155,7 @@
         )
         self.reporter.report_sent(placement, request)
         self.reporter.attempts.record_sent()
-        self.is_sent = True
+        self.is_sent = self.has_arrived = True
         sent_at = self.waiting_since = now()
         try:
             async with self.client.exchange(
@@ -177,6 +179,7 @@
         self.waiting_since = None
         if failure.is_withdrawn:
             self.is_sent = False
+        self.has_arrived = failure.may_have_run
         self.reporter.report_transport_failure(placement, failure, self.progress)
         await self._record_crash(placement, failure)
 
--- a/cicadacourse/gateway/_retries.py
+++ b/cicadacourse/gateway/_retries.py
@@ -42,11 +42,15 @@
         return None
 
     def settle(self, attempt: ExchangeAttempt) -> None:
-        """Takes the grant of an attempt back if it has ended without being sent."""
+        """Takes the grant of an attempt back if nothing of it has reached an endpoint.
+
+        The budget bounds what arrives at endpoints. The number of attempts is bounded
+        apart from it.
+        """
         if attempt not in self._charged_by_attempt:
             return
         pool = self._charged_by_attempt.pop(attempt)
-        if attempt.is_sent:
+        if attempt.has_arrived:
             return
         if pool is None:
             self._is_first_due = True
