RECOVER: a refused connection means the end of a process only if others are refused too

Cause: an instance whose links were reset while a request waited for its first event took the refused connection for a crash, blamed the request and told all others, which ejected endpoints that ran. Without another instance the own refusal is enough, without an answer it is not. The registry decides by itself as before.

--- a/cicadacourse/proxy/_client.py
+++ b/cicadacourse/proxy/_client.py
@@ -48,7 +48,12 @@
         current = self.app.get("catalog").registry.find(endpoint.id)
         if current is None or not current.is_same_process(endpoint):
             return True
-        return await self._connector.is_refused(endpoint)
+        if not await self._connector.is_refused(endpoint):
+            return False
+        reachability = self.app.find("reachability")
+        if reachability is None:
+            return True
+        return await reachability.is_refused_elsewhere(endpoint)
 
     def abort_exchanges(self, endpoint_id: str) -> None:
         """See :meth:`EndpointClient.abort_exchanges`."""
--- a/cicadacourse/reachability/_service.py
+++ b/cicadacourse/reachability/_service.py
@@ -105,6 +105,23 @@
         """
         return self._links.are_most_lost or self.is_lost(endpoint)
 
+    async def is_refused_elsewhere(self, endpoint: Endpoint) -> bool:
+        """Returns whether a process refuses the connections of other instances as well.
+
+        A link that is cut may refuse connections to a process that runs. True if there
+        is no other instance to ask.
+        """
+        self.record_not_connected(endpoint)
+        others = self._other_instances()
+        if not others:
+            members = self.app.get("membership").members()
+            others = [item for item in members if item.name != self._own_name]
+        if not others:
+            return True
+        shares = self._facts.share_by_instance()
+        peers = self._peers.order(endpoint.id, others, shares)
+        return await self._checks.is_refused_by_any(endpoint, peers)
+
     def has_connected_lately(self, endpoint: Endpoint) -> bool:
         """Returns whether this instance has made a connection within a second."""
         link = self._links.find(endpoint)
