--- a/cicadacourse/membership/_prober.py
+++ b/cicadacourse/membership/_prober.py
@@ -18,7 +18,7 @@
 from cicadacourse.membership._model import Member, MemberState
 from cicadacourse.membership._selection import choose_across_domains
 from cicadacourse.membership._settings import SUSPICIONS
-from cicadacourse.membership._tasks import Sleep
+from cicadacourse.membership._sleep import Sleep
 from cicadacourse.util.clock import now
 
 # Number of members to which a change of this instance is sent at once.
--- a/cicadacourse/membership/_service.py
+++ b/cicadacourse/membership/_service.py
@@ -26,9 +26,9 @@
 from cicadacourse.membership._records import Records
 from cicadacourse.membership._settings import PAUSES, MembershipSettings
 from cicadacourse.membership._syncer import Syncer
-from cicadacourse.membership._tasks import Tasks
 from cicadacourse.membership._view import MembershipView
 from cicadacourse.peers import handles
+from cicadacourse.util.tasks import Tasks
 
 # Period of the checks for a pause of this instance.
 _TICK_S = 0.25
@@ -48,7 +48,7 @@
         settings = app.settings.get(MembershipSettings)
         instance = app.settings.get(InstanceSettings)
         self.view = MembershipView()
-        self._tasks = Tasks()
+        self._tasks = Tasks("membership")
         self._records = Records(
             app, settings, OwnRecord(instance), self.view, self._announce_refutation
         )
--- a/cicadacourse/membership/_syncer.py
+++ b/cicadacourse/membership/_syncer.py
@@ -11,7 +11,7 @@
 from cicadacourse.membership._messages import SyncDigest, SyncHashes, SyncMembers
 from cicadacourse.membership._model import Member, MemberState
 from cicadacourse.membership._selection import choose_across_domains
-from cicadacourse.membership._tasks import Sleep
+from cicadacourse.membership._sleep import Sleep
 from cicadacourse.membership._view import bucket_hashes, bucket_of, digest
 from cicadacourse.util.clock import now
 
--- a/cicadacourse/membership/_tasks.py
+++ b/cicadacourse/util/tasks.py
@@ -1,22 +1,21 @@
-"""The tasks of the membership service."""
+"""Tasks that end with the service that started them."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import Any, Awaitable, Callable, Coroutine
+from typing import Any, Coroutine
 
 from cicadacourse.util.logging import get_logger
 
-logger = get_logger("membership")
-
-# Sleeps for some seconds.
-Sleep = Callable[[float], Awaitable[None]]
-
 
 class Tasks:
-    """Tasks that are cancelled when the service ends."""
+    """Tasks that are cancelled when the service ends.
+
+    :param part: the part of the instance whose log names failed tasks.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, part: str) -> None:
+        self._logger = get_logger(part)
         self._running: set[asyncio.Task[Any]] = set()
 
     def __len__(self) -> int:
@@ -38,4 +37,4 @@
     def _ended(self, task: asyncio.Task[Any]) -> None:
         self._running.discard(task)
         if not task.cancelled() and task.exception() is not None:
-            logger.error("task failed: {!r}", task.exception())
+            self._logger.error("task failed: {!r}", task.exception())
