--- a/cicadacourse/logs/__init__.py
+++ b/cicadacourse/logs/__init__.py
@@ -48,6 +48,13 @@
     RESERVATION_LEFT_TO_EXPIRE,
     RESERVATION_NOT_RENEWED,
 )
+from cicadacourse.logs._proxy import (
+    EXCHANGE_PROXIED,
+    PEER_NOT_USED,
+    PROXIED_ENDED,
+    PROXIED_OPENED,
+    PROXIED_REFUSED,
+)
 from cicadacourse.logs._quarantine import (
     PART_BLAMED,
     PART_CLEARED,
@@ -109,6 +116,7 @@
     "ENDPOINT_READMITTED",
     "ENDPOINT_RETRY_AFTER_REFUSED",
     "EVENTS_BY_TEXT",
+    "EXCHANGE_PROXIED",
     "FACTS_NOT_FETCHED",
     "FACTS_REFUSED",
     "FETCH_FAILED",
@@ -131,8 +139,12 @@
     "PART_BLAMED",
     "PART_CLEARED",
     "PART_SUSPECTED",
+    "PEER_NOT_USED",
     "PERMIT_UNAVAILABLE",
     "PLACEMENT_YIELDED",
+    "PROXIED_ENDED",
+    "PROXIED_OPENED",
+    "PROXIED_REFUSED",
     "READY",
     "RECORDS_TRIMMED",
     "REGISTRY_FETCHED",
