RECOVER: random histories of links that are cut

4 instances, 12 endpoints and 40 requests a second for 10 s, with cuts in series and overlapping, instances that freeze, end and leave, messages lost and duplicated, endpoints that crash, refuse and fall silent, and callers that leave. Checked from what callers and endpoints see: never twice, refusals that are true, whole answers to their own requests, answers in time, exchanges closed within 0.5 s after their callers, no endpoint taken for ended that another instance reaches, all served 6 s after the last fault.

--- a/tests/endpoint_links.py
+++ b/tests/endpoint_links.py
@@ -35,28 +35,49 @@
     REFUSE_NEW = "refuse new"
 
 
+@attrs.define(eq=False)
+class Exchange:
+    """A request at an endpoint; all times are loop times in seconds.
+
+    :param instance: the instance whose connection it arrived on.
+    :ivar closed_at: when the instance left it, None while it has not.
+    :ivar is_refused: whether the endpoint has said that it didn't run it.
+    """
+
+    request_id: str
+    instance: str
+    began_at: float = attrs.field(factory=now)
+    closed_at: float | None = None
+    is_refused: bool = False
+
+
 @attrs.define(eq=False)
 class Channel:
     """A connection of an instance to an endpoint's process, for several exchanges.
 
     :param made_at: when it was made, loop time in seconds.
     :ivar broken: set once the instance sees that the connection has ended.
+    :ivar exchange: the last exchange on it.
     """
 
     endpoint: Any
     link: EndpointLink
     made_at: float = attrs.field(factory=now)
     broken: asyncio.Event = attrs.field(factory=asyncio.Event)
+    exchange: Exchange | None = None
     _is_at_work: bool = False
     _idle_since: float | None = None
 
-    def begin(self) -> None:
+    def begin(self, request_id: str, instance: str) -> None:
         """Starts an exchange at the endpoint."""
+        self.exchange = Exchange(request_id, instance)
+        self.endpoint.exchanges.append(self.exchange)
         self._is_at_work = True
         self.endpoint.in_progress += 1
 
     def complete(self) -> None:
         """Ends an exchange whose response was read to its end."""
+        self._close_exchange()
         self._end()
         self._idle_since = now()
 
@@ -77,6 +98,7 @@
     def break_off(self) -> None:
         """Resets the connection; the endpoint sees it once the link passes data."""
         self.broken.set()
+        self._close_exchange()
         self.link.call_when_passing(self._end)
 
     def close(self) -> None:
@@ -84,6 +106,10 @@
         self.link.channels.discard(self)
         self.break_off()
 
+    def _close_exchange(self) -> None:
+        if self.exchange is not None and self.exchange.closed_at is None:
+            self.exchange.closed_at = now()
+
     def _end(self) -> None:
         if self._is_at_work:
             self._is_at_work = False
@@ -120,6 +146,11 @@
     _passing: asyncio.Event = attrs.field(factory=asyncio.Event)
     _waiting: list[Callable[[], None]] = attrs.field(factory=list)
 
+    @property
+    def is_cut(self) -> bool:
+        """Whether a fault is in force."""
+        return bool(self._faults)
+
     @property
     def is_hanging(self) -> bool:
         """Whether nothing passes."""
@@ -128,7 +159,7 @@
     @property
     def is_refusing(self) -> bool:
         """Whether new connections are refused."""
-        return bool(self._faults) and not self.is_hanging
+        return self.is_cut and not self.is_hanging
 
     def cut(self, fault: LinkFault) -> None:
         """Adds a fault, beside those that are in force."""
--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -34,6 +34,7 @@
     Channel,
     EndpointLink,
     EndpointLinks,
+    Exchange,
     LinkFault,
 )
 from tests.test_gateway.test_gateway_histories import CATALOG, HOST, FakeReply
@@ -99,7 +100,8 @@
     :ivar silent_until: until when it sends nothing, loop time in seconds.
     :ivar muted_at: connections that were open then stay silent for good.
     :ivar accepts_while_silent: whether it accepts connections while it is silent.
-    :ivar in_progress: exchanges that no instance has left yet.
+    :ivar in_progress: how many exchanges no instance has left yet.
+    :ivar exchanges: all exchanges.
     :ivar on_start: called with each request that it begins to answer.
     :ivar is_fatal: whether its process ends under a request, before it answers it.
     """
@@ -123,6 +125,7 @@
     in_progress: int = 0
     arrivals: list[Arrival] = attrs.field(factory=list)
     answers: list[Answer] = attrs.field(factory=list)
+    exchanges: list[Exchange] = attrs.field(factory=list)
     on_start: Callable[[SimulatedEndpoint, EndpointRequest], None] = lambda *_: None
     is_fatal: Callable[[EndpointRequest], bool] = lambda _: False
     ended: asyncio.Event = attrs.field(init=False, factory=asyncio.Event)
@@ -372,6 +375,8 @@
             raise SendFailure("lost", True, "broken", is_broken_off=True)
         head = endpoint.make_head()
         endpoint.answers.append(Answer(now(), self._own_name, head))
+        if head.never_ran and self._channel.exchange is not None:
+            self._channel.exchange.is_refused = True
         if not head.never_ran:
             endpoint.on_start(endpoint, request)
         first = first_number(request)
@@ -393,7 +398,7 @@
         link, endpoint = self._channel.link, self._channel.endpoint
         await link.passes()
         endpoint.arrivals.append(Arrival(now(), self._own_name, request))
-        self._channel.begin()
+        self._channel.begin(request.caller.id, self._own_name)
         work_s = ENDPOINT_LINK_S if endpoint.make_head().never_ran else endpoint.work_s
         await self._work(endpoint, request, work_s, self._channel.made_at)
         await link.passes()
@@ -472,6 +477,7 @@
     memory: MemoryCluster = attrs.field(init=False)
     frozen: set[str] = attrs.field(factory=set)
     replies: list[FakeReply] = attrs.field(factory=list)
+    reply_by_id: dict[str, FakeReply] = attrs.field(factory=dict)
     crashed_at: list[float] = attrs.field(factory=list)
     former_endpoints: list[SimulatedEndpoint] = attrs.field(factory=list)
     endpoint_loss: float = 0.0
@@ -480,6 +486,7 @@
     _reply_by_task: dict[str, dict[asyncio.Task[Any], FakeReply]] = attrs.field(
         factory=lambda: defaultdict(dict)
     )
+    _stopped: set[str] = attrs.field(factory=set)
     _killed_tasks: set[asyncio.Task[Any]] = attrs.field(factory=set)
     _chooser: random.Random = attrs.field(factory=lambda: random.Random(1))
     _numbers: itertools.count[int] = attrs.field(factory=itertools.count)
@@ -554,6 +561,7 @@
 
     async def kill(self, instance: str) -> None:
         """Ends an instance's process, with its connections to callers."""
+        self._stopped.add(instance)
         self.links.reset(instance)
         for task, reply in self._reply_by_task[instance].items():
             reply.caller_disconnected.set()
@@ -563,6 +571,7 @@
 
     async def leave(self, instance: str, drain_s: float = 1.0) -> None:
         """Shuts an instance down gracefully, after some seconds for its requests."""
+        self._stopped.add(instance)
         app = self.memory.application_by_name.pop(instance)
         app.get("gateway").leaving = True
         app.get("membership").set_leaving()
@@ -574,6 +583,13 @@
         self.memory.application_by_name[instance] = app
         await self.memory.stop(instance)
 
+    def is_running(self, instance: str) -> bool:
+        """Returns whether an instance runs; its name must be a known one."""
+        if instance in self.memory.application_by_name:
+            return True
+        assert instance in self._stopped
+        return False
+
     async def wait_until_thawed(self, instance: str) -> None:
         """Waits while an instance is suspended."""
         while instance in self._thawed_by_name:
@@ -598,6 +614,17 @@
             catalog_service.registry.put(item.endpoint)
         catalog_service.mark_registry_known()
 
+    def duplicate_messages(self, share: float) -> None:
+        """Lets a share of the calls between instances arrive twice."""
+        network = self.memory.network
+        network.default_link.duplicate_probability = share
+        for pair in list(network._link_by_pair):
+            network.link(*pair).duplicate_probability = share
+
+    def all_endpoints(self) -> list[SimulatedEndpoint]:
+        """Returns all endpoints, those whose processes have ended too."""
+        return [*self.endpoint_by_id.values(), *self.former_endpoints]
+
     def busiest_endpoint(self) -> SimulatedEndpoint:
         """Returns the endpoint that has got most requests."""
         endpoints = self.endpoint_by_id.values()
@@ -623,6 +650,7 @@
             silent_until=0.0,
             in_progress=0,
             arrivals=[],
+            exchanges=[],
         )
         self.former_endpoints.append(endpoint)
         del self.endpoint_by_id[former.id]
@@ -661,6 +689,7 @@
         )
         reply = reply or FakeReply()
         reply.arrived = now()
+        self.reply_by_id[request.id] = reply
         await self._handle(instance, request, reply)
         self.replies.append(reply)
         return reply
@@ -669,6 +698,9 @@
         self, instance: str, request: CallerRequest, reply: FakeReply
     ) -> None:
         """Lets an instance serve a request, until its process is killed."""
+        if not self.is_running(instance):
+            reply.abort()
+            return
         task = asyncio.current_task()
         assert task is not None
         reply_by_task = self._reply_by_task[instance]
--- a/tests/test_gateway/test_gateway_lost_links.py
+++ b/tests/test_gateway/test_gateway_lost_links.py
@@ -113,7 +113,7 @@
     """Checks that no request that isn't idempotent has reached endpoints twice."""
     ids = [
         arrival.request.caller.id
-        for endpoint in cluster.endpoint_by_id.values()
+        for endpoint in cluster.all_endpoints()
         for arrival in endpoint.arrivals
         if arrival.request.caller.target in ("/book/x", "/tell/x")
     ]
