--- a/tests/test_gateway/test_gateway_lost_links.py
+++ b/tests/test_gateway/test_gateway_lost_links.py
@@ -120,24 +120,38 @@
     assert len(ids) == len(set(ids))
 
 
+async def cut_off_for(
+    cluster: GatewayCluster,
+    cut_off: Sequence[str],
+    fault: LinkFault,
+    is_reset_after: bool = False,
+    seconds: float = CUT_S,
+    rate: float = RATE,
+) -> tuple[list[FirstTry], list[FirstTry]]:
+    """Cuts instances off from all endpoints under load, after some seconds of it.
+
+    :returns: the first tries while the cut must be dealt with, and those that came once
+        all must be well again.
+    """
+    warm_up = asyncio.create_task(send_for(cluster, 4.0, rate, seed=1))
+    await asyncio.sleep(3.0)
+    began, ended = now(), now() + seconds
+    cluster.cut(cut_off, fault, seconds=seconds, is_reset_after=is_reset_after)
+    tries = await send_for(cluster, seconds + RECOVERY_S + 2.0, rate)
+    await warm_up
+    check_sent_once(cluster)
+    check_all_left(cluster)
+    during = [item for item in tries if began + SETTLED_S <= item.at < ended]
+    return during, [item for item in tries if item.at >= ended + RECOVERY_S]
+
+
 async def _cut_off(
-    instances: int, cut_off: Sequence[str], fault: LinkFault, is_reset_after: bool
+    cut_off: Sequence[str], fault: LinkFault, is_reset_after: bool
 ) -> None:
-    async with gateway_cluster(instances, make_pools()) as cluster:
-        rate = RATE * instances / 6
-        warm_up = asyncio.create_task(send_for(cluster, 4.0, rate, seed=1))
-        await asyncio.sleep(3.0)
-        began = now()
-        cluster.cut(cut_off, fault, seconds=CUT_S, is_reset_after=is_reset_after)
-        tries = await send_for(cluster, CUT_S + RECOVERY_S + 2.0, rate)
-        await warm_up
-        ended = began + CUT_S
-        settled = [item for item in tries if began + SETTLED_S <= item.at < ended]
-        check_first_tries(settled, cut_off)
-        after = [item for item in tries if item.at >= ended + RECOVERY_S]
-        assert served_share(after) == 1.0
-        check_sent_once(cluster)
-        check_all_left(cluster)
+    async with gateway_cluster(6, make_pools()) as cluster:
+        during, after = await cut_off_for(cluster, cut_off, fault, is_reset_after)
+    check_first_tries(during, cut_off)
+    assert served_share(after) == 1.0
 
 
 FAULTS = [
@@ -160,7 +174,7 @@
 def test_instances_without_links_to_endpoints_serve_first_tries(
     cut_off: Sequence[str], fault: LinkFault, is_reset_after: bool
 ) -> None:
-    run(_cut_off, 6, cut_off, fault, is_reset_after)
+    run(_cut_off, cut_off, fault, is_reset_after)
 
 
 async def _serve_all(fault: LinkFault, is_reset_after: bool) -> None:
