RECOVER: find out soon that nobody reaches any endpoint, and not for kept connections

A single instance took reset links for the ends of processes. While endpoints counted as unreachable, kept connections to them could have worked, and nothing tried them again after these had ended. Change: after three failures in a row and no connection since, the endpoints of which nothing is known are tried 8 to 32 at a time, and two other instances are asked in parallel. A failure within a second is told without a new try. An endpoint with a kept connection counts as reachable. Without another instance, a refused connection counts only if another endpoint accepts one.

--- a/cicadacourse/reachability/_checks.py
+++ b/cicadacourse/reachability/_checks.py
@@ -64,12 +64,14 @@
         links = self.app.get("reachability")
         if not request.is_refused and links.has_connected_lately(endpoint):
             return EndpointChecked(is_reached=True)
+        if not request.is_refused and links.has_failed_lately(endpoint):
+            return _UNKNOWN
         connector: EndpointConnector = self.app.get("endpoint_connector")
         if request.is_refused and await connector.is_refused(endpoint):
-            return EndpointChecked(is_refused=await self._reaches_another(endpoint))
+            return EndpointChecked(is_refused=await self.reaches_another(endpoint))
         return EndpointChecked(is_reached=await try_connection(self.app, endpoint))
 
-    async def _reaches_another(self, refusing: Endpoint) -> bool:
+    async def reaches_another(self, refusing: Endpoint) -> bool:
         """Returns whether this instance connects to any other endpoint now.
 
         If it doesn't, its links may be lost, and a refused connection proves nothing.
--- a/cicadacourse/reachability/_links.py
+++ b/cicadacourse/reachability/_links.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+from typing import Sequence
+
 import attrs
 
 from cicadacourse.catalog import Endpoint
+from cicadacourse.membership import Member
 
 NEVER = float("-inf")
 # An answer of another instance counts this long for a link that fails after it.
 ANSWER_LIFETIME_S = 1.0
+# A connection that was made this long ago shows that there is a link.
+CONNECTED_LIFETIME_S = 0.25
 # So long after another instance has reached an endpoint, a third one may deny it.
-REACHED_LIFETIME_S = 3.0
+REACHED_LIFETIME_S = 1.0
 # Endpoints that so many other instances don't reach either are asked for no further.
 MAX_DENIALS = 2
 # From this many links on that were lost without any connection in between, this
@@ -92,6 +97,26 @@
             if len(self.denied_by) < MAX_DENIALS:
                 self.denied_by.add(peer)
 
+    def needs_answers(self, peers: int, now_s: float) -> bool:
+        """Returns whether another instance should be asked about the endpoint.
+
+        :param peers: the number of other instances that can be asked.
+        """
+        if now_s - self.checked_at >= ANSWER_LIFETIME_S:
+            return True
+        return self.reached_by is None and len(self.denied_by) < min(peers, MAX_DENIALS)
+
+    def choose_witnesses(self, peers: Sequence[Member]) -> list[Member]:
+        """Returns the instances to ask whether they reach the endpoint.
+
+        That is the one that has reached it last, else some that have not denied it yet.
+
+        :param peers: those that can be asked, the best first.
+        """
+        order = sorted(peers, key=lambda item: item.name in self.denied_by)
+        order.sort(key=lambda item: item.name != self.reached_by)
+        return order[: 1 if self.is_lost else MAX_DENIALS]
+
     def _forget_answers(self) -> None:
         self.reached_by = None
         self.denied_by.clear()
@@ -130,12 +155,12 @@
         return [item for item in self._link_by_id.values() if item.is_lost]
 
     @property
-    def are_most_failing(self) -> bool:
-        """Whether several links in a row have failed, and no connection was made since.
+    def failed_in_a_row(self) -> int:
+        """How many links have failed one after the other since any connection was made.
 
         That may be the links or the endpoints.
         """
-        return len(self._failed_in_a_row) >= MIN_IN_A_ROW
+        return len(self._failed_in_a_row)
 
     @property
     def are_most_lost(self) -> bool:
--- a/cicadacourse/reachability/_prober.py
+++ b/cicadacourse/reachability/_prober.py
@@ -1,14 +1,13 @@
 """Tries direct connections in the background while links to endpoints are lost.
 
-It keeps one try in progress at a time, so that a cut costs few connections with any
-number of endpoints. The first one that works shows that the cut may be over; then the
-others are tried soon, several at a time.
+It keeps one try of a lost link in progress at a time, so that a cut costs few
+connections with any number of endpoints. The first one that works shows that the cut
+may be over; then the others are tried soon, several at a time.
 """
 
 from __future__ import annotations
 
 import asyncio
-import itertools
 from typing import Awaitable, Callable, Sequence
 
 import attrs
@@ -23,21 +22,39 @@
 PERIOD_S = 0.25
 # Endpoints that are tried at a time once a connection was made.
 BATCH = 8
+# The same while nobody is known to reach any.
+MAX_BATCH = 32
+
+
+@attrs.frozen
+class ProbeGroup:
+    """Endpoints to which connections are tried.
+
+    :param endpoints: the next ones first.
+    :param batch: how many of them are tried at a time.
+    """
+
+    endpoints: Sequence[Endpoint]
+    batch: int = 1
+
+    @property
+    def next(self) -> Sequence[Endpoint]:
+        """The endpoints that are tried next."""
+        return self.endpoints[: self.batch]
 
 
 @attrs.define(eq=False)
 class LinkProber:
     """The task that tries direct connections.
 
-    :param choose: returns the groups of endpoints to try, which take turns, the
-        next one of each first; no group if no link is lost.
+    :param choose: returns the groups of endpoints to try; none if no link is lost.
     :param try_connection: tries to connect, records the outcome and returns whether it
         was made.
     :param on_try: called after each try.
     :param sleep: sleeps for some seconds.
     """
 
-    choose: Callable[[], Sequence[Sequence[Endpoint]]]
+    choose: Callable[[], Sequence[ProbeGroup]]
     try_connection: Callable[[Endpoint], Awaitable[bool]]
     on_try: Callable[[], None]
     sleep: Callable[[float], Awaitable[None]]
@@ -62,26 +79,24 @@
             await asyncio.gather(self._task, return_exceptions=True)
 
     async def _run(self) -> None:
-        for turn in itertools.count():
-            groups = self.choose()
-            if not groups:
-                return
-            endpoint = groups[turn % len(groups)][0]
-            if await self.try_connection(endpoint):
+        while groups := self.choose():
+            if await self._try_batch([item for group in groups for item in group.next]):
                 await self._try_all()
             self.on_try()
-            if self.choose():
+            if all(group.batch == 1 for group in groups):
                 await self.sleep(PERIOD_S)
 
     async def _try_all(self) -> None:
         """Tries the endpoints to which no link works, until none of a batch does."""
-        endpoints = [item for group in self.choose() for item in group]
+        endpoints = [item for group in self.choose() for item in group.endpoints]
         for start in range(0, len(endpoints), BATCH):
-            batch = endpoints[start : start + BATCH]
-            outcomes = await asyncio.gather(*map(self.try_connection, batch))
-            if not any(outcomes):
+            if not await self._try_batch(endpoints[start : start + BATCH]):
                 return
 
+    async def _try_batch(self, endpoints: Sequence[Endpoint]) -> bool:
+        """Tries some endpoints at the same time; returns whether any is connected."""
+        return any(await asyncio.gather(*map(self.try_connection, endpoints)))
+
     def _ended(self, task: asyncio.Task[None]) -> None:
         self._task = None
         if not task.cancelled() and task.exception() is not None:
--- a/cicadacourse/reachability/_service.py
+++ b/cicadacourse/reachability/_service.py
@@ -4,22 +4,27 @@
 
 import asyncio
 import contextlib
-import random
 from typing import AsyncIterator
 
 from cicadacourse.application import SERVICES, Application, Service
-from cicadacourse.catalog import CatalogService, Endpoint, EndpointState
+from cicadacourse.catalog import CatalogService, Endpoint
 from cicadacourse.config import InstanceSettings
 from cicadacourse.events import ENDPOINT_CHANGED, LINKS_CHANGED, RESUMED_AFTER_PAUSE
 from cicadacourse.membership import Member, MemberState
 from cicadacourse.peers import handles
 from cicadacourse.reachability._checks import EndpointChecks, try_connection
 from cicadacourse.reachability._facts import LossFacts
-from cicadacourse.reachability._links import ANSWER_LIFETIME_S, NEVER, Links
+from cicadacourse.reachability._links import (
+    ANSWER_LIFETIME_S,
+    CONNECTED_LIFETIME_S,
+    NEVER,
+    Links,
+)
 from cicadacourse.reachability._messages import CheckEndpoint, EndpointChecked
 from cicadacourse.reachability._peers import PeerChoice
 from cicadacourse.reachability._prober import LinkProber
 from cicadacourse.reachability._report import CUT_OFF_SHARE, LossReport
+from cicadacourse.reachability._targets import ProbeTargets
 from cicadacourse.util.clock import now
 
 
@@ -39,8 +44,9 @@
         self._facts = LossFacts(app.get("evidence"), instance.name)
         self._peers = PeerChoice(instance.failure_domain)
         self._checks = EndpointChecks(app)
+        self._targets = ProbeTargets(app, self._links)
         self._prober = LinkProber(
-            self._endpoints_to_try, self._probe, self._repeat, lambda s: self.sleep(s)
+            self._targets.choose, self._probe, self._repeat, lambda s: self.sleep(s)
         )
         app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
         app.events.connect(RESUMED_AFTER_PAUSE, self._resume)
@@ -108,8 +114,8 @@
     async def is_refused_elsewhere(self, endpoint: Endpoint) -> bool:
         """Returns whether a process refuses the connections of other instances as well.
 
-        A link that is cut may refuse connections to a process that runs. True if there
-        is no other instance to ask.
+        A link that is cut may refuse connections to a process that runs. If there is no
+        other instance to ask, another endpoint must accept a connection.
         """
         self.record_not_connected(endpoint)
         others = self._other_instances()
@@ -117,24 +123,30 @@
             members = self.app.get("membership").members()
             others = [item for item in members if item.name != self._own_name]
         if not others:
-            return True
+            return await self._checks.reaches_another(endpoint)
         shares = self._facts.share_by_instance()
         peers = self._peers.order(endpoint.id, others, shares)
         return await self._checks.is_refused_by_any(endpoint, peers)
 
     def has_connected_lately(self, endpoint: Endpoint) -> bool:
-        """Returns whether this instance has made a connection within a second."""
+        """Returns whether this instance has just made a connection."""
         link = self._links.find(endpoint)
         if link is None or link.has_failed:
             return False
-        return now() - link.connected_at < ANSWER_LIFETIME_S
+        return now() - link.connected_at < CONNECTED_LIFETIME_S
+
+    def has_failed_lately(self, endpoint: Endpoint) -> bool:
+        """Returns whether a connection could not be made within the last second."""
+        if not self._links.has_failed(endpoint):
+            return False
+        return now() - self.failed_at(endpoint) < ANSWER_LIFETIME_S
 
     def is_unreachable(self, endpoint: Endpoint) -> bool:
         """Returns whether neither this instance nor those it asked reach an endpoint.
 
         An endpoint that was not tried counts as reachable.
         """
-        return bool(self._select_unreachable([endpoint]))
+        return bool(self._targets.select_unreachable([endpoint]))
 
     def is_pool_unreachable(self, pool: str) -> bool:
         """Returns whether no ready endpoint of a pool is reachable, but there are some.
@@ -144,7 +156,11 @@
         if not self._links.have_failed:
             return False
         ready = self._catalog_service.registry.ready(pool)
-        return bool(ready) and len(self._select_unreachable(ready)) == len(ready)
+        if not ready or len(self._targets.select_unreachable(ready)) < len(ready):
+            return False
+        # A kept connection may have ended since the last change of a link.
+        self._prober.wake()
+        return True
 
     def failed_at(self, endpoint: Endpoint) -> float:
         """Returns when a direct connection failed last, loop time in seconds.
@@ -179,44 +195,20 @@
         self._prober.wake()
         self.app.events.emit(LINKS_CHANGED, endpoint)
 
-    def _endpoints_to_try(self) -> list[list[Endpoint]]:
-        """Returns the endpoints to which connections are tried in the background.
-
-        They are those to which the links are lost, those of pools of which none can be
-        reached, and, if several have failed in a row, those that were not tried since.
-        Those that were tried longest ago come first.
-        """
-        if not self._links.have_failed:
-            return []
-        ready = self._ready_endpoints()
-        lost = [item for item in ready if self.is_lost(item)]
-        unreachable = self._select_unreachable(ready)
-        reachable = set(ready).difference(unreachable)
-        reachable_pools = {item.pool for item in reachable}
-        blocked = [item for item in unreachable if item.pool not in reachable_pools]
-        untried = []
-        if self._links.are_most_failing:
-            untried = [item for item in ready if not self._links.has_failed(item)]
-        random.shuffle(untried)
-        return [
-            sorted(group, key=self.failed_at)
-            for group in (lost, blocked, untried)
-            if group
-        ]
-
     async def _probe(self, endpoint: Endpoint) -> bool:
-        """Tries a connection; if it fails, asks another instance once a second.
+        """Tries a connection; if it fails, asks others whether they reach the endpoint.
 
-        That is the one that has reached the endpoint last, if it is alive.
+        The one that has reached it last is asked first, if it is alive.
         """
         if await try_connection(self.app, endpoint):
             return True
         link = self._links.find(endpoint)
-        if link is not None and now() - link.checked_at >= ANSWER_LIFETIME_S:
-            peers = self.peers_for(endpoint)
-            peers.sort(key=lambda item: item.name != link.reached_by)
-            for peer in peers[:1]:
-                await self._checks.ask(peer, endpoint, is_refused=False)
+        peers = self.peers_for(endpoint)
+        if link is not None and link.needs_answers(len(peers), now()):
+            asked = link.choose_witnesses(peers)
+            await asyncio.gather(
+                *(self._checks.ask(item, endpoint, False) for item in asked)
+            )
         return False
 
     def _repeat(self) -> None:
@@ -224,29 +216,13 @@
         if self._report.lost_since is not None:
             self._facts.repeat(self._report.share)
 
-    def _select_unreachable(self, endpoints: list[Endpoint]) -> list[Endpoint]:
-        """Returns those that neither this instance nor those it asked reach."""
-        failed = [item for item in endpoints if self._links.has_failed(item)]
-        if not failed:
-            return []
-        peers = len(self._other_instances())
-        return [
-            item
-            for item in failed
-            if (link := self._links.find(item)) and link.is_unreachable(peers)
-        ]
-
-    def _ready_endpoints(self) -> list[Endpoint]:
-        endpoints = self._catalog_service.registry.all()
-        return [item for item in endpoints if item.state is EndpointState.READY]
-
     def _lost_share(self, lost: int) -> float:
         """Returns the share of the endpoints to which the links count as lost."""
         if not lost:
             return 0.0
         if self._links.are_most_lost:
             return 1.0
-        return min(1.0, lost / max(1, len(self._ready_endpoints())))
+        return min(1.0, lost / max(1, len(self._targets.ready())))
 
     def _is_registered(self, endpoint: Endpoint) -> bool:
         """Returns whether an endpoint is known still, so that its link is kept."""
