RECOVER: a connection that a peer kept doesn't show for long that it has a link

Cause: an instance that asked a peer in a cut of all instances was told of a connection that hung, believed for seconds that the endpoint is reached, and let requests of its pool through, each of which paid for connections. Change: a way over a kept connection of a peer counts until the next answer only, which is asked for at once.

--- a/cicadacourse/proxy/_ways.py
+++ b/cicadacourse/proxy/_ways.py
@@ -149,7 +149,9 @@
                 attempt.request, attempt.is_idempotent, timeout_s
             )
             if error is None:
-                self._reachability.record_reached_by_peer(endpoint, peer.name)
+                self._reachability.record_reached_by_peer(
+                    endpoint, peer.name, connection.is_kept
+                )
                 self.proxied.add(connection)
                 contexts.callback(self.proxied.discard, connection)
                 return OpenConnection(connection, contexts.pop_all())
--- a/cicadacourse/reachability/_links.py
+++ b/cicadacourse/reachability/_links.py
@@ -79,11 +79,16 @@
         self.has_failed = True
         self.failed_at = now_s
 
-    def record_reached_by(self, peer: str, now_s: float) -> None:
-        """Records that another instance reaches the endpoint."""
+    def record_reached_by(self, peer: str, now_s: float, is_kept: bool) -> None:
+        """Records that another instance reaches the endpoint.
+
+        :param is_kept: whether that is over a connection that it kept. Its link may be
+            lost as well, so this holds only until the next answer.
+        """
         self.reached_by = peer
-        self.denied_by.clear()
-        self.reached_at = self.checked_at = now_s
+        if not is_kept:
+            self.denied_by.clear()
+            self.reached_at = self.checked_at = now_s
 
     def record_not_reached_by(self, peer: str, now_s: float) -> None:
         """Records that another instance does not reach the endpoint.
@@ -184,9 +189,11 @@
             self._failed_in_a_row.add(endpoint.id)
         link.record_failed(now_s)
 
-    def record_reached_by(self, endpoint: Endpoint, peer: str, now_s: float) -> None:
+    def record_reached_by(
+        self, endpoint: Endpoint, peer: str, now_s: float, is_kept: bool
+    ) -> None:
         """Records that another instance reaches an endpoint."""
-        self._make(endpoint).record_reached_by(peer, now_s)
+        self._make(endpoint).record_reached_by(peer, now_s, is_kept)
 
     def record_not_reached_by(
         self, endpoint: Endpoint, peer: str, now_s: float
--- a/cicadacourse/reachability/_service.py
+++ b/cicadacourse/reachability/_service.py
@@ -84,11 +84,16 @@
             self._links.record_failed(endpoint, now())
             self._update(endpoint)
 
-    def record_reached_by_peer(self, endpoint: Endpoint, peer: str) -> None:
-        """Records that another instance is connected to an endpoint."""
+    def record_reached_by_peer(
+        self, endpoint: Endpoint, peer: str, is_kept: bool = False
+    ) -> None:
+        """Records that another instance is connected to an endpoint.
+
+        :param is_kept: whether over a connection that it kept, which may hang.
+        """
         self._peers.record_reached(peer, endpoint.id)
         if self._is_registered(endpoint):
-            self._links.record_reached_by(endpoint, peer, now())
+            self._links.record_reached_by(endpoint, peer, now(), is_kept)
             self._update(endpoint)
 
     def record_not_reached_by_peer(self, endpoint: Endpoint, peer: str) -> None:
--- a/cicadacourse/reachability/_targets.py
+++ b/cicadacourse/reachability/_targets.py
@@ -69,10 +69,11 @@
         undecided: list[Endpoint] = []
         if self._links.failed_in_a_row >= MIN_IN_A_ROW:
             undecided = list(reachable.difference(lost))
+        groups = [self._group(blocked)]
         if self._links.are_most_lost and self._has_fresh_answer(lost):
-            groups = [self._group([*lost, *blocked, *undecided])]
+            groups.append(self._group([*lost, *undecided]))
         else:
-            groups = [self._group([*lost, *blocked])]
+            groups.append(self._group(lost))
             groups.append(self._group(undecided, self._batch()))
         return [group for group in groups if group.endpoints]
 
