--- /dev/null
+++ b/cicadacourse/gateway/_endpoint_activity.py
@@ -0,0 +1,70 @@
+"""Which endpoints send data to this instance, and which are silent, by all exchanges.
+
+The expected load is a silence of one endpoint, of a few or of a whole pool. A request
+whose endpoint is silent looks for one that isn't, if there may be any.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from typing import Protocol
+
+import attrs
+
+# A pool is not silent as a whole if data came so lately. Longer than the pauses between
+# the responses to rare calls, shorter than a silence after which a stream is hedged.
+RECENT_DATA_S = 0.7
+
+
+class Exchange(Protocol):
+    """An exchange with an endpoint that may wait for data."""
+
+    @property
+    def endpoint_id(self) -> str | None:
+        """The id of its endpoint; None until it is placed."""
+
+    def silence_limit_at(self, now_s: float) -> float:
+        """Returns when it will have waited for data for too long, in loop time."""
+
+
+@attrs.define
+class EndpointActivity:
+    """The exchanges in progress, and when endpoints have last sent data."""
+
+    _exchanges: set[Exchange] = attrs.field(factory=set)
+    _data_at_by_id_by_pool: dict[str, dict[str, float]] = attrs.field(
+        factory=lambda: defaultdict(dict)
+    )
+
+    def add(self, exchange: Exchange) -> None:
+        """Adds an exchange that begins."""
+        self._exchanges.add(exchange)
+
+    def remove(self, exchange: Exchange) -> None:
+        """Removes an exchange that has ended."""
+        self._exchanges.discard(exchange)
+
+    def record_data(self, pool: str, endpoint_id: str, now_s: float) -> None:
+        """Records that an endpoint of a pool has sent data."""
+        self._data_at_by_id_by_pool[pool][endpoint_id] = now_s
+
+    def silent_ids(self, now_s: float) -> frozenset[str]:
+        """Returns the ids of endpoints with an exchange that is silent for too long."""
+        return frozenset(
+            item.endpoint_id
+            for item in self._exchanges
+            if item.endpoint_id is not None and item.silence_limit_at(now_s) <= now_s
+        )
+
+    def has_recent_data(
+        self, pool: str, other_than: frozenset[str], now_s: float
+    ) -> bool:
+        """Returns whether an endpoint of a pool has sent data lately.
+
+        :param other_than: ids of endpoints that don't count.
+        """
+        data_at_by_id = self._data_at_by_id_by_pool[pool]
+        for endpoint_id, at_s in list(data_at_by_id.items()):
+            if at_s < now_s - RECENT_DATA_S:
+                del data_at_by_id[endpoint_id]
+        return any(item not in other_than for item in data_at_by_id)
--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -9,14 +9,19 @@
 
 from cicadacourse.application import Application
 from cicadacourse.errors import Error
+from cicadacourse.events import ENDPOINT_SENT_DATA
 from cicadacourse.exchange import (
     EndpointClient,
     EndpointResponse,
     SendFailure,
 )
-from cicadacourse.gateway._admission import AdmittedRequest
+from cicadacourse.gateway._admission import (
+    ESTIMATE_TIMEOUT_FACTOR,
+    AdmittedRequest,
+)
 from cicadacourse.gateway._attempt_owner import AttemptOwner
 from cicadacourse.gateway._attempts import Progress
+from cicadacourse.gateway._endpoint_activity import EndpointActivity
 from cicadacourse.gateway._endpoint_request import build_request
 from cicadacourse.gateway._events import EventReader, cut_short_failure
 from cicadacourse.gateway._outcomes import OutcomeReporter
@@ -32,6 +37,8 @@
 # The head of a response is awaited until the deadline, which cancels the attempt. This
 # is added so that a head that is late can't count against its endpoint just before.
 HEAD_TIMEOUT_MARGIN_S = 1.0
+# Time for connecting and for what the estimate of a hedge's first event omits.
+HEDGE_MARGIN_S = 0.3
 
 # Whether the response is written, or the error if nothing was sent.
 AttemptResult: TypeAlias = Result[bool, Error]
@@ -46,6 +53,7 @@
 
     :param pool: the name of the pool that serves the request.
     :param owner: decides on the attempt and writes what it reads.
+    :param activity: knows which endpoints send data, by the exchanges of all requests.
     :ivar placement: where the request is sent; None until it is placed.
     :ivar progress: how far the attempt got.
     :ivar is_sent: whether the request was sent, or its reservations were refused.
@@ -61,6 +69,7 @@
     reporter: OutcomeReporter
     pool: str
     owner: AttemptOwner
+    activity: EndpointActivity
     placement: Placement | None = None
     progress: Progress = Progress.WAITING
     is_sent: bool = False
@@ -90,12 +99,40 @@
         :returns: loop time in seconds.
         """
         since = now_s if self.waiting_since is None else self.waiting_since
-        expected_s = 0.0
-        if self.placement is not None and self.progress is Progress.WAITING:
-            expected_s = self.placement.expected_first_event_s
+        is_waiting = self.progress is Progress.WAITING
+        expected_s = self._expected_s if is_waiting else 0.0
         time_left_s = self.admitted.deadline - since
         return since + self.admitted.hedging_delay_s(time_left_s, expected_s)
 
+    def hedge_limit_at(self, now_s: float) -> float:
+        """Returns when the next hedge should be made if no data come until then.
+
+        It follows a hedge sooner than a first attempt: a hedge has a new connection,
+        and its caller has waited for long.
+
+        :returns: loop time in seconds.
+        """
+        limit_at = self.silence_limit_at(now_s)
+        if not self.owner.is_hedge(self):
+            return limit_at
+        since = now_s if self.waiting_since is None else self.waiting_since
+        usual_s = HEDGE_MARGIN_S + ESTIMATE_TIMEOUT_FACTOR * self._expected_s
+        return min(limit_at, since + usual_s)
+
+    def late_limit_at(self, now_s: float) -> float:
+        """Returns when another endpoint is the last hope if no data come until then.
+
+        :returns: loop time in seconds, no earlier than :meth:`silence_limit_at`.
+        """
+        since = now_s if self.waiting_since is None else self.waiting_since
+        time_left_s = self.admitted.deadline - since
+        late_s = self.admitted.late_hedging_delay_s(time_left_s, self._expected_s)
+        return max(self.silence_limit_at(now_s), since + late_s)
+
+    @property
+    def _expected_s(self) -> float:
+        return self.placement.expected_first_event_s if self.placement else 0.0
+
     async def run(self) -> AttemptResult:
         """Makes the attempt."""
         time_left_s = self.admitted.deadline - now()
@@ -108,8 +145,9 @@
         request = self.admitted.placement_request(
             self.pool,
             now(),
-            self.reporter.attempts.failed_ids | self.owner.used_ids(self),
+            self._avoided_ids(),
             self.owner.last_event_at,
+            has_begun=self._has_begun(),
         )
         async with self._placer.place(request) as result:
             match result:
@@ -119,6 +157,25 @@
                     return Failure(error)
         raise AssertionError("a result is a success or a failure")
 
+    def _avoided_ids(self) -> frozenset[str]:
+        """Returns the ids of endpoints that are used only if there are no others.
+
+        A hedge also avoids those that are silent for other requests, unless all are:
+        then their kept connections may be silent and new ones work.
+        """
+        ids = self.reporter.attempts.failed_ids | self.owner.used_ids(self)
+        if not self.owner.is_hedge(self):
+            return ids
+        silent_ids = self.activity.silent_ids(now())
+        usable_ids = {item.id for item in self._placer.usable_endpoints(self.pool)}
+        return ids | silent_ids if usable_ids - ids - silent_ids else ids
+
+    def _has_begun(self) -> bool:
+        """Returns whether another attempt may have run or has sent events."""
+        may_have_run = self.reporter.attempts.may_have_run
+        is_further = may_have_run or self.owner.is_hedge(self)
+        return is_further or not self.owner.may_write_response()
+
     async def _make(self, placement: Placement) -> AttemptResult:
         self.placement = placement
         error = self.owner.confirm(self)
@@ -140,6 +197,9 @@
             self.has_failed = True
             self.reporter.report_reservation_refused(placement, refusal)
             return Success(False)
+        except SendFailure as failure:
+            await self._record_failure(placement, failure)
+            return Success(False)
 
     async def _send(
         self, placement: Placement, reservations: tuple[Reservation, ...]
@@ -157,6 +217,7 @@
         self.reporter.attempts.record_sent()
         self.is_sent = self.has_arrived = True
         sent_at = self.waiting_since = now()
+        self.activity.add(self)
         try:
             async with self.client.exchange(
                 request,
@@ -173,14 +234,19 @@
         except SendFailure as failure:
             await self._record_failure(placement, failure)
             return False
+        finally:
+            self.activity.remove(self)
 
     async def _record_failure(self, placement: Placement, failure: SendFailure) -> None:
         self.has_failed = True
+        silent_s = self.silent_s
         self.waiting_since = None
         if failure.is_withdrawn:
             self.is_sent = False
         self.has_arrived = failure.may_have_run
-        self.reporter.report_transport_failure(placement, failure, self.progress)
+        self.reporter.report_transport_failure(
+            placement, failure, self.progress, silent_s
+        )
         await self._record_crash(placement, failure)
 
     async def _handle_response(
@@ -235,7 +301,12 @@
         await self.owner.finish_stream(self, response.head)
 
     def _restart_wait(self) -> None:
+        """Records that data came and that the wait for more of them begins."""
         self.waiting_since = now()
+        if self.placement is not None:
+            endpoint = self.placement.endpoint
+            self.activity.record_data(endpoint.pool, endpoint.id, now())
+            self.app.events.emit(ENDPOINT_SENT_DATA, endpoint.id)
 
     async def _record_crash(self, placement: Placement, failure: SendFailure) -> None:
         """Blames the request if the endpoint has crashed before its first event."""
--- a/tests/test_gateway/test_gateway_silence.py
+++ b/tests/test_gateway/test_gateway_silence.py
@@ -19,6 +19,8 @@
 from returns.result import Failure
 
 from cicadacourse.errors import Error, ErrorKind
+from cicadacourse.exchange import ResponseHead
+from cicadacourse.gateway._admission import CALLER_IDLE_TIMEOUT_S
 from cicadacourse.util.clock import now
 from tests.gateway_cluster import (
     FOR_GOOD,
@@ -215,6 +217,30 @@
     run(_two_silent_for_good)
 
 
+async def _caller_still_there(is_crashing: bool) -> None:
+    async with gateway_cluster(1, make_pools(3)) as cluster:
+        task = asyncio.create_task(cluster.send("n0"))
+        first = await wait_for_server(cluster)
+        await asyncio.sleep(0.2)
+        first.fall_silent(FOR_GOOD)
+        if is_crashing:
+            exhaust_budget(cluster)
+            await asyncio.sleep(2.4)
+            cluster.memory.get("n0", "gateway").budget.slack = 100.0
+            cluster.crash(first)
+        else:
+            second = await wait_for_server(cluster, first)
+            second.fall_silent(FOR_GOOD)
+        check_whole(await task)
+        check_all_left(cluster)
+
+
+@pytest.mark.parametrize("is_crashing", [False, True])
+def test_a_stream_is_helped_as_long_as_its_caller_is_there(is_crashing: bool) -> None:
+    """A caller whose idle timeout should have passed was taken to have left."""
+    run(_caller_still_there, is_crashing)
+
+
 async def _not_idempotent(path: str) -> None:
     async with gateway_cluster(1, make_pools(3)) as cluster:
         task = asyncio.create_task(cluster.send("n0", path))
@@ -284,6 +310,104 @@
     run(_each_silent_twice, instances, endpoints, seconds)
 
 
+async def _count_sends(silence_s: float) -> float:
+    """Returns the sends for each request if all endpoints are silent together."""
+    endpoint_by_id = make_endpoints(18)
+    for endpoint in endpoint_by_id.values():
+        endpoint.events = EVENTS
+    async with gateway_cluster(6, endpoint_by_id) as cluster:
+        loop = asyncio.get_running_loop()
+        for gateway in cluster.memory.services("gateway"):
+            gateway.budget.started = float("-inf")
+        for endpoint in endpoint_by_id.values():
+            for after_s in (2.0, 5.0, 8.0):
+                loop.call_later(after_s, endpoint.fall_silent, silence_s)
+        replies = await cluster.load(24.0, 10.0)
+        for reply in replies:
+            check_whole(reply)
+        check_all_left(cluster)
+        sends = sum(len(item.arrivals) for item in endpoint_by_id.values())
+        return sends / len(replies)
+
+
+@pytest.mark.parametrize("silence_s", [1.0, 1.2, 1.5])
+def test_a_short_silence_of_all_endpoints_starts_few_hedges(silence_s: float) -> None:
+    """Each started a hedge after 1.0 s, so that 238 streams took up to 314 sends."""
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        assert runner.run(_count_sends(silence_s)) <= 1.05
+
+
+class TimedReply(FakeReply):
+    """Records the longest time for which its caller gets no event."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.last_at = now()
+        self.longest_gap_s = 0.0
+
+    def _record(self) -> None:
+        self.longest_gap_s = max(self.longest_gap_s, now() - self.last_at)
+        self.last_at = now()
+
+    async def start_stream(self, head: ResponseHead, data: bytes) -> None:
+        """Records the first events and their time."""
+        self._record()
+        await super().start_stream(head, data)
+
+    async def send_events(self, data: bytes) -> None:
+        """Records further events and their time."""
+        self._record()
+        await super().send_events(data)
+
+
+async def _one_can_help(is_muted: bool) -> None:
+    async with gateway_cluster(1, make_pools(3)) as cluster:
+        replies = [TimedReply() for _ in range(12)]
+        tasks = [
+            asyncio.create_task(cluster.send("n0", reply=reply)) for reply in replies
+        ]
+        await asyncio.sleep(0.2)
+        engines = [
+            item
+            for item in cluster.endpoint_by_id.values()
+            if item.endpoint.pool == "engines"
+        ]
+        for endpoint in engines if is_muted else engines[1:]:
+            if is_muted:
+                endpoint.mute_connections()
+            else:
+                endpoint.fall_silent(FOR_GOOD)
+        for reply in await asyncio.gather(*tasks):
+            check_whole(reply)
+        assert max(item.longest_gap_s for item in replies) < CALLER_IDLE_TIMEOUT_S
+        check_all_left(cluster)
+
+
+@pytest.mark.parametrize("is_muted", [False, True])
+def test_streams_that_one_endpoint_can_help_are_helped_before_callers_leave(
+    is_muted: bool,
+) -> None:
+    """Hedges went to endpoints that were silent for other requests."""
+    run(_one_can_help, is_muted)
+
+
+async def _one_of_many_is_silent() -> None:
+    async with gateway_cluster(1, make_pools(4)) as cluster:
+        load = asyncio.create_task(cluster.load(20.0, 3.0))
+        await asyncio.sleep(1.0)
+        cluster.busiest_endpoint().fall_silent(FOR_GOOD)
+        replies = await load
+        for reply in replies:
+            check_whole(reply)
+        assert any(took_s(reply) > STREAM_DELAY_S for reply in replies)
+        assert max(took_s(reply) for reply in replies) < STREAM_DELAY_S + 1.0
+        check_all_left(cluster)
+
+
+def test_a_silence_beside_endpoints_that_send_data_is_hedged_early() -> None:
+    run(_one_of_many_is_silent)
+
+
 async def _many_instances(instances: int) -> None:
     endpoint_by_id = make_endpoints(instances)
     for endpoint in endpoint_by_id.values():
