RECOVER: requests that have begun wait while no endpoint of their pool is reached

Cause: a stream that had begun was ended when the last endpoint of its pool became unreachable, though it could be resumed once a link is back. Change: it waits as it does for a pool without live endpoints, for as long as it might be queued. All others are refused at once as before. Result: test_a_stream_that_has_begun_waits_until_an_endpoint_is_reached passes; it fails if requests that have begun don't wait. tests/test_placement and test_gateway_lost_links_sizes.py pass.

--- a/cicadacourse/placement/_service.py
+++ b/cicadacourse/placement/_service.py
@@ -64,11 +64,11 @@
         self._ejections = Ejections(app, self._schedule)
         self.declines = Declines(app, self._declines_changed)
         self._pools = Pools(app.get("catalog"), self.declines)
-        self._pool_waits = PoolWaits(app, self._pools)
+        self._reach_gate = ReachGate(app)
+        self._pool_waits = PoolWaits(app, self._pools, self._reach_gate)
         self._chooser = Chooser(app, instance, self._ejections, self.declines)
         self._decline_gate = DeclineGate(self.declines, self._pools)
         self._limit_gate = LimitGate(app.get("limits"), self._chooser)
-        self._reach_gate = ReachGate(app)
         self._dispatcher = Dispatcher(
             self._queue, self._chooser, self._pools, self._reach_gate
         )
@@ -178,9 +178,8 @@
         while True:
             # Its limits may have changed while the request was queued.
             pool = self._pools.current(waiter.request) or pool
-            refusal = self._reach_gate.find_refusal(pool.name)
-            if refusal is not None:
-                return Failure(refusal)
+            if self._reach_gate.find_refusal(pool.name) is not None:
+                return None
             if self._queue.is_next(waiter):
                 request = waiter.request_at(now())
                 candidates = self._chooser.candidates(pool)
--- a/tests/test_placement/test_placement_unreachable.py
+++ b/tests/test_placement/test_placement_unreachable.py
@@ -114,3 +114,23 @@
 
 def test_nothing_is_refused_while_an_endpoint_may_be_reached() -> None:
     run(_something_works)
+
+
+async def _begun() -> None:
+    async with gateway_cluster(1, make_endpoints(2)) as cluster:
+        for endpoint in cluster.endpoint_by_id.values():
+            endpoint.events = 20
+        task = asyncio.create_task(cluster.send("n0"))
+        await asyncio.sleep(0.3)
+        end = cluster.cut(["n0"], LinkFault.RESET)
+        find_unreachable(cluster, "n0", cluster.endpoint_by_id.values())
+        await asyncio.sleep(0.8)
+        assert not task.done()
+        end()
+        reply = await task
+        assert (reply.status, reply.is_complete) == (200, True)
+
+
+def test_a_stream_that_has_begun_waits_until_an_endpoint_is_reached() -> None:
+    """A refusal would break it off, though it could be resumed a second later."""
+    run(_begun)
