RECOVER: a soak of instances that are cut off from endpoints

Real processes, some of which lose their links to all or some endpoints for 2 to 9 s beside restarts, freezes and changes of the keys: most or all of a failure domain, or some of any; connections hang (and go on or are reset), are reset, or only new ones are refused. Proxies know an instance by the address it connects from, and hold back or reset its connections; a file tells the instance's process which addresses it can't connect to, as a proxy accepts before it can refuse. Checked beside the usual: of first tries at instances cut off for 3 s or more, no more than 10 + 1 in 50 fail while another instance is well, and endpoints stop within 0.5 s (0.3 s more for a busy machine) after a caller has left.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -22,6 +22,7 @@
 from soak._environment import SoakEnvironment
 from soak._faults import FAULTS, inject_faults, plan_faults
 from soak._limit_scenario import LIMIT_FAULTS, run_limit_scenario
+from soak._partition_scenario import PARTITION_FAULTS, run_partition_scenario
 from soak._prompt_scenario import PROMPT_FAULTS, run_prompt_scenario
 from soak._request_scenario import REQUEST_FAULTS, run_request_scenario
 from soak._scenario import run_scenario
@@ -34,6 +35,7 @@
     "configurations": (run_configuration_scenario, CONFIGURATION_FAULTS),
     "declines": (run_decline_scenario, DECLINE_FAULTS),
     "limits": (run_limit_scenario, LIMIT_FAULTS),
+    "partitions": (run_partition_scenario, PARTITION_FAULTS),
     "prompts": (run_prompt_scenario, PROMPT_FAULTS),
     "requests": (run_request_scenario, REQUEST_FAULTS),
     "silence": (run_silence_scenario, SILENCE_FAULTS),
@@ -58,8 +60,8 @@
         default="faults",
         help="faults of all kinds, a configuration that changes each second,"
         " endpoints that name limits, prompts that crash engines, whole requests that"
-        " crash endpoints, endpoints and connections that fall silent, or endpoints"
-        " that leave or turn requests away",
+        " crash endpoints, endpoints and connections that fall silent, endpoints that"
+        " leave or turn requests away, or instances that are cut off from endpoints",
     )
     add("--kept", action="store_true", help="run every line of SEEDS.txt instead")
     add(
--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -146,9 +146,16 @@
         return attempts
 
     async def send(
-        self, kind: RequestKind, key: str, headers: Mapping[str, str] = NO_HEADERS
+        self,
+        kind: RequestKind,
+        key: str,
+        headers: Mapping[str, str] = NO_HEADERS,
+        leave_after_s: float = TIMEOUT_S + RESPONSE_GRACE_S,
     ) -> Attempt | None:
-        """Sends one attempt and returns it, or None if no connection opens."""
+        """Sends one attempt and returns it, or None if no connection opens.
+
+        :param leave_after_s: closes the connection if it has no whole response by then.
+        """
         connection = await self._connect()
         if connection is None:
             return None
@@ -163,7 +170,7 @@
         )
         response = None
         try:
-            async with asyncio.timeout(TIMEOUT_S + RESPONSE_GRACE_S):
+            async with asyncio.timeout(leave_after_s):
                 response = await read_response(connection.reader)
         except (TimeoutError, ConnectionError, asyncio.IncompleteReadError):
             self.close()
--- a/soak/_environment.py
+++ b/soak/_environment.py
@@ -13,6 +13,7 @@
 
 from cicadacourse.util.clock import now
 from soak._configurations import ConfigurationHistory
+from soak._cuts import Cuts
 from soak._fault_window import FaultWindow
 from soak._instances import InstanceProcess
 from soak._proxy import LinkState, Proxy, RateLimit
@@ -45,6 +46,7 @@
         instances then call each other through proxies.
     :param has_endpoint_links: whether each endpoint is reached through a proxy, which
         accepts connections also when the endpoint has ended.
+    :param is_partitionable: whether instances can be cut off from endpoints one by one.
     """
 
     size: int
@@ -52,6 +54,7 @@
     domains: tuple[str, ...] = DOMAINS
     link_bytes_per_s: float | None = None
     has_endpoint_links: bool = True
+    is_partitionable: bool = False
 
 
 @attrs.define(eq=False)
@@ -77,6 +80,7 @@
         for none.
     :ivar route_fields: fields that are added to each route or replaced.
     :ivar caller_limits: the limits on callers' connections, by their names there.
+    :ivar cuts: the cuts between instances and endpoints.
     """
 
     fleet: Fleet
@@ -96,8 +100,13 @@
     narrow_segment: str = ""
     route_fields: dict[str, Any] = attrs.field(factory=dict)
     caller_limits: dict[str, int] = attrs.field(factory=dict)
+    cuts: Cuts = attrs.field(init=False)
     _endpoints: itertools.count[int] = attrs.field(factory=itertools.count)
 
+    @cuts.default
+    def _make_cuts(self) -> Cuts:
+        return Cuts(self.link_by_endpoint_id)
+
     def random_for(self, name: str) -> Random:
         """Returns a generator for one caller, independent of what others draw."""
         return Random(f"{self.seed} {name}")
@@ -227,6 +236,7 @@
     link = Proxy(f"{host}:{free_port()}", fleet.store_address)
     domain = site.domains[number % len(site.domains)]
     instance = InstanceProcess(f"instance-{number}", domain, host, folder, link)
+    instance.is_partitionable = site.is_partitionable
     if site.link_bytes_per_s is not None:
         _limit_links(instance, site.link_bytes_per_s)
     return instance
--- a/soak/_instances.py
+++ b/soak/_instances.py
@@ -47,6 +47,7 @@
     :param store_link: the proxy between it and the store.
     :param peer_link: the proxy through which other instances call it; None if they
         call it directly.
+    :param is_partitionable: whether its connections to endpoints can be cut.
     :ivar fault_window: the faults on it and on its links.
     :ivar late_exits: how often its process did not exit in time after SIGTERM.
     :ivar bad_exits: exit statuses other than 0 after SIGTERM, of processes that had
@@ -61,6 +62,7 @@
     folder: pathlib.Path
     store_link: Proxy
     peer_link: Proxy | None = None
+    is_partitionable: bool = False
     caller_port: int = attrs.field(factory=free_port)
     peer_port: int = attrs.field(factory=free_port)
     ready_port: int = attrs.field(factory=free_port)
@@ -115,7 +117,14 @@
                 stderr=output,
             )
 
+    @property
+    def cuts(self) -> pathlib.Path:
+        """The file that names the addresses it can't connect to."""
+        return self.folder / f"{self.name}.cuts"
+
     def _command(self) -> tuple[str, ...]:
+        if self.is_partitionable:
+            return "soak._partitioned_instance", self.host, str(self.cuts), "serve"
         if self.peer_link is None:
             return "cicadacourse", "serve"
         return "soak._linked_instance", self.peer_link.target, "serve"
--- a/soak/_proxy.py
+++ b/soak/_proxy.py
@@ -54,9 +54,13 @@
 class _Forwarding:
     """A connection that is forwarded.
 
+    :param source: the IP address that it was made from.
+    :param writers: its two ends.
     :ivar is_silent: whether its bytes and its end are held back for good.
     """
 
+    source: str
+    writers: tuple[asyncio.StreamWriter, ...]
     is_silent: bool = False
 
 
@@ -73,6 +77,7 @@
     :param from_target_limit: limits the bytes from the target; None for no limit.
     :ivar delay_s: the delay of each chunk in the state ``DELAY``, in seconds.
     :ivar silenced_at: when its open connections fell silent, loop times in seconds.
+    :ivar blocked_sources: the IP addresses whose connections are cut both ways.
     """
 
     address: str
@@ -82,6 +87,7 @@
     delay_s: float = 0.1
     state: LinkState = LinkState.PASS
     silenced_at: list[float] = attrs.field(factory=list)
+    blocked_sources: set[str] = attrs.field(factory=set)
     _state_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
     _writers: set[asyncio.StreamWriter] = attrs.field(factory=set)
     _forwardings: set[_Forwarding] = attrs.field(factory=set)
@@ -104,11 +110,25 @@
     def set(self, state: LinkState) -> None:
         """Sets the state of the link, also for open connections; RESET aborts these."""
         self.state = state
-        self._state_changed.set()
-        self._state_changed = asyncio.Event()
+        self._notify()
         if state is LinkState.RESET:
             self._reset_all()
 
+    def block(self, source: str, is_blocked: bool) -> None:
+        """Cuts the connections from an IP address both ways, or ends the cut."""
+        if is_blocked:
+            self.blocked_sources.add(source)
+        else:
+            self.blocked_sources.discard(source)
+        self._notify()
+
+    def reset(self, source: str) -> None:
+        """Aborts the connections from an IP address."""
+        for forwarding in self._forwardings:
+            if forwarding.source == source:
+                for writer in forwarding.writers:
+                    writer.transport.abort()
+
     def silence_open_connections(self) -> None:
         """Holds back all bytes and ends of the open connections for good.
 
@@ -141,7 +161,8 @@
             writer.transport.abort()
             return
         self._writers.add(target_writer)
-        forwarding = _Forwarding()
+        source = writer.get_extra_info("peername")[0]
+        forwarding = _Forwarding(source, (writer, target_writer))
         self._forwardings.add(forwarding)
         to_target = self._copy_stream(
             forwarding, reader, target_writer, _BLOCKS_TO_TARGET, self.to_target_limit
@@ -187,13 +208,23 @@
                 writer.write(data)
                 await writer.drain()
             await self._wait_until_passing(forwarding, blocking_states)
+        while forwarding.source in self.blocked_sources:
+            await self._state_changed.wait()
 
     async def _wait_until_passing(
         self, forwarding: _Forwarding, blocking_states: frozenset[LinkState]
     ) -> None:
-        while forwarding.is_silent or self.state in blocking_states:
+        while (
+            forwarding.is_silent
+            or forwarding.source in self.blocked_sources
+            or self.state in blocking_states
+        ):
             await self._state_changed.wait()
 
+    def _notify(self) -> None:
+        self._state_changed.set()
+        self._state_changed = asyncio.Event()
+
     def _reset_all(self) -> None:
         for writer in list(self._writers):
             writer.transport.abort()
--- a/standins/platform/_worker.py
+++ b/standins/platform/_worker.py
@@ -97,6 +97,8 @@
     :ivar organisation_by_request: the organisation in each request's header, by
         request id; None without the header.
     :ivar in_progress: the number of requests in progress.
+    :ivar ended_at_by_request: when the work on each request ended, loop times in
+        seconds, by request id.
     :ivar request_limit: the requests per second that it takes from all instances
         together, which its responses name; None if they name none.
     :ivar arrivals: the requests that reached it, whether or not it ran them.
@@ -132,6 +134,7 @@
         self.runs_by_request: Counter[str] = Counter()
         self.organisation_by_request: dict[str, str | None] = {}
         self.in_progress = 0
+        self.ended_at_by_request: dict[str, float] = {}
         self.request_limit: float | None = None
         self.arrivals: list[Arrival] = []
         self.crashing_part_ids: set[str] = set()
--- a/standins/platform/_worker_http.py
+++ b/standins/platform/_worker_http.py
@@ -136,6 +136,7 @@
             return
         finally:
             worker.in_progress -= 1
+            worker.ended_at_by_request[self.request_id] = now()
 
     def _decline(self, retry_after_s: float) -> None:
         """Turns the request away; the endpoint wants no more for so many seconds."""
