--- a/cicadacourse/reachability/_service.py
+++ b/cicadacourse/reachability/_service.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import contextlib
+import random
 from typing import AsyncIterator
 
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.catalog import CatalogService, Endpoint, EndpointState
 from cicadacourse.config import InstanceSettings
-from cicadacourse.events import ENDPOINT_CHANGED, RESUMED_AFTER_PAUSE
+from cicadacourse.events import ENDPOINT_CHANGED, LINKS_CHANGED, RESUMED_AFTER_PAUSE
 from cicadacourse.membership import Member, MemberState
 from cicadacourse.peers import handles
 from cicadacourse.reachability._checks import EndpointChecks, try_connection
@@ -18,7 +19,7 @@
 from cicadacourse.reachability._messages import CheckEndpoint, EndpointChecked
 from cicadacourse.reachability._peers import PeerChoice
 from cicadacourse.reachability._prober import LinkProber
-from cicadacourse.reachability._report import LossReport
+from cicadacourse.reachability._report import CUT_OFF_SHARE, LossReport
 from cicadacourse.util.clock import now
 
 
@@ -51,6 +52,7 @@
         try:
             yield
         finally:
+            self._facts.stop()
             await self._prober.stop()
 
     async def sleep(self, delay_s: float) -> None:
@@ -65,31 +67,30 @@
     def record_connected(self, endpoint: Endpoint) -> None:
         """Records that this instance has connected to an endpoint directly."""
         if self._is_registered(endpoint):
+            have_failed = self._links.have_failed
             self._links.record_connected(endpoint, now())
-            self._update()
+            if have_failed:
+                self._update(endpoint)
 
     def record_not_connected(self, endpoint: Endpoint) -> None:
         """Records that a direct connection to an endpoint could not be made."""
         if self._is_registered(endpoint):
             self._links.record_failed(endpoint, now())
-            self._update()
-            self._prober.wake()
+            self._update(endpoint)
 
     def record_reached_by_peer(self, endpoint: Endpoint, peer: str) -> None:
         """Records that another instance is connected to an endpoint."""
         self._peers.record_reached(peer, endpoint.id)
         if self._is_registered(endpoint):
             self._links.record_reached_by(endpoint, peer, now())
-            self._update()
-            self._prober.wake()
+            self._update(endpoint)
 
     def record_not_reached_by_peer(self, endpoint: Endpoint, peer: str) -> None:
         """Records that another instance can't connect to an endpoint, or is silent."""
         self._peers.record_failed(peer, endpoint.id)
         if self._is_registered(endpoint):
             self._links.record_not_reached_by(endpoint, peer, now())
-            self._update()
-            self._prober.wake()
+            self._update(endpoint)
 
     def is_lost(self, endpoint: Endpoint) -> bool:
         """Returns whether only other instances reach an endpoint, for all it knows."""
@@ -141,6 +142,11 @@
         peers = self._other_instances()
         return self._peers.order(endpoint.id, peers, self._facts.share_by_instance())
 
+    def cut_off_instances(self) -> set[str]:
+        """Returns the names of the instances that have lost most links to endpoints."""
+        shares = self._facts.share_by_instance()
+        return {name for name, share in shares.items() if share >= CUT_OFF_SHARE}
+
     def _other_instances(self) -> list[Member]:
         return [
             item
@@ -148,17 +154,20 @@
             if item.name != self._own_name and item.state is MemberState.ALIVE
         ]
 
-    def _update(self) -> None:
-        """Tells changes of the links."""
+    def _update(self, endpoint: Endpoint | None = None) -> None:
+        """Tells changes of the links, and tries connections if any are lost."""
         lost = self._links.lost()
         if self._report.update(lost, self._lost_share(len(lost))):
             self._facts.publish(self._report.share)
+        self._prober.wake()
+        self.app.events.emit(LINKS_CHANGED, endpoint)
 
     def _endpoints_to_try(self) -> list[list[Endpoint]]:
         """Returns the endpoints to which connections are tried in the background.
 
         They are those to which the links are lost, those of pools of which none can be
-        reached, and, if most links may be lost, those that were not tried since.
+        reached, and, if several have failed in a row, those that were not tried since.
+        Those that were tried longest ago come first.
         """
         if not self._links.have_failed:
             return []
@@ -169,19 +178,28 @@
         reachable_pools = {item.pool for item in reachable}
         blocked = [item for item in unreachable if item.pool not in reachable_pools]
         untried = []
-        if self._links.are_most_lost:
+        if self._links.are_most_failing:
             untried = [item for item in ready if not self._links.has_failed(item)]
-        return [group for group in (lost, blocked, untried) if group]
+        random.shuffle(untried)
+        return [
+            sorted(group, key=self.failed_at)
+            for group in (lost, blocked, untried)
+            if group
+        ]
 
     async def _probe(self, endpoint: Endpoint) -> bool:
-        """Tries a connection; if it fails, asks another instance once a second."""
+        """Tries a connection; if it fails, asks another instance once a second.
+
+        That is the one that has reached the endpoint last, if it is alive.
+        """
         if await try_connection(self.app, endpoint):
             return True
         link = self._links.find(endpoint)
-        peers = self.peers_for(endpoint)
-        if link is not None and peers:
-            if now() - link.checked_at >= ANSWER_LIFETIME_S:
-                await self._checks.ask(peers[0], endpoint, is_refused=False)
+        if link is not None and now() - link.checked_at >= ANSWER_LIFETIME_S:
+            peers = self.peers_for(endpoint)
+            peers.sort(key=lambda item: item.name != link.reached_by)
+            for peer in peers[:1]:
+                await self._checks.ask(peer, endpoint, is_refused=False)
         return False
 
     def _repeat(self) -> None:
