--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -773,7 +773,11 @@
 async def gateway_cluster(
     instances: int, endpoint_by_id: dict[str, SimulatedEndpoint], seed: int = 1
 ) -> AsyncIterator[GatewayCluster]:
-    """Runs a cluster whose instances know each other."""
+    """Runs a cluster whose instances know each other.
+
+    :param seed: seeds the faults and all that is drawn at random.
+    """
+    random.seed(seed)
     cluster = GatewayCluster(endpoint_by_id)
     names = [f"n{number}" for number in range(instances)]
     async with memory_cluster(names, cluster.services(), seed=seed) as memory:
