--- a/cicadacourse/cmd/serve.py
+++ b/cicadacourse/cmd/serve.py
@@ -50,6 +50,7 @@
     "endpoint_connector",
     "endpoint_caller",
     "proxy",
+    "direct_memory_client",
     "memory_client",
     "reservations",
     "placement",
--- a/cicadacourse/logs/_placement.py
+++ b/cicadacourse/logs/_placement.py
@@ -109,3 +109,9 @@
     "The release of `ticket` failed at `endpoint`.",
     True,
 )
+ORDER_PROXIED = declare(
+    "reservations",
+    "KV-cache order sent by peer",
+    "The instance `peer` was asked to reserve or, if `is_release`, release `ticket` at"
+    " `endpoint`; `reason` says why it did not, null if it did.",
+)
--- a/cicadacourse/platform/__init__.py
+++ b/cicadacourse/platform/__init__.py
@@ -4,10 +4,9 @@
 
 Importing it registers its services: ``store`` is the client of the platform's store,
 ``feed`` follows its topics, ``contacts`` finds the other instances,
-``endpoint_connector``
-and ``memory_client`` send requests and orders to endpoints, ``ingress`` serves callers,
-and ``probes`` serves readiness probes, look-ups and scrapes. ``Publisher`` and
-``Caller`` are used by the operators' commands.
+``endpoint_connector`` and ``direct_memory_client`` send requests and orders to
+endpoints, ``ingress`` serves callers, and ``probes`` serves readiness probes, look-ups
+and scrapes. ``Publisher`` and ``Caller`` are used by the operators' commands.
 """
 
 from cicadacourse.platform._caller import Caller, RequestOutcome, RequestSpec
--- a/cicadacourse/platform/_kv_cache_client.py
+++ b/cicadacourse/platform/_kv_cache_client.py
@@ -24,11 +24,11 @@
 _OK = 200
 
 
-@SERVICES.register("memory_client")
+@SERVICES.register("direct_memory_client")
 class PlatformKvCacheClient(Service, KvCacheClient):
-    """Sends each order to an engine on a connection of its own."""
+    """Sends each order to an engine on a direct connection of its own."""
 
-    name = "memory_client"
+    name = "direct_memory_client"
 
     async def reserve(
         self, endpoint: Endpoint, reservation_id: str, tokens: int, hold_s: float
--- a/cicadacourse/reachability/_service.py
+++ b/cicadacourse/reachability/_service.py
@@ -27,6 +27,9 @@
 from cicadacourse.reachability._targets import ProbeTargets
 from cicadacourse.util.clock import now
 
+# How many instances are asked whether they reach an endpoint.
+MAX_ASKED = 2
+
 
 @SERVICES.register("reachability")
 class Reachability(Service):
@@ -128,6 +131,14 @@
         peers = self._peers.order(endpoint.id, others, shares)
         return await self._checks.is_refused_by_any(endpoint, peers)
 
+    async def is_reached_elsewhere(self, endpoint: Endpoint) -> bool:
+        """Returns whether one of the instances that are best to ask is connected."""
+        for peer in self.peers_for(endpoint)[:MAX_ASKED]:
+            answer = await self._checks.ask(peer, endpoint, is_refused=False)
+            if answer.is_reached:
+                return True
+        return False
+
     def has_connected_lately(self, endpoint: Endpoint) -> bool:
         """Returns whether this instance has just made a connection."""
         link = self._links.find(endpoint)
--- a/cicadacourse/reservations/_client.py
+++ b/cicadacourse/reservations/_client.py
@@ -11,7 +11,11 @@
 
 
 class KvCacheClient(abc.ABC):
-    """Reserves and releases KV cache; the service is named ``memory_client``."""
+    """Reserves and releases KV cache.
+
+    The service ``direct_memory_client`` uses the links of this instance only,
+    ``memory_client`` those of other instances too.
+    """
 
     @abc.abstractmethod
     async def reserve(
