--- a/cicadacourse/logs/__init__.py
+++ b/cicadacourse/logs/__init__.py
@@ -18,6 +18,7 @@
     INSTANCE_NOT_ANNOUNCED,
     INSTANCE_STARTED,
     INSTANCE_STOPPED,
+    INSTANCES_LEFT_OUT,
     INSTANCES_NOT_READ,
     MEMBER_DIED,
     MEMBER_LIVE,
@@ -48,6 +49,13 @@
     RESERVATION_LEFT_TO_EXPIRE,
     RESERVATION_NOT_RENEWED,
 )
+from cicadacourse.logs._proxy import (
+    EXCHANGE_PROXIED,
+    PEER_NOT_USED,
+    PROXIED_ENDED,
+    PROXIED_OPENED,
+    PROXIED_REFUSED,
+)
 from cicadacourse.logs._quarantine import (
     PART_BLAMED,
     PART_CLEARED,
@@ -56,6 +64,7 @@
     REQUEST_CLEARED,
     REQUEST_SUSPECTED,
 )
+from cicadacourse.logs._reachability import LINKS_LOST, LINKS_RESTORED
 from cicadacourse.logs._requests import (
     ATTEMPT_FAILED,
     ATTEMPT_SUPERSEDED,
@@ -109,10 +118,12 @@
     "ENDPOINT_READMITTED",
     "ENDPOINT_RETRY_AFTER_REFUSED",
     "EVENTS_BY_TEXT",
+    "EXCHANGE_PROXIED",
     "FACTS_NOT_FETCHED",
     "FACTS_REFUSED",
     "FETCH_FAILED",
     "HEDGE_DENIED",
+    "INSTANCES_LEFT_OUT",
     "INSTANCES_NOT_READ",
     "INSTANCE_ANNOUNCED",
     "INSTANCE_FAILED",
@@ -122,6 +133,8 @@
     "INSTANCE_STOPPED",
     "KV_CACHE_NOT_RESERVED",
     "KV_CACHE_RESERVED",
+    "LINKS_LOST",
+    "LINKS_RESTORED",
     "LogEvent",
     "MEMBER_DIED",
     "MEMBER_LIVE",
@@ -131,8 +144,12 @@
     "PART_BLAMED",
     "PART_CLEARED",
     "PART_SUSPECTED",
+    "PEER_NOT_USED",
     "PERMIT_UNAVAILABLE",
     "PLACEMENT_YIELDED",
+    "PROXIED_ENDED",
+    "PROXIED_OPENED",
+    "PROXIED_REFUSED",
     "READY",
     "RECORDS_TRIMMED",
     "REGISTRY_FETCHED",
