--- a/cicadacourse/cmd/serve.py
+++ b/cicadacourse/cmd/serve.py
@@ -49,6 +49,8 @@
     "relay",
     "endpoint_connector",
     "endpoint_caller",
+    "proxy",
+    "direct_memory_client",
     "memory_client",
     "reservations",
     "placement",
--- a/cicadacourse/gateway/_attempt.py
+++ b/cicadacourse/gateway/_attempt.py
@@ -15,6 +15,7 @@
     :ivar placement: where the request is sent; None until it is placed.
     :ivar progress: how far the attempt got.
     :ivar is_sent: whether the request was sent, or its reservations were refused.
+    :ivar has_arrived: whether the endpoint may have received anything of it.
     :ivar has_failed: whether the endpoint gave no usable response.
     """
 
@@ -22,6 +23,7 @@
     placement: Placement | None
     progress: Progress
     is_sent: bool
+    has_arrived: bool
     has_failed: bool
 
     @property
--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TypeAlias
 
 import attrs
@@ -39,6 +40,8 @@
 HEAD_TIMEOUT_MARGIN_S = 1.0
 # Time for connecting and for what the estimate of a hedge's first event omits.
 HEDGE_MARGIN_S = 0.3
+# The largest share of a pool that new requests avoid as it is silent for other ones.
+MAX_AVOIDED_SHARE = 0.4
 
 # Whether the response is written, or the error if nothing was sent.
 AttemptResult: TypeAlias = Result[bool, Error]
@@ -54,9 +57,11 @@
     :param pool: the name of the pool that serves the request.
     :param owner: decides on the attempt and writes what it reads.
     :param activity: knows which endpoints send data, by the exchanges of all requests.
+    :param pause_s: how long it waits before it begins, in seconds.
     :ivar placement: where the request is sent; None until it is placed.
     :ivar progress: how far the attempt got.
     :ivar is_sent: whether the request was sent, or its reservations were refused.
+    :ivar has_arrived: whether the endpoint may have received anything of it.
     :ivar has_failed: whether the endpoint gave no usable response.
     :ivar waiting_since: since when it waits for data of its endpoint, loop time in
         seconds; None while it does not wait.
@@ -69,9 +74,11 @@
     pool: str
     owner: AttemptOwner
     activity: EndpointActivity
+    pause_s: float = 0.0
     placement: Placement | None = None
     progress: Progress = Progress.WAITING
     is_sent: bool = False
+    has_arrived: bool = False
     has_failed: bool = False
     waiting_since: float | None = None
     _events: EventReader = attrs.field(factory=EventReader)
@@ -133,6 +140,8 @@
 
     async def run(self) -> AttemptResult:
         """Makes the attempt."""
+        if self.pause_s:
+            await asyncio.sleep(self.pause_s)
         time_left_s = self.admitted.deadline - now()
         refusal = await self._quarantine.find_refusal(self.admitted.keys, time_left_s)
         if refusal is not None:
@@ -145,7 +154,7 @@
             now(),
             self._avoided_ids(),
             self.owner.last_event_at,
-            has_begun=self._has_begun(),
+            has_begun=self.owner.is_hedge(self) or self.owner.has_begun(),
         )
         async with self._placer.place(request) as result:
             match result:
@@ -158,21 +167,25 @@
     def _avoided_ids(self) -> frozenset[str]:
         """Returns the ids of endpoints that are used only if there are no others.
 
-        These include those that are silent for other requests, unless all are: then
-        their kept connections may be silent and new ones work.
+        These include those that are silent for other requests, if they are few: a
+        silent exchange may be due to its connection, and the rest must not get all
+        requests. A hedge avoids them unless all are silent.
         """
         ids = self.reporter.attempts.failed_ids | self.owner.used_ids(self)
         silent_ids = self.activity.silent_ids(now())
+        return ids | silent_ids if self._may_avoid(silent_ids, ids) else ids
+
+    def _may_avoid(self, silent_ids: frozenset[str], other_ids: frozenset[str]) -> bool:
+        """Returns whether enough endpoints are left without the silent ones.
+
+        :param other_ids: ids of endpoints that are avoided in any case.
+        """
         if not silent_ids:
-            return ids
+            return False
         usable_ids = {item.id for item in self._placer.usable_endpoints(self.pool)}
-        return ids | silent_ids if usable_ids - ids - silent_ids else ids
-
-    def _has_begun(self) -> bool:
-        """Returns whether another attempt may have run or has sent events."""
-        may_have_run = self.reporter.attempts.may_have_run
-        is_further = may_have_run or self.owner.is_hedge(self)
-        return is_further or not self.owner.may_write_response()
+        if self.owner.is_hedge(self):
+            return bool(usable_ids - other_ids - silent_ids)
+        return len(usable_ids & silent_ids) <= MAX_AVOIDED_SHARE * len(usable_ids)
 
     async def _make(self, placement: Placement) -> AttemptResult:
         self.placement = placement
@@ -188,10 +201,11 @@
                 self.admitted.request.id,
                 placement.endpoint,
                 placement.reservation_plans,
+                lambda: self.silent_s,
             ) as reservations:
                 return Success(await self._send(placement, reservations))
         except ReservationRefused as refusal:
-            self.is_sent = True
+            self.is_sent = self.has_arrived = True
             self.has_failed = True
             self.reporter.report_reservation_refused(placement, refusal)
             return Success(False)
@@ -213,7 +227,7 @@
         )
         self.reporter.report_sent(placement, request)
         self.reporter.attempts.record_sent()
-        self.is_sent = True
+        self.is_sent = self.has_arrived = True
         sent_at = self.waiting_since = now()
         self.activity.add(self)
         try:
@@ -241,6 +255,7 @@
         self.waiting_since = None
         if failure.is_withdrawn:
             self.is_sent = False
+        self.has_arrived = failure.may_have_run
         self.reporter.report_transport_failure(
             placement, failure, self.progress, silent_s
         )
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -158,7 +158,7 @@
             return self.attempts.final_error() if may_have_run else result.failure()
         if not self._may_continue():
             return self.attempts.final_error()
-        self._start_attempt()
+        self._start_attempt(self.attempts.pause_s() if self.has_begun() else 0.0)
         return None
 
     async def _wait(self) -> list[ExchangeAttempt]:
@@ -181,7 +181,7 @@
         # has failed at the same time, so that a retry is due.
         return sorted(ended, key=lambda item: item.has_failed)
 
-    def _start_attempt(self) -> None:
+    def _start_attempt(self, pause_s: float = 0.0) -> None:
         attempt = ExchangeAttempt(
             self.app,
             self.admitted,
@@ -190,6 +190,7 @@
             self._pool,
             self,
             self.activity,
+            pause_s=pause_s,
         )
         self._task_by_attempt[attempt] = asyncio.create_task(attempt.run())
 
@@ -272,6 +273,10 @@
         """When the last event was forwarded, loop time in seconds, or None."""
         return self.times.last_at_s
 
+    def has_begun(self) -> bool:
+        """Returns whether a failed attempt may have run or events were written."""
+        return self.attempts.may_have_run or self.reply.started
+
     def may_write_response(self) -> bool:
         """Returns whether nothing has been written to the caller yet."""
         return not self.reply.started
--- a/cicadacourse/placement/_service.py
+++ b/cicadacourse/placement/_service.py
@@ -17,6 +17,7 @@
     CATALOG_CHANGED,
     ENDPOINT_CHANGED,
     ENDPOINT_ENDED,
+    LINKS_CHANGED,
     LOAD_CHANGED,
 )
 from cicadacourse.load import LoadService
@@ -35,6 +36,7 @@
 from cicadacourse.placement._pool_waits import PoolWaits
 from cicadacourse.placement._pools import Pools
 from cicadacourse.placement._queue import Waiter, WaitQueue
+from cicadacourse.placement._reach_gate import ReachGate
 from cicadacourse.util.clock import now
 
 QUEUED = declare("placement_waiting", "Requests queued for an endpoint, by pool.")
@@ -62,13 +64,17 @@
         self._ejections = Ejections(app, self._schedule)
         self.declines = Declines(app, self._declines_changed)
         self._pools = Pools(app.get("catalog"), self.declines)
-        self._pool_waits = PoolWaits(app, self._pools)
+        self._reach_gate = ReachGate(app)
+        self._pool_waits = PoolWaits(app, self._pools, self._reach_gate)
         self._chooser = Chooser(app, instance, self._ejections, self.declines)
         self._decline_gate = DeclineGate(self.declines, self._pools)
         self._limit_gate = LimitGate(app.get("limits"), self._chooser)
-        self._dispatcher = Dispatcher(self._queue, self._chooser, self._pools)
+        self._dispatcher = Dispatcher(
+            self._queue, self._chooser, self._pools, self._reach_gate
+        )
         app.events.connect(LOAD_CHANGED, self._dispatcher.schedule)
         app.events.connect(CATALOG_CHANGED, self._dispatcher.schedule)
+        app.events.connect(LINKS_CHANGED, self._links_changed)
         app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
         app.events.connect(ENDPOINT_ENDED, self._endpoint_ended)
 
@@ -87,9 +93,9 @@
         connection to its endpoint. The result is a Failure if neither its pool nor
         another one that the configuration allows has a live endpoint, for a request
         that has begun if none comes back while it might be queued; if the prompt
-        can't be prefilled before its deadline, if no endpoint accepts the request in
-        time, by its limit or as it declines requests, or if the time in the queue is
-        over.
+        can't be prefilled before its deadline, if no endpoint is reached, if none
+        accepts the request in time, by its limit or as it declines requests, or if the
+        time in the queue is over.
         """
         with contextlib.ExitStack() as tracking:
             yield await self._place(request, tracking)
@@ -167,11 +173,13 @@
     ) -> Result[Placement, Error] | None:
         """Returns a placement once the request is next and an endpoint is free.
 
-        :returns: None once the pool has no live endpoint.
+        :returns: None once the pool has no live endpoint, or none that is reached.
         """
         while True:
             # Its limits may have changed while the request was queued.
             pool = self._pools.current(waiter.request) or pool
+            if self._reach_gate.find_refusal(pool.name) is not None:
+                return None
             if self._queue.is_next(waiter):
                 request = waiter.request_at(now())
                 candidates = self._chooser.candidates(pool)
@@ -275,6 +283,10 @@
     def _endpoint_ended(self, endpoint: Endpoint) -> None:
         self.report_transport_failure(endpoint.id, "ended")
 
+    def _links_changed(self, endpoint: Endpoint | None) -> None:
+        self._dispatcher.schedule_release()
+        self._schedule()
+
     def _declines_changed(self) -> None:
         self._pool_waits.report_change()
         self._dispatcher.schedule_release()
