--- a/tests/test_gateway/test_gateway_refused_retries.py
+++ b/tests/test_gateway/test_gateway_refused_retries.py
@@ -45,11 +45,13 @@
     until = now() + seconds
 
     @contextlib.asynccontextmanager
-    async def connect_or_fail(*arguments: Any) -> AsyncIterator[EndpointConnection]:
+    async def connect_or_fail(
+        *arguments: Any, **options: Any
+    ) -> AsyncIterator[EndpointConnection]:
         if now() < until:
             await asyncio.sleep(ENDPOINT_LINK_S)
             raise SendFailure("connection refused", False, "unreachable")
-        async with connect(*arguments) as connection:
+        async with connect(*arguments, **options) as connection:
             yield connection
 
     connector.connect = connect_or_fail
