RECOVER: an instance that leaves finishes the exchanges that it carries for others

The graceful shutdown waited for its own callers' requests only, so a stream of another instance's caller was cut. The test of a leaving peer in tests/test_platform/test_platform_proxied.py failed before and passes; the others there run streams, calls and cancels over real sockets.

--- a/cicadacourse/platform/_ingress.py
+++ b/cicadacourse/platform/_ingress.py
@@ -156,7 +156,8 @@
     async def _wait_until_idle(self, deadline: float, idle_limit_s: float) -> None:
         """Waits until no request is in progress and none arrived for ``idle_limit_s``.
 
-        A request is in progress until its response has been passed to the system.
+        A request is in progress until its response has been passed to the system. An
+        exchange that is carried for another instance counts as one.
 
         :param deadline: when to stop waiting, loop time in seconds.
         :param idle_limit_s: how long no request must have arrived.
@@ -165,6 +166,7 @@
         while now() < deadline:
             idle_s = now() - max(started, self._last_request_at)
             is_done = not self._tasks and not self._is_writing()
+            is_done = is_done and not self.app.get("proxy").in_progress
             if is_done and idle_s > idle_limit_s:
                 return
             await asyncio.sleep(LEAVE_POLL_INTERVAL_S)
