RECOVER: explain follows a request to the peer that carried its exchange

The last line of a request may be the peer's, so the cause named the peer's restart in place of the serving instance's. Lost links are shown as context. Both tests failed before and pass.

--- a/cicadacourse/cmd/explain.py
+++ b/cicadacourse/cmd/explain.py
@@ -36,6 +36,8 @@
         logs.ENDPOINT_LEAVES,
         logs.INSTANCE_LEAVING,
         logs.INSTANCE_STARTED,
+        logs.LINKS_LOST,
+        logs.LINKS_RESTORED,
         logs.MEMBER_DIED,
         logs.RESUMED,
         logs.STORE_LOST,
@@ -43,6 +45,12 @@
     )
 ) | {LINES_DROPPED}
 
+# Lines of an instance that carries an exchange for the one that serves the request.
+PEER_EVENTS = frozenset(
+    event.text
+    for event in (logs.PROXIED_OPENED, logs.PROXIED_REFUSED, logs.PROXIED_ENDED)
+)
+
 
 @attrs.frozen
 class Line:
@@ -165,7 +173,13 @@
 
     :param lines: all lines of the instances, in order of time.
     """
-    request_lines = [line for line in lines if line.fields.get("request") == request]
+    request_lines = [
+        line
+        for line in lines
+        if line.fields.get("request") == request and line.event not in PEER_EVENTS
+    ]
+    if not request_lines:
+        return "only lines of instances that carried it for another are there"
     ends = [line for line in request_lines if line.event in CAUSE_BY_EVENT]
     if not ends:
         return _cause_without_end(request_lines, lines)
@@ -176,6 +190,7 @@
         return cause + attempt.format_map(_SentenceFields(failed[-1].fields))
     return (
         cause
+        + _describe_peer(request_lines)
         + _describe_unanswered_send(request_lines, ends[0])
         + _describe_late_first_event(request_lines, ends[0])
     )
@@ -185,6 +200,16 @@
     return [line for line in lines if line.event == event.text]
 
 
+def _describe_peer(request_lines: list[Line]) -> str:
+    """Names the instance through which the last attempt went, or returns no text."""
+    sent = _filter_by_event(logs.REQUEST_SENT, request_lines)
+    proxied = _filter_by_event(logs.EXCHANGE_PROXIED, request_lines)
+    if not proxied or (sent and proxied[-1].seconds < sent[-1].seconds):
+        return ""
+    template = "; {endpoint} was reached through {peer} ({reason})"
+    return template.format_map(_SentenceFields(proxied[-1].fields))
+
+
 def _describe_unanswered_send(request_lines: list[Line], end: Line) -> str:
     """Names the endpoint of the last attempt if it timed out, or returns no text."""
     sent = _filter_by_event(logs.REQUEST_SENT, request_lines)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -176,3 +176,75 @@
     path = tmp_path / "empty.log"
     path.write_text("")
     assert explain.main(["r1", str(path)]) == explain.EXIT_NOT_FOUND
+
+
+PROXIED_LINES = [
+    {
+        "time": "2026-01-01T00:00:03.0Z",
+        "instance": "a",
+        "event": "request sent",
+        "request": "r1",
+        "endpoint": "e1",
+        "waited_s": 0.0,
+        "expected_s": 0.1,
+    },
+    {
+        "time": "2026-01-01T00:00:03.1Z",
+        "instance": "b",
+        "event": "proxied exchange opened",
+        "request": "r1",
+        "endpoint": "e1",
+        "sender": "a",
+    },
+    {
+        "time": "2026-01-01T00:00:03.2Z",
+        "instance": "a",
+        "event": "exchange goes through peer",
+        "request": "r1",
+        "endpoint": "e1",
+        "peer": "b",
+        "reason": "lost",
+    },
+    {
+        "time": "2026-01-01T00:00:05.0Z",
+        "instance": "b",
+        "event": "proxied exchange ended",
+        "request": "r1",
+        "endpoint": "e1",
+        "sender": "a",
+        "outcome": "complete",
+    },
+]
+RESTARTED_LINE = {
+    "time": "2026-01-01T00:00:06.0Z",
+    "instance": "a",
+    "event": "instance started",
+}
+ENDED_LINE = {
+    "time": "2026-01-01T00:00:04.0Z",
+    "instance": "a",
+    "event": "request ended",
+    "request": "r1",
+    "outcome": "answered",
+    "took_s": 1.0,
+}
+
+
+def test_explain_follows_a_request_to_the_peer_that_carried_it() -> None:
+    """The last line of a request may be the peer's, which didn't end it."""
+    rows = [json.dumps(row) for row in [*PROXIED_LINES, ENDED_LINE]]
+    lines = explain.parse_lines(rows)
+    shown = [(line.instance, line.event) for line in explain.select_lines("r1", lines)]
+    assert ("b", "proxied exchange opened") in shown
+    assert ("b", "proxied exchange ended") in shown
+    cause = explain.find_cause("r1", lines)
+    assert cause.startswith("ended as answered after 1.0 s")
+    assert cause.endswith("; e1 was reached through b (lost)")
+
+
+def test_explain_finds_the_restart_of_the_instance_that_served_not_of_its_peer() -> (
+    None
+):
+    rows = [json.dumps(row) for row in [*PROXIED_LINES, RESTARTED_LINE]]
+    cause = explain.find_cause("r1", explain.parse_lines(rows))
+    assert cause.startswith("a ended without a log line")
