--- a/cicadacourse/events.py
+++ b/cicadacourse/events.py
@@ -18,7 +18,7 @@
 CATALOG_CHANGED = "catalog-changed"
 # The endpoint, in its state before or after the change.
 ENDPOINT_CHANGED = "endpoint-changed"
-# The endpoint, whose process another instance has seen ended.
+# The endpoint, whose process this instance or another one has seen ended.
 ENDPOINT_ENDED = "endpoint-ended"
 # The id of the endpoint, which has sent a part of a response.
 ENDPOINT_SENT_DATA = "endpoint-sent-data"
--- a/cicadacourse/placement/_ejections.py
+++ b/cicadacourse/placement/_ejections.py
@@ -62,6 +62,13 @@
         for_s = self.health.record_transport_failure(endpoint_id, now())
         self._record_ejection(endpoint_id, for_s, reason)
 
+    def report_ended(self, endpoint: Endpoint) -> None:
+        """Records that the process of an endpoint has ended."""
+        current = self._catalog_service.registry.find(endpoint.id)
+        if current is not None and current.is_same_process(endpoint):
+            for_s = self.health.record_ended(endpoint.id, now())
+            self._record_ejection(endpoint.id, for_s, "ended")
+
     def report_error_response(self, endpoint_id: str) -> None:
         """Records that an endpoint responded with an error."""
         for_s = self.health.record_error_response(endpoint_id, now())
--- a/cicadacourse/placement/_health.py
+++ b/cicadacourse/placement/_health.py
@@ -31,6 +31,9 @@
 # The largest share of a pool that is left out. More failures at the same time point to
 # a fault of this instance or its network, and the rest could not carry the load.
 MAX_LEFT_OUT_SHARE = 0.4
+# How long an endpoint whose process has ended gets no requests, unless its entry
+# changes before. Nothing can be sent to it, so the largest share doesn't count.
+ENDED_S = 10.0
 
 
 @attrs.define
@@ -38,6 +41,7 @@
     """The failures of one endpoint; ``ejected_...`` are loop times in seconds.
 
     :ivar ejection_s: the seconds of the last ejection for a failure.
+    :ivar ended_until: until when its process counts as ended.
     """
 
     failure_share: float = 0.0
@@ -45,6 +49,7 @@
     ejection_s: float = 0.0
     ejected_until: float = 0.0
     ejected_since: float = 0.0
+    ended_until: float = 0.0
 
 
 class EndpointHealth:
@@ -58,6 +63,16 @@
         record = self._record(endpoint_id)
         record.failure_share *= 1 - FAILURE_SHARE_WEIGHT
         record.samples += 1
+        record.ended_until = 0.0
+
+    def record_ended(self, endpoint_id: str, now_s: float) -> float:
+        """Records that the process of an endpoint has ended.
+
+        :returns: as :meth:`record_transport_failure`.
+        """
+        record = self._record(endpoint_id)
+        record.ended_until = now_s + ENDED_S
+        return self._eject(record, now_s)
 
     def record_error_response(self, endpoint_id: str, now_s: float) -> float:
         """Records an error response.
@@ -109,12 +124,16 @@
 
         At most ``MAX_LEFT_OUT_SHARE`` of them are left out. If more links are lost, all
         are used through other instances; if more endpoints are ejected, those ejected
-        first are used nevertheless.
+        first are used nevertheless. Those whose processes have ended are left out in
+        any case, unless all have.
 
         :param lost_ids: endpoints to which the links of this instance are lost.
         """
+        running = [item for item in endpoint_ids if not self._has_ended(item, now_s)]
+        endpoint_ids = running or endpoint_ids
+        lost_ids = set(lost_ids).intersection(endpoint_ids)
         limit = int(MAX_LEFT_OUT_SHARE * len(endpoint_ids))
-        left_out = set(lost_ids) if len(lost_ids) <= limit else set()
+        left_out = lost_ids if len(lost_ids) <= limit else set()
         ejected = [
             item
             for item in endpoint_ids
@@ -124,6 +143,10 @@
         left_out.update(ejected[: limit - len(left_out)])
         return set(endpoint_ids) - left_out
 
+    def _has_ended(self, endpoint_id: str, now_s: float) -> bool:
+        record = self._record_by_id.get(endpoint_id)
+        return record is not None and now_s < record.ended_until
+
     def _record(self, endpoint_id: str) -> _Record:
         return self._record_by_id.setdefault(endpoint_id, _Record())
 
--- a/cicadacourse/placement/_service.py
+++ b/cicadacourse/placement/_service.py
@@ -281,7 +281,7 @@
         self._schedule()
 
     def _endpoint_ended(self, endpoint: Endpoint) -> None:
-        self.report_transport_failure(endpoint.id, "ended")
+        self._ejections.report_ended(endpoint)
 
     def _links_changed(self, endpoint: Endpoint | None) -> None:
         self._dispatcher.schedule_release()
--- a/cicadacourse/quarantine/_service.py
+++ b/cicadacourse/quarantine/_service.py
@@ -12,6 +12,7 @@
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.catalog import Endpoint
 from cicadacourse.errors import Error
+from cicadacourse.events import ENDPOINT_ENDED
 from cicadacourse.evidence import Evidence, Fact
 from cicadacourse.exchange import EndpointClient, ResponseHead
 from cicadacourse.limits import Permits
@@ -192,6 +193,7 @@
         has_begun: bool,
     ) -> None:
         if await ended.has_ended(endpoint):
+            self.app.events.emit(ENDPOINT_ENDED, endpoint)
             self.record_crash(endpoint, keys, has_begun)
 
     async def _try_pass(self, keys: RequestKeys) -> tuple[str | None, float]:
--- a/tests/test_placement/test_placement_health.py
+++ b/tests/test_placement/test_placement_health.py
@@ -78,3 +78,22 @@
     assert budget.try_acquire_retry("p", 1, now_s=0.0)
     assert not budget.try_acquire_retry("p", 1, now_s=9.0)
     assert budget.try_acquire_retry("p", 1, now_s=10.5)
+
+
+def test_endpoints_that_have_ended_are_left_out_beyond_the_largest_share() -> None:
+    """The cap on ejections kept processes in use that were known to have ended."""
+    health = EndpointHealth()
+    for endpoint_id in IDS[:4]:
+        health.record_ended(endpoint_id, now_s=10.0)
+    assert health.usable_ids(IDS, now_s=10.1) == {"e4"}
+    health.record_success("e0")
+    assert health.usable_ids(IDS, now_s=10.1) == {"e0", "e4"}
+    assert health.usable_ids(IDS, now_s=30.0) == set(IDS)
+
+
+def test_a_pool_all_of_whose_endpoints_have_ended_is_used_nevertheless() -> None:
+    """They may have been taken for ended wrongly, and there is no other."""
+    health = EndpointHealth()
+    for endpoint_id in IDS:
+        health.record_ended(endpoint_id, now_s=10.0)
+    assert len(health.usable_ids(IDS, now_s=10.1)) == 3
--- a/tests/test_quarantine/test_quarantine_lost_links.py
+++ b/tests/test_quarantine/test_quarantine_lost_links.py
@@ -93,7 +93,7 @@
         cluster.crash(endpoint)
         await asyncio.sleep(KNOWN_S)
         assert blamed_keys(cluster)
-        awake = instances - 1 - len(silent)
+        awake = instances - len(silent)
         assert len([id for _, id in ended if id == endpoint.endpoint.id]) == awake
         assert all(at <= crashed_at + KNOWN_S for at, _ in ended)
         for name in silent:
