--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -101,11 +101,20 @@
             self._start_attempt()
             return await self._await_response()
         except asyncio.CancelledError:
+            self._report_silent_attempts()
             self._cancel(list(self._task_by_attempt))
             raise
         finally:
             await self._end_attempts()
 
+    def _report_silent_attempts(self) -> None:
+        """Reports endpoints that were silent to the end while others sent data."""
+        for attempt in self._task_by_attempt:
+            is_overdue = now() >= attempt.silence_limit_at(now())
+            ids = frozenset({attempt.endpoint_id or ""})
+            if is_overdue and self.activity.has_recent_data(self._pool, ids, now()):
+                self._reporter.report_silent(attempt)
+
     async def _await_response(self) -> Error | None:
         """Starts further attempts until one has written the response or none may."""
         while True:
@@ -148,7 +157,7 @@
             return self.attempts.final_error() if may_have_run else result.failure()
         if not self._may_continue():
             return self.attempts.final_error()
-        self._start_attempt()
+        self._start_attempt(self.attempts.pause_s() if self.has_begun() else 0.0)
         return None
 
     async def _wait(self) -> list[ExchangeAttempt]:
@@ -171,7 +180,7 @@
         # has failed at the same time, so that a retry is due.
         return sorted(ended, key=lambda item: item.has_failed)
 
-    def _start_attempt(self) -> None:
+    def _start_attempt(self, pause_s: float = 0.0) -> None:
         attempt = ExchangeAttempt(
             self.app,
             self.admitted,
@@ -180,6 +189,7 @@
             self._pool,
             self,
             self.activity,
+            pause_s=pause_s,
         )
         self._task_by_attempt[attempt] = asyncio.create_task(attempt.run())
 
@@ -262,6 +272,10 @@
         """When the last event was forwarded, loop time in seconds, or None."""
         return self.times.last_at_s
 
+    def has_begun(self) -> bool:
+        """Returns whether a failed attempt may have run or events were written."""
+        return self.attempts.may_have_run or self.reply.started
+
     def may_write_response(self) -> bool:
         """Returns whether nothing has been written to the caller yet."""
         return not self.reply.started
--- a/tests/test_gateway/test_gateway_silence.py
+++ b/tests/test_gateway/test_gateway_silence.py
@@ -20,7 +20,8 @@
 
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.exchange import ResponseHead
-from cicadacourse.gateway._admission import CALLER_IDLE_TIMEOUT_S
+from cicadacourse.gateway._admission import CALLER_IDLE_TIMEOUT_S, SHORT_SILENCE_S
+from cicadacourse.placement._budget import USABLE_SHARE
 from cicadacourse.util.clock import now
 from tests.gateway_cluster import (
     FOR_GOOD,
@@ -44,6 +45,8 @@
 STREAM_DELAY_S = 1.0
 CALL_DELAY_S = 0.66
 EVENTS = 12
+# The slack of which one retry may be used.
+ONE_RETRY_SLACK = 1.0 / USABLE_SHARE + 0.01
 _EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+)\n\n")
 
 
@@ -393,6 +396,8 @@
 
 async def _one_of_many_is_silent() -> None:
     async with gateway_cluster(1, make_pools(4)) as cluster:
+        # Else there are few spare retries just after the start.
+        cluster.memory.get("n0", "gateway").budget.started = float("-inf")
         load = asyncio.create_task(cluster.load(20.0, 3.0))
         await asyncio.sleep(1.0)
         cluster.busiest_endpoint().fall_silent(FOR_GOOD)
@@ -408,6 +413,111 @@
     run(_one_of_many_is_silent)
 
 
+async def _keep_sending(cluster: GatewayCluster) -> None:
+    while True:
+        check_whole(await cluster.send("n0"))
+
+
+async def _silent_beside_data(slack: float) -> float:
+    """Returns how long a stream takes whose connection falls silent for good.
+
+    Another endpoint sends data meanwhile.
+
+    :param slack: that of the retry budget, of which there is nothing else.
+    """
+    async with gateway_cluster(1, make_pools(4)) as cluster:
+        budget = cluster.memory.get("n0", "gateway").budget
+        budget.started, budget.ratio, budget.slack = float("-inf"), 0.0, slack
+        task = asyncio.create_task(cluster.send("n0"))
+        endpoint = await wait_for_server(cluster)
+        await asyncio.sleep(0.2)
+        endpoint.mute_connections()
+        others = [asyncio.create_task(_keep_sending(cluster)) for _ in range(12)]
+        reply = await task
+        for other in others:
+            other.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+        check_whole(reply)
+        return took_s(reply)
+
+
+def test_the_rest_of_the_budget_is_kept_for_longer_silences() -> None:
+    """A part of the retries is for hedges of silences that may be short."""
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        early_s = runner.run(_silent_beside_data(100.0))
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        late_s = runner.run(_silent_beside_data(ONE_RETRY_SLACK))
+    assert early_s < STREAM_DELAY_S + 0.8
+    assert SHORT_SILENCE_S < late_s < SHORT_SILENCE_S + 0.8
+
+
+async def _silent_without_budget() -> None:
+    async with gateway_cluster(1, make_pools(4)) as cluster:
+        exhaust_budget(cluster)
+        load = asyncio.create_task(cluster.load(20.0, 5.6))
+        await asyncio.sleep(1.0)
+        silent = cluster.busiest_endpoint()
+        silent.fall_silent(FOR_GOOD)
+        known_at = now() + 1.5 * STREAM_DELAY_S
+        await load
+        assert not silent.arrivals_since(known_at)
+        check_all_left(cluster)
+
+
+def test_an_endpoint_that_is_silent_gets_no_new_requests_without_a_hedge() -> None:
+    """Only a hedge that was faster told of its silence.
+
+    It gets none while requests wait for it, nor soon after their deadline.
+    """
+    run(_silent_without_budget)
+
+
+async def _most_have_a_silent_connection() -> None:
+    async with gateway_cluster(1, make_pools(4)) as cluster:
+        exhaust_budget(cluster)
+        engines = [
+            item
+            for item in cluster.endpoint_by_id.values()
+            if item.endpoint.pool == "engines"
+        ]
+        first = [asyncio.create_task(cluster.send("n0")) for _ in range(16)]
+        await asyncio.sleep(0.2)
+        for endpoint in engines[1:]:
+            assert endpoint.in_progress
+            endpoint.mute_connections()
+        await asyncio.sleep(1.2 * STREAM_DELAY_S)
+        slots = sum(item.endpoint.slots - item.in_progress for item in engines)
+        replies = await asyncio.gather(*(cluster.send("n0") for _ in range(slots)))
+        for reply in replies:
+            check_whole(reply)
+        assert max(took_s(reply) for reply in replies) < 1.0
+        await asyncio.gather(*first)
+        check_all_left(cluster)
+
+
+def test_sound_endpoints_are_used_of_which_most_have_a_silent_connection() -> None:
+    """All requests waited for the only endpoint without one."""
+    run(_most_have_a_silent_connection)
+
+
+async def _short_of_time() -> None:
+    async with gateway_cluster(1, make_pools(3)) as cluster:
+        for endpoint in cluster.endpoint_by_id.values():
+            endpoint.events = 30
+        budget = cluster.memory.get("n0", "gateway").budget
+        assert budget.try_acquire_early_hedge("engines", now())
+        task = asyncio.create_task(cluster.send("n0", timeout_s=2.8))
+        first = await wait_for_server(cluster)
+        await asyncio.sleep(0.2)
+        first.fall_silent(FOR_GOOD)
+        check_whole(await task, events=30)
+
+
+def test_a_hedge_that_waits_leaves_time_for_the_rest_of_the_stream() -> None:
+    """It was sent so late that the stream ended at its deadline."""
+    run(_short_of_time)
+
+
 async def _many_instances(instances: int) -> None:
     endpoint_by_id = make_endpoints(instances)
     for endpoint in endpoint_by_id.values():
