RECOVER: links that failed are tried again also while a connection is kept

Callers saw 503 (`endpoints_unreachable`) at once, more than 6 s after all links were well. Cause: an endpoint with a kept connection counts as reachable, so the background tries ended although its link had failed; the kept connection expired without a try, and the pool then counted as unreachable by what was known seconds before. Change: what is tried in the background doesn't depend on kept connections; refusals still do.

--- a/cicadacourse/reachability/_targets.py
+++ b/cicadacourse/reachability/_targets.py
@@ -36,18 +36,24 @@
 
         A kept connection may work though no new one can be made.
         """
+        connector: EndpointConnector = self._app.get("endpoint_connector")
+        return [
+            item
+            for item in self._select_blocked(endpoints)
+            if not connector.has_kept_connection(item, is_idempotent=True)
+        ]
+
+    def _select_blocked(self, endpoints: Sequence[Endpoint]) -> list[Endpoint]:
+        """Returns those to which nobody is known to make new connections."""
         failed = [item for item in endpoints if self._links.has_failed(item)]
         if not failed:
             return []
-        connector: EndpointConnector = self._app.get("endpoint_connector")
         members = self._app.get("membership").members()
         alive = sum(item.state is MemberState.ALIVE for item in members)
         return [
             item
             for item in failed
-            if (link := self._links.find(item))
-            and link.is_unreachable(alive - 1)
-            and not connector.has_kept_connection(item, is_idempotent=True)
+            if (link := self._links.find(item)) and link.is_unreachable(alive - 1)
         ]
 
     def choose(self) -> list[ProbeGroup]:
@@ -57,11 +63,12 @@
         reached, and, if several have failed in a row, those of which neither is known.
         If nobody is known to reach any endpoint, the last ones are tried several at a
         time, as requests would go there. The one that was tried longest ago is next.
+        Kept connections don't count, as nothing says when the last one has expired.
         """
         if not self._links.have_failed:
             return []
         ready = self.ready()
-        unreachable = self.select_unreachable(ready)
+        unreachable = self._select_blocked(ready)
         reachable = set(ready).difference(unreachable)
         reachable_pools = {item.pool for item in reachable}
         lost = [item for item in reachable if self._is_lost(item)]
--- a/tests/test_gateway/test_gateway_lost_links.py
+++ b/tests/test_gateway/test_gateway_lost_links.py
@@ -14,6 +14,7 @@
 import attrs
 import pytest
 
+from cicadacourse.platform._endpoint_connector import DEFAULT_KEEP_ALIVE_S
 from cicadacourse.util.clock import now
 from tests.endpoint_links import LinkFault
 from tests.gateway_cluster import (
@@ -197,3 +198,19 @@
 ) -> None:
     """Stricter than the bounds above: the callers' requests need no links there."""
     run(_serve_all, fault, is_reset_after)
+
+
+async def _after_kept_connection() -> None:
+    async with gateway_cluster(1, make_endpoints(1, "plain")) as cluster:
+        assert (await cluster.send("n0", "look")).status == 200
+        heal = cluster.cut(["n0"], LinkFault.REFUSE_NEW)
+        await asyncio.gather(*(cluster.send("n0", "look") for _ in range(2)))
+        await asyncio.sleep(0.5)
+        heal()
+        await asyncio.sleep(RECOVERY_S + DEFAULT_KEEP_ALIVE_S)
+        assert (await cluster.send("n0", "look")).status == 200
+
+
+def test_a_link_that_failed_beside_a_kept_connection_is_tried_again() -> None:
+    """Nothing was tried while the connection was kept, nor once it had expired."""
+    run(_after_kept_connection)
