--- a/cicadacourse/gateway/_outcomes.py
+++ b/cicadacourse/gateway/_outcomes.py
@@ -63,7 +63,11 @@
         self._record_failure(placement.endpoint.id, "no_memory", detail, False)
 
     def report_transport_failure(
-        self, placement: Placement, failure: SendFailure, progress: Progress
+        self,
+        placement: Placement,
+        failure: SendFailure,
+        progress: Progress,
+        silent_s: float,
     ) -> None:
         """Reports that an endpoint was unreachable, broke off, timed out or left.
 
@@ -72,6 +76,7 @@
         exchange went.
 
         :param progress: how far the attempt got.
+        :param silent_s: for how many seconds no data had come.
         """
         endpoint_id = placement.endpoint.id
         if failure.is_withdrawn:
@@ -89,6 +94,7 @@
             failure.detail,
             failure.may_have_run,
             progress=progress.value,
+            silent_s=round(silent_s, 3),
             parts=prompt.shared_part_ids if prompt else (),
         )
 
@@ -128,18 +134,24 @@
             silent_s=round(attempt.silent_s, 3),
             is_blamed=attempt.is_sent and is_overdue,
         )
-        if not attempt.is_sent or attempt.endpoint_id is None:
+        if not attempt.is_sent:
             return
         self.attempts.may_have_run = True
         if is_overdue:
-            is_waiting = attempt.progress is Progress.WAITING
-            reason = REASON_NO_RESPONSE if is_waiting else REASON_STREAM_SILENT
-            detail = f"no data in {attempt.silent_s:.2f} s"
-            self._placer.report_transport_failure(attempt.endpoint_id, reason)
-            # Kept connections may have fallen silent together with this one.
-            client: EndpointClient = self.app.get("endpoint_caller")
-            client.close_idle_connections(attempt.endpoint_id)
-            self._record_failure(attempt.endpoint_id, reason, detail, True)
+            self.report_silent(attempt)
+
+    def report_silent(self, attempt: ExchangeAttempt) -> None:
+        """Reports that an endpoint was silent for too long beside one that was not."""
+        if attempt.endpoint_id is None:
+            return
+        is_waiting = attempt.progress is Progress.WAITING
+        reason = REASON_NO_RESPONSE if is_waiting else REASON_STREAM_SILENT
+        detail = f"no data in {attempt.silent_s:.2f} s"
+        self._placer.report_transport_failure(attempt.endpoint_id, reason)
+        # Kept connections may have fallen silent together with this one.
+        client: EndpointClient = self.app.get("endpoint_caller")
+        client.close_idle_connections(attempt.endpoint_id)
+        self._record_failure(attempt.endpoint_id, reason, detail, True)
 
     def report_refusal(self, response: EndpointResponse, placement: Placement) -> None:
         """Reports that the endpoint did not run the request.
--- a/cicadacourse/logs/_placement.py
+++ b/cicadacourse/logs/_placement.py
@@ -99,7 +99,8 @@
 DECODE_ENGINE_DEAD = declare(
     "reservations",
     "decode engine dead",
-    "`endpoint` accepts no connections; its exchanges are aborted.",
+    "`endpoint` accepts no connections and sends no data; the exchange of `request`"
+    " ends.",
     True,
 )
 RESERVATION_LEFT_TO_EXPIRE = declare(
@@ -108,3 +109,9 @@
     "The release of `ticket` failed at `endpoint`.",
     True,
 )
+ORDER_PROXIED = declare(
+    "reservations",
+    "KV-cache order sent by peer",
+    "The instance `peer` was asked to reserve or, if `is_release`, release `ticket` at"
+    " `endpoint`; `reason` says why it did not, null if it did.",
+)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -59,7 +59,7 @@
         choices=sorted(SCENARIOS),
         default="faults",
         help="faults of all kinds, a configuration that changes each second,"
-        " endpoints that name limits, prompts that crash engines, whole requests that"
+        " endpoints that name limits, prompts that crash engines, requests that"
         " crash endpoints, endpoints and connections that fall silent, endpoints that"
         " leave or turn requests away, or instances that are cut off from endpoints",
     )
--- a/tests/test_gateway/test_gateway_silence.py
+++ b/tests/test_gateway/test_gateway_silence.py
@@ -19,6 +19,9 @@
 from returns.result import Failure
 
 from cicadacourse.errors import Error, ErrorKind
+from cicadacourse.exchange import ResponseHead
+from cicadacourse.gateway._admission import CALLER_IDLE_TIMEOUT_S, SHORT_SILENCE_S
+from cicadacourse.placement._budget import USABLE_SHARE
 from cicadacourse.util.clock import now
 from tests.gateway_cluster import (
     FOR_GOOD,
@@ -42,6 +45,8 @@
 STREAM_DELAY_S = 1.0
 CALL_DELAY_S = 0.66
 EVENTS = 12
+# The slack of which one retry may be used.
+ONE_RETRY_SLACK = 1.0 / USABLE_SHARE + 0.01
 _EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) (\S+)\n\n")
 
 
@@ -215,6 +220,30 @@
     run(_two_silent_for_good)
 
 
+async def _caller_still_there(is_crashing: bool) -> None:
+    async with gateway_cluster(1, make_pools(3)) as cluster:
+        task = asyncio.create_task(cluster.send("n0"))
+        first = await wait_for_server(cluster)
+        await asyncio.sleep(0.2)
+        first.fall_silent(FOR_GOOD)
+        if is_crashing:
+            exhaust_budget(cluster)
+            await asyncio.sleep(2.4)
+            cluster.memory.get("n0", "gateway").budget.slack = 100.0
+            cluster.crash(first)
+        else:
+            second = await wait_for_server(cluster, first)
+            second.fall_silent(FOR_GOOD)
+        check_whole(await task)
+        check_all_left(cluster)
+
+
+@pytest.mark.parametrize("is_crashing", [False, True])
+def test_a_stream_is_helped_as_long_as_its_caller_is_there(is_crashing: bool) -> None:
+    """A caller whose idle timeout should have passed was taken to have left."""
+    run(_caller_still_there, is_crashing)
+
+
 async def _not_idempotent(path: str) -> None:
     async with gateway_cluster(1, make_pools(3)) as cluster:
         task = asyncio.create_task(cluster.send("n0", path))
@@ -284,6 +313,211 @@
     run(_each_silent_twice, instances, endpoints, seconds)
 
 
+async def _count_sends(silence_s: float) -> float:
+    """Returns the sends for each request if all endpoints are silent together."""
+    endpoint_by_id = make_endpoints(18)
+    for endpoint in endpoint_by_id.values():
+        endpoint.events = EVENTS
+    async with gateway_cluster(6, endpoint_by_id) as cluster:
+        loop = asyncio.get_running_loop()
+        for gateway in cluster.memory.services("gateway"):
+            gateway.budget.started = float("-inf")
+        for endpoint in endpoint_by_id.values():
+            for after_s in (2.0, 5.0, 8.0):
+                loop.call_later(after_s, endpoint.fall_silent, silence_s)
+        replies = await cluster.load(24.0, 10.0)
+        for reply in replies:
+            check_whole(reply)
+        check_all_left(cluster)
+        sends = sum(len(item.arrivals) for item in endpoint_by_id.values())
+        return sends / len(replies)
+
+
+@pytest.mark.parametrize("silence_s", [1.0, 1.2, 1.5])
+def test_a_short_silence_of_all_endpoints_starts_few_hedges(silence_s: float) -> None:
+    """Each started a hedge after 1.0 s, so that 238 streams took up to 314 sends."""
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        assert runner.run(_count_sends(silence_s)) <= 1.05
+
+
+class TimedReply(FakeReply):
+    """Records the longest time for which its caller gets no event."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.last_at = now()
+        self.longest_gap_s = 0.0
+
+    def _record(self) -> None:
+        self.longest_gap_s = max(self.longest_gap_s, now() - self.last_at)
+        self.last_at = now()
+
+    async def start_stream(self, head: ResponseHead, data: bytes) -> None:
+        """Records the first events and their time."""
+        self._record()
+        await super().start_stream(head, data)
+
+    async def send_events(self, data: bytes) -> None:
+        """Records further events and their time."""
+        self._record()
+        await super().send_events(data)
+
+
+async def _one_can_help(is_muted: bool) -> None:
+    async with gateway_cluster(1, make_pools(3)) as cluster:
+        replies = [TimedReply() for _ in range(12)]
+        tasks = [
+            asyncio.create_task(cluster.send("n0", reply=reply)) for reply in replies
+        ]
+        await asyncio.sleep(0.2)
+        engines = [
+            item
+            for item in cluster.endpoint_by_id.values()
+            if item.endpoint.pool == "engines"
+        ]
+        for endpoint in engines if is_muted else engines[1:]:
+            if is_muted:
+                endpoint.mute_connections()
+            else:
+                endpoint.fall_silent(FOR_GOOD)
+        for reply in await asyncio.gather(*tasks):
+            check_whole(reply)
+        assert max(item.longest_gap_s for item in replies) < CALLER_IDLE_TIMEOUT_S
+        check_all_left(cluster)
+
+
+@pytest.mark.parametrize("is_muted", [False, True])
+def test_streams_that_one_endpoint_can_help_are_helped_before_callers_leave(
+    is_muted: bool,
+) -> None:
+    """Hedges went to endpoints that were silent for other requests."""
+    run(_one_can_help, is_muted)
+
+
+async def _one_of_many_is_silent() -> None:
+    async with gateway_cluster(1, make_pools(4)) as cluster:
+        # Else there are few spare retries just after the start.
+        cluster.memory.get("n0", "gateway").budget.started = float("-inf")
+        load = asyncio.create_task(cluster.load(20.0, 3.0))
+        await asyncio.sleep(1.0)
+        cluster.busiest_endpoint().fall_silent(FOR_GOOD)
+        replies = await load
+        for reply in replies:
+            check_whole(reply)
+        assert any(took_s(reply) > STREAM_DELAY_S for reply in replies)
+        assert max(took_s(reply) for reply in replies) < STREAM_DELAY_S + 1.0
+        check_all_left(cluster)
+
+
+def test_a_silence_beside_endpoints_that_send_data_is_hedged_early() -> None:
+    run(_one_of_many_is_silent)
+
+
+async def _keep_sending(cluster: GatewayCluster) -> None:
+    while True:
+        check_whole(await cluster.send("n0"))
+
+
+async def _silent_beside_data(slack: float) -> float:
+    """Returns how long a stream takes whose connection falls silent for good.
+
+    Another endpoint sends data meanwhile.
+
+    :param slack: that of the retry budget, of which there is nothing else.
+    """
+    async with gateway_cluster(1, make_pools(4)) as cluster:
+        budget = cluster.memory.get("n0", "gateway").budget
+        budget.started, budget.ratio, budget.slack = float("-inf"), 0.0, slack
+        task = asyncio.create_task(cluster.send("n0"))
+        endpoint = await wait_for_server(cluster)
+        await asyncio.sleep(0.2)
+        endpoint.mute_connections()
+        others = [asyncio.create_task(_keep_sending(cluster)) for _ in range(12)]
+        reply = await task
+        for other in others:
+            other.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
+        check_whole(reply)
+        return took_s(reply)
+
+
+def test_the_rest_of_the_budget_is_kept_for_longer_silences() -> None:
+    """A part of the retries is for hedges of silences that may be short."""
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        early_s = runner.run(_silent_beside_data(100.0))
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        late_s = runner.run(_silent_beside_data(ONE_RETRY_SLACK))
+    assert early_s < STREAM_DELAY_S + 0.8
+    assert SHORT_SILENCE_S < late_s < SHORT_SILENCE_S + 0.8
+
+
+async def _silent_without_budget() -> None:
+    async with gateway_cluster(1, make_pools(4)) as cluster:
+        exhaust_budget(cluster)
+        load = asyncio.create_task(cluster.load(20.0, 5.6))
+        await asyncio.sleep(1.0)
+        silent = cluster.busiest_endpoint()
+        silent.fall_silent(FOR_GOOD)
+        known_at = now() + 1.5 * STREAM_DELAY_S
+        await load
+        assert not silent.arrivals_since(known_at)
+        check_all_left(cluster)
+
+
+def test_an_endpoint_that_is_silent_gets_no_new_requests_without_a_hedge() -> None:
+    """Only a hedge that was faster told of its silence.
+
+    It gets none while requests wait for it, nor soon after their deadline.
+    """
+    run(_silent_without_budget)
+
+
+async def _most_have_a_silent_connection() -> None:
+    async with gateway_cluster(1, make_pools(4)) as cluster:
+        exhaust_budget(cluster)
+        engines = [
+            item
+            for item in cluster.endpoint_by_id.values()
+            if item.endpoint.pool == "engines"
+        ]
+        first = [asyncio.create_task(cluster.send("n0")) for _ in range(16)]
+        await asyncio.sleep(0.2)
+        for endpoint in engines[1:]:
+            assert endpoint.in_progress
+            endpoint.mute_connections()
+        await asyncio.sleep(1.2 * STREAM_DELAY_S)
+        slots = sum(item.endpoint.slots - item.in_progress for item in engines)
+        replies = await asyncio.gather(*(cluster.send("n0") for _ in range(slots)))
+        for reply in replies:
+            check_whole(reply)
+        assert max(took_s(reply) for reply in replies) < 1.0
+        await asyncio.gather(*first)
+        check_all_left(cluster)
+
+
+def test_sound_endpoints_are_used_of_which_most_have_a_silent_connection() -> None:
+    """All requests waited for the only endpoint without one."""
+    run(_most_have_a_silent_connection)
+
+
+async def _short_of_time() -> None:
+    async with gateway_cluster(1, make_pools(3)) as cluster:
+        for endpoint in cluster.endpoint_by_id.values():
+            endpoint.events = 30
+        budget = cluster.memory.get("n0", "gateway").budget
+        assert budget.try_acquire_early_hedge("engines", now())
+        task = asyncio.create_task(cluster.send("n0", timeout_s=2.8))
+        first = await wait_for_server(cluster)
+        await asyncio.sleep(0.2)
+        first.fall_silent(FOR_GOOD)
+        check_whole(await task, events=30)
+
+
+def test_a_hedge_that_waits_leaves_time_for_the_rest_of_the_stream() -> None:
+    """It was sent so late that the stream ended at its deadline."""
+    run(_short_of_time)
+
+
 async def _many_instances(instances: int) -> None:
     endpoint_by_id = make_endpoints(instances)
     for endpoint in endpoint_by_id.values():
