RECOVER: the time for which a pool is unreachable counts from the first of its endpoints that failed

The 1.2 s that a pool must have been unreachable for began with the endpoint that was tried last, which took seconds at few requests. Now they begin with the first one.

--- a/cicadacourse/reachability/_service.py
+++ b/cicadacourse/reachability/_service.py
@@ -191,7 +191,7 @@
         # A kept connection may have ended since the last change of a link.
         self._prober.wake()
         links = [self._links.find(item) for item in ready]
-        failing_since = max(link.failing_since for link in links if link is not None)
+        failing_since = min(link.failing_since for link in links if link is not None)
         return now() - failing_since >= MIN_UNREACHABLE_S
 
     def failed_at(self, endpoint: Endpoint) -> float:
