--- a/cicadacourse/proxy/_race.py
+++ b/cicadacourse/proxy/_race.py
@@ -48,8 +48,8 @@
         endpoint = attempt.request.endpoint
         is_lost = self._reachability.is_lost(endpoint)
         may_be_lost = is_lost or self._reachability.may_be_lost(endpoint)
-        is_kept_safe = is_lost or not may_be_lost
-        if is_kept_safe and self._ways.has_kept_connection(attempt):
+        may_use_kept = is_lost or not may_be_lost
+        if may_use_kept and self._ways.has_kept_connection(attempt):
             return await self._ways.connect_directly(attempt, False)
         tasks: list[_Task] = []
         chosen: OpenConnection | None = None
@@ -113,8 +113,8 @@
                 self._tasks.start(opened.contexts.aclose())
             return
         endpoint_id = attempt.request.endpoint.id
-        is_direct = chosen is not None and chosen.connection.via is not None
-        if is_direct and endpoint_id not in self._late_ids:
+        is_at_peer = chosen is not None and chosen.connection.via is not None
+        if is_at_peer and endpoint_id not in self._late_ids:
             self._late_ids.add(endpoint_id)
             self._tasks.start(self._close_late(task, endpoint_id))
         else:
