Logs: say when an instance forgets that an endpoint leaves (DRAIN)

Nothing told whether an instance had forgotten that a process leaves or had never heard of it. The event 'endpoint no longer known to leave' gives the reason, and both events of such an endpoint name the start of its process. No logic changes.

--- a/cicadacourse/logs/_placement.py
+++ b/cicadacourse/logs/_placement.py
@@ -46,9 +46,17 @@
 ENDPOINT_LEAVES = declare(
     "placement",
     "endpoint states that it leaves",
-    "`endpoint` gets no request any more, until another process of it starts; `source`"
-    " is `response`, or `peers` if another instance received the statement `age_s`"
-    " ago.",
+    "`endpoint`, whose process started at `started_ms`, 0 if that is unknown, gets no"
+    " request any more, until another process of it starts; `source` is `response`, or"
+    " `peers` if another instance received the statement `age_s` ago.",
+    True,
+)
+LEAVING_FORGOTTEN = declare(
+    "placement",
+    "endpoint no longer known to leave",
+    "`endpoint`, whose process started at `started_ms`, 0 if that is unknown, may get"
+    " requests again; `reason` is `entry_changed` if its entry in the registry is gone"
+    " or that of another process, `memory` if too many others leave.",
     True,
 )
 ENDPOINT_RETRY_AFTER_REFUSED = declare(
--- a/cicadacourse/placement/_leaving.py
+++ b/cicadacourse/placement/_leaving.py
@@ -13,7 +13,7 @@
 from cicadacourse.catalog import CatalogService, Endpoint
 from cicadacourse.events import ENDPOINT_CHANGED
 from cicadacourse.evidence import FACT_KINDS, Evidence, Fact, FactKind
-from cicadacourse.logs import ENDPOINT_LEAVES, log
+from cicadacourse.logs import ENDPOINT_LEAVES, LEAVING_FORGOTTEN, LogEvent, log
 from cicadacourse.metrics import declare
 from cicadacourse.util import hashing
 from cicadacourse.util.clock import now
@@ -79,13 +79,8 @@
     def _add(self, process_key: str, source: str, age_s: float) -> None:
         self._process_keys[process_key] = None
         if len(self._process_keys) > MAX_LEAVING:
-            del self._process_keys[next(iter(self._process_keys))]
-        log(
-            ENDPOINT_LEAVES,
-            endpoint=process_key.rpartition("@")[0],
-            source=source,
-            age_s=round(age_s, 3),
-        )
+            self._forget(next(iter(self._process_keys)), "memory")
+        _log(ENDPOINT_LEAVES, process_key, source=source, age_s=round(age_s, 3))
         self._update_metric()
         self._on_change()
 
@@ -94,10 +89,21 @@
         if not self._process_keys:
             return
         if self._catalog_service.registry.has_ended(endpoint):
-            self._process_keys.pop(endpoint.process_key, None)
+            self._forget(endpoint.process_key, "entry_changed")
         self._update_metric()
 
+    def _forget(self, process_key: str, reason: str) -> None:
+        if process_key in self._process_keys:
+            del self._process_keys[process_key]
+            _log(LEAVING_FORGOTTEN, process_key, reason=reason)
+
     def _update_metric(self) -> None:
         registered = self._catalog_service.registry.all()
         count = sum(item in self for item in registered)
         self._app.metrics.set(LEAVING_ENDPOINTS, count)
+
+
+def _log(event: LogEvent, process_key: str, **fields: object) -> None:
+    """Logs an event of one process."""
+    endpoint_id, _, started_ms = process_key.rpartition("@")
+    log(event, endpoint=endpoint_id, started_ms=int(started_ms), **fields)
