Placement: an entry of the registry doesn't end what is known of a leaving process (DRAIN)

What callers saw: requests went to an endpoint that had said that it leaves, and were cut off when it exited.

Cause: LeavingEndpoints forgot a process as soon as the registry's entry under its id differed in pool, address or start, and looked it up by a key that an entry without a start changes. Another writer's entry does both, for as long as it stands or for good.

Change: ProcessMemory keeps what is known by id and start of the process, whatever the entry says. Only a process of unknown start is forgotten with its entry. An entry without a start keeps the start that is known for its id, and where none is known the newest process of its id counts. Beyond the bound, processes without an entry are dropped first.

Why it works: no record that another writer can write takes part in the identity, but a start that it invents; the knowledge is back in force with the next true entry.

--- a/cicadacourse/catalog/__init__.py
+++ b/cicadacourse/catalog/__init__.py
@@ -1,6 +1,6 @@
 """The configuration in force and the registry of the endpoints that serve it."""
 
-from cicadacourse.catalog._endpoint import Endpoint, EndpointState
+from cicadacourse.catalog._endpoint import Endpoint, EndpointState, ProcessKey
 from cicadacourse.catalog._engine import EngineProfile
 from cicadacourse.catalog._freshness import ConfigurationFreshness
 from cicadacourse.catalog._model import (
@@ -12,6 +12,7 @@
     Route,
     RouteKind,
 )
+from cicadacourse.catalog._process_memory import ProcessMemory
 from cicadacourse.catalog._registry import EndpointRegistry
 from cicadacourse.catalog._service import CatalogService
 from cicadacourse.catalog._settings import CatalogSettings
@@ -29,6 +30,8 @@
     "Organisation",
     "Pool",
     "PoolShare",
+    "ProcessKey",
+    "ProcessMemory",
     "Route",
     "RouteKind",
 ]
--- a/cicadacourse/catalog/_endpoint.py
+++ b/cicadacourse/catalog/_endpoint.py
@@ -14,6 +14,42 @@
     LEAVING = "leaving"
 
 
+# Stands for the start of a process that does not report it.
+UNKNOWN_START = 0
+
+
+@attrs.frozen
+class ProcessKey:
+    """What identifies a process of an endpoint at all instances.
+
+    :param endpoint_id: the id of the endpoint.
+    :param started_ms: its start in Unix milliseconds, or ``UNKNOWN_START``.
+    """
+
+    endpoint_id: str
+    started_ms: int
+
+    def __str__(self) -> str:
+        """Returns the text by which instances name the process to each other.
+
+        >>> str(ProcessKey("e1", 1000))
+        'e1@1000'
+        """
+        return f"{self.endpoint_id}@{self.started_ms}"
+
+    @classmethod
+    def parse(cls, text: str) -> ProcessKey:
+        """Returns the key that a text names.
+
+        >>> ProcessKey.parse("e@1@1000")
+        ProcessKey(endpoint_id='e@1', started_ms=1000)
+
+        :raises ValueError: if it names none.
+        """
+        endpoint_id, _, started_ms = text.rpartition("@")
+        return cls(endpoint_id, int(started_ms))
+
+
 @attrs.frozen
 class Endpoint:
     """One process of an engine or a plain service.
@@ -37,10 +73,15 @@
     state: EndpointState = EndpointState.READY
     started_ms: int | None = None
 
+    @property
+    def process(self) -> ProcessKey:
+        """What identifies its process: its id and its start."""
+        return ProcessKey(self.id, self.started_ms or UNKNOWN_START)
+
     @property
     def process_key(self) -> str:
-        """What identifies its process at all instances: its id and its start."""
-        return f"{self.id}@{self.started_ms or 0}"
+        """The text by which instances name its process to each other."""
+        return str(self.process)
 
     def is_same_process(self, other: Endpoint) -> bool:
         """Returns whether both records describe the same process."""
--- a/cicadacourse/catalog/_registry.py
+++ b/cicadacourse/catalog/_registry.py
@@ -4,6 +4,8 @@
 
 from typing import Iterable
 
+import attrs
+
 from cicadacourse.catalog._endpoint import Endpoint, EndpointState
 
 
@@ -44,11 +46,25 @@
         return not current.is_same_process(endpoint)
 
     def put(self, endpoint: Endpoint) -> Endpoint | None:
-        """Adds or replaces an endpoint and returns the one it replaced."""
+        """Adds or replaces an endpoint and returns the one it replaced.
+
+        See :meth:`complete` for an endpoint without a start.
+        """
         known = self._endpoint_by_id.get(endpoint.id)
-        self._endpoint_by_id[endpoint.id] = endpoint
+        self._endpoint_by_id[endpoint.id] = self.complete(endpoint)
         return known
 
+    def complete(self, endpoint: Endpoint) -> Endpoint:
+        """Returns an endpoint with the start that is known for its id, if it has none.
+
+        Processes always report their start or never do. So an entry without it is from
+        another writer and doesn't show that another process has started.
+        """
+        known = self._endpoint_by_id.get(endpoint.id)
+        if endpoint.started_ms is not None or known is None:
+            return endpoint
+        return attrs.evolve(endpoint, started_ms=known.started_ms)
+
     def remove(self, endpoint_id: str) -> Endpoint | None:
         """Removes an endpoint and returns it, or None if it was not there."""
         return self._endpoint_by_id.pop(endpoint_id, None)
--- a/cicadacourse/feed/_registry_feed.py
+++ b/cicadacourse/feed/_registry_feed.py
@@ -104,6 +104,7 @@
         timer = self._removal_timer_by_id.pop(endpoint.id, None)
         if timer is not None:
             timer.cancel()
+        endpoint = self._registry.complete(endpoint)
         known_endpoint = self._registry.find(endpoint.id)
         if known_endpoint == endpoint or self._is_outdated(endpoint, known_endpoint):
             return
--- a/cicadacourse/placement/_leaving.py
+++ b/cicadacourse/placement/_leaving.py
@@ -10,7 +10,12 @@
 from typing import Callable
 
 from cicadacourse.application import Application
-from cicadacourse.catalog import CatalogService, Endpoint
+from cicadacourse.catalog import (
+    CatalogService,
+    Endpoint,
+    ProcessKey,
+    ProcessMemory,
+)
 from cicadacourse.events import ENDPOINT_CHANGED
 from cicadacourse.evidence import FACT_KINDS, Evidence, Fact, FactKind
 from cicadacourse.logs import ENDPOINT_LEAVES, LEAVING_FORGOTTEN, LogEvent, log
@@ -39,21 +44,25 @@
 
     def __init__(self, app: Application, on_change: Callable[[], None]) -> None:
         self._app = app
-        self._catalog_service: CatalogService = app.get("catalog")
+        catalog_service: CatalogService = app.get("catalog")
+        self._registry = catalog_service.registry
         self._evidence: Evidence = app.get("evidence")
         self._on_change = on_change
-        # A dict keeps the order in which the processes became known.
-        self._process_keys: dict[str, None] = {}
+        self._processes: ProcessMemory[bool] = ProcessMemory(
+            self._registry,
+            MAX_LEAVING,
+            lambda process, _: _log(LEAVING_FORGOTTEN, process, reason="memory"),
+        )
         self._evidence.subscribe(ENDPOINT_LEAVING, self._apply)
         app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
 
     def __len__(self) -> int:
         """Returns how many processes are known to leave."""
-        return len(self._process_keys)
+        return len(self._processes)
 
     def __contains__(self, endpoint: Endpoint) -> bool:
         """Returns whether an endpoint's process leaves."""
-        return endpoint.process_key in self._process_keys
+        return endpoint in self._processes
 
     def add(self, endpoint: Endpoint) -> None:
         """Records that a response of an endpoint states that it leaves.
@@ -64,7 +73,7 @@
         if endpoint in self:
             return
         if endpoint.started_ms is None:
-            self._add(endpoint.process_key, "response", 0.0)
+            self._add(endpoint.process, "response", 0.0)
             return
         # All instances publish the same fact about one process.
         fact_id = hashing.score(str(endpoint.started_ms), endpoint.id) >> 1
@@ -72,38 +81,30 @@
 
     def _apply(self, fact: Fact, is_own: bool) -> None:
         """Puts an observation in force, whoever made it."""
-        if fact.key not in self._process_keys:
+        process = ProcessKey.parse(fact.key)
+        if self._processes.get(process) is None:
             source = "response" if is_own else "peers"
-            self._add(fact.key, source, now() - fact.observed_at)
+            self._add(process, source, now() - fact.observed_at)
 
-    def _add(self, process_key: str, source: str, age_s: float) -> None:
-        self._process_keys[process_key] = None
-        if len(self._process_keys) > MAX_LEAVING:
-            self._forget(next(iter(self._process_keys)), "memory")
-        _log(ENDPOINT_LEAVES, process_key, source=source, age_s=round(age_s, 3))
+    def _add(self, process: ProcessKey, source: str, age_s: float) -> None:
+        self._processes.put(process, True)
+        _log(ENDPOINT_LEAVES, process, source=source, age_s=round(age_s, 3))
         self._update_metric()
         self._on_change()
 
     def _endpoint_changed(self, endpoint: Endpoint) -> None:
-        """Forgets a process that has ended; one that lost its entry may be running."""
-        if not self._process_keys:
+        """Forgets a process of unknown start that may have ended."""
+        if not self._processes:
             return
-        if self._catalog_service.registry.has_ended(endpoint):
-            self._forget(endpoint.process_key, "entry_changed")
+        if self._processes.pop_ended(endpoint):
+            _log(LEAVING_FORGOTTEN, endpoint.process, reason="entry_changed")
         self._update_metric()
 
-    def _forget(self, process_key: str, reason: str) -> None:
-        if process_key in self._process_keys:
-            del self._process_keys[process_key]
-            _log(LEAVING_FORGOTTEN, process_key, reason=reason)
-
     def _update_metric(self) -> None:
-        registered = self._catalog_service.registry.all()
-        count = sum(item in self for item in registered)
+        count = sum(item in self for item in self._registry.all())
         self._app.metrics.set(LEAVING_ENDPOINTS, count)
 
 
-def _log(event: LogEvent, process_key: str, **fields: object) -> None:
+def _log(event: LogEvent, process: ProcessKey, **fields: object) -> None:
     """Logs an event of one process."""
-    endpoint_id, _, started_ms = process_key.rpartition("@")
-    log(event, endpoint=endpoint_id, started_ms=int(started_ms), **fields)
+    log(event, endpoint=process.endpoint_id, started_ms=process.started_ms, **fields)
