Tests: endpoints that leave, in any history and in the soak, beside rewritten entries (DRAIN)

The soak's scenario 'declines' writes such entries: without the start, with a service or a state that nobody names, or with fields of another type.

The simulated endpoint decides on its answer when it sends it, also if nobody receives it, and may refuse a share of requests. A successor no longer shares its predecessor's list of answers.

--- a/soak/_decline_scenario.py
+++ b/soak/_decline_scenario.py
@@ -1,7 +1,8 @@
 """Endpoints that say in their responses that they leave, or turn requests away.
 
-The registry may learn of a leaving endpoint later or never. An endpoint in need names
-the time for which it wants no more requests from the instance.
+The registry may learn of a leaving endpoint later or never, and another writer may have
+written an endpoint's entry. An endpoint in need names the time for which it wants no
+more requests from the instance.
 """
 
 from __future__ import annotations
@@ -10,7 +11,7 @@
 import pathlib
 import random
 from collections import defaultdict
-from typing import Iterable
+from typing import Any, Iterable
 
 from cicadacourse.platform import _names as names
 from cicadacourse.util.clock import now
@@ -43,6 +44,15 @@
 DECLINE_CONTACT_S = 0.5
 MAX_DECLINED = 2
 
+# The pauses between entries of another writer, and how these differ.
+REWRITE_PAUSES_S = (0.1, 0.6)
+REWRITES: tuple[dict[str, Any], ...] = (
+    {"born": None},
+    {"service": "elsewhere"},
+    {"state": "unknown"},
+    {"slots": "many", "born": None},
+)
+
 DECLINE_FAULTS = select_faults("restart", "kill", "freeze", "store-link")
 
 
@@ -73,6 +83,7 @@
     """Lets endpoints leave or turn requests away, until cancelled."""
     chooser = environment.random_for("endpoints")
     async with asyncio.TaskGroup() as group:
+        group.create_task(_rewrite_entries(environment))
         while True:
             is_engine, leaves = chooser.random() < 0.5, chooser.random() < 0.5
             endpoint = _draw_endpoint(environment, chooser, is_engine)
@@ -83,6 +94,27 @@
             await asyncio.sleep(chooser.uniform(*INTERVALS_S))
 
 
+async def _rewrite_entries(environment: SoakEnvironment) -> None:
+    """Writes entries as another writer does, until cancelled.
+
+    Half of them are under the ids of endpoints that leave or turn requests away.
+    """
+    chooser = environment.random_for("rewrites")
+    while True:
+        await asyncio.sleep(chooser.uniform(*REWRITE_PAUSES_S))
+        endpoints = list(environment.fleet.endpoint_by_id.values())
+        stating = [item for item in endpoints if not _is_willing(item.worker)]
+        endpoint = chooser.choice(
+            stating if stating and chooser.random() < 0.5 else endpoints
+        )
+        environment.fleet.overwrite(endpoint, chooser.choice(REWRITES))
+
+
+def _is_willing(worker: Worker) -> bool:
+    """Returns whether an endpoint neither leaves nor turns requests away."""
+    return worker.leaving_header is None and worker.declines_until < now()
+
+
 def _draw_endpoint(
     environment: SoakEnvironment, chooser: random.Random, is_engine: bool
 ) -> RegisteredEndpoint | None:
@@ -91,8 +123,7 @@
         endpoint
         for endpoint in environment.fleet.endpoint_by_id.values()
         if (endpoint.worker.engine is not None) == is_engine
-        and endpoint.worker.leaving_header is None
-        and endpoint.worker.declines_until < now()
+        and _is_willing(endpoint.worker)
     ]
     return chooser.choice(endpoints) if endpoints else None
 
--- a/standins/platform/_fleet.py
+++ b/standins/platform/_fleet.py
@@ -7,7 +7,7 @@
 import json
 import random
 import time
-from typing import Any, AsyncIterator
+from typing import Any, AsyncIterator, Mapping
 
 import attrs
 from tornado.httpserver import HTTPServer
@@ -51,8 +51,12 @@
     def _read_port(self) -> int:
         return int(self.address.rpartition(":")[2])
 
-    def encode_entry(self) -> bytes:
-        """Returns the registry entry as an endpoint writes it to the store."""
+    def encode_entry(self, changes: Mapping[str, Any] | None = None) -> bytes:
+        """Returns the registry entry as an endpoint writes it to the store.
+
+        :param changes: fields in which another writer's entry differs; None leaves a
+            field out.
+        """
         engine = self.worker.engine
         row = {
             "service": self.pool,
@@ -64,8 +68,10 @@
             "coldLeftMs": 0,
             "seqNo": 0,
             "born": self.started_ms,
+            **(changes or {}),
         }
-        return json.dumps(row).encode()
+        present = {name: value for name, value in row.items() if value is not None}
+        return json.dumps(present).encode()
 
 
 class Fleet:
@@ -130,6 +136,16 @@
         """Writes an endpoint's registry entry to the store now."""
         self.store.put("keyed.servers", endpoint.worker.id, endpoint.encode_entry())
 
+    def overwrite(self, endpoint: RegisteredEndpoint, changes: dict[str, Any]) -> None:
+        """Writes an entry under an endpoint's id as another writer does.
+
+        It stands until the endpoint's next heartbeat.
+
+        :param changes: see :meth:`RegisteredEndpoint.encode_entry`.
+        """
+        entry = endpoint.encode_entry(changes)
+        self.store.put("keyed.servers", endpoint.worker.id, entry)
+
     def remove(self, id: str) -> RegisteredEndpoint:
         """Removes an endpoint from the registry; it continues to serve requests."""
         endpoint = self.endpoint_by_id.pop(id)
--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -90,8 +90,9 @@
     :param has_ids: whether its events have ids.
     :ivar status: the status of its responses.
     :ivar limit: the requests per second that its responses name, or None.
-    :ivar retry_after_s: if not None, it refuses each request and wants none for this
-        many seconds.
+    :ivar retry_after_s: if not None, it refuses requests and wants none for this many
+        seconds.
+    :ivar refused_share: the share of the requests that it refuses then.
     :ivar is_leaving: whether its responses state that it is shutting down.
     :ivar fault_address: the address that its refusals blame, or None.
     :ivar is_replaced: whether another endpoint responds at its address.
@@ -100,6 +101,8 @@
     :ivar silent_until: until when it sends nothing, loop time in seconds.
     :ivar muted_at: connections that were open then stay silent for good.
     :ivar accepts_while_silent: whether it accepts connections while it is silent.
+    :ivar sent_answers: the heads that it sent, also those that nobody received.
+    :ivar answers: the heads that instances received.
     :ivar in_progress: how many exchanges no instance has left yet.
     :ivar exchanges: all exchanges.
     :ivar on_start: called with each request that it begins to answer.
@@ -115,6 +118,7 @@
     status: int = OK
     limit: float | None = None
     retry_after_s: float | None = None
+    refused_share: float = 1.0
     is_leaving: bool = False
     fault_address: str | None = None
     is_replaced: bool = False
@@ -124,6 +128,7 @@
     accepts_while_silent: bool = True
     in_progress: int = 0
     arrivals: list[Arrival] = attrs.field(factory=list)
+    sent_answers: list[Answer] = attrs.field(factory=list)
     answers: list[Answer] = attrs.field(factory=list)
     exchanges: list[Exchange] = attrs.field(factory=list)
     on_start: Callable[[SimulatedEndpoint, EndpointRequest], None] = lambda *_: None
@@ -160,15 +165,23 @@
         """Returns the times of the arrivals from a moment on."""
         return [item.at for item in self.arrivals if item.at >= since]
 
-    def make_head(self) -> ResponseHead:
-        """Returns the head of its next response."""
+    def draw_refusal(self, chooser: random.Random) -> bool:
+        """Draws whether it refuses a request as long as it wants none."""
+        return self.refused_share == 1.0 or chooser.random() < self.refused_share
+
+    def make_head(self, may_refuse: bool = True) -> ResponseHead:
+        """Returns the head of its next response.
+
+        :param may_refuse: whether it refuses the request if it wants none now.
+        """
+        refuses = may_refuse and self.retry_after_s is not None
         if self.is_replaced:
             status, retry_after_s = MISDIRECTED, None
-        elif self.retry_after_s is not None:
+        elif refuses:
             status, retry_after_s = UNAVAILABLE, self.retry_after_s
         else:
             status, retry_after_s = self.status, None
-        is_refusal = self.is_replaced or self.retry_after_s is not None
+        is_refusal = self.is_replaced or refuses
         return ResponseHead(
             status,
             (),
@@ -381,7 +394,7 @@
         """Sends a request and returns the head of its response."""
         try:
             async with asyncio.timeout(head_timeout_s):
-                await self._channel.until_broken(self._receive_head(request))
+                head = await self._channel.until_broken(self._receive_head(request))
         except TimeoutError:
             raise SendFailure("no head in time", True, "no_answer") from None
         except ConnectionResetError as error:
@@ -389,7 +402,6 @@
         endpoint = self._channel.endpoint
         if endpoint.is_down:
             raise SendFailure("lost", True, "broken", is_broken_off=True)
-        head = endpoint.make_head()
         endpoint.answers.append(Answer(now(), self._own_name, head))
         if head.never_ran and self._channel.exchange is not None:
             self._channel.exchange.is_refused = True
@@ -406,8 +418,8 @@
             first,
         )
 
-    async def _receive_head(self, request: EndpointRequest) -> None:
-        """Waits until the head of the response is received, or the end of the endpoint.
+    async def _receive_head(self, request: EndpointRequest) -> ResponseHead:
+        """Returns the head of the response once it is received, or the endpoint ends.
 
         A request that is sent while the link hangs arrives afterwards.
         """
@@ -415,10 +427,16 @@
         await link.passes()
         endpoint.arrivals.append(Arrival(now(), self._own_name, request))
         self._channel.begin(request.caller.id, self._own_name)
-        work_s = ENDPOINT_LINK_S if endpoint.make_head().never_ran else endpoint.work_s
+        may_refuse = endpoint.draw_refusal(self._cluster.chooser)
+        is_refused = endpoint.make_head(may_refuse).never_ran
+        work_s = ENDPOINT_LINK_S if is_refused else endpoint.work_s
         await self._work(endpoint, request, work_s, self._channel.made_at)
+        head = endpoint.make_head(may_refuse)
+        if not endpoint.is_down:
+            endpoint.sent_answers.append(Answer(now(), self._own_name, head))
         await link.passes()
         await self._cluster.wait_until_thawed(self._own_name)
+        return head
 
     async def _work(
         self,
@@ -484,6 +502,7 @@
 class GatewayCluster:
     """Gateways with the endpoints that they share.
 
+    :ivar chooser: draws which messages to endpoints are lost and what they refuse.
     :ivar endpoint_loss: the share of the messages to endpoints that is lost.
     :ivar links: the links from the instances to the endpoints.
     """
@@ -504,7 +523,7 @@
     )
     _stopped: set[str] = attrs.field(factory=set)
     _killed_tasks: set[asyncio.Task[Any]] = attrs.field(factory=set)
-    _chooser: random.Random = attrs.field(factory=lambda: random.Random(1))
+    chooser: random.Random = attrs.field(factory=lambda: random.Random(1))
     _numbers: itertools.count[int] = attrs.field(factory=itertools.count)
     _service_by_address: dict[str, MemoryLoad] = attrs.field(factory=dict)
 
@@ -614,7 +633,7 @@
 
     def is_message_lost(self) -> bool:
         """Returns whether a message to an endpoint is lost, drawn at random."""
-        return self._chooser.random() < self.endpoint_loss
+        return self.chooser.random() < self.endpoint_loss
 
     def lose_messages(self, share: float) -> None:
         """Lets all links lose a share of their messages, those to endpoints too."""
@@ -664,9 +683,12 @@
             endpoint,
             endpoint=attrs.evolve(former, id=f"{former.pool}-r{number}"),
             is_down=False,
+            is_leaving=False,
             silent_until=0.0,
             in_progress=0,
             arrivals=[],
+            sent_answers=[],
+            answers=[],
             exchanges=[],
         )
         self.former_endpoints.append(endpoint)
