Limits: an entry of the registry doesn't end a limit that a process has named

An endpoint in need got more requests than the limit that it had named.

Cause: EndpointLimits forgot a process whose entry was gone or differed in pool, address or start; each instance then sent until a response named the limit again.

Change: limits are kept in a ProcessMemory, one record a process in place of three dicts. The metric counts registered endpoints, as those of its kind do.

--- a/cicadacourse/catalog/_process_memory.py
+++ b/cicadacourse/catalog/_process_memory.py
@@ -51,9 +51,14 @@
         values = self._values_by_id.get(endpoint.id)
         if values is None:
             return None
-        if endpoint.started_ms is None:
-            return values[max(values)]
-        return values.get(endpoint.started_ms)
+        return values.get(self.process_of(endpoint).started_ms)
+
+    def process_of(self, endpoint: Endpoint) -> ProcessKey:
+        """Returns the process that an endpoint's value is kept for, or would be."""
+        values = self._values_by_id.get(endpoint.id)
+        if values is None or endpoint.started_ms is not None:
+            return endpoint.process
+        return ProcessKey(endpoint.id, max(values))
 
     def get(self, process: ProcessKey) -> T | None:
         """Returns the value of exactly this process, or None."""
--- a/cicadacourse/limits/_service.py
+++ b/cicadacourse/limits/_service.py
@@ -8,8 +8,10 @@
 
 from __future__ import annotations
 
+import attrs
+
 from cicadacourse.application import SERVICES, Application, Service
-from cicadacourse.catalog import Endpoint
+from cicadacourse.catalog import Endpoint, ProcessKey, ProcessMemory
 from cicadacourse.events import ENDPOINT_CHANGED
 from cicadacourse.evidence import FACT_KINDS, Evidence, Fact, FactKind
 from cicadacourse.exchange import ResponseHead
@@ -20,11 +22,12 @@
 from cicadacourse.util.clock import now
 
 LIMITED_ENDPOINTS = declare(
-    "limited_endpoints", "Endpoints that name a limit on the requests they take."
+    "limited_endpoints",
+    "Registered endpoints that name a limit on the requests they take.",
 )
 
 ENDPOINT_LIMIT = "endpoint-limit"
-# Bounds the memory; the limit that became known first is dropped.
+# Bounds the memory.
 MAX_LIMITS = 2000
 # An endpoint names its limit in each response, so its observation is renewed long
 # before it expires.
@@ -39,6 +42,19 @@
 NO_LIMIT = -1.0
 
 
+@attrs.define
+class _NamedLimit:
+    """The limit of one process, in requests per second; loop times in seconds.
+
+    :ivar confirmed_at: when a response to this instance named it last.
+    :ivar available_at: from when on a permit is worth asking for.
+    """
+
+    limit: float
+    confirmed_at: float = float("-inf")
+    available_at: float = float("-inf")
+
+
 @SERVICES.register("limits")
 class EndpointLimits(Service):
     """Knows the limits of endpoints, in requests per second, and asks for permits."""
@@ -49,11 +65,12 @@
         super().__init__(app)
         self._evidence: Evidence = app.get("evidence")
         self._permits: Permits = app.get("permits")
-        self._limit_by_key: dict[str, float] = {}
-        self._confirmed_at_by_key: dict[str, float] = {}
-        self._available_at_by_key: dict[str, float] = {}
+        self._registry = app.get("catalog").registry
+        self._limits: ProcessMemory[_NamedLimit] = ProcessMemory(
+            self._registry, MAX_LIMITS, lambda *_: None
+        )
         self._evidence.subscribe(ENDPOINT_LIMIT, self._apply)
-        app.events.connect(ENDPOINT_CHANGED, self._forget_former_process)
+        app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
 
     def observe(self, endpoint: Endpoint, head: ResponseHead, sent_at: float) -> None:
         """Records the limit that a response names, or that it names none.
@@ -68,54 +85,52 @@
         if head.is_limit_malformed:
             log(ENDPOINT_LIMIT_REFUSED, endpoint=endpoint.id)
             return
-        key = endpoint.process_key
-        known = self._limit_by_key.get(key)
+        known = self._limits.find(endpoint)
         limit = head.request_limit
         if known is None and limit is None:
             return
-        confirmed_at = self._confirmed_at_by_key.get(key, float("-inf"))
-        is_looser = known is not None and (limit is None or limit > known)
-        if is_looser and sent_at <= confirmed_at:
-            return
-        self._confirmed_at_by_key[key] = now()
-        if limit != known or self._is_due_for_renewal(key):
+        if known is not None and sent_at <= known.confirmed_at:
+            if limit is None or limit > known.limit:
+                return
+        key = str(self._limits.process_of(endpoint))
+        if known is None or limit != known.limit or self._is_due_for_renewal(key):
             value = NO_LIMIT if limit is None else limit
             self._evidence.publish(ENDPOINT_LIMIT, key, value)
+        confirmed = self._limits.find(endpoint)
+        if confirmed is not None:
+            confirmed.confirmed_at = now()
 
     @property
     def has_any(self) -> bool:
         """Whether any endpoint names a limit."""
-        return bool(self._limit_by_key)
+        return bool(self._limits)
 
     def limit_of(self, endpoint: Endpoint) -> float | None:
         """Returns the requests per second that an endpoint takes, or None."""
-        if not self._limit_by_key:
-            return None
-        return self._limit_by_key.get(endpoint.process_key)
+        named = self._limits.find(endpoint)
+        return None if named is None else named.limit
 
     def available_at(self, endpoint: Endpoint) -> float:
         """Returns from when on a permit for an endpoint is worth asking for.
 
         :returns: loop time in seconds; in the past if a permit may be free now.
         """
-        if self.limit_of(endpoint) is None:
-            return float("-inf")
-        return self._available_at_by_key.get(endpoint.process_key, float("-inf"))
+        named = self._limits.find(endpoint)
+        return float("-inf") if named is None else named.available_at
 
     async def acquire(self, endpoint: Endpoint, max_wait_s: float) -> Permit:
         """Asks for a permit to send one request to an endpoint.
 
         :param max_wait_s: for how long from now the permit may be reserved at most.
         """
-        limit = self.limit_of(endpoint)
-        if limit is None:
+        named = self._limits.find(endpoint)
+        if named is None:
             return Permit(is_granted=True, wait_s=0.0)
-        key = endpoint.process_key
-        permit = await self._permits.acquire(
-            f"{ENDPOINT_LIMIT} {key}", max(MIN_RATE, limit), max_wait_s
-        )
+        key = f"{ENDPOINT_LIMIT} {self._limits.process_of(endpoint)}"
+        rate = max(MIN_RATE, named.limit)
+        permit = await self._permits.acquire(key, rate, max_wait_s)
         if not permit.is_granted:
-            self._available_at_by_key[key] = now() + permit.wait_s
+            named.available_at = now() + permit.wait_s
         return permit
 
     def _is_due_for_renewal(self, key: str) -> bool:
@@ -124,35 +139,32 @@
 
     def _apply(self, fact: Fact, is_own: bool) -> None:
         """Puts an observation in force, whoever made it."""
-        known = self._limit_by_key.get(fact.key)
+        process = ProcessKey.parse(fact.key)
+        known = self._limits.get(process)
         limit = None if fact.value < 0 else fact.value
-        if limit == known:
+        if limit == (None if known is None else known.limit):
             return
         if limit is None:
-            self._forget(fact.key)
+            self._limits.pop(process)
+        elif known is None:
+            self._limits.put(process, _NamedLimit(limit))
         else:
-            self._limit_by_key[fact.key] = limit
-            self._drop_oldest_limit()
+            known.limit = limit
         log(
             ENDPOINT_LIMIT_CHANGED,
-            endpoint=fact.key.partition("@")[0],
+            endpoint=process.endpoint_id,
             limit=limit,
             source="response" if is_own else "peers",
             age_s=round(now() - fact.observed_at, 3),
         )
-        self.app.metrics.set(LIMITED_ENDPOINTS, len(self._limit_by_key))
-
-    def _drop_oldest_limit(self) -> None:
-        if len(self._limit_by_key) > MAX_LIMITS:
-            self._forget(next(iter(self._limit_by_key)))
-
-    def _forget_former_process(self, endpoint: Endpoint) -> None:
-        current = self.app.get("catalog").registry.find(endpoint.id)
-        if current is None or not current.is_same_process(endpoint):
-            self._forget(endpoint.process_key)
-            self.app.metrics.set(LIMITED_ENDPOINTS, len(self._limit_by_key))
-
-    def _forget(self, key: str) -> None:
-        self._limit_by_key.pop(key, None)
-        self._available_at_by_key.pop(key, None)
-        self._confirmed_at_by_key.pop(key, None)
+        self._update_metric()
+
+    def _endpoint_changed(self, endpoint: Endpoint) -> None:
+        """Forgets a process of unknown start that may have ended."""
+        if self._limits:
+            self._limits.pop_ended(endpoint)
+            self._update_metric()
+
+    def _update_metric(self) -> None:
+        count = sum(item in self._limits for item in self._registry.all())
+        self.app.metrics.set(LIMITED_ENDPOINTS, count)
