Catalog: a process is its id and start, whatever else an entry says

A process whose entry was rewritten counted as ended: its endpoint was ejected at all instances and the requests at it were blamed.

Cause: Endpoint.is_same_process compared pool and address, and an entry without a start counted as another process in questions about ended processes.

Change: is_same_process compares id and start, and the address only where the start is unknown. A process counts as replaced only if both starts are known and differ.

--- a/cicadacourse/catalog/_endpoint.py
+++ b/cicadacourse/catalog/_endpoint.py
@@ -84,10 +84,17 @@
         return str(self.process)
 
     def is_same_process(self, other: Endpoint) -> bool:
-        """Returns whether both records describe the same process."""
-        return (self.id, self.address, self.pool, self.started_ms) == (
-            other.id,
-            other.address,
-            other.pool,
-            other.started_ms,
-        )
+        """Returns whether both records are known to describe the same process.
+
+        Neither pool nor address identify it: an entry may be from another writer. Where
+        the start is not known, the address is all that tells processes apart.
+        """
+        if self.started_ms is None and self.address != other.address:
+            return False
+        return (self.id, self.started_ms) == (other.id, other.started_ms)
+
+    def may_be(self, process: ProcessKey) -> bool:
+        """Returns whether a record may describe a process, by the starts known."""
+        starts = {self.process.started_ms, process.started_ms}
+        are_alike = len(starts) == 1 or UNKNOWN_START in starts
+        return self.id == process.endpoint_id and are_alike
--- a/cicadacourse/proxy/_client.py
+++ b/cicadacourse/proxy/_client.py
@@ -67,7 +67,7 @@
     async def is_process_gone(self, endpoint: Endpoint) -> bool:
         """See :meth:`EndpointClient.is_process_gone`."""
         current = self.app.get("catalog").registry.find(endpoint.id)
-        if current is None or not current.is_same_process(endpoint):
+        if current is None or not current.may_be(endpoint.process):
             return True
         if not await self._connector.is_refused(endpoint):
             return False
--- a/cicadacourse/reachability/_checks.py
+++ b/cicadacourse/reachability/_checks.py
@@ -10,7 +10,7 @@
 from returns.result import Success
 
 from cicadacourse.application import Application
-from cicadacourse.catalog import Endpoint, EndpointState
+from cicadacourse.catalog import Endpoint, EndpointState, ProcessKey
 from cicadacourse.exchange import EndpointConnector, SendFailure
 from cicadacourse.membership import Member
 from cicadacourse.reachability._messages import CheckEndpoint, EndpointChecked
@@ -59,7 +59,7 @@
         endpoint = self.app.get("catalog").registry.find(request.endpoint_id)
         if endpoint is None:
             return _UNKNOWN
-        if endpoint.process_key != request.process_key:
+        if not endpoint.may_be(ProcessKey.parse(request.process_key)):
             return EndpointChecked(is_refused=True)
         links = self.app.get("reachability")
         if not request.is_refused and links.has_connected_lately(endpoint):
