Logs: say when an instance forgets that an endpoint declines requests (BUDGET)

Nothing told whether an instance had forgotten a stated time before it was over or had never heard of it. The event 'endpoint no longer known to decline' gives the reason and what was left; both events of such an endpoint name the start of its process. No logic changes.

--- a/cicadacourse/logs/__init__.py
+++ b/cicadacourse/logs/__init__.py
@@ -31,6 +31,7 @@
     RESUMED,
 )
 from cicadacourse.logs._placement import (
+    DECLINE_FORGOTTEN,
     DECODE_ENGINE_DEAD,
     ENDPOINT_ACCEPTS,
     ENDPOINT_DECLINES,
@@ -107,6 +108,7 @@
     "CONFIGURATION_REFUSED",
     "CONFIGURATION_SUPERSEDED",
     "CONNECTIONS_CLOSED",
+    "DECLINE_FORGOTTEN",
     "DECODE_ENGINE_DEAD",
     "ENDPOINT_ACCEPTS",
     "ENDPOINT_DECLINES",
--- a/cicadacourse/logs/_placement.py
+++ b/cicadacourse/logs/_placement.py
@@ -34,8 +34,17 @@
 ENDPOINT_DECLINES = declare(
     "placement",
     "endpoint declines requests",
-    "`endpoint` has refused a request and wants no other from this instance for"
-    " `for_s`, in which it gets none.",
+    "`endpoint`, whose process started at `started_ms`, 0 if that is unknown, has"
+    " refused a request and wants no other from this instance for `for_s`, in which it"
+    " gets none.",
+    True,
+)
+DECLINE_FORGOTTEN = declare(
+    "placement",
+    "endpoint no longer known to decline",
+    "`endpoint`, whose process started at `started_ms`, 0 if that is unknown, may get"
+    " requests again `left_s` too early; `reason` is `entry_changed` if its entry in the"
+    " registry is gone or that of another process, `memory` if too many others decline.",
     True,
 )
 ENDPOINT_ACCEPTS = declare(
--- a/cicadacourse/placement/_declines.py
+++ b/cicadacourse/placement/_declines.py
@@ -19,6 +19,7 @@
 from cicadacourse.events import ENDPOINT_CHANGED
 from cicadacourse.exchange import ResponseHead
 from cicadacourse.logs import (
+    DECLINE_FORGOTTEN,
     ENDPOINT_ACCEPTS,
     ENDPOINT_DECLINES,
     ENDPOINT_RETRY_AFTER_REFUSED,
@@ -113,7 +114,12 @@
         timer = loop.call_later(for_s + TIMER_SLACK_S, self._end, key)
         self._decline_by_key[key] = _Decline(endpoint, until, timer)
         self._drop_first()
-        log(ENDPOINT_DECLINES, endpoint=endpoint.id, for_s=round(for_s, 3))
+        log(
+            ENDPOINT_DECLINES,
+            endpoint=endpoint.id,
+            started_ms=endpoint.process.started_ms,
+            for_s=round(for_s, 3),
+        )
         self._report_change()
 
     def _end(self, key: str) -> None:
@@ -125,13 +131,17 @@
     def _drop_first(self) -> None:
         if len(self._decline_by_key) > MAX_DECLINES:
             declines = self._decline_by_key
-            self._forget(min(declines, key=lambda key: declines[key].until))
+            first = min(declines, key=lambda key: declines[key].until)
+            _log_forgotten(declines[first], "memory")
+            self._forget(first)
 
     def _endpoint_changed(self, endpoint: Endpoint) -> None:
         """Forgets a process that has ended; one that lost its entry may be running."""
         if endpoint.process_key not in self._decline_by_key:
             return
         if self._catalog_service.registry.has_ended(endpoint):
+            decline = self._decline_by_key[endpoint.process_key]
+            _log_forgotten(decline, "entry_changed")
             self._forget(endpoint.process_key)
         self._report_change()
 
@@ -145,3 +155,13 @@
         count = sum(item.process_key in self._decline_by_key for item in registered)
         self._app.metrics.set(DECLINING_ENDPOINTS, count)
         self._on_change()
+
+
+def _log_forgotten(decline: _Decline, reason: str) -> None:
+    log(
+        DECLINE_FORGOTTEN,
+        endpoint=decline.endpoint.id,
+        started_ms=decline.endpoint.process.started_ms,
+        left_s=round(decline.until - now(), 3),
+        reason=reason,
+    )
