--- a/cicadacourse/logs/_placement.py
+++ b/cicadacourse/logs/_placement.py
@@ -43,8 +43,9 @@
     "placement",
     "endpoint no longer known to decline",
     "`endpoint`, whose process started at `started_ms`, 0 if that is unknown, may get"
-    " requests again `left_s` too early; `reason` is `entry_changed` if its entry in the"
-    " registry is gone or that of another process, `memory` if too many others decline.",
+    " requests again `left_s` too early; `reason` is `entry_changed` if its entry in"
+    " the registry is gone or that of another process, `memory` if too many others"
+    " decline.",
     True,
 )
 ENDPOINT_ACCEPTS = declare(
--- a/tests/test_placement/test_placement_retry_after.py
+++ b/tests/test_placement/test_placement_retry_after.py
@@ -130,7 +130,7 @@
         assert share_served(replies) >= 0.98
 
 
-@pytest.mark.parametrize("instances", [1, 6])
+@pytest.mark.parametrize("instances", [1, 6, 40])
 @pytest.mark.parametrize("unwilling", [1, 3])
 def test_the_other_endpoints_of_a_pool_serve_meanwhile(
     instances: int, unwilling: int
@@ -365,3 +365,21 @@
 def test_a_hedge_is_not_sent_to_an_endpoint_that_wants_no_requests(others: int) -> None:
     """Without another endpoint, the silent one is awaited."""
     run(_hedged, others)
+
+
+async def _large_pool(instances: int) -> None:
+    endpoint_by_id = make_endpoints(9)
+    async with gateway_cluster(instances, endpoint_by_id) as cluster:
+        for endpoint in list(endpoint_by_id.values())[:7]:
+            endpoint.retry_after_s = RETRY_AFTER_S
+        replies = await cluster.load(60.0, 4.5)
+        check(cluster)
+        assert share_served(replies) >= 0.98
+
+
+@pytest.mark.parametrize("instances", [6, 40])
+def test_no_request_is_refused_as_endpoints_that_others_know_decline_it(
+    instances: int,
+) -> None:
+    """Each instance tried the declining ones itself, up to its bound on refusals."""
+    run(_large_pool, instances)
--- a/tests/test_placement/test_placement_statement_histories.py
+++ b/tests/test_placement/test_placement_statement_histories.py
@@ -42,8 +42,14 @@
     WITHOUT_START,
     list_entry,
 )
-from tests.test_placement.test_placement_retry_after import run
+from tests.test_placement.test_placement_retry_after import (
+    GRACE_S,
+    MAX_ARRIVALS,
+    run,
+)
 
+# The platform's ``contactMs``: a fault so long before excuses what was held up by it.
+CONTACT_S = 3.0
 MAX_LEAVING = 3
 STATEMENTS: Registry[Disturbance] = Registry("disturbance of statements")
 # These are drawn as often as all others together.
@@ -118,6 +124,31 @@
             arrival.instance, endpoint, answer.at, arrival.at
         )
 
+    def early_arrivals(self, endpoint: SimulatedEndpoint) -> list[list[Arrival]]:
+        """Returns the requests that came too early after each refusal with a time."""
+        return [
+            [
+                arrival
+                for arrival in endpoint.arrivals
+                if self._is_early(endpoint, arrival, answer)
+            ]
+            for answer in endpoint.sent_answers
+            if answer.head.retry_after_s is not None
+        ]
+
+    def _is_early(
+        self, endpoint: SimulatedEndpoint, arrival: Arrival, answer: Answer
+    ) -> bool:
+        until = answer.at + (answer.head.retry_after_s or 0.0)
+        is_early = answer.at + GRACE_S < arrival.at < until
+        return (
+            is_early
+            and arrival.instance == answer.instance
+            and not self.is_excused(
+                arrival.instance, endpoint, answer.at - CONTACT_S, arrival.at
+            )
+        )
+
     def draw_endpoint(self) -> SimulatedEndpoint:
         """Returns one of the endpoints."""
         return self.chooser.choice(list(self.cluster.endpoint_by_id.values()))
@@ -184,6 +215,12 @@
         assert not late, (endpoint.endpoint.id, late)
 
 
+def check_declining(history: StatementHistory) -> None:
+    for endpoint in history.cluster.all_endpoints():
+        for early in history.early_arrivals(endpoint):
+            assert len(early) <= MAX_ARRIVALS, (endpoint.endpoint.id, early)
+
+
 async def _any_history(seed: int, check: Callable[[StatementHistory], None]) -> None:
     endpoint_by_id = make_started_endpoints(STREAM_ENDPOINTS)
     endpoint_by_id |= make_started_endpoints(CALL_ENDPOINTS, "plain")
@@ -199,3 +236,8 @@
 @pytest.mark.parametrize("seed", [5, 10, 16, 19, 22, 37, 40, 41])
 def test_in_no_history_endpoints_that_leave_get_requests(seed: int) -> None:
     run(_any_history, seed, check_leaving)
+
+
+@pytest.mark.parametrize("seed", [30, 143, 271])
+def test_in_no_history_endpoints_that_decline_get_requests(seed: int) -> None:
+    run(_any_history, seed, check_declining)
