Placement: an entry of the registry doesn't end the time for which a process declines (BUDGET)

What callers saw: an endpoint that had asked one instance for 3 s of rest got 4 requests from it in that time; each of them cost its caller a try.

Cause: Declines forgot a process whose registry entry named another start, and found nothing for an entry without one. Another writer's entry does both.

Change: the times are kept in a ProcessMemory by id and start of the process, and end by their timers. EndpointRegistry.has_ended is gone: nothing asks it any more.

--- a/cicadacourse/catalog/_registry.py
+++ b/cicadacourse/catalog/_registry.py
@@ -33,18 +33,6 @@
         """Returns an endpoint, or None if it is not registered."""
         return self._endpoint_by_id.get(endpoint_id)
 
-    def has_ended(self, endpoint: Endpoint) -> bool:
-        """Returns whether an endpoint's process has certainly ended, by the entries.
-
-        A process without an entry may still be running, and its entry may come back.
-        One whose start is not known can't be told from its successor, so it counts as
-        ended.
-        """
-        current = self.find(endpoint.id)
-        if current is None:
-            return endpoint.started_ms is None
-        return not current.is_same_process(endpoint)
-
     def put(self, endpoint: Endpoint) -> Endpoint | None:
         """Adds or replaces an endpoint and returns the one it replaced.
 
--- a/cicadacourse/placement/_declines.py
+++ b/cicadacourse/placement/_declines.py
@@ -15,7 +15,7 @@
 import attrs
 
 from cicadacourse.application import Application
-from cicadacourse.catalog import CatalogService, Endpoint
+from cicadacourse.catalog import Endpoint, ProcessKey, ProcessMemory
 from cicadacourse.events import ENDPOINT_CHANGED
 from cicadacourse.exchange import ResponseHead
 from cicadacourse.logs import (
@@ -39,15 +39,14 @@
 # time, so that an endpoint in need does not get all that they hold back at once.
 RETURN_SPREAD_SHARE = 0.1
 MAX_RETURN_SPREAD_S = 0.5
-# Bounds the memory; the process that returns first is dropped.
+# Bounds the memory.
 MAX_DECLINES = 2000
 
 
 @attrs.frozen
 class _Decline:
-    """One process that wants no requests until a loop time in seconds."""
+    """The time until which a process wants no requests, loop time in seconds."""
 
-    endpoint: Endpoint
     until: float
     timer: asyncio.TimerHandle
 
@@ -60,9 +59,13 @@
 
     def __init__(self, app: Application, on_change: Callable[[], None]) -> None:
         self._app = app
-        self._catalog_service: CatalogService = app.get("catalog")
+        self._registry = app.get("catalog").registry
         self._on_change = on_change
-        self._decline_by_key: dict[str, _Decline] = {}
+        self._declines: ProcessMemory[_Decline] = ProcessMemory(
+            self._registry,
+            MAX_DECLINES,
+            lambda process, decline: _forget_early(process, decline, "memory"),
+        )
         self._leaving = LeavingEndpoints(app, on_change)
         app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
 
@@ -83,7 +86,7 @@
     @property
     def has_any(self) -> bool:
         """Whether any process is known that declines requests."""
-        return bool(self._decline_by_key or self._leaving)
+        return bool(self._declines or self._leaving)
 
     def accepts(self, endpoint: Endpoint) -> bool:
         """Returns whether requests may be sent to an endpoint now."""
@@ -98,7 +101,7 @@
             return float("-inf")
         if endpoint in self._leaving:
             return float("inf")
-        decline = self._decline_by_key.get(endpoint.process_key)
+        decline = self._declines.find(endpoint)
         return float("-inf") if decline is None else decline.until
 
     def _decline(self, endpoint: Endpoint, for_s: float) -> None:
@@ -108,60 +111,52 @@
         until = now() + for_s
         if until <= self.returns_at(endpoint):
             return
-        key = endpoint.process_key
-        self._forget(key)
+        process = self._declines.process_of(endpoint)
+        self._cancel_timer(process)
         loop = asyncio.get_running_loop()
-        timer = loop.call_later(for_s + TIMER_SLACK_S, self._end, key)
-        self._decline_by_key[key] = _Decline(endpoint, until, timer)
-        self._drop_first()
+        timer = loop.call_later(for_s + TIMER_SLACK_S, self._end, process)
+        self._declines.put(process, _Decline(until, timer))
         log(
             ENDPOINT_DECLINES,
-            endpoint=endpoint.id,
-            started_ms=endpoint.process.started_ms,
+            endpoint=process.endpoint_id,
+            started_ms=process.started_ms,
             for_s=round(for_s, 3),
         )
         self._report_change()
 
-    def _end(self, key: str) -> None:
-        endpoint = self._decline_by_key[key].endpoint
-        self._forget(key)
-        log(ENDPOINT_ACCEPTS, endpoint=endpoint.id)
-        self._report_change()
+    def _cancel_timer(self, process: ProcessKey) -> None:
+        """Cancels the timer of an earlier time that the process has stated."""
+        decline = self._declines.get(process)
+        if decline is not None:
+            decline.timer.cancel()
 
-    def _drop_first(self) -> None:
-        if len(self._decline_by_key) > MAX_DECLINES:
-            declines = self._decline_by_key
-            first = min(declines, key=lambda key: declines[key].until)
-            _log_forgotten(declines[first], "memory")
-            self._forget(first)
+    def _end(self, process: ProcessKey) -> None:
+        self._declines.pop(process)
+        log(ENDPOINT_ACCEPTS, endpoint=process.endpoint_id)
+        self._report_change()
 
     def _endpoint_changed(self, endpoint: Endpoint) -> None:
-        """Forgets a process that has ended; one that lost its entry may be running."""
-        if endpoint.process_key not in self._decline_by_key:
+        """Forgets a process of unknown start that may have ended."""
+        if endpoint not in self._declines:
             return
-        if self._catalog_service.registry.has_ended(endpoint):
-            decline = self._decline_by_key[endpoint.process_key]
-            _log_forgotten(decline, "entry_changed")
-            self._forget(endpoint.process_key)
-        self._report_change()
-
-    def _forget(self, key: str) -> None:
-        decline = self._decline_by_key.pop(key, None)
+        decline = self._declines.pop_ended(endpoint)
         if decline is not None:
-            decline.timer.cancel()
+            _forget_early(endpoint.process, decline, "entry_changed")
+        self._report_change()
 
     def _report_change(self) -> None:
-        registered = self._catalog_service.registry.all()
-        count = sum(item.process_key in self._decline_by_key for item in registered)
+        count = sum(item in self._declines for item in self._registry.all())
         self._app.metrics.set(DECLINING_ENDPOINTS, count)
         self._on_change()
 
 
-def _log_forgotten(decline: _Decline, reason: str) -> None:
+def _forget_early(process: ProcessKey, decline: _Decline, reason: str) -> None:
+    """Ends what is known of a process before the time that it has stated."""
+    decline.timer.cancel()
     log(
         DECLINE_FORGOTTEN,
-        endpoint=decline.endpoint.id,
-        started_ms=decline.endpoint.process.started_ms,
+        endpoint=process.endpoint_id,
+        started_ms=process.started_ms,
         left_s=round(decline.until - now(), 3),
         reason=reason,
     )
