Placement, limits: count registered endpoints only on changes that concern them

Each change of any entry counted all of them while any process was known to leave or to name a limit, which now stays so. No behaviour changes.

--- a/cicadacourse/limits/_service.py
+++ b/cicadacourse/limits/_service.py
@@ -161,7 +161,7 @@
 
     def _endpoint_changed(self, endpoint: Endpoint) -> None:
         """Forgets a process of unknown start that may have ended."""
-        if self._limits:
+        if endpoint in self._limits:
             self._limits.pop_ended(endpoint)
             self._update_metric()
 
--- a/cicadacourse/placement/_leaving.py
+++ b/cicadacourse/placement/_leaving.py
@@ -94,7 +94,7 @@
 
     def _endpoint_changed(self, endpoint: Endpoint) -> None:
         """Forgets a process of unknown start that may have ended."""
-        if not self._processes:
+        if endpoint not in self:
             return
         if self._processes.pop_ended(endpoint):
             _log(LEAVING_FORGOTTEN, endpoint.process, reason="entry_changed")
