--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -165,6 +165,7 @@
         avoided_ids: frozenset[str],
         last_event_at: float | None = None,
         has_begun: bool = False,
+        may_risk_refusal: bool = True,
     ) -> PlacementRequest:
         """Returns the placement request of the next attempt.
 
@@ -175,6 +176,7 @@
         :param last_event_at: when the caller was sent the last event of a stream, loop
             time in seconds, or None.
         :param has_begun: whether a refusal would lose what an attempt has done.
+        :param may_risk_refusal: whether a refusal would leave it another try.
         """
         prompt = self.prompt
         return PlacementRequest(
@@ -191,6 +193,7 @@
             avoided_ids=avoided_ids,
             terms=self._terms(pool),
             has_begun=has_begun,
+            may_risk_refusal=may_risk_refusal,
         )
 
     def _terms(self, pool: str) -> AdmissionTerms:
--- a/cicadacourse/gateway/_attempt_owner.py
+++ b/cicadacourse/gateway/_attempt_owner.py
@@ -46,6 +46,10 @@
     def has_begun(self) -> bool:
         """Returns whether a failed attempt may have run or events were written."""
 
+    @abc.abstractmethod
+    def may_risk_refusal(self) -> bool:
+        """Returns whether another endpoint would be tried after a refusal."""
+
     @abc.abstractmethod
     def may_write_response(self) -> bool:
         """Returns whether nothing has been written to the caller yet."""
--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -155,6 +155,8 @@
             self._avoided_ids(),
             self.owner.last_event_at,
             has_begun=self.owner.is_hedge(self) or self.owner.has_begun(),
+            may_risk_refusal=not self._placer.declines.are_any_in_need
+            or self.owner.may_risk_refusal(),
         )
         async with self._placer.place(request) as result:
             match result:
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -268,6 +268,14 @@
         route = self.admitted.route
         return route.is_idempotent and self.attempts.sent < route.max_attempts
 
+    def may_risk_refusal(self) -> bool:
+        """Returns whether another endpoint would be tried after a refusal.
+
+        A request that was refused before has used up its share of the tries.
+        """
+        is_first = not self.attempts.refused
+        return is_first and self._grants.has_spare_retries(self._pool)
+
     @property
     def last_event_at(self) -> float | None:
         """When the last event was forwarded, loop time in seconds, or None."""
--- a/cicadacourse/logs/_placement.py
+++ b/cicadacourse/logs/_placement.py
@@ -39,6 +39,13 @@
     " gets none.",
     True,
 )
+ENDPOINT_IN_NEED = declare(
+    "placement",
+    "endpoint in need",
+    "`endpoint`, whose process started at `started_ms`, 0 if that is unknown, declines"
+    " requests of an instance for `for_s`; all instances use it last until then."
+    " `source` is `response`, or `peers` if another instance was refused.",
+)
 DECLINE_FORGOTTEN = declare(
     "placement",
     "endpoint no longer known to decline",
--- a/cicadacourse/placement/_chooser.py
+++ b/cicadacourse/placement/_chooser.py
@@ -87,6 +87,7 @@
                 tie_break=hashing.score(self._instance.name, item.id),
                 has_connection=not limit or requests.get(item.id, 0) < limit,
                 may_help=self._limits.limit_of(item) is None,
+                is_in_need=self._declines.is_in_need(item),
             )
             for item in usable
         ]
@@ -131,13 +132,27 @@
         """Returns a placement, or None if the request has to wait.
 
         Endpoints that have failed the request are used only if there are no others.
+        Those that are in need are used if no other one is free. A request that must not
+        risk a refusal waits for the others until its latency objective is missed.
         """
         not_avoided = [
             item for item in candidates if item.endpoint.id not in request.avoided_ids
         ]
         candidates = not_avoided or candidates
-        if pool.engine is None or not request.prompt_tokens:
-            chosen = choose_endpoint(candidates)
-            return None if chosen is None else place_call(chosen)
-        choice = admit_prompt(request, pool.engine, candidates)
-        return None if choice is None else place_prompt(request, choice)
+        others = [item for item in candidates if not item.is_in_need]
+        if others and len(others) < len(candidates):
+            placement = _try_place(request, pool, others)
+            may_risk_refusal = request.may_risk_refusal or request.target_s <= 0
+            if placement is not None or not may_risk_refusal:
+                return placement
+        return _try_place(request, pool, candidates)
+
+
+def _try_place(
+    request: PlacementRequest, pool: Pool, candidates: list[Candidate]
+) -> Placement | None:
+    if pool.engine is None or not request.prompt_tokens:
+        chosen = choose_endpoint(candidates)
+        return None if chosen is None else place_call(chosen)
+    choice = admit_prompt(request, pool.engine, candidates)
+    return None if choice is None else place_prompt(request, choice)
--- a/cicadacourse/placement/_declines.py
+++ b/cicadacourse/placement/_declines.py
@@ -2,7 +2,7 @@
 
 An endpoint in need states with a refusal for how long it wants no other request from
 the instance that sent this one. That concerns one process of the endpoint and only this
-instance: other instances learn it from refusals of their own. An endpoint that leaves
+instance; other instances are told, and use the endpoint last. An endpoint that leaves
 wants no more requests from any instance.
 """
 
@@ -28,6 +28,7 @@
 from cicadacourse.metrics import declare
 from cicadacourse.placement._ejections import TIMER_SLACK_S
 from cicadacourse.placement._leaving import LeavingEndpoints
+from cicadacourse.placement._peer_declines import PeerDeclines
 from cicadacourse.util.clock import now
 
 DECLINING_ENDPOINTS = declare(
@@ -67,6 +68,7 @@
             lambda process, decline: _forget_early(process, decline, "memory"),
         )
         self._leaving = LeavingEndpoints(app, on_change)
+        self._peer_declines = PeerDeclines(app)
         app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
 
     def observe(self, endpoint: Endpoint, head: ResponseHead) -> None:
@@ -80,6 +82,7 @@
             log(ENDPOINT_RETRY_AFTER_REFUSED, endpoint=endpoint.id)
         if head.retry_after_s:
             self._decline(endpoint, head.retry_after_s)
+            self._peer_declines.tell(endpoint, head.retry_after_s)
         if head.is_leaving:
             self._leaving.add(endpoint)
 
@@ -92,6 +95,15 @@
         """Returns whether requests may be sent to an endpoint now."""
         return self.returns_at(endpoint) <= now()
 
+    @property
+    def are_any_in_need(self) -> bool:
+        """Whether any endpoint is known that declines requests of any instance."""
+        return self._peer_declines.has_any
+
+    def is_in_need(self, endpoint: Endpoint) -> bool:
+        """Returns whether an endpoint declines requests of any instance now."""
+        return endpoint in self._peer_declines
+
     def returns_at(self, endpoint: Endpoint) -> float:
         """Returns from when on an endpoint accepts requests, loop time in seconds.
 
--- a/cicadacourse/placement/_model.py
+++ b/cicadacourse/placement/_model.py
@@ -47,6 +47,7 @@
         pool is no longer configured.
     :param has_begun: whether it may have run, or a part of its response was forwarded,
         so that a refusal would lose more than the caller's time.
+    :param may_risk_refusal: whether another endpoint would be tried after a refusal.
     """
 
     request_id: str
@@ -62,6 +63,7 @@
     avoided_ids: frozenset[str] = frozenset()
     terms: AdmissionTerms | None = None
     has_begun: bool = False
+    may_risk_refusal: bool = True
 
     @property
     def context_tokens(self) -> int:
@@ -95,6 +97,8 @@
         a request to it.
     :param may_help: whether it may prefill parts of prompts for other engines. One that
         names a limit on its requests may not.
+    :param is_in_need: whether it has declined requests of any instance for a time that
+        is not over.
     """
 
     endpoint: Endpoint
@@ -103,6 +107,7 @@
     tie_break: int = 0
     has_connection: bool = True
     may_help: bool = True
+    is_in_need: bool = False
 
     @property
     def has_slot(self) -> bool:
