--- a/tests/test_limits/test_limits_rewritten.py
+++ b/tests/test_limits/test_limits_rewritten.py
@@ -11,15 +11,15 @@
 
 from cicadacourse.util.clock import now
 from tests.gateway_cluster import gateway_cluster, most_in_window
-from tests.test_limits.test_limits_cluster import TOLD_S, allowed, run
-from tests.test_placement.test_placement_leaving import make_started_endpoints
-from tests.test_placement.test_placement_leaving_rewritten import (
+from tests.registry_entries import (
     GONE,
     IN_OTHER_POOL,
     WITHOUT_START,
     Rewrites,
     rewrite_entries,
 )
+from tests.test_limits.test_limits_cluster import TOLD_S, allowed, run
+from tests.test_placement.test_placement_leaving import make_started_endpoints
 
 LOAD = 30.0
 LIMIT = 1.0
--- a/tests/test_placement/test_placement_statement_histories.py
+++ b/tests/test_placement/test_placement_statement_histories.py
@@ -24,6 +24,12 @@
     SimulatedEndpoint,
     gateway_cluster,
 )
+from tests.registry_entries import (
+    GONE,
+    IN_OTHER_POOL,
+    WITHOUT_START,
+    list_entry,
+)
 from tests.test_gateway.test_gateway_lost_links_histories import (
     CALL_ENDPOINTS,
     DISTURBANCES,
@@ -36,12 +42,6 @@
     History,
 )
 from tests.test_placement.test_placement_leaving import DRAIN_S, make_started_endpoints
-from tests.test_placement.test_placement_leaving_rewritten import (
-    GONE,
-    IN_OTHER_POOL,
-    WITHOUT_START,
-    list_entry,
-)
 from tests.test_placement.test_placement_retry_after import (
     GRACE_S,
     MAX_ARRIVALS,
--- a/tests/test_reachability/test_reachability_rewritten.py
+++ b/tests/test_reachability/test_reachability_rewritten.py
@@ -10,14 +10,14 @@
 
 from cicadacourse.reachability._messages import CheckEndpoint
 from tests.gateway_cluster import gateway_cluster
-from tests.test_placement.test_placement_leaving import make_started_endpoints
-from tests.test_placement.test_placement_leaving_rewritten import (
+from tests.registry_entries import (
     GONE,
     IN_OTHER_POOL,
     WITHOUT_START,
     Rewrites,
     list_entry,
 )
+from tests.test_placement.test_placement_leaving import make_started_endpoints
 from tests.test_placement.test_placement_retry_after import run
 
 
