--- a/tests/registry_entries.py
+++ b/tests/registry_entries.py
@@ -13,8 +13,8 @@
 
 # How long an entry stands until the next one, in seconds.
 REWRITE_S = 0.3
-# Changed fields of the former entry; ``GONE`` removes it, as an entry that can't be read
-# does.
+# The fields in which an entry differs from the former one. ``GONE`` removes it, as an
+# entry that can't be read does.
 Changes = dict[str, Any] | None
 GONE: Changes = None
 WITHOUT_START: Changes = {"started_ms": None}
