--- a/tests/test_gateway/test_gateway_denied_permits.py
+++ b/tests/test_gateway/test_gateway_denied_permits.py
@@ -14,7 +14,8 @@
 from cicadacourse.limits import Permit
 from cicadacourse.limits._permits import RETRY_S
 from cicadacourse.util.clock import now
-from tests.gateway_cluster import OK, GatewayCluster, gateway_cluster
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import OK
 from tests.test_gateway.test_gateway_refused_retries import BEGUN_S, TIMEOUT_S, _reset
 from tests.test_gateway.test_gateway_silence import (
     EVENTS,
--- a/tests/test_gateway/test_gateway_hedges.py
+++ b/tests/test_gateway/test_gateway_hedges.py
@@ -17,13 +17,8 @@
 from cicadacourse.catalog import Catalog, PoolShare
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.events import ENDPOINT_CHANGED
-from tests.gateway_cluster import (
-    FOR_GOOD,
-    GatewayCluster,
-    SimulatedEndpoint,
-    gateway_cluster,
-    make_endpoints,
-)
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import FOR_GOOD, SimulatedEndpoint, make_endpoints
 from tests.test_gateway.test_gateway_histories import CATALOG
 from tests.test_gateway.test_gateway_silence import (
     EVENTS,
--- a/tests/test_gateway/test_gateway_lost_links.py
+++ b/tests/test_gateway/test_gateway_lost_links.py
@@ -17,12 +17,8 @@
 from cicadacourse.platform._endpoint_connector import DEFAULT_KEEP_ALIVE_S
 from cicadacourse.util.clock import now
 from tests.endpoint_links import LinkFault
-from tests.gateway_cluster import (
-    GatewayCluster,
-    SimulatedEndpoint,
-    gateway_cluster,
-    make_endpoints,
-)
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import SimulatedEndpoint, make_endpoints
 from tests.test_gateway.test_gateway_histories import FakeReply
 from tests.test_gateway.test_gateway_silence import EVENTS, check_all_left, run, sources
 
--- a/tests/test_gateway/test_gateway_lost_links_histories.py
+++ b/tests/test_gateway/test_gateway_lost_links_histories.py
@@ -20,7 +20,8 @@
 from cicadacourse.registry import Registry
 from cicadacourse.util.clock import now
 from tests.endpoint_links import Exchange, LinkFault
-from tests.gateway_cluster import GatewayCluster, gateway_cluster, make_endpoints
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import make_endpoints
 from tests.test_gateway.test_gateway_histories import NOT_RUN_STATUSES, OK, FakeReply
 from tests.test_gateway.test_gateway_silence import EVENTS, run, sources
 
--- a/tests/test_gateway/test_gateway_lost_links_sizes.py
+++ b/tests/test_gateway/test_gateway_lost_links_sizes.py
@@ -7,7 +7,8 @@
 import pytest
 
 from tests.endpoint_links import LinkFault
-from tests.gateway_cluster import UNAVAILABLE, gateway_cluster
+from tests.gateway_cluster import gateway_cluster
+from tests.simulated_endpoints import UNAVAILABLE
 from tests.test_gateway.test_gateway_lost_links import (
     FirstTry,
     check_first_tries,
--- a/tests/test_gateway/test_gateway_proxied.py
+++ b/tests/test_gateway/test_gateway_proxied.py
@@ -7,7 +7,8 @@
 import pytest
 
 from cicadacourse.util.clock import now
-from tests.gateway_cluster import GatewayCluster, gateway_cluster, make_endpoints
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import make_endpoints
 from tests.test_gateway.test_gateway_silence import run, sources
 from tests.test_proxy.peer_faults import MessageFaults, lose_link
 
--- a/tests/test_gateway/test_gateway_refused_retries.py
+++ b/tests/test_gateway/test_gateway_refused_retries.py
@@ -15,12 +15,9 @@
 from cicadacourse.exchange import EndpointConnection, SendFailure
 from cicadacourse.gateway._attempts import FIRST_PAUSE_S
 from cicadacourse.util.clock import now
-from tests.gateway_cluster import (
-    ENDPOINT_LINK_S,
-    GatewayCluster,
-    SimulatedEndpoint,
-    gateway_cluster,
-)
+from tests.endpoint_links import ENDPOINT_LINK_S
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import SimulatedEndpoint
 from tests.test_gateway.test_gateway_histories import FakeReply
 from tests.test_gateway.test_gateway_silence import (
     EVENTS,
--- a/tests/test_gateway/test_gateway_resumed_streams.py
+++ b/tests/test_gateway/test_gateway_resumed_streams.py
@@ -12,7 +12,8 @@
 
 from cicadacourse.exchange import CallerRequest, Prompt
 from cicadacourse.gateway._admission import AdmittedRequest
-from tests.gateway_cluster import gateway_cluster, make_endpoints
+from tests.gateway_cluster import gateway_cluster
+from tests.simulated_endpoints import make_endpoints
 from tests.simulated_loop import new_event_loop
 from tests.test_gateway.test_gateway_histories import CATALOG, HOST, FakeReply
 
--- a/tests/test_gateway/test_gateway_silence.py
+++ b/tests/test_gateway/test_gateway_silence.py
@@ -23,14 +23,9 @@
 from cicadacourse.gateway._admission import CALLER_IDLE_TIMEOUT_S, SHORT_SILENCE_S
 from cicadacourse.placement._budget import USABLE_SHARE
 from cicadacourse.util.clock import now
-from tests.gateway_cluster import (
-    FOR_GOOD,
-    GatewayCluster,
-    SimulatedConnector,
-    SimulatedEndpoint,
-    gateway_cluster,
-    make_endpoints,
-)
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_connector import SimulatedConnector
+from tests.simulated_endpoints import FOR_GOOD, SimulatedEndpoint, make_endpoints
 from tests.simulated_loop import new_event_loop
 from tests.test_gateway.test_gateway_histories import (
     FakeReply,
--- a/tests/test_gateway/test_gateway_unreachable.py
+++ b/tests/test_gateway/test_gateway_unreachable.py
@@ -14,7 +14,8 @@
 from cicadacourse.gateway._retries import RetryGrants
 from cicadacourse.util.clock import now
 from tests.endpoint_links import LinkFault
-from tests.gateway_cluster import GatewayCluster, gateway_cluster, make_endpoints
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import make_endpoints
 from tests.test_gateway.test_gateway_silence import exhaust_budget, run
 
 # Longer than a connection is kept open.
--- a/tests/test_gateway/test_gateway_waiting_hedges.py
+++ b/tests/test_gateway/test_gateway_waiting_hedges.py
@@ -11,7 +11,8 @@
 import attrs
 
 from cicadacourse.events import ENDPOINT_CHANGED
-from tests.gateway_cluster import FOR_GOOD, GatewayCluster, gateway_cluster
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import FOR_GOOD
 from tests.test_gateway.test_gateway_histories import CATALOG
 from tests.test_gateway.test_gateway_silence import (
     STREAM_DELAY_S,
--- a/tests/test_limits/test_limits_cluster.py
+++ b/tests/test_limits/test_limits_cluster.py
@@ -12,7 +12,8 @@
 import pytest
 
 from cicadacourse.util.clock import now
-from tests.gateway_cluster import gateway_cluster, make_endpoints, most_in_window
+from tests.gateway_cluster import gateway_cluster
+from tests.simulated_endpoints import make_endpoints, most_in_window
 from tests.simulated_loop import new_event_loop
 
 WINDOW_S = 4.0
--- a/tests/test_limits/test_limits_failures.py
+++ b/tests/test_limits/test_limits_failures.py
@@ -14,13 +14,8 @@
 from cicadacourse.events import ENDPOINT_CHANGED
 from cicadacourse.util import hashing
 from cicadacourse.util.clock import now
-from tests.gateway_cluster import (
-    GatewayCluster,
-    SimulatedEndpoint,
-    gateway_cluster,
-    make_endpoints,
-    most_in_window,
-)
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import SimulatedEndpoint, make_endpoints, most_in_window
 from tests.test_limits.test_limits_cluster import TOLD_S, allowed, run
 
 INSTANCES = 7
--- a/tests/test_limits/test_limits_rewritten.py
+++ b/tests/test_limits/test_limits_rewritten.py
@@ -10,7 +10,7 @@
 import pytest
 
 from cicadacourse.util.clock import now
-from tests.gateway_cluster import gateway_cluster, most_in_window
+from tests.gateway_cluster import gateway_cluster
 from tests.registry_entries import (
     GONE,
     IN_OTHER_POOL,
@@ -18,6 +18,7 @@
     Rewrites,
     rewrite_entries,
 )
+from tests.simulated_endpoints import most_in_window
 from tests.test_limits.test_limits_cluster import TOLD_S, allowed, run
 from tests.test_placement.test_placement_leaving import make_started_endpoints
 
--- a/tests/test_placement/test_placement_ended.py
+++ b/tests/test_placement/test_placement_ended.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from tests.gateway_cluster import gateway_cluster, make_endpoints
+from tests.gateway_cluster import gateway_cluster
+from tests.simulated_endpoints import make_endpoints
 from tests.test_limits.test_limits_cluster import run
 
 # How soon the end of a process is known to all instances.
--- a/tests/test_placement/test_placement_leaving.py
+++ b/tests/test_placement/test_placement_leaving.py
@@ -15,12 +15,8 @@
 from cicadacourse.catalog import EndpointState
 from cicadacourse.events import ENDPOINT_CHANGED
 from cicadacourse.util.clock import now
-from tests.gateway_cluster import (
-    GatewayCluster,
-    SimulatedEndpoint,
-    gateway_cluster,
-    make_endpoints,
-)
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import SimulatedEndpoint, make_endpoints
 from tests.test_placement.test_placement_retry_after import (
     AT_ONCE_S,
     replace_process,
--- a/tests/test_placement/test_placement_lost_links.py
+++ b/tests/test_placement/test_placement_lost_links.py
@@ -13,12 +13,8 @@
 
 from cicadacourse.placement import EndpointHealth
 from cicadacourse.util.clock import now
-from tests.gateway_cluster import (
-    GatewayCluster,
-    SimulatedEndpoint,
-    gateway_cluster,
-    make_endpoints,
-)
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import SimulatedEndpoint, make_endpoints
 from tests.test_limits.test_limits_cluster import run
 
 IDS = [f"e{number}" for number in range(10)]
--- a/tests/test_placement/test_placement_retry_after.py
+++ b/tests/test_placement/test_placement_retry_after.py
@@ -15,12 +15,8 @@
 from cicadacourse.events import ENDPOINT_CHANGED
 from cicadacourse.exchange import ResponseHead
 from cicadacourse.util.clock import now
-from tests.gateway_cluster import (
-    GatewayCluster,
-    SimulatedEndpoint,
-    gateway_cluster,
-    make_endpoints,
-)
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import SimulatedEndpoint, make_endpoints
 from tests.simulated_loop import new_event_loop
 from tests.test_gateway.test_gateway_histories import FakeReply
 
--- a/tests/test_placement/test_placement_rewritten_entries.py
+++ b/tests/test_placement/test_placement_rewritten_entries.py
@@ -12,7 +12,7 @@
 import pytest
 
 from cicadacourse.util.clock import now
-from tests.gateway_cluster import GatewayCluster, SimulatedEndpoint, gateway_cluster
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
 from tests.registry_entries import (
     REWRITES,
     WITH_OTHER_START,
@@ -21,6 +21,7 @@
     list_entry,
     rewrite_entries,
 )
+from tests.simulated_endpoints import SimulatedEndpoint
 from tests.test_placement.test_placement_leaving import TOLD_S, make_started_endpoints
 from tests.test_placement.test_placement_retry_after import run, share_served
 
--- a/tests/test_placement/test_placement_statement_histories.py
+++ b/tests/test_placement/test_placement_statement_histories.py
@@ -18,18 +18,14 @@
 from cicadacourse.registry import Registry
 from cicadacourse.util.clock import now
 from tests.endpoint_links import LinkFault
-from tests.gateway_cluster import (
-    Answer,
-    Arrival,
-    SimulatedEndpoint,
-    gateway_cluster,
-)
+from tests.gateway_cluster import gateway_cluster
 from tests.registry_entries import (
     GONE,
     IN_OTHER_POOL,
     WITHOUT_START,
     list_entry,
 )
+from tests.simulated_endpoints import Answer, Arrival, SimulatedEndpoint
 from tests.test_gateway.test_gateway_lost_links_histories import (
     CALL_ENDPOINTS,
     DISTURBANCES,
--- a/tests/test_placement/test_placement_unreachable.py
+++ b/tests/test_placement/test_placement_unreachable.py
@@ -15,12 +15,8 @@
 from cicadacourse.reachability import _service
 from cicadacourse.reachability._service import MIN_UNREACHABLE_S
 from tests.endpoint_links import LinkFault
-from tests.gateway_cluster import (
-    GatewayCluster,
-    SimulatedEndpoint,
-    gateway_cluster,
-    make_endpoints,
-)
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import SimulatedEndpoint, make_endpoints
 from tests.test_gateway.test_gateway_histories import FakeReply
 from tests.test_limits.test_limits_cluster import run
 
--- a/tests/test_placement/test_placement_waiting.py
+++ b/tests/test_placement/test_placement_waiting.py
@@ -14,7 +14,8 @@
 
 from cicadacourse.placement import Candidate, PlacementRequest, WaitQueue, admit_prompt
 from standins.platform import PROFILE
-from tests.gateway_cluster import gateway_cluster, make_endpoints
+from tests.gateway_cluster import gateway_cluster
+from tests.simulated_endpoints import make_endpoints
 from tests.simulated_loop import new_event_loop
 from tests.test_placement.candidates import engine
 
--- a/tests/test_proxy/peer_faults.py
+++ b/tests/test_proxy/peer_faults.py
@@ -11,7 +11,8 @@
 from cicadacourse.exchange import CallerRequest, EndpointRequest, Prompt, SendFailure
 from cicadacourse.peers import MemoryPeers
 from cicadacourse.util.clock import now
-from tests.gateway_cluster import GatewayCluster, SimulatedEndpoint, make_event
+from tests.gateway_cluster import GatewayCluster
+from tests.simulated_endpoints import SimulatedEndpoint, make_event
 
 # Longer than a test waits for a reply.
 LATE_S = 0.3
--- a/tests/test_proxy/test_proxy_exchanges.py
+++ b/tests/test_proxy/test_proxy_exchanges.py
@@ -10,7 +10,8 @@
 from cicadacourse.proxy._pieces import MAX_PIECE_BYTES
 from cicadacourse.util.clock import now
 from tests.endpoint_links import LinkFault
-from tests.gateway_cluster import gateway_cluster, make_endpoints
+from tests.gateway_cluster import gateway_cluster
+from tests.simulated_endpoints import make_endpoints
 from tests.test_gateway.test_gateway_silence import run
 from tests.test_proxy.peer_faults import (
     exchange,
--- a/tests/test_proxy/test_proxy_steps.py
+++ b/tests/test_proxy/test_proxy_steps.py
@@ -13,12 +13,8 @@
 
 from cicadacourse.util.clock import now
 from tests.endpoint_links import LinkFault
-from tests.gateway_cluster import (
-    GatewayCluster,
-    SimulatedEndpoint,
-    gateway_cluster,
-    make_endpoints,
-)
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import SimulatedEndpoint, make_endpoints
 from tests.test_gateway.test_gateway_silence import run
 from tests.test_proxy.peer_faults import (
     MessageFault,
--- a/tests/test_quarantine/test_quarantine_blame.py
+++ b/tests/test_quarantine/test_quarantine_blame.py
@@ -9,7 +9,8 @@
 from cicadacourse.exchange import ResponseHead
 from cicadacourse.quarantine import Quarantine, RequestKeys
 from cicadacourse.util.clock import now
-from tests.gateway_cluster import gateway_cluster, make_endpoints
+from tests.gateway_cluster import gateway_cluster
+from tests.simulated_endpoints import make_endpoints
 from tests.test_limits.test_limits_cluster import run
 
 KEYS = RequestKeys(digest="d")
--- a/tests/test_quarantine/test_quarantine_cluster.py
+++ b/tests/test_quarantine/test_quarantine_cluster.py
@@ -12,12 +12,8 @@
 import pytest
 
 from cicadacourse.exchange import EndpointRequest
-from tests.gateway_cluster import (
-    GatewayCluster,
-    SimulatedEndpoint,
-    gateway_cluster,
-    make_endpoints,
-)
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import SimulatedEndpoint, make_endpoints
 from tests.test_limits.test_limits_cluster import run
 
 # The platform's ``contactMs``.
--- a/tests/test_quarantine/test_quarantine_failures.py
+++ b/tests/test_quarantine/test_quarantine_failures.py
@@ -11,7 +11,8 @@
 from cicadacourse.quarantine import Quarantine, RequestKeys
 from cicadacourse.quarantine._ledger import LIFETIME_S, MAX_SOUND_KEYS
 from cicadacourse.util.clock import now
-from tests.gateway_cluster import GatewayCluster, gateway_cluster, make_endpoints
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import make_endpoints
 from tests.test_limits.test_limits_cluster import run
 from tests.test_quarantine.test_quarantine_cluster import (
     CONTACT_S,
--- a/tests/test_quarantine/test_quarantine_lost_links.py
+++ b/tests/test_quarantine/test_quarantine_lost_links.py
@@ -15,7 +15,8 @@
 from cicadacourse.events import ENDPOINT_ENDED
 from cicadacourse.util.clock import now
 from tests.endpoint_links import LinkFault
-from tests.gateway_cluster import GatewayCluster, gateway_cluster, make_endpoints
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import make_endpoints
 from tests.test_limits.test_limits_cluster import run
 
 # How soon the end of a process is known to all instances.
--- a/tests/test_quarantine/test_quarantine_requests.py
+++ b/tests/test_quarantine/test_quarantine_requests.py
@@ -14,13 +14,9 @@
 import pytest
 
 from cicadacourse.exchange import EndpointRequest
-from tests.gateway_cluster import (
-    FATAL_S,
-    GatewayCluster,
-    SimulatedEndpoint,
-    gateway_cluster,
-    make_endpoints,
-)
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_connector import FATAL_S
+from tests.simulated_endpoints import SimulatedEndpoint, make_endpoints
 from tests.test_limits.test_limits_cluster import run
 from tests.test_quarantine.test_quarantine_cluster import served_share, sound_parts
 
--- a/tests/test_reachability/link_cluster.py
+++ b/tests/test_reachability/link_cluster.py
@@ -15,7 +15,9 @@
 from cicadacourse.util.clock import now
 from standins.memory_cluster import memory_cluster
 from tests.endpoint_links import LinkFault
-from tests.gateway_cluster import GatewayCluster, SimulatedConnector, make_endpoints
+from tests.gateway_cluster import GatewayCluster
+from tests.simulated_connector import SimulatedConnector
+from tests.simulated_endpoints import make_endpoints
 
 
 class CountingConnector(SimulatedConnector):
--- a/tests/test_reachability/test_reachability_lookups.py
+++ b/tests/test_reachability/test_reachability_lookups.py
@@ -20,7 +20,8 @@
 from cicadacourse.membership import Member, select_connected
 from cicadacourse.platform._probes import Probes
 from cicadacourse.platform._settings import ListenSettings
-from tests.gateway_cluster import GatewayCluster, gateway_cluster, make_endpoints
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import make_endpoints
 from tests.test_limits.test_limits_cluster import run
 from tests.test_reachability.test_reachability_links import lines_of
 
--- a/tests/test_reservations/test_reservations_lost_links.py
+++ b/tests/test_reservations/test_reservations_lost_links.py
@@ -16,13 +16,9 @@
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.reservations import KvCacheClient, ProxyingKvCacheClient
 from cicadacourse.util.clock import now
-from tests.endpoint_links import LinkFault
-from tests.gateway_cluster import (
-    ENDPOINT_LINK_S,
-    GatewayCluster,
-    gateway_cluster,
-    make_endpoints,
-)
+from tests.endpoint_links import ENDPOINT_LINK_S, LinkFault
+from tests.gateway_cluster import GatewayCluster, gateway_cluster
+from tests.simulated_endpoints import make_endpoints
 from tests.test_gateway.test_gateway_silence import run
 from tests.test_proxy.peer_faults import MessageFault, MessageFaults, lose_link
 
