--- a/cicadacourse/catalog/__init__.py
+++ b/cicadacourse/catalog/__init__.py
@@ -1,7 +1,14 @@
 """The configuration in force and the registry of the endpoints that serve it."""
 
-from cicadacourse.catalog._endpoint import Endpoint, EndpointState, ProcessKey
+from cicadacourse.catalog._cold import ColdEndpoints
+from cicadacourse.catalog._endpoint import (
+    Endpoint,
+    EndpointState,
+    ListedEndpoint,
+    ProcessKey,
+)
 from cicadacourse.catalog._engine import EngineProfile
+from cicadacourse.catalog._evacuations import Evacuation, Evacuations
 from cicadacourse.catalog._freshness import ConfigurationFreshness
 from cicadacourse.catalog._model import (
     CallerLimits,
@@ -11,6 +18,7 @@
     PoolShare,
     Route,
     RouteKind,
+    find_allowed_regions,
 )
 from cicadacourse.catalog._process_memory import ProcessMemory
 from cicadacourse.catalog._registry import EndpointRegistry
@@ -22,11 +30,15 @@
     "Catalog",
     "CatalogService",
     "CatalogSettings",
+    "ColdEndpoints",
     "ConfigurationFreshness",
     "Endpoint",
     "EndpointState",
     "EngineProfile",
     "EndpointRegistry",
+    "Evacuation",
+    "Evacuations",
+    "ListedEndpoint",
     "Organisation",
     "Pool",
     "PoolShare",
@@ -34,4 +46,5 @@
     "ProcessMemory",
     "Route",
     "RouteKind",
+    "find_allowed_regions",
 ]
--- a/cicadacourse/catalog/_endpoint.py
+++ b/cicadacourse/catalog/_endpoint.py
@@ -98,3 +98,14 @@
         starts = {self.process.started_ms, process.started_ms}
         are_alike = len(starts) == 1 or UNKNOWN_START in starts
         return self.id == process.endpoint_id and are_alike
+
+
+@attrs.frozen
+class ListedEndpoint:
+    """An endpoint with what its registry entry says of the moment.
+
+    :param cold_left_s: for how many seconds it is still cold, 0 if it is not.
+    """
+
+    endpoint: Endpoint
+    cold_left_s: float = 0.0
--- a/cicadacourse/catalog/_model.py
+++ b/cicadacourse/catalog/_model.py
@@ -50,6 +50,7 @@
     :param max_attempts: the maximum number of endpoints that may run one request.
     :param is_public: whether it is served without a key.
     :param is_resumable: whether another endpoint may resume a stream.
+    :param allowed_regions: the regions that may serve it; all may if it is empty.
     """
 
     name: str
@@ -64,6 +65,7 @@
     max_attempts: int = 1
     is_public: bool = False
     is_resumable: bool = False
+    allowed_regions: frozenset[str] = frozenset()
 
     @property
     def is_idempotent(self) -> bool:
@@ -81,11 +83,14 @@
     :param max_connections: the maximum number of connections for requests from each
         instance to one endpoint, 0 if it is not bounded.
     :param engine: the engines' time model, or None for plain services.
+    :param cold_rate: requests per second that an endpoint bears from all instances
+        together while it is cold, 0 if that is not bounded.
     """
 
     name: str
     max_connections: int = 0
     engine: EngineProfile | None = None
+    cold_rate: float = 0.0
 
 
 @attrs.frozen
@@ -93,11 +98,28 @@
     """One organisation.
 
     :param priority: overrides the routes' priority unless it is None.
+    :param allowed_regions: the regions that may serve its requests; all may if it is
+        empty.
     """
 
     name: str
     keys: tuple[str, ...] = ()
     priority: int | None = None
+    allowed_regions: frozenset[str] = frozenset()
+
+
+def find_allowed_regions(
+    route: Route, organisation: Organisation | None
+) -> frozenset[str] | None:
+    """Returns the regions that may serve a request, or None if all may.
+
+    Where both the route and the organisation name regions, both bind.
+    """
+    named = [route.allowed_regions]
+    if organisation is not None:
+        named.append(organisation.allowed_regions)
+    restrictions = [item for item in named if item]
+    return frozenset.intersection(*restrictions) if restrictions else None
 
 
 @attrs.frozen
@@ -149,6 +171,14 @@
             return True
         return self.find_organisation(key) is not None
 
+    def find_host_regions(self, host: str) -> frozenset[str] | None:
+        """Returns the regions that may serve the routes of a host, None if all may."""
+        by_prefix = self._route_by_prefix_by_host.get(host.lower(), {})
+        restrictions = [item.allowed_regions for item in by_prefix.values()]
+        if not restrictions or not all(restrictions):
+            return None
+        return frozenset.union(*restrictions)
+
     @cached_property
     def _route_by_prefix_by_host(self) -> Mapping[str, dict[str, Route]]:
         found: dict[str, dict[str, Route]] = defaultdict(dict)
--- a/cicadacourse/catalog/_service.py
+++ b/cicadacourse/catalog/_service.py
@@ -7,6 +7,8 @@
 from typing import AsyncIterator
 
 from cicadacourse.application import SERVICES, Application, Service
+from cicadacourse.catalog._cold import ColdEndpoints
+from cicadacourse.catalog._evacuations import Evacuation, Evacuations
 from cicadacourse.catalog._freshness import NEVER, ConfigurationFreshness
 from cicadacourse.catalog._model import Catalog
 from cicadacourse.catalog._registry import EndpointRegistry
@@ -15,13 +17,23 @@
     CATALOG_CHANGED,
     CATALOG_CONFIRMED,
     CATALOG_VERSION_RECEIVED,
+    EVACUATIONS_CHANGED,
+)
+from cicadacourse.logs import (
+    CONFIGURATION_IN_FORCE,
+    CONFIGURATION_SUPERSEDED,
+    DOMAIN_EVACUATED,
+    EVACUATION_WITHDRAWN,
+    log,
 )
-from cicadacourse.logs import CONFIGURATION_IN_FORCE, CONFIGURATION_SUPERSEDED, log
 from cicadacourse.metrics import declare
 from cicadacourse.util.clock import now
 
 TICK_PERIOD_S = 0.25
 VERSION = declare("catalog_version", "Version of the configuration in force.")
+EVACUATED = declare(
+    "evacuated_failure_domains", "1 while a failure domain is evacuated, by domain."
+)
 
 
 @SERVICES.register("catalog")
@@ -31,6 +43,8 @@
     :ivar catalog: the newest version received, or None before the first.
     :ivar freshness: how recent the evidence is that it is the newest one.
     :ivar registry: the registered endpoints.
+    :ivar cold: the endpoints that bear few requests for now.
+    :ivar evacuations: the failure domains that get no requests.
     :ivar registry_offset: the offset in the registry's log as of its last change.
     :ivar registry_read_at: when this instance last read the registry itself, loop time
         in seconds.
@@ -44,7 +58,10 @@
         self.catalog: Catalog | None = None
         settings = app.settings.get(CatalogSettings)
         self.freshness = ConfigurationFreshness(settings.superseded_bound_s)
+        self._follows_evacuations = settings.follows_evacuations
         self.registry = EndpointRegistry()
+        self.cold = ColdEndpoints(self.registry)
+        self.evacuations = Evacuations(self._evacuation_changed)
         self.registry_offset = 0
         self.registry_read_at = NEVER
         self.in_force_since = 0.0
@@ -70,7 +87,10 @@
 
     @property
     def is_known(self) -> bool:
-        """Whether a configuration and the registry are known."""
+        """Whether a configuration and the registry are known.
+
+        Where evacuations are followed, they have to be known as well.
+        """
         return self._both_known.is_set()
 
     @property
@@ -91,10 +111,30 @@
         self._is_registry_known = True
         self._update_known()
 
+    def mark_evacuations_known(self) -> None:
+        """Records that the requests to evacuate failure domains were read."""
+        self.evacuations.is_known = True
+        self._update_known()
+
     def _update_known(self) -> None:
+        if self._follows_evacuations and not self.evacuations.is_known:
+            return
         if self.catalog is not None and self._is_registry_known:
             self._both_known.set()
 
+    def _evacuation_changed(self, evacuation: Evacuation, source: str) -> None:
+        """Logs that a failure domain is evacuated, or that it no longer is."""
+        is_in_force = evacuation.is_in_force
+        log(
+            DOMAIN_EVACUATED if is_in_force else EVACUATION_WITHDRAWN,
+            failure_domain=evacuation.failure_domain,
+            position=evacuation.position,
+            source=source,
+        )
+        domain = evacuation.failure_domain
+        self.app.metrics.set(EVACUATED, int(is_in_force), failure_domain=domain)
+        self.app.events.emit(EVACUATIONS_CHANGED)
+
     def _hear_of(self, instance: str, version: int) -> None:
         """Records that another instance has a version in force."""
         if self.freshness.hear_of(version, now()):
--- a/cicadacourse/cmd/_services.py
+++ b/cicadacourse/cmd/_services.py
@@ -12,6 +12,7 @@
     "load",
     "evidence",
     "reachability",
+    "eligibility",
     "proxy",
     "limits",
     "quarantine",
--- a/cicadacourse/cmd/serve.py
+++ b/cicadacourse/cmd/serve.py
@@ -42,6 +42,7 @@
     "load",
     "evidence",
     "reachability",
+    "eligibility",
     "permits",
     "limits",
     "quarantine",
--- a/cicadacourse/cmd/show.py
+++ b/cicadacourse/cmd/show.py
@@ -20,6 +20,7 @@
     "endpoints": "endpoints",
     "routes": "routes",
     "organisations": "organisations",
+    "evacuations": "evacuations",
 }
 ALL = "all"
 
--- a/cicadacourse/config.py
+++ b/cicadacourse/config.py
@@ -4,7 +4,8 @@
 
 import configparser
 import ipaddress
-from typing import Any, Callable, TypeVar, dataclass_transform
+from types import MappingProxyType
+from typing import Any, Callable, Mapping, TypeVar, dataclass_transform
 
 import attrs
 from returns.result import Failure, Result, Success
@@ -128,6 +129,21 @@
     return tuple(parse_address(part) for part in text.replace(",", " ").split())
 
 
+def parse_region_by_domain(text: str) -> Mapping[str, str]:
+    """Parses failure domains with their regions.
+
+    >>> parse_region_by_domain("east-a:east, west-a:west")["west-a"]
+    'west'
+
+    :raises ValueError: if a name is malformed or a failure domain is named twice.
+    """
+    pairs = [part.split(":") for part in text.replace(",", " ").split()]
+    found = {parse_name(domain): parse_name(region) for domain, region in pairs}
+    if len(found) < len(pairs):
+        raise ValueError(text)
+    return MappingProxyType(found)
+
+
 def parse_log_level(text: str) -> str:
     """Parses the name of a level of the log, in upper or lower case.
 
@@ -150,6 +166,7 @@
     parse_name: "a name of letters, digits, '-', '_' and '.'",
     parse_address: "an IP address and a port, such as 127.0.0.1:7000",
     parse_addresses: "IP addresses with ports, separated by commas",
+    parse_region_by_domain: "failure domains with regions as 'a:east, b:west'",
     parse_log_level: f"{', '.join(LOG_LEVELS[:-1])} or {LOG_LEVELS[-1]}",
 }
 
@@ -246,6 +263,12 @@
     name: str = option(parse_name, help="Name of this instance, unique in the fleet.")
     region: str = option(parse_name, "default", help="Region of this instance.")
     failure_domain: str = option(parse_name, help="Failure domain of this instance.")
+    region_by_domain: Mapping[str, str] = option(
+        parse_region_by_domain,
+        MappingProxyType({}),
+        help="Regions of the failure domains; needed where the configuration names"
+        " regions that may serve requests.",
+    )
     caller_address: str = option(parse_address, help="Where callers connect.")
     peer_address: str = option(parse_address, help="Where other instances connect.")
     log_level: str = option(
--- a/cicadacourse/placement/_declines.py
+++ b/cicadacourse/eligibility/_declines.py
@@ -16,6 +16,15 @@
 
 from cicadacourse.application import Application
 from cicadacourse.catalog import Endpoint, ProcessKey, ProcessMemory
+from cicadacourse.eligibility._leaving import LeavingEndpoints
+from cicadacourse.eligibility._model import (
+    NEVER,
+    RULES,
+    AllowedRegions,
+    Obstacle,
+    Rule,
+)
+from cicadacourse.eligibility._peer_declines import PeerDeclines
 from cicadacourse.events import ENDPOINT_CHANGED
 from cicadacourse.exchange import ResponseHead
 from cicadacourse.logs import (
@@ -26,9 +35,6 @@
     log,
 )
 from cicadacourse.metrics import declare
-from cicadacourse.placement._ejections import TIMER_SLACK_S
-from cicadacourse.placement._leaving import LeavingEndpoints
-from cicadacourse.placement._peer_declines import PeerDeclines
 from cicadacourse.util.clock import now
 
 DECLINING_ENDPOINTS = declare(
@@ -36,6 +42,10 @@
     "Registered endpoints that want no requests from this instance for a time.",
 )
 
+REASON_LEAVING = "endpoint_leaving"
+REASON_DECLINED = "endpoint_declined"
+# Added to timers, which may fire early by the clock's resolution.
+TIMER_SLACK_S = 0.002
 # Instances that were refused at the same time come back spread over this share of the
 # time, so that an endpoint in need does not get all that they hold back at once.
 RETURN_SPREAD_SHARE = 0.1
@@ -52,16 +62,13 @@
     timer: asyncio.TimerHandle
 
 
-class Declines:
-    """Knows which processes of endpoints decline requests, and until when.
-
-    :param on_change: called after each change.
-    """
+@RULES.register("declines")
+class Declines(Rule):
+    """Knows which processes of endpoints decline requests, and until when."""
 
     def __init__(self, app: Application, on_change: Callable[[], None]) -> None:
-        self._app = app
+        super().__init__(app, on_change)
         self._registry = app.get("catalog").registry
-        self._on_change = on_change
         self._declines: ProcessMemory[_Decline] = ProcessMemory(
             self._registry,
             MAX_DECLINES,
@@ -86,11 +93,22 @@
         if head.is_leaving:
             self._leaving.add(endpoint)
 
-    @property
-    def has_any(self) -> bool:
-        """Whether any process is known that declines requests."""
+    def may_bind(self, regions: AllowedRegions) -> bool:
+        """Returns whether any process is known that declines requests."""
         return bool(self._declines or self._leaving)
 
+    def find_obstacle(
+        self, endpoint: Endpoint, regions: AllowedRegions
+    ) -> Obstacle | None:
+        """Returns an obstacle for each endpoint that leaves or declines requests."""
+        until = self.returns_at(endpoint)
+        if until <= now():
+            return None
+        if until == NEVER:
+            return Obstacle(REASON_LEAVING, "the endpoint leaves")
+        detail = "the endpoint wants no requests from this instance"
+        return Obstacle(REASON_DECLINED, detail, until)
+
     def accepts(self, endpoint: Endpoint) -> bool:
         """Returns whether requests may be sent to an endpoint now."""
         return self.returns_at(endpoint) <= now()
@@ -109,10 +127,10 @@
 
         :returns: minus infinity if it has not declined any, infinity if it leaves.
         """
-        if not self.has_any:
+        if not self.may_bind(None):
             return float("-inf")
         if endpoint in self._leaving:
-            return float("inf")
+            return NEVER
         decline = self._declines.find(endpoint)
         return float("-inf") if decline is None else decline.until
 
@@ -158,8 +176,8 @@
 
     def _report_change(self) -> None:
         count = sum(item in self._declines for item in self._registry.all())
-        self._app.metrics.set(DECLINING_ENDPOINTS, count)
-        self._on_change()
+        self.app.metrics.set(DECLINING_ENDPOINTS, count)
+        self.on_change()
 
 
 def _forget_early(process: ProcessKey, decline: _Decline, reason: str) -> None:
--- a/cicadacourse/events.py
+++ b/cicadacourse/events.py
@@ -16,6 +16,10 @@
 MEMBER_LEFT = "member-left"
 # The version now in force.
 CATALOG_CHANGED = "catalog-changed"
+# Operators have evacuated a failure domain, or withdrawn that.
+EVACUATIONS_CHANGED = "evacuations-changed"
+# Which endpoints may get requests has changed.
+ELIGIBILITY_CHANGED = "eligibility-changed"
 # The endpoint, in its state before or after the change.
 ENDPOINT_CHANGED = "endpoint-changed"
 # The endpoint, whose process this instance or another one has seen ended.
@@ -43,6 +47,8 @@
         MEMBER_JOINED,
         MEMBER_LEFT,
         CATALOG_CHANGED,
+        EVACUATIONS_CHANGED,
+        ELIGIBILITY_CHANGED,
         ENDPOINT_CHANGED,
         ENDPOINT_ENDED,
         ENDPOINT_SENT_DATA,
--- a/cicadacourse/exchange/_endpoint_client.py
+++ b/cicadacourse/exchange/_endpoint_client.py
@@ -145,7 +145,11 @@
 
     @abc.abstractmethod
     def exchange(
-        self, request: EndpointRequest, is_idempotent: bool, head_timeout_s: float
+        self,
+        request: EndpointRequest,
+        is_idempotent: bool,
+        head_timeout_s: float,
+        regions: frozenset[str] | None = None,
     ) -> contextlib.AbstractAsyncContextManager[EndpointResponse]:
         """Sends a request and yields the response once its head is read.
 
@@ -153,8 +157,9 @@
 
         :param is_idempotent: whether the request may run more than once.
         :param head_timeout_s: seconds to wait for the head of the response.
+        :param regions: the regions that may serve the request; None if all may.
         :raises SendFailure: if the endpoint is unreachable, breaks off, sends no head
-            in time, or leaves before the request is sent.
+            in time, or may no longer be used before the request is sent.
         """
 
     @abc.abstractmethod
--- a/cicadacourse/feed/_configuration_fetcher.py
+++ b/cicadacourse/feed/_configuration_fetcher.py
@@ -9,10 +9,11 @@
 from returns.result import Failure, Success
 
 from cicadacourse.application import Application
+from cicadacourse.catalog import CatalogSettings, Evacuation
 from cicadacourse.feed._delta import apply_delta
 from cicadacourse.feed._fetcher import FETCH_TIMEOUT_S, Fetcher
 from cicadacourse.feed._history import NO_VERSION
-from cicadacourse.load import Configuration, FetchConfiguration
+from cicadacourse.load import Configuration, EvacuationRecord, FetchConfiguration
 from cicadacourse.membership import Member
 from cicadacourse.util.clock import now
 
@@ -36,6 +37,9 @@
     def __init__(self, app: Application) -> None:
         super().__init__(app, "configuration")
         self._version_by_instance: dict[str, int] = {}
+        self._evacuations = self.catalog_service.evacuations
+        catalog_settings = app.settings.get(CatalogSettings)
+        self._follows_evacuations = catalog_settings.follows_evacuations
 
     def make_reply(self, request: FetchConfiguration) -> Configuration:
         """Returns what leads from the asking instance's version to the one in force."""
@@ -52,6 +56,15 @@
             base_version=base_version,
             delta=delta,
             offset=offset,
+            evacuations=tuple(
+                EvacuationRecord(
+                    failure_domain=item.failure_domain,
+                    is_in_force=item.is_in_force,
+                    position=item.position,
+                )
+                for item in self._evacuations.all
+            ),
+            knows_evacuations=self._evacuations.is_known,
         )
 
     def _choose_delta(self, held_version: int) -> tuple[int, bytes]:
@@ -108,9 +121,31 @@
             except ValueError as error:
                 self.log_failure(source.name, str(error))
             else:
-                self.feed.apply_configuration(value, source.name, reply.offset)
+                self._apply_evacuations(reply, source.name)
+                offset = self._offset_to_read_from(reply)
+                self.feed.apply_configuration(value, source.name, offset)
                 return
 
+    def _apply_evacuations(self, reply: Configuration, source: str) -> None:
+        """Applies what a source knows of failure domains, before its configuration."""
+        for item in reply.evacuations:
+            evacuation = Evacuation(
+                item.failure_domain, item.is_in_force, item.position
+            )
+            self._evacuations.apply(evacuation, source)
+        if reply.knows_evacuations:
+            self.catalog_service.mark_evacuations_known()
+
+    def _offset_to_read_from(self, reply: Configuration) -> int:
+        """Returns the offset before which this instance needs to read no record.
+
+        Records before the source's offset may be requests to evacuate a failure domain
+        that the source has not read, as one of an earlier release.
+        """
+        if self._follows_evacuations and not reply.knows_evacuations:
+            return 0
+        return reply.offset
+
     async def _call_for(self, source: Member, held_version: int) -> Any:
         request = FetchConfiguration(
             sender=self.own_name, version=held_version, takes_delta=True
--- a/cicadacourse/feed/_registry_codec.py
+++ b/cicadacourse/feed/_registry_codec.py
@@ -6,13 +6,15 @@
 
 import attrs
 
-from cicadacourse.catalog import Endpoint, EndpointState
+from cicadacourse.catalog import Endpoint, EndpointState, ListedEndpoint
 from cicadacourse.feed._delta import apply_delta, make_delta
 from cicadacourse.load import EndpointRecord, Registry
 from cicadacourse.peers import decode, encode
+from cicadacourse.util.clock import MS_PER_S
 
 # The name that the message ``Registry`` is registered under.
 _MESSAGE_NAME = "load.Registry"
+MAX_COLD_MS = 2**32 - 1
 
 
 @attrs.define
@@ -23,36 +25,44 @@
     _offset: int = 0
     _reply: Registry | None = None
 
-    def encode(self, endpoints: Sequence[Endpoint], offset: int) -> Registry:
-        """Returns the reply that holds these endpoints compressed."""
-        endpoints = tuple(endpoints)
+    def encode(self, listed: Sequence[ListedEndpoint], offset: int) -> Registry:
+        """Returns the reply that holds these endpoints compressed.
+
+        What it says of cold endpoints is as of the first of equal replies. So they
+        count as cold for somewhat too long at instances that ask later.
+        """
+        endpoints = tuple(item.endpoint for item in listed)
         if self._reply is None or (endpoints, offset) != (
             self._endpoints,
             self._offset,
         ):
             self._endpoints, self._offset = endpoints, offset
-            body = encode(make_registry(endpoints, offset))
+            body = encode(make_registry(listed, offset))
             self._reply = Registry(offset=offset, packed=make_delta(b"", body))
         return self._reply
 
 
-def make_registry(endpoints: Sequence[Endpoint], offset: int) -> Registry:
+def make_registry(listed: Sequence[ListedEndpoint], offset: int) -> Registry:
     """Returns the reply that lists endpoints one by one."""
-    records = tuple(_to_record(item) for item in endpoints)
+    records = tuple(_to_record(item) for item in listed)
     return Registry(offset=offset, endpoints=records)
 
 
-def read_endpoints(reply: Registry) -> list[Endpoint]:
+def read_endpoints(reply: Registry) -> list[ListedEndpoint]:
     """Returns the endpoints of a reply, compressed or not.
 
     :raises ValueError: if it is malformed.
     """
     if reply.packed:
         reply = decode(_MESSAGE_NAME, apply_delta(b"", reply.packed))
-    return [_to_endpoint(record) for record in reply.endpoints]
+    return [
+        ListedEndpoint(_to_endpoint(record), record.cold_ms / MS_PER_S)
+        for record in reply.endpoints
+    ]
 
 
-def _to_record(endpoint: Endpoint) -> EndpointRecord:
+def _to_record(listed: ListedEndpoint) -> EndpointRecord:
+    endpoint = listed.endpoint
     return EndpointRecord(
         id=endpoint.id,
         pool=endpoint.pool,
@@ -61,6 +71,7 @@
         slots=endpoint.slots,
         state=endpoint.state.value,
         started_ms=endpoint.started_ms or 0,
+        cold_ms=min(MAX_COLD_MS, round(listed.cold_left_s * MS_PER_S)),
     )
 
 
--- a/cicadacourse/feed/_registry_feed.py
+++ b/cicadacourse/feed/_registry_feed.py
@@ -6,9 +6,20 @@
 from typing import Iterable
 
 from cicadacourse.application import Application
-from cicadacourse.catalog import CatalogService, Endpoint, EndpointState
+from cicadacourse.catalog import (
+    CatalogService,
+    Endpoint,
+    EndpointState,
+    ListedEndpoint,
+)
 from cicadacourse.events import ENDPOINT_CHANGED, RESUMED_AFTER_PAUSE, STORE_RESTORED
-from cicadacourse.logs import ENDPOINT_GONE, ENDPOINT_LISTED, REGISTRY_READ, log
+from cicadacourse.logs import (
+    ENDPOINT_COLD,
+    ENDPOINT_GONE,
+    ENDPOINT_LISTED,
+    REGISTRY_READ,
+    log,
+)
 from cicadacourse.util.clock import now
 
 # If the store recovers this soon after the instance resumed from a pause, there was no
@@ -84,28 +95,34 @@
             self._catalog_service.registry_offset = offset
         self._app.get("load").notify_change()
 
-    def replace_all(self, endpoints: Iterable[Endpoint], offset: int) -> None:
+    def replace_all(self, endpoints: Iterable[ListedEndpoint], offset: int) -> None:
         """Replaces all endpoints by those that another instance knows.
 
         :param offset: up to which that instance had read the registry when its
             endpoints last changed.
         """
-        by_id = {endpoint.id: endpoint for endpoint in endpoints}
+        by_id = {item.endpoint.id: item for item in endpoints}
         for endpoint_id in self._registry.ids() - set(by_id):
             self.remove(endpoint_id, "another instance no longer lists it")
-        for endpoint in by_id.values():
-            self.put(endpoint)
+        for item in by_id.values():
+            self.put(item.endpoint, item.cold_left_s)
         self._has_changed = False
         self._catalog_service.registry_offset = offset
         self._catalog_service.mark_registry_known()
 
-    def put(self, endpoint: Endpoint) -> None:
-        """Adds or replaces an endpoint and ends its hold."""
+    def put(self, endpoint: Endpoint, cold_left_s: float = 0.0) -> None:
+        """Adds or replaces an endpoint and ends its hold.
+
+        :param cold_left_s: for how many seconds it is still cold.
+        """
         timer = self._removal_timer_by_id.pop(endpoint.id, None)
         if timer is not None:
             timer.cancel()
         endpoint = self._registry.complete(endpoint)
         known_endpoint = self._registry.find(endpoint.id)
+        if self._catalog_service.cold.record(endpoint, cold_left_s):
+            self._has_changed = True
+            log(ENDPOINT_COLD, endpoint=endpoint.id, for_s=cold_left_s)
         if known_endpoint == endpoint or self._is_outdated(endpoint, known_endpoint):
             return
         self._registry.put(endpoint)
--- a/cicadacourse/feed/_registry_fetcher.py
+++ b/cicadacourse/feed/_registry_fetcher.py
@@ -5,6 +5,7 @@
 from returns.result import Failure, Success
 
 from cicadacourse.application import Application
+from cicadacourse.catalog import ListedEndpoint
 from cicadacourse.feed._fetcher import FETCH_TIMEOUT_S, Fetcher
 from cicadacourse.feed._registry_codec import (
     RegistryEncoder,
@@ -26,7 +27,11 @@
 
     def make_reply(self, request: FetchRegistry) -> Registry:
         """Returns all endpoints that this instance knows."""
-        endpoints = self.catalog_service.registry.all()
+        cold = self.catalog_service.cold
+        endpoints = [
+            ListedEndpoint(item, cold.left_s(item))
+            for item in self.catalog_service.registry.all()
+        ]
         offset = self.catalog_service.registry_offset
         if not request.takes_packed:
             return make_registry(endpoints, offset)
--- a/cicadacourse/feed/_source.py
+++ b/cicadacourse/feed/_source.py
@@ -6,7 +6,7 @@
 from typing import Sequence
 
 from cicadacourse.application import Service
-from cicadacourse.catalog import Endpoint
+from cicadacourse.catalog import ListedEndpoint
 from cicadacourse.feed._delegation import ReadDelegation
 from cicadacourse.feed._history import ConfigurationHistory
 from cicadacourse.membership import Membership, MemberState
@@ -46,7 +46,7 @@
         """
 
     @abc.abstractmethod
-    def apply_registry(self, endpoints: Sequence[Endpoint], offset: int) -> None:
+    def apply_registry(self, endpoints: Sequence[ListedEndpoint], offset: int) -> None:
         """Replaces all endpoints by those fetched from another instance.
 
         :param offset: up to which that instance had read the registry when its
--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -15,7 +15,9 @@
     Pool,
     Route,
     RouteKind,
+    find_allowed_regions,
 )
+from cicadacourse.eligibility import AllowedRegions
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.exchange import CallerRequest, Prompt
 from cicadacourse.placement import AdmissionTerms, PlacementRequest
@@ -107,6 +109,11 @@
         """Whether the response is a stream of events."""
         return self.route.kind is RouteKind.STREAM
 
+    @property
+    def regions(self) -> AllowedRegions:
+        """The regions that may serve the request; None if all may."""
+        return find_allowed_regions(self.route, self.organisation)
+
     def hedging_delay_s(self, time_left_s: float, expected_s: float = 0.0) -> float:
         """Returns after how many seconds without data another endpoint is tried too.
 
@@ -194,6 +201,7 @@
             terms=self._terms(pool),
             has_begun=has_begun,
             may_risk_refusal=may_risk_refusal,
+            regions=self.regions,
         )
 
     def _terms(self, pool: str) -> AdmissionTerms:
--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from cicadacourse.application import Application
+from cicadacourse.eligibility import Eligibility
 from cicadacourse.errors import Error
 from cicadacourse.events import ENDPOINT_SENT_DATA
 from cicadacourse.exchange import (
@@ -155,7 +156,7 @@
             self._avoided_ids(),
             self.owner.last_event_at,
             has_begun=self.owner.is_hedge(self) or self.owner.has_begun(),
-            may_risk_refusal=not self._placer.declines.are_any_in_need
+            may_risk_refusal=not self._eligibility.declines.are_any_in_need
             or self.owner.may_risk_refusal(),
         )
         async with self._placer.place(request) as result:
@@ -184,7 +185,8 @@
         """
         if not silent_ids:
             return False
-        usable_ids = {item.id for item in self._placer.usable_endpoints(self.pool)}
+        usable = self._placer.usable_endpoints(self.pool, self.admitted.regions)
+        usable_ids = {item.id for item in usable}
         if self.owner.is_hedge(self):
             return bool(usable_ids - other_ids - silent_ids)
         return len(usable_ids & silent_ids) <= MAX_AVOIDED_SHARE * len(usable_ids)
@@ -237,11 +239,12 @@
                 request,
                 self.admitted.route.is_idempotent,
                 request.time_left_s + HEAD_TIMEOUT_MARGIN_S,
+                self.admitted.regions,
             ) as response:
                 self.app.get("limits").observe(
                     placement.endpoint, response.head, sent_at
                 )
-                self._placer.declines.observe(placement.endpoint, response.head)
+                self._eligibility.declines.observe(placement.endpoint, response.head)
                 is_written = await self._handle_response(response, placement)
                 self.has_failed = not is_written
                 return is_written
@@ -335,6 +338,10 @@
     def _quarantine(self) -> Quarantine:
         return self.app.get("quarantine")
 
+    @property
+    def _eligibility(self) -> Eligibility:
+        return self.app.get("eligibility")
+
     @property
     def _placer(self) -> Placer:
         return self.app.get("placement")
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -337,7 +337,8 @@
     def _has_other_endpoint(self, attempt: Attempt) -> bool:
         placer: Placer = self.app.get("placement")
         used = self.used_ids(attempt)
-        return any(item.id not in used for item in placer.usable_endpoints(self._pool))
+        usable = placer.usable_endpoints(self._pool, self.admitted.regions)
+        return any(item.id not in used for item in usable)
 
     def _cancel(self, attempts: list[ExchangeAttempt]) -> None:
         for attempt in attempts:
--- a/cicadacourse/gateway/_status.py
+++ b/cicadacourse/gateway/_status.py
@@ -31,6 +31,10 @@
     :param in_progress: requests in progress there.
     :param backlog_s: seconds of prefill that an engine has yet to do.
     :param is_set_aside: whether it is ejected and receives no requests for now.
+    :param obstacle: why it may not get requests, empty if it may. Instances of earlier
+        releases don't say it.
+    :param limit: the requests per second that it takes from all instances together,
+        None if it has no limit.
     """
 
     id: str
@@ -41,6 +45,8 @@
     in_progress: int
     backlog_s: float
     is_set_aside: bool
+    obstacle: str = ""
+    limit: float | None = None
 
 
 @attrs.frozen
@@ -63,6 +69,17 @@
     priority: int | None
 
 
+@attrs.frozen
+class EvacuationStatus:
+    """One failure domain that is evacuated.
+
+    :param position: the position in the store's topic from which that is known.
+    """
+
+    failure_domain: str
+    position: int
+
+
 @attrs.frozen
 class InstanceStatus:
     """The state of one instance and its view of the others.
@@ -71,6 +88,7 @@
     :param configuration_age_s: seconds since it came into force on this instance.
     :param registry_age_s: seconds since this instance last read the registry, or None
         if it never did.
+    :param evacuations: the failure domains that are evacuated.
     """
 
     instance: str
@@ -82,6 +100,7 @@
     endpoints: tuple[EndpointStatus, ...]
     routes: tuple[RouteStatus, ...]
     organisations: tuple[OrganisationStatus, ...]
+    evacuations: tuple[EvacuationStatus, ...] = ()
 
 
 def get_instance_status(app: Application) -> InstanceStatus:
@@ -126,12 +145,18 @@
             OrganisationStatus(item.name, len(item.keys), item.priority)
             for item in catalog.organisations
         ),
+        evacuations=tuple(
+            EvacuationStatus(item.failure_domain, item.position)
+            for item in catalog_service.evacuations.all
+            if item.is_in_force
+        ),
     )
 
 
 def _endpoint_status(app: Application, endpoint: Endpoint) -> EndpointStatus:
     placer: Placer = app.get("placement")
     load = app.get("load").table.load_of(endpoint.id, now())
+    obstacle = app.get("eligibility").find_obstacle(endpoint)
     return EndpointStatus(
         endpoint.id,
         endpoint.pool,
@@ -141,4 +166,6 @@
         load.in_progress,
         round(load.backlog_s, 3),
         placer.health.is_ejected(endpoint.id, now()),
+        obstacle.reason if obstacle else "",
+        app.get("limits").limit_of(endpoint),
     )
--- a/cicadacourse/limits/_service.py
+++ b/cicadacourse/limits/_service.py
@@ -1,9 +1,9 @@
-"""The limits that endpoints name, kept by all instances together.
+"""The limits of endpoints, kept by all instances together.
 
 An endpoint in need names in its responses the requests per second that it takes from
 all instances together. Each instance learns that from its own responses and from the
 other instances' evidence, and sends a request to such an endpoint only with a permit
-of the shared rate.
+of the shared rate. A cold endpoint has the limit that its pool's configuration states.
 """
 
 from __future__ import annotations
@@ -11,10 +11,16 @@
 import attrs
 
 from cicadacourse.application import SERVICES, Application, Service
-from cicadacourse.catalog import Endpoint, ProcessKey, ProcessMemory
+from cicadacourse.catalog import (
+    CatalogService,
+    Endpoint,
+    ProcessKey,
+    ProcessMemory,
+)
 from cicadacourse.events import ENDPOINT_CHANGED
 from cicadacourse.evidence import FACT_KINDS, Evidence, Fact, FactKind
 from cicadacourse.exchange import ResponseHead
+from cicadacourse.limits._cold import ColdLimits
 from cicadacourse.limits._messages import Permit
 from cicadacourse.limits._permits import Permits
 from cicadacourse.logs import ENDPOINT_LIMIT_CHANGED, ENDPOINT_LIMIT_REFUSED, log
@@ -65,7 +71,9 @@
         super().__init__(app)
         self._evidence: Evidence = app.get("evidence")
         self._permits: Permits = app.get("permits")
-        self._registry = app.get("catalog").registry
+        catalog_service: CatalogService = app.get("catalog")
+        self._registry = catalog_service.registry
+        self._cold = ColdLimits(app)
         self._limits: ProcessMemory[_NamedLimit] = ProcessMemory(
             self._registry, MAX_LIMITS, lambda *_: None
         )
@@ -102,13 +110,17 @@
 
     @property
     def has_any(self) -> bool:
-        """Whether any endpoint names a limit."""
-        return bool(self._limits)
+        """Whether any endpoint has a limit."""
+        return bool(self._limits) or self._cold.has_any
 
     def limit_of(self, endpoint: Endpoint) -> float | None:
-        """Returns the requests per second that an endpoint takes, or None."""
+        """Returns the requests per second that an endpoint takes, or None.
+
+        The lowest one counts if it names a limit and is cold.
+        """
         named = self._limits.find(endpoint)
-        return None if named is None else named.limit
+        limits = [None if named is None else named.limit, self._cold.find(endpoint)]
+        return min((item for item in limits if item is not None), default=None)
 
     def available_at(self, endpoint: Endpoint) -> float:
         """Returns from when on a permit for an endpoint is worth asking for.
@@ -116,23 +128,31 @@
         :returns: loop time in seconds; in the past if a permit may be free now.
         """
         named = self._limits.find(endpoint)
-        return float("-inf") if named is None else named.available_at
+        named_at = float("-inf") if named is None else named.available_at
+        return max(named_at, self._cold.available_at(endpoint))
 
     async def acquire(self, endpoint: Endpoint, max_wait_s: float) -> Permit:
         """Asks for a permit to send one request to an endpoint.
 
         :param max_wait_s: for how long from now the permit may be reserved at most.
         """
-        named = self._limits.find(endpoint)
-        if named is None:
+        limit = self.limit_of(endpoint)
+        if limit is None:
             return Permit(is_granted=True, wait_s=0.0)
         key = f"{ENDPOINT_LIMIT} {self._limits.process_of(endpoint)}"
-        rate = max(MIN_RATE, named.limit)
-        permit = await self._permits.acquire(key, rate, max_wait_s)
+        permit = await self._permits.acquire(key, max(MIN_RATE, limit), max_wait_s)
         if not permit.is_granted:
-            named.available_at = now() + permit.wait_s
+            self._record_denied(endpoint, now() + permit.wait_s)
         return permit
 
+    def _record_denied(self, endpoint: Endpoint, available_at: float) -> None:
+        """Records from when on a permit for an endpoint is worth asking for."""
+        named = self._limits.find(endpoint)
+        if named is not None:
+            named.available_at = available_at
+        else:
+            self._cold.record_denied(endpoint, available_at)
+
     def _is_due_for_renewal(self, key: str) -> bool:
         facts = self._evidence.find(ENDPOINT_LIMIT, key)
         return not facts or now() - facts[0].observed_at >= RENEWAL_S
--- a/cicadacourse/load/__init__.py
+++ b/cicadacourse/load/__init__.py
@@ -3,6 +3,7 @@
 from cicadacourse.load._messages import (
     Configuration,
     EndpointRecord,
+    EvacuationRecord,
     FetchConfiguration,
     FetchRegistry,
     Registry,
@@ -17,6 +18,7 @@
     "Configuration",
     "EndpointLoad",
     "EndpointRecord",
+    "EvacuationRecord",
     "FetchConfiguration",
     "FetchRegistry",
     "LoadTable",
--- a/cicadacourse/load/_messages.py
+++ b/cicadacourse/load/_messages.py
@@ -49,6 +49,15 @@
     takes_delta: bool = False
 
 
+@message("load.Evacuation")
+class EvacuationRecord:
+    """Whether a failure domain is evacuated, and from which position that is known."""
+
+    failure_domain: str
+    is_in_force: bool
+    position: int
+
+
 @message("load.Configuration")
 class Configuration:
     """A configuration as a delta, or whole for an instance that takes no delta.
@@ -57,7 +66,9 @@
     from ``base_version``, or holds it whole if that is 0; it is empty if the source has
     no newer version, or if the asking instance must ask without a version. No record
     of the store before ``offset`` holds a newer version than that in force at the
-    source; 0 if it did not read the store.
+    source; 0 if it did not read the store. ``evacuations`` are what the source knows of
+    failure domains; with ``knows_evacuations``, that is all that the records before
+    ``offset`` say about them. Earlier releases send neither.
     """
 
     value: bytes = b""
@@ -65,6 +76,8 @@
     base_version: int = 0
     delta: bytes = b""
     offset: int = 0
+    evacuations: tuple[EvacuationRecord, ...] = ()
+    knows_evacuations: bool = False
 
 
 @message("load.Endpoint")
@@ -72,6 +85,7 @@
     """One endpoint as the registry lists it.
 
     ``started_ms`` is its start in Unix milliseconds, 0 if the registry doesn't say it.
+    ``cold_ms`` is for how many milliseconds it is still cold, 0 if it is not.
     """
 
     id: str
@@ -81,6 +95,7 @@
     slots: int
     state: str
     started_ms: int = 0
+    cold_ms: int = 0
 
 
 @message("load.FetchRegistry")
--- a/cicadacourse/logs/_state.py
+++ b/cicadacourse/logs/_state.py
@@ -43,6 +43,27 @@
     " endpoint or instance that it describes is not used.",
     True,
 )
+ENDPOINT_COLD = declare(
+    "registry",
+    "endpoint cold",
+    "`endpoint` has started or was idle and bears few requests for `for_s`; where its"
+    " pool has a `cold_rate`, it gets only requests with a permit of that rate.",
+)
+DOMAIN_EVACUATED = declare(
+    "catalog",
+    "failure domain evacuated",
+    "Operators want nothing more sent to the endpoints of `failure_domain`, by the"
+    " record at `position` of the store; `source` is the store, `peers` or an"
+    " instance.",
+    True,
+)
+EVACUATION_WITHDRAWN = declare(
+    "catalog",
+    "evacuation withdrawn",
+    "The endpoints of `failure_domain` may get requests again; the fields are those of"
+    " `failure domain evacuated`.",
+    True,
+)
 REGISTRY_READ = declare(
     "registry", "registry read", "All registry entries were read from the store."
 )
--- a/cicadacourse/membership/_callers.py
+++ b/cicadacourse/membership/_callers.py
@@ -32,7 +32,11 @@
 
 
 def choose_for_callers(
-    alive: Iterable[Member], failure_domain: str, count: int, chooser: random.Random
+    alive: Iterable[Member],
+    failure_domain: str,
+    count: int,
+    chooser: random.Random,
+    regions: Collection[str] | None = None,
 ) -> list[Member]:
     """Returns the members to name to a caller, in random order.
 
@@ -45,8 +49,13 @@
     :param failure_domain: the caller's failure domain, empty if it is not known.
     :param count: the largest number of members to return.
     :param chooser: the source of randomness.
+    :param regions: the regions that may serve the caller's requests, with the caller's
+        own; None if all may. Others are named only if these have no instance.
     """
     reachable = [member for member in alive if member.caller_address]
+    if regions is not None:
+        allowed = [member for member in reachable if member.region in regions]
+        reachable = allowed or reachable
     same_domain = [
         member for member in reachable if member.failure_domain == failure_domain
     ]
--- a/cicadacourse/placement/_chooser.py
+++ b/cicadacourse/placement/_chooser.py
@@ -8,11 +8,11 @@
 from cicadacourse.application import Application
 from cicadacourse.catalog import CatalogService, Endpoint, Pool
 from cicadacourse.config import InstanceSettings
+from cicadacourse.eligibility import NEVER, AllowedRegions, Eligibility
 from cicadacourse.limits import EndpointLimits
 from cicadacourse.load import LoadService
 from cicadacourse.placement._admission import admit_prompt, soonest_first_event_s
 from cicadacourse.placement._calls import choose_endpoint
-from cicadacourse.placement._declines import Declines
 from cicadacourse.placement._ejections import Ejections
 from cicadacourse.placement._model import Candidate, Placement, PlacementRequest
 from cicadacourse.placement._placements import place_call, place_prompt
@@ -31,29 +31,34 @@
         app: Application,
         instance: InstanceSettings,
         ejections: Ejections,
-        declines: Declines,
+        eligibility: Eligibility,
     ) -> None:
         self._catalog_service: CatalogService = app.get("catalog")
         self._load: LoadService = app.get("load")
         self._limits: EndpointLimits = app.get("limits")
         self._instance = instance
         self._ejections = ejections
-        self._declines = declines
+        self._eligibility = eligibility
 
-    def usable_endpoints(self, pool: str) -> list[Endpoint]:
-        """Returns the endpoints of a pool that accept requests and may be used.
+    def usable_endpoints(
+        self, pool: str, regions: AllowedRegions = None
+    ) -> list[Endpoint]:
+        """Returns the endpoints of a pool that may be used.
 
-        Those that decline requests are left out, and so are ejected ones, up to the
-        largest share of the others that may be ejected.
+        Those that may not get requests are left out, and so are ejected ones, up to
+        the largest share of the others that may be ejected.
         """
         ready = self._catalog_service.registry.ready(pool)
-        accepting = [item for item in ready if self._declines.accepts(item)]
-        return self._ejections.select_usable(accepting)
-
-    def _count_staying(self, pool: str) -> int:
-        """Returns how many endpoints of a pool accept requests now or later."""
-        ready = self._catalog_service.registry.ready(pool)
-        return sum(self._declines.returns_at(item) < float("inf") for item in ready)
+        eligible = self._eligibility.select(ready, regions)
+        return self._ejections.select_usable(eligible)
+
+    def _count_staying(self, request: PlacementRequest) -> int:
+        """Returns how many endpoints may get a request now or at a known time."""
+        obstacles = [
+            self._eligibility.find_obstacle(item, request.regions)
+            for item in self._catalog_service.registry.ready(request.pool)
+        ]
+        return sum(item is None or item.until < NEVER for item in obstacles)
 
     def is_deadline_unreachable(self, request: PlacementRequest, pool: Pool) -> bool:
         """Returns whether even an idle pool would miss the deadline of a prompt."""
@@ -61,20 +66,26 @@
             return False
         if pool.engine.prefill_s(request.prompt_tokens) < request.time_left_s:
             return False
-        engines = self._count_staying(request.pool)
+        engines = self._count_staying(request)
         soonest_s = soonest_first_event_s(request, pool.engine, engines)
         return engines > 0 and soonest_s >= request.time_left_s
 
-    def candidates(self, pool: Pool, with_limited: bool = False) -> list[Candidate]:
+    def candidates(
+        self,
+        pool: Pool,
+        regions: AllowedRegions = None,
+        with_limited: bool = False,
+    ) -> list[Candidate]:
         """Returns the usable endpoints of a pool with their current load.
 
+        :param regions: the regions that may serve the request.
         :param with_limited: whether those are included that take no more requests at
             the moment by their own limit.
         """
         now_s = now()
         limit = pool.max_connections
         requests = self._load.table.count_own_requests() if limit else {}
-        usable = self.usable_endpoints(pool.name)
+        usable = self.usable_endpoints(pool.name, regions)
         if self._limits.has_any and not with_limited:
             usable = [
                 item for item in usable if self._limits.available_at(item) <= now_s
@@ -87,27 +98,27 @@
                 tie_break=hashing.score(self._instance.name, item.id),
                 has_connection=not limit or requests.get(item.id, 0) < limit,
                 may_help=self._limits.limit_of(item) is None,
-                is_in_need=self._declines.is_in_need(item),
+                is_in_need=self._eligibility.declines.is_in_need(item),
             )
             for item in usable
         ]
 
-    def has_limits(self, pool: str) -> bool:
-        """Returns whether any usable endpoint of a pool names a limit."""
+    def has_limits(self, request: PlacementRequest) -> bool:
+        """Returns whether any endpoint that a request may use has a limit."""
         if not self._limits.has_any:
             return False
-        usable = self.usable_endpoints(pool)
+        usable = self.usable_endpoints(request.pool, request.regions)
         return any(self._limits.limit_of(item) is not None for item in usable)
 
-    def endpoints_at_limit(self, pool: str) -> list[Endpoint]:
-        """Returns the endpoints of a pool if all of them are at their limits.
+    def endpoints_at_limit(self, request: PlacementRequest) -> list[Endpoint]:
+        """Returns the endpoints for a request if all of them are at their limits.
 
         Those that take another request soonest come first. Empty if any usable endpoint
         is not at its limit.
         """
         if not self._limits.has_any:
             return []
-        usable = self.usable_endpoints(pool)
+        usable = self.usable_endpoints(request.pool, request.regions)
         now_s = now()
         if any(self._limits.available_at(item) <= now_s for item in usable):
             return []
@@ -120,10 +131,11 @@
         requests = self._load.table.count_own_requests()
         return requests[endpoint.id] < pool.max_connections
 
-    def lacks_connections(self, pool: Pool) -> bool:
+    def lacks_connections(self, request: PlacementRequest, pool: Pool) -> bool:
         """Returns whether an endpoint has a free slot but no connection to use it."""
         return any(
-            item.has_slot and not item.has_connection for item in self.candidates(pool)
+            item.has_slot and not item.has_connection
+            for item in self.candidates(pool, request.regions)
         )
 
     def try_place(
--- a/cicadacourse/placement/_decline_gate.py
+++ b/cicadacourse/placement/_decline_gate.py
@@ -10,9 +10,9 @@
 
 from __future__ import annotations
 
+from cicadacourse.eligibility import Eligibility
 from cicadacourse.errors import Error
 from cicadacourse.placement import _errors as errors
-from cicadacourse.placement._declines import Declines
 from cicadacourse.placement._model import Placement, PlacementRequest
 from cicadacourse.placement._pools import Pools
 from cicadacourse.util.clock import now
@@ -23,8 +23,8 @@
 class DeclineGate:
     """Checks whether requests may wait for endpoints, and may be sent to them."""
 
-    def __init__(self, declines: Declines, pools: Pools) -> None:
-        self._declines = declines
+    def __init__(self, eligibility: Eligibility, pools: Pools) -> None:
+        self._eligibility = eligibility
         self._pools = pools
 
     def find_refusal(self, request: PlacementRequest) -> Error | None:
@@ -33,15 +33,17 @@
         :param request: the request with the times that remain now.
         :returns: None if it may wait for an endpoint.
         """
-        returns_at = self._pools.returns_at(request.pool)
+        returns_at = self._pools.returns_at(request.pool, request.regions)
         if may_wait(request, returns_at):
             return None
         return errors.pool_declines(request.pool, returns_at - now())
 
-    def may_send(self, placement: Placement) -> bool:
-        """Returns whether all endpoints of a placement still accept requests."""
+    def may_send(self, request: PlacementRequest, placement: Placement) -> bool:
+        """Returns whether all endpoints of a placement may still be used."""
         endpoints = (placement.endpoint, *placement.helpers)
-        return all(self._declines.accepts(item) for item in endpoints)
+        return all(
+            self._eligibility.may_use(item, request.regions) for item in endpoints
+        )
 
 
 def may_wait(request: PlacementRequest, returns_at: float) -> bool:
--- a/cicadacourse/placement/_dispatcher.py
+++ b/cicadacourse/placement/_dispatcher.py
@@ -4,8 +4,9 @@
 
 import asyncio
 import random
-from typing import Any
+from typing import Any, TypeAlias
 
+from cicadacourse.eligibility import AllowedRegions
 from cicadacourse.placement._chooser import Chooser
 from cicadacourse.placement._decline_gate import may_wait
 from cicadacourse.placement._model import Candidate
@@ -19,6 +20,9 @@
 # choose the same engines.
 RECHECK_RANGE_S = (0.02, 0.06)
 
+# The requests that may use the same endpoints: a pool, and the regions that may serve.
+_Scope: TypeAlias = tuple[str, AllowedRegions]
+
 
 class Dispatcher:
     """Places queued requests: short ones on a change, long ones at intervals."""
@@ -58,10 +62,13 @@
         self._is_release_scheduled = False
         names = {waiter.request.pool for waiter in self._queue}
         unreachable = {name for name in names if self._reach_gate.find_refusal(name)}
-        returns_at_by_pool = {name: self._pools.returns_at(name) for name in names}
+        returns_at_by_scope: dict[_Scope, float] = {}
         for waiter in self._queue:
             request = waiter.request_at(now())
-            may_stay = may_wait(request, returns_at_by_pool[request.pool])
+            scope = (request.pool, request.regions)
+            if scope not in returns_at_by_scope:
+                returns_at_by_scope[scope] = self._pools.returns_at(*scope)
+            may_stay = may_wait(request, returns_at_by_scope[scope])
             if not may_stay or request.pool in unreachable:
                 waiter.placement.set_result(None)
 
@@ -88,17 +95,19 @@
 
     def _place_first(self, is_long: bool) -> None:
         """Places the first request that fits, of the long or of the short queue."""
-        candidates_by_pool: dict[str, list[Candidate]] = {}
+        candidates_by_scope: dict[_Scope, list[Candidate]] = {}
         for waiter in self._queue:
             if waiter.is_long != is_long:
                 continue
             pool = self._pools.current(waiter.request)
             if pool is None:
                 continue
-            if pool.name not in candidates_by_pool:
-                candidates_by_pool[pool.name] = self._chooser.candidates(pool)
+            scope = (pool.name, waiter.request.regions)
+            if scope not in candidates_by_scope:
+                candidates = self._chooser.candidates(pool, waiter.request.regions)
+                candidates_by_scope[scope] = candidates
             placement = self._chooser.try_place(
-                waiter.request_at(now()), pool, candidates_by_pool[pool.name]
+                waiter.request_at(now()), pool, candidates_by_scope[scope]
             )
             if placement is not None:
                 waiter.placement.set_result(placement)
--- a/cicadacourse/placement/_ejections.py
+++ b/cicadacourse/placement/_ejections.py
@@ -7,6 +7,7 @@
 
 from cicadacourse.application import Application
 from cicadacourse.catalog import CatalogService, Endpoint
+from cicadacourse.eligibility import TIMER_SLACK_S
 from cicadacourse.events import LINKS_CHANGED
 from cicadacourse.logs import ENDPOINT_EJECTED, ENDPOINT_READMITTED, log
 from cicadacourse.metrics import declare
@@ -16,9 +17,6 @@
 
 EJECTIONS = declare("endpoints_set_aside_total", "Endpoints ejected, by reason.")
 
-# Added to timers, which may fire early by the clock's resolution.
-TIMER_SLACK_S = 0.002
-
 
 class Ejections:
     """Ejects endpoints by the failures that are reported.
--- a/cicadacourse/placement/_limits.py
+++ b/cicadacourse/placement/_limits.py
@@ -79,7 +79,9 @@
         """Places a request on an endpoint for which a permit has become valid."""
         candidates = [
             item
-            for item in self._chooser.candidates(pool, with_limited=True)
+            for item in self._chooser.candidates(
+                pool, waiter.request.regions, with_limited=True
+            )
             if item.endpoint.id == endpoint.id
         ]
         request = waiter.request_at(now())
--- a/cicadacourse/placement/_model.py
+++ b/cicadacourse/placement/_model.py
@@ -5,6 +5,7 @@
 import attrs
 
 from cicadacourse.catalog import Endpoint, Organisation, Pool, Route
+from cicadacourse.eligibility import AllowedRegions
 from cicadacourse.load import Assignment, EndpointLoad
 
 
@@ -48,6 +49,7 @@
     :param has_begun: whether it may have run, or a part of its response was forwarded,
         so that a refusal would lose more than the caller's time.
     :param may_risk_refusal: whether another endpoint would be tried after a refusal.
+    :param regions: the regions that may serve it; None if all may.
     """
 
     request_id: str
@@ -64,6 +66,7 @@
     terms: AdmissionTerms | None = None
     has_begun: bool = False
     may_risk_refusal: bool = True
+    regions: AllowedRegions = None
 
     @property
     def context_tokens(self) -> int:
--- a/cicadacourse/placement/_pools.py
+++ b/cicadacourse/placement/_pools.py
@@ -11,19 +11,21 @@
 from returns.result import Failure, Result, Success
 
 from cicadacourse.catalog import Catalog, CatalogService, Pool, Route
+from cicadacourse.eligibility import NEVER, AllowedRegions, Eligibility
 from cicadacourse.errors import Error
 from cicadacourse.logs import REQUEST_MOVED, log
 from cicadacourse.placement import _errors as errors
-from cicadacourse.placement._declines import Declines
 from cicadacourse.placement._model import AdmissionTerms, PlacementRequest
 
 
 class Pools:
     """Finds the pools of requests in the configuration in force and the registry."""
 
-    def __init__(self, catalog_service: CatalogService, declines: Declines) -> None:
+    def __init__(
+        self, catalog_service: CatalogService, eligibility: Eligibility
+    ) -> None:
         self._catalog_service = catalog_service
-        self._declines = declines
+        self._eligibility = eligibility
 
     def resolve(self, request: PlacementRequest) -> Result[Pool, Error]:
         """Returns the pool that serves a request from now on.
@@ -32,14 +34,15 @@
         endpoint, else one that the configuration in force allows.
         """
         pool = self.current(request)
-        if pool is not None and not self.is_empty(pool.name):
+        if pool is not None and not self.is_empty(pool.name, request.regions):
             return Success(pool)
         successor = self._find_successor(request)
         if successor is not None:
             return Success(successor)
         if pool is None:
             return Failure(errors.pool_unknown(request.pool))
-        return Failure(errors.pool_empty(request.pool))
+        obstacle = self._eligibility.find_pool_obstacle(pool.name, request.regions)
+        return Failure(errors.pool_not_eligible(pool.name, obstacle))
 
     def current(self, request: PlacementRequest) -> Pool | None:
         """Returns a request's pool, by the newest configuration that has it."""
@@ -50,21 +53,19 @@
         admitted = request.terms.pool
         return admitted if admitted and admitted.name == request.pool else None
 
-    def is_empty(self, pool: str) -> bool:
-        """Returns whether a pool has no live endpoint, or only ones that leave."""
-        return self.returns_at(pool) == float("inf")
+    def is_empty(self, pool: str, regions: AllowedRegions) -> bool:
+        """Returns whether no endpoint of a pool may be used, now or at a known time.
 
-    def returns_at(self, pool: str) -> float:
-        """Returns from when on an endpoint of a pool accepts requests.
+        :param regions: the regions that may serve the request.
+        """
+        return self.returns_at(pool, regions) == NEVER
+
+    def returns_at(self, pool: str, regions: AllowedRegions) -> float:
+        """Returns from when on an endpoint of a pool may get a request.
 
-        :returns: loop time in seconds, in the past if one accepts requests now;
-            infinity if none will.
+        See :meth:`Eligibility.returns_at`.
         """
-        registry = self._catalog_service.registry
-        if not self._declines.has_any:
-            return float("-inf") if registry.has_ready(pool) else float("inf")
-        times = [self._declines.returns_at(item) for item in registry.ready(pool)]
-        return min(times, default=float("inf"))
+        return self._eligibility.returns_at(pool, regions)
 
     def _find_successor(self, request: PlacementRequest) -> Pool | None:
         """Returns a pool to which the configuration in force admits a request."""
@@ -72,7 +73,7 @@
         if catalog is None or request.terms is None:
             return None
         route = _find_route(catalog, request.terms)
-        pool = self._choose_pool(catalog, route) if route else None
+        pool = self._choose_pool(catalog, route, request.regions) if route else None
         if pool is not None:
             log(
                 REQUEST_MOVED,
@@ -83,13 +84,15 @@
             )
         return pool
 
-    def _choose_pool(self, catalog: Catalog, route: Route) -> Pool | None:
+    def _choose_pool(
+        self, catalog: Catalog, route: Route, regions: AllowedRegions
+    ) -> Pool | None:
         """Returns a random pool of a route by weight, among those with endpoints."""
         weight_by_name = {share.pool: share.weight for share in route.shares}
         pools = [
             pool
             for pool in catalog.find_pools(route)
-            if weight_by_name[pool.name] > 0 and not self.is_empty(pool.name)
+            if weight_by_name[pool.name] > 0 and not self.is_empty(pool.name, regions)
         ]
         if not pools:
             return None
--- a/cicadacourse/placement/_reach_gate.py
+++ b/cicadacourse/placement/_reach_gate.py
@@ -9,6 +9,8 @@
 from __future__ import annotations
 
 from cicadacourse.application import Application
+from cicadacourse.catalog import CatalogService, Endpoint
+from cicadacourse.eligibility import NEVER, Eligibility
 from cicadacourse.errors import Error
 from cicadacourse.placement import _errors as errors
 from cicadacourse.reachability import Reachability
@@ -19,10 +21,23 @@
 
     def __init__(self, app: Application) -> None:
         self._app = app
+        catalog_service: CatalogService = app.get("catalog")
+        self._registry = catalog_service.registry
+        self._eligibility: Eligibility = app.get("eligibility")
 
     def find_refusal(self, pool: str) -> Error | None:
-        """Returns the error if no endpoint of a pool is reached, else None."""
+        """Returns the error if no endpoint of a pool is reached, else None.
+
+        Endpoints that may not be used, now or at a known time, don't count.
+        """
         reachability: Reachability | None = self._app.find("reachability")
-        if reachability is None or not reachability.is_pool_unreachable(pool):
+        if reachability is None:
+            return None
+        endpoints = [item for item in self._registry.ready(pool) if self._counts(item)]
+        if not reachability.are_unreachable(endpoints):
             return None
         return errors.pool_unreachable(pool)
+
+    def _counts(self, endpoint: Endpoint) -> bool:
+        obstacle = self._eligibility.find_obstacle(endpoint)
+        return obstacle is None or obstacle.until < NEVER
--- a/cicadacourse/placement/_service.py
+++ b/cicadacourse/placement/_service.py
@@ -12,9 +12,11 @@
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.catalog import Endpoint, Pool
 from cicadacourse.config import InstanceSettings
+from cicadacourse.eligibility import AllowedRegions, Eligibility
 from cicadacourse.errors import Error
 from cicadacourse.events import (
     CATALOG_CHANGED,
+    ELIGIBILITY_CHANGED,
     ENDPOINT_CHANGED,
     ENDPOINT_ENDED,
     LINKS_CHANGED,
@@ -27,7 +29,6 @@
 from cicadacourse.placement._chooser import Chooser
 from cicadacourse.placement._contention import CONTENTION_WINDOW_S, must_yield
 from cicadacourse.placement._decline_gate import DeclineGate
-from cicadacourse.placement._declines import Declines
 from cicadacourse.placement._dispatcher import RECHECK_RANGE_S, Dispatcher
 from cicadacourse.placement._ejections import Ejections
 from cicadacourse.placement._health import EndpointHealth
@@ -48,10 +49,7 @@
 
 @SERVICES.register("placement")
 class Placer(Service):
-    """Places requests by the known load of the endpoints.
-
-    :ivar declines: the endpoints that want no requests from this instance.
-    """
+    """Places requests by the known load of the endpoints."""
 
     name = "placement"
 
@@ -62,12 +60,12 @@
         self._load: LoadService = app.get("load")
         self._queue = WaitQueue()
         self._ejections = Ejections(app, self._schedule)
-        self.declines = Declines(app, self._declines_changed)
-        self._pools = Pools(app.get("catalog"), self.declines)
+        self._eligibility: Eligibility = app.get("eligibility")
+        self._pools = Pools(app.get("catalog"), self._eligibility)
         self._reach_gate = ReachGate(app)
         self._pool_waits = PoolWaits(app, self._pools, self._reach_gate)
-        self._chooser = Chooser(app, instance, self._ejections, self.declines)
-        self._decline_gate = DeclineGate(self.declines, self._pools)
+        self._chooser = Chooser(app, instance, self._ejections, self._eligibility)
+        self._decline_gate = DeclineGate(self._eligibility, self._pools)
         self._limit_gate = LimitGate(app.get("limits"), self._chooser)
         self._dispatcher = Dispatcher(
             self._queue, self._chooser, self._pools, self._reach_gate
@@ -75,6 +73,7 @@
         app.events.connect(LOAD_CHANGED, self._dispatcher.schedule)
         app.events.connect(CATALOG_CHANGED, self._dispatcher.schedule)
         app.events.connect(LINKS_CHANGED, self._links_changed)
+        app.events.connect(ELIGIBILITY_CHANGED, self._eligibility_changed)
         app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
         app.events.connect(ENDPOINT_ENDED, self._endpoint_ended)
 
@@ -109,6 +108,7 @@
         """
         while True:
             started = now()
+            await self._eligibility.wait_until_current()
             match await self._pool_waits.resolve(request):
                 case Success(Pool() as pool):
                     request = request.after(now() - started).in_pool(pool)
@@ -144,12 +144,14 @@
                         continue
             await asyncio.sleep(random.uniform(*RECHECK_RANGE_S))
 
-    def usable_endpoints(self, pool: str) -> list[Endpoint]:
-        """Returns the endpoints of a pool that accept requests and may be used.
+    def usable_endpoints(
+        self, pool: str, regions: AllowedRegions = None
+    ) -> list[Endpoint]:
+        """Returns the endpoints of a pool that may be used.
 
         See :meth:`Chooser.usable_endpoints`.
         """
-        return self._chooser.usable_endpoints(pool)
+        return self._chooser.usable_endpoints(pool, regions)
 
     def report_transport_failure(self, endpoint_id: str, reason: str) -> None:
         """Records a failed connection, an aborted exchange or a missing response."""
@@ -165,7 +167,7 @@
         One that has stated for how long it declines requests is not ejected as well.
         """
         endpoint = self.app.get("catalog").registry.find(endpoint_id)
-        if endpoint is None or self.declines.accepts(endpoint):
+        if endpoint is None or self._eligibility.declines.accepts(endpoint):
             self._ejections.report_refusal(endpoint_id)
 
     async def _find_placement(
@@ -182,17 +184,17 @@
                 return None
             if self._queue.is_next(waiter):
                 request = waiter.request_at(now())
-                candidates = self._chooser.candidates(pool)
+                candidates = self._chooser.candidates(pool, request.regions)
                 placement = self._chooser.try_place(request, pool, candidates)
                 if placement is not None:
                     return Success(placement)
-            if self._pools.is_empty(pool.name):
+            if self._pools.is_empty(pool.name, waiter.request.regions):
                 return None
             refusal = self._decline_gate.find_refusal(waiter.request_at(now()))
             if refusal is not None:
                 return Failure(refusal)
             result = None
-            at_limit = self._chooser.endpoints_at_limit(pool.name)
+            at_limit = self._chooser.endpoints_at_limit(waiter.request)
             if at_limit:
                 result = await self._limit_gate.reserve(waiter, pool, at_limit)
             result = result or await self._wait(waiter, pool)
@@ -222,7 +224,7 @@
     async def _may_send(self, waiter: Waiter, placement: Placement) -> bool:
         """Returns whether the endpoints of a placement take the request now."""
         may_send = await self._limit_gate.may_send(waiter, placement)
-        return may_send and self._decline_gate.may_send(placement)
+        return may_send and self._decline_gate.may_send(waiter.request, placement)
 
     def _has_peers(self) -> bool:
         return len(self.app.get("membership").members()) > 1
@@ -248,7 +250,7 @@
         except TimeoutError:
             if max_wait_s < request.wait_s:
                 return None
-            if self._chooser.lacks_connections(pool):
+            if self._chooser.lacks_connections(request, pool):
                 return Failure(errors.connections_in_use(request.pool))
             return Failure(errors.pool_full(request.pool))
         finally:
@@ -266,12 +268,12 @@
             REQUEST_QUEUED,
             request=request.request_id,
             pool=request.pool,
-            usable=len(self.usable_endpoints(request.pool)),
+            usable=len(self.usable_endpoints(request.pool, request.regions)),
         )
 
     def _max_wait_s(self, request: PlacementRequest) -> float:
         """Returns for how long a request may wait without a look at the limits."""
-        if self._chooser.has_limits(request.pool):
+        if self._chooser.has_limits(request):
             return min(request.wait_s, LIMIT_RECHECK_S)
         return request.wait_s
 
@@ -287,7 +289,7 @@
         self._dispatcher.schedule_release()
         self._schedule()
 
-    def _declines_changed(self) -> None:
+    def _eligibility_changed(self) -> None:
         self._pool_waits.report_change()
         self._dispatcher.schedule_release()
         self._schedule()
--- a/cicadacourse/platform/_configuration_reader.py
+++ b/cicadacourse/platform/_configuration_reader.py
@@ -94,9 +94,19 @@
         max_attempts=max(1, int(fields.integer(row, "maxAttempts", 1))),
         is_public=fields.boolean(row, "public", False),
         is_resumable=fields.boolean(row, "resumable", False),
+        allowed_regions=_regions(row),
     )
 
 
+def _regions(row: dict[str, Any]) -> frozenset[str]:
+    """Returns the regions that a row names.
+
+    A name that can't be read stands for no region: it must not lift a restriction.
+    """
+    names = fields.array(row, "allowedRegions")
+    return frozenset(item if isinstance(item, str) else "" for item in names)
+
+
 def _shares(row: dict[str, Any]) -> tuple[PoolShare, ...]:
     split = fields.array(row, "trafficSplit")
     if not split:
@@ -114,6 +124,7 @@
         name=fields.string(row, "name"),
         max_connections=int(fields.integer(row, "maxConns", 0)),
         engine=_engine(engine) if engine else None,
+        cold_rate=fields.number(row, "coldPerS", 0.0),
     )
 
 
@@ -142,6 +153,7 @@
         name=fields.string(row, "name"),
         keys=tuple(key for key in keys if isinstance(key, str) and key),
         priority=None if priority is None else int(priority),
+        allowed_regions=_regions(row),
     )
 
 
--- a/cicadacourse/platform/_configuration_writer.py
+++ b/cicadacourse/platform/_configuration_writer.py
@@ -95,6 +95,7 @@
         "maxAttempts": route.max_attempts,
         "public": route.is_public,
         "resumable": route.is_resumable,
+        "allowedRegions": sorted(route.allowed_regions) or None,
         **_shares(route.shares),
     }
 
@@ -111,6 +112,7 @@
         "name": pool.name,
         "maxConns": pool.max_connections,
         "engine": None if pool.engine is None else _engine(pool.engine),
+        "coldPerS": pool.cold_rate or None,
     }
 
 
@@ -135,6 +137,7 @@
         "name": organisation.name,
         "apiKeys": list(organisation.keys),
         "priority": organisation.priority,
+        "allowedRegions": sorted(organisation.allowed_regions) or None,
     }
 
 
--- a/cicadacourse/platform/_feed.py
+++ b/cicadacourse/platform/_feed.py
@@ -9,9 +9,11 @@
 from returns.result import Failure, Success
 
 from cicadacourse.application import SERVICES, Application
-from cicadacourse.catalog import CatalogService, Endpoint
+from cicadacourse.catalog import CatalogService, CatalogSettings, ListedEndpoint
+from cicadacourse.events import RESUMED_AFTER_PAUSE
 from cicadacourse.feed import (
     ConfigurationHistory,
+    EvacuationFeed,
     ReadDelegation,
     RegistryFeed,
     TableFeed,
@@ -24,6 +26,7 @@
     TOPIC_CONFIGURATION,
     TOPIC_ENDPOINTS,
 )
+from cicadacourse.platform._operator_listener import OperatorListener
 from cicadacourse.platform._records import KeyedRecord
 from cicadacourse.platform._registry import decode_endpoint
 from cicadacourse.platform._settings import StoreSettings
@@ -50,7 +53,7 @@
         self._history = history
         self._is_newest_decoded = True
 
-    def on_snapshot(self, records: Sequence[KeyedRecord]) -> None:
+    def on_snapshot(self, records: Sequence[KeyedRecord], end: int) -> None:
         """Applies the newest configuration."""
         self.on_records(records)
 
@@ -111,7 +114,7 @@
         """Starts the period in which endpoints without an entry are held."""
         self._registry_feed.record_store_recovered()
 
-    def on_snapshot(self, records: Sequence[KeyedRecord]) -> None:
+    def on_snapshot(self, records: Sequence[KeyedRecord], end: int) -> None:
         """Applies every entry; removes other endpoints, after the hold if one runs."""
         self._registry_feed.keep_only({record.key for record in records})
         self.on_records(records)
@@ -134,8 +137,8 @@
             case Failure(error):
                 log(ENDPOINT_ENTRY_REFUSED, reason=error.detail)
                 self._registry_feed.remove(endpoint_id, "its entry can't be read")
-            case Success(endpoint):
-                self._registry_feed.put(endpoint)
+            case Success(ListedEndpoint() as listed):
+                self._registry_feed.put(listed.endpoint, listed.cold_left_s)
 
 
 @SERVICES.register("feed")
@@ -155,15 +158,19 @@
         self._configuration = ConfigurationListener(
             catalog_service, self.configuration_history
         )
+        catalog_settings = app.settings.get(CatalogSettings)
+        self._follows_evacuations = catalog_settings.follows_evacuations
+        self._operator_bound_s = catalog_settings.operator_bound_s
+        evacuations = EvacuationFeed(app) if self._follows_evacuations else None
         self._registry_feed = RegistryFeed(app, catalog_service, settings.lapse_hold_s)
         self._configuration_follower = TopicFollower(
             store,
             TOPIC_CONFIGURATION,
-            self._configuration,
+            OperatorListener(self._configuration, evacuations),
             app.metrics,
             wait_s=min(
                 settings.configuration_wait_s,
-                CONFIGURATION_LONG_POLL_SHARE * self._freshness.bound_s,
+                CONFIGURATION_LONG_POLL_SHARE * self._operator_bound_s,
             ),
             is_newest_sufficient=True,
             is_store_reader=self._is_configuration_reader,
@@ -177,6 +184,10 @@
             delay_s=settings.endpoints_pause_s,
             is_store_reader=self.is_store_reader,
         )
+        if self._follows_evacuations:
+            app.events.connect(
+                RESUMED_AFTER_PAUSE, self._configuration_follower.refresh
+            )
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
@@ -196,7 +207,7 @@
         It does if the neighbours that should read it have not confirmed it lately.
         """
         age_s = now() - self._freshness.confirmed_at
-        max_age_s = MAX_CONFIRMATION_AGE_SHARE * self._freshness.bound_s
+        max_age_s = MAX_CONFIRMATION_AGE_SHARE * self._operator_bound_s
         return age_s > max_age_s or self.is_store_reader()
 
     @property
@@ -209,7 +220,7 @@
         if self._configuration.apply(value, source) and offset:
             self._configuration_follower.advance_to(offset)
 
-    def apply_registry(self, endpoints: Sequence[Endpoint], offset: int) -> None:
+    def apply_registry(self, endpoints: Sequence[ListedEndpoint], offset: int) -> None:
         """Applies the whole registry of another instance, read up to an offset."""
         self._registry_feed.replace_all(endpoints, offset)
         self._registry_follower.advance_to(offset)
--- a/cicadacourse/platform/_follower.py
+++ b/cicadacourse/platform/_follower.py
@@ -33,8 +33,12 @@
     """Receives the records of a topic."""
 
     @abc.abstractmethod
-    def on_snapshot(self, records: Sequence[KeyedRecord]) -> None:
-        """Receives the newest record of every key; other keys no longer exist."""
+    def on_snapshot(self, records: Sequence[KeyedRecord], end: int) -> None:
+        """Receives the newest record of every key; other keys no longer exist.
+
+        :param end: the position up to which that is so. Records that were appended
+            while the snapshot was read may be among the others, and are read again.
+        """
 
     @abc.abstractmethod
     def on_records(self, records: Sequence[KeyedRecord]) -> None:
@@ -86,6 +90,7 @@
     _is_snapshot_read: bool = True
     _read_started_at: float = 0.0
     _has_more: bool = False
+    _is_refresh_due: bool = False
 
     async def run(self) -> None:
         """Follows the topic until it is cancelled."""
@@ -116,9 +121,17 @@
         """Skips the records before an offset, as another instance has read them."""
         self._offset = max(self._offset or 0, offset)
 
+    def refresh(self) -> None:
+        """Has the newest records read here soon, whoever else reads the topic.
+
+        After a pause, this instance may have missed what others have told.
+        """
+        self._is_refresh_due = True
+
     def _must_read(self) -> bool:
         return (
             self._offset is None
+            or self._is_refresh_due
             or self._lost_since is not None
             or self.is_store_reader()
         )
@@ -126,7 +139,9 @@
     async def _read_next(self) -> Result[KeyedBatch, Error]:
         self._read_started_at = now()
         # Decided before the read, as ``advance_to`` may set the offset during it.
-        self._is_snapshot_read = self._offset is None or self._may_have_missed_many()
+        self._is_snapshot_read = (
+            self._offset is None or self._is_refresh_due or self._may_have_missed_many()
+        )
         self._read_from = self._offset
         if self._offset is None:
             timeout_s = min(self.store.settings.timeout_s, self._snapshot_timeout_s)
@@ -153,7 +168,8 @@
             self._offset = self._next_offset(None)
             return
         if self._is_snapshot_read:
-            self.listener.on_snapshot(batch.records)
+            self._is_refresh_due = False
+            self.listener.on_snapshot(batch.records, batch.end)
         elif batch.records:
             self.listener.on_records(batch.records)
         self._offset = self._next_offset(batch.end)
--- a/cicadacourse/platform/_kv_cache_client.py
+++ b/cicadacourse/platform/_kv_cache_client.py
@@ -31,7 +31,12 @@
     name = "direct_memory_client"
 
     async def reserve(
-        self, endpoint: Endpoint, reservation_id: str, tokens: int, hold_s: float
+        self,
+        endpoint: Endpoint,
+        reservation_id: str,
+        tokens: int,
+        hold_s: float,
+        is_renewal: bool = False,
     ) -> Result[None, Error]:
         """Reserves KV-cache tokens; see :meth:`KvCacheClient.reserve`."""
         hold_ms = int(hold_s * MS_PER_S)
@@ -69,7 +74,7 @@
         except (TimeoutError, HttpConnectionError, h11.LocalProtocolError) as error:
             detail = f"no response to the order: {error!r}"
             return Failure(Error(ErrorKind.ENDPOINT_UNREACHABLE, detail))
-        self.app.get("placement").declines.observe(endpoint, head)
+        self.app.get("eligibility").declines.observe(endpoint, head)
         if head.status == _OK:
             return Success(None)
         return Failure(Error(ErrorKind.ENDPOINT_REFUSED, f"HTTP status {head.status}"))
--- a/cicadacourse/platform/_names.py
+++ b/cicadacourse/platform/_names.py
@@ -33,6 +33,7 @@
 
 TOPIC_CONFIGURATION = "keyed.op"
 KEY_CONFIGURATION = "config"
+KEY_EVACUATION_PREFIX = "evacuate/"
 TOPIC_ENDPOINTS = "keyed.servers"
 TOPIC_INSTANCES = "keyed.cicadacourse-instances"
 
--- a/cicadacourse/platform/_probes.py
+++ b/cicadacourse/platform/_probes.py
@@ -12,7 +12,7 @@
 from tornado.httpserver import HTTPServer
 
 from cicadacourse.application import SERVICES, Application, Service
-from cicadacourse.catalog import CatalogService
+from cicadacourse.catalog import Catalog, CatalogService
 from cicadacourse.gateway import PATH_STATUS, get_instance_status
 from cicadacourse.logs import INSTANCES_LEFT_OUT, NOT_READY, READY, log
 from cicadacourse.membership import Member, choose_for_callers, select_connected
@@ -87,13 +87,29 @@
             log(READY if ready else NOT_READY)
         return ready
 
-    def addresses(self, failure_domain: str) -> list[str]:
-        """Returns addresses for callers in a failure domain, in random order."""
+    def addresses(
+        self, failure_domain: str, host: str = "", region: str = ""
+    ) -> list[str]:
+        """Returns addresses for callers in a failure domain, in random order.
+
+        :param host: the host that they are looked up for; empty for any.
+        :param region: the callers' region; empty if it is not known.
+        """
         chosen = choose_for_callers(
-            self._connected_members(), failure_domain, MAX_ADDRESSES, self._random
+            self._connected_members(),
+            failure_domain,
+            MAX_ADDRESSES,
+            self._random,
+            self._regions_for(host, region),
         )
         return [item.caller_address for item in chosen]
 
+    def _regions_for(self, host: str, region: str) -> frozenset[str] | None:
+        """Returns the regions whose instances serve a host's callers, None for all."""
+        catalog: Catalog | None = self.app.get("catalog").catalog
+        regions = catalog.find_host_regions(host) if catalog else None
+        return None if regions is None else regions | {region}
+
     @property
     def ttl_s(self) -> float:
         """How long a caller may cache the addresses, in seconds."""
@@ -150,7 +166,10 @@
 class _ResolveHandler(_Handler):
     def get(self) -> None:
         """Responds with the addresses for a failure domain, 503 if there are none."""
-        addresses = self.probes.addresses(self.get_query_argument("zone", ""))
+        argument = self.get_query_argument
+        addresses = self.probes.addresses(
+            argument("zone", ""), argument("name", ""), argument("region", "")
+        )
         if not addresses:
             self.set_status(_UNAVAILABLE)
             return
--- a/cicadacourse/platform/_records.py
+++ b/cicadacourse/platform/_records.py
@@ -18,10 +18,13 @@
 
     :param key: the key; empty if the record is malformed.
     :param value: the value, or None if the record deletes the key.
+    :param position: its offset in the topic; a position once the store's client returns
+        the record.
     """
 
     key: str
     value: bytes | None
+    position: int = 0
 
 
 @attrs.frozen
@@ -63,7 +66,9 @@
     """
     page = json.loads(body)
     records = tuple(
-        KeyedRecord(item["key"], base64.b64decode(item["value"]))
+        KeyedRecord(
+            item["key"], base64.b64decode(item["value"]), int(item.get("offset", 0))
+        )
         for item in page["items"]
     )
     return Page(records, int(page["end"]), bool(page["hasMore"]) and bool(records))
@@ -77,7 +82,7 @@
     >>> record = b"\\x00\\x00\\x00\\x03\\x01ab"
     >>> batch = parse_batch(bytes(7) + b"\\x09" + bytes(8) + record, offset=4)
     >>> batch.records, batch.end, batch.has_more
-    ((KeyedRecord(key='a', value=b'b'),), 5, True)
+    ((KeyedRecord(key='a', value=b'b', position=4),), 5, True)
 
     :param offset: the offset of the first record.
     :raises ValueError: if a record is truncated, or missing; struct.error if an offset
@@ -85,13 +90,14 @@
     """
     topic_end, _ = _ENDS.unpack_from(body)
     position = _ENDS.size
-    records = []
+    records: list[KeyedRecord] = []
     while position < len(body):
         (length,) = _LENGTH.unpack_from(body, position)
         position += _LENGTH.size
         if position + length > len(body):
             raise ValueError("a record is truncated")
-        records.append(_unpack_record(body[position : position + length]))
+        content = body[position : position + length]
+        records.append(_unpack_record(content, offset + len(records)))
         position += length
     if not records and offset < topic_end:
         raise ValueError("no record, although the topic goes on")
@@ -99,13 +105,13 @@
     return KeyedBatch(tuple(records), end, has_more=end < topic_end)
 
 
-def _unpack_record(body: bytes) -> KeyedRecord:
+def _unpack_record(body: bytes, offset: int) -> KeyedRecord:
     """Splits a record into key and value; an empty value deletes the key."""
     key_end = 1 + body[0] if body else 0
     if not body or key_end > len(body):
-        return KeyedRecord("", b"")
+        return KeyedRecord("", b"", offset)
     key = body[1:key_end].decode(errors="replace")
-    return KeyedRecord(key, body[key_end:] or None)
+    return KeyedRecord(key, body[key_end:] or None, offset)
 
 
 def pack_record(key: str, value: bytes) -> bytes:
--- a/cicadacourse/platform/_store.py
+++ b/cicadacourse/platform/_store.py
@@ -220,8 +220,14 @@
 
 
 def _in_era(batch: KeyedBatch, era: int) -> KeyedBatch:
-    """Returns a batch whose end is a position instead of an offset."""
-    return attrs.evolve(batch, end=make_position(era, batch.end))
+    """Returns a batch with positions instead of offsets."""
+    records = batch.records
+    if era:
+        records = tuple(
+            attrs.evolve(item, position=make_position(era, item.position))
+            for item in records
+        )
+    return attrs.evolve(batch, records=records, end=make_position(era, batch.end))
 
 
 @SERVICES.register("store")
--- a/cicadacourse/proxy/_carried.py
+++ b/cicadacourse/proxy/_carried.py
@@ -9,6 +9,7 @@
 
 from cicadacourse.application import Application
 from cicadacourse.catalog import Endpoint
+from cicadacourse.eligibility import Eligibility
 from cicadacourse.exchange import (
     EndpointConnection,
     EndpointConnector,
@@ -17,7 +18,6 @@
 )
 from cicadacourse.logs import PROXIED_ENDED, log
 from cicadacourse.metrics import declare
-from cicadacourse.proxy._checks import check_ready
 from cicadacourse.proxy._idle_timer import IdleTimer
 from cicadacourse.proxy._messages import OpenProxied, ProxiedPiece, SendProxied
 from cicadacourse.proxy._pieces import Pieces
@@ -155,14 +155,15 @@
         ) as connection:
             self._opened.set_result(connection)
             order = await self._order
-            check_ready(self._app, self.endpoint)
+            eligibility: Eligibility = self._app.get("eligibility")
+            eligibility.check(self.endpoint)
             sent_at = now()
             response = await connection.send(
                 order.make_request(self.endpoint), order.message.head_timeout_s
             )
             head = response.head
             self._app.get("limits").observe(self.endpoint, head, sent_at)
-            self._app.get("placement").declines.observe(self.endpoint, head)
+            eligibility.declines.observe(self.endpoint, head)
             await self._pieces.copy(response)
 
     def _fail(self, failure: SendFailure) -> None:
--- a/cicadacourse/proxy/_client.py
+++ b/cicadacourse/proxy/_client.py
@@ -9,6 +9,7 @@
 
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.catalog import Endpoint
+from cicadacourse.eligibility import AllowedRegions, Eligibility
 from cicadacourse.exchange import (
     EndpointClient,
     EndpointConnector,
@@ -16,7 +17,6 @@
     EndpointResponse,
     SendFailure,
 )
-from cicadacourse.proxy._checks import check_ready
 from cicadacourse.proxy._race import ConnectionRace
 from cicadacourse.proxy._ways import (
     REASON_UNREACHABLE,
@@ -50,18 +50,24 @@
 
     @contextlib.asynccontextmanager
     async def exchange(
-        self, request: EndpointRequest, is_idempotent: bool, head_timeout_s: float
+        self,
+        request: EndpointRequest,
+        is_idempotent: bool,
+        head_timeout_s: float,
+        regions: AllowedRegions = None,
     ) -> AsyncIterator[EndpointResponse]:
         """Sends a request, yields its response; see :meth:`EndpointClient.exchange`."""
         started = now()
-        opened = await self._race.run(ConnectAttempt(request, is_idempotent, started))
+        attempt = ConnectAttempt(request, is_idempotent, started, regions)
+        opened = await self._race.run(attempt)
         if opened is None:
             detail = "neither this instance nor any that it asked could connect"
             raise SendFailure(detail, False, REASON_UNREACHABLE)
         async with opened.contexts:
             time_left_s = request.time_left_s - (now() - started)
             request = attrs.evolve(request, time_left_s=time_left_s)
-            check_ready(self.app, request.endpoint)
+            eligibility: Eligibility = self.app.get("eligibility")
+            eligibility.check(request.endpoint, regions)
             yield await opened.connection.send(request, head_timeout_s)
 
     async def is_process_gone(self, endpoint: Endpoint) -> bool:
--- a/cicadacourse/proxy/_server.py
+++ b/cicadacourse/proxy/_server.py
@@ -16,7 +16,6 @@
 from cicadacourse.metrics import declare
 from cicadacourse.peers import handles
 from cicadacourse.proxy._carried import ABANDONED, CLOSED, STOPPED, CarriedExchange
-from cicadacourse.proxy._checks import check_ready
 from cicadacourse.proxy._messages import (
     REASON_BUSY,
     REASON_CLOSED,
@@ -135,7 +134,7 @@
         reason = self._find_refusal(message)
         if reason is not None:
             raise self._refuse(message, reason)
-        check_ready(self.app, message.endpoint)
+        self.app.get("eligibility").check(message.endpoint)
         endpoint = self.app.get("catalog").registry.find(message.endpoint.id)
         exchange = CarriedExchange(
             self.app,
--- a/cicadacourse/proxy/_ways.py
+++ b/cicadacourse/proxy/_ways.py
@@ -9,6 +9,7 @@
 
 from cicadacourse.application import Application
 from cicadacourse.config import InstanceSettings
+from cicadacourse.eligibility import AllowedRegions
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.exchange import (
     EndpointConnection,
@@ -49,11 +50,13 @@
     """What a connection is wanted for.
 
     :param started: when it was wanted first, loop time in seconds.
+    :param regions: the regions that may serve the request.
     """
 
     request: EndpointRequest
     is_idempotent: bool
     started: float
+    regions: AllowedRegions = None
 
     @property
     def time_left_s(self) -> float:
@@ -82,7 +85,9 @@
         self._tasks = tasks
         self._connector: EndpointConnector = app.get("endpoint_connector")
         self._reachability: Reachability = app.get("reachability")
-        self._own_name = app.settings.get(InstanceSettings).name
+        instance = app.settings.get(InstanceSettings)
+        self._own_name = instance.name
+        self._own_region = instance.region
         max_bytes = app.settings.get(PeersSettings).max_message_bytes
         self._max_body_bytes = max_bytes - MESSAGE_MARGIN_BYTES
         self._started = f"{now():.3f}"
@@ -98,10 +103,17 @@
         )
 
     def peers_for(self, attempt: ConnectAttempt) -> list[Member]:
-        """Returns the instances to ask for a connection, the best first."""
+        """Returns the instances to ask for a connection, the best first.
+
+        A restricted request passes no instance outside of its regions and this one's.
+        """
         if len(attempt.request.caller.body) > self._max_body_bytes:
             return []
-        return self._reachability.peers_for(attempt.request.endpoint)[:MAX_PEERS_ASKED]
+        peers = self._reachability.peers_for(attempt.request.endpoint)
+        if attempt.regions is not None:
+            allowed = attempt.regions | {self._own_region}
+            peers = [item for item in peers if item.region in allowed]
+        return peers[:MAX_PEERS_ASKED]
 
     async def connect_directly(
         self, attempt: ConnectAttempt, needs_new_connection: bool
--- a/cicadacourse/reachability/_service.py
+++ b/cicadacourse/reachability/_service.py
@@ -180,12 +180,19 @@
     def is_pool_unreachable(self, pool: str) -> bool:
         """Returns whether no ready endpoint of a pool is reachable, but there are some.
 
+        See :meth:`are_unreachable`.
+        """
+        ready = self._catalog_service.registry.ready(pool)
+        return self.are_unreachable(ready)
+
+    def are_unreachable(self, ready: Sequence[Endpoint]) -> bool:
+        """Returns whether none of some endpoints is reachable, but there are some.
+
         While that is so, connections are tried in the background. Endpoints that accept
         no connections for a second or so may only be silent, and don't count yet.
         """
         if not self._links.have_failed:
             return False
-        ready = self._catalog_service.registry.ready(pool)
         if not ready or len(self._targets.select_unreachable(ready)) < len(ready):
             return False
         # A kept connection may have ended since the last change of a link.
--- a/cicadacourse/reservations/_client.py
+++ b/cicadacourse/reservations/_client.py
@@ -19,13 +19,20 @@
 
     @abc.abstractmethod
     async def reserve(
-        self, endpoint: Endpoint, reservation_id: str, tokens: int, hold_s: float
+        self,
+        endpoint: Endpoint,
+        reservation_id: str,
+        tokens: int,
+        hold_s: float,
+        is_renewal: bool = False,
     ) -> Result[None, Error]:
         """Makes or renews a reservation.
 
         :param reservation_id: identifies the reservation on its engine.
         :param tokens: the number of tokens to reserve.
         :param hold_s: seconds from now after which the reservation expires.
+        :param is_renewal: whether a request in progress holds the reservation, which
+            is renewed whether or not the engine may get new requests.
         :returns: a Failure of kind ``ENDPOINT_REFUSED`` if nothing is reserved; after
             any other Failure it is unknown whether something is reserved.
         """
--- a/cicadacourse/reservations/_messages.py
+++ b/cicadacourse/reservations/_messages.py
@@ -13,6 +13,7 @@
     :param process_key: the process, see :attr:`Endpoint.process_key`.
     :param tokens: the number of tokens to reserve, 0 for a release.
     :param hold_s: seconds after which the reservation expires, 0 for a release.
+    :param is_renewal: whether a request in progress holds the reservation.
     """
 
     sender: str
@@ -22,6 +23,7 @@
     tokens: int = 0
     hold_s: float = 0.0
     is_release: bool = False
+    is_renewal: bool = False
 
 
 @message("reservations.OrderDone")
--- a/cicadacourse/reservations/_proxying_client.py
+++ b/cicadacourse/reservations/_proxying_client.py
@@ -20,7 +20,6 @@
 from cicadacourse.logs import ORDER_PROXIED, log
 from cicadacourse.membership import Member
 from cicadacourse.peers import Peers, handles
-from cicadacourse.proxy import check_ready
 from cicadacourse.reachability import Reachability
 from cicadacourse.reservations._client import KvCacheClient
 from cicadacourse.reservations._messages import OrderDone, SendOrder
@@ -53,9 +52,18 @@
             await self._tasks.cancel()
 
     async def reserve(
-        self, endpoint: Endpoint, reservation_id: str, tokens: int, hold_s: float
+        self,
+        endpoint: Endpoint,
+        reservation_id: str,
+        tokens: int,
+        hold_s: float,
+        is_renewal: bool = False,
     ) -> Result[None, Error]:
         """Reserves KV-cache tokens; see :meth:`KvCacheClient.reserve`."""
+        if not is_renewal:
+            obstacle = self.app.get("eligibility").find_obstacle(endpoint)
+            if obstacle is not None:
+                return Failure(Error(ErrorKind.ENDPOINT_REFUSED, obstacle.detail))
         message = SendOrder(
             sender=self._own_name,
             endpoint_id=endpoint.id,
@@ -63,6 +71,7 @@
             reservation_id=reservation_id,
             tokens=tokens,
             hold_s=hold_s,
+            is_renewal=is_renewal,
         )
         return await self._send(
             endpoint,
@@ -112,7 +121,8 @@
         self, endpoint: Endpoint, message: SendOrder
     ) -> Result[None, Error]:
         try:
-            check_ready(self.app, endpoint)
+            if not message.is_renewal:
+                self.app.get("eligibility").check(endpoint)
         except SendFailure as failure:
             return Failure(Error(ErrorKind.ENDPOINT_REFUSED, failure.detail))
         return await self._direct.reserve(
--- a/cicadacourse/reservations/_service.py
+++ b/cicadacourse/reservations/_service.py
@@ -158,10 +158,14 @@
                 error, tuple(reservation.endpoint for reservation, _ in refused)
             )
 
-    async def _reserve(self, reservation: Reservation) -> Any:
+    async def _reserve(self, reservation: Reservation, is_renewal: bool = False) -> Any:
         client = self.app.get("memory_client")
         result = await client.reserve(
-            reservation.endpoint, reservation.id, reservation.tokens, LEASE_S
+            reservation.endpoint,
+            reservation.id,
+            reservation.tokens,
+            LEASE_S,
+            is_renewal,
         )
         outcome = "ok" if isinstance(result, Success) else "failed"
         self.app.metrics.count(RESERVATIONS, action="reserve", outcome=outcome)
@@ -174,7 +178,7 @@
         while True:
             await asyncio.sleep(RENEW_PERIOD_S)
             results = await asyncio.gather(
-                *(self._reserve(item) for item in reservations)
+                *(self._reserve(item, is_renewal=True) for item in reservations)
             )
             _log_failures(request_id, reservations, results)
 
--- a/cicadacourse/schema/load.capnp
+++ b/cicadacourse/schema/load.capnp
@@ -32,17 +32,29 @@
   # value holds the bytes of the configuration as the operator wrote them, for a sender
   # that takes no delta; empty if there is none. Otherwise delta leads from baseVersion
   # (0: from empty bytes) to version, the one in force at the instance. The store's
-  # records before offset hold no newer version.
+  # records before offset hold no newer version. evacuations are what the instance knows
+  # of failure domains; if knowsEvacuations, that is all that the records before offset
+  # say about them.
   value @0 :Data;
   version @1 :UInt64;
   baseVersion @2 :UInt64;
   delta @3 :Data;
   offset @4 :UInt64;
+  evacuations @5 :List(Evacuation);
+  knowsEvacuations @6 :Bool;
+}
+
+struct Evacuation {
+  # Whether a failure domain is evacuated, and the position in the store's topic from
+  # which that is known.
+  failureDomain @0 :Text;
+  isInForce @1 :Bool;
+  position @2 :UInt64;
 }
 
 struct Endpoint {
   # One endpoint as the registry lists it. startedMs is its start in Unix milliseconds,
-  # 0 if the registry doesn't say it.
+  # 0 if the registry doesn't say it. coldMs is for how long it is still cold.
   id @0 :Text;
   pool @1 :Text;
   address @2 :Text;
@@ -50,6 +62,7 @@
   slots @4 :UInt32;
   state @5 :Text;
   startedMs @6 :UInt64;
+  coldMs @7 :UInt32;
 }
 
 struct FetchRegistry {
--- a/cicadacourse/schema/reservations.capnp
+++ b/cicadacourse/schema/reservations.capnp
@@ -3,7 +3,7 @@
 
 struct SendOrder {
   # Reserves or releases KV cache of one process of an engine. An order may arrive twice:
-  # it is the same reservation by its id. holdS and tokens are 0 for a release.
+  # it is the same reservation by its id. A renewal is for a request in progress. holdS and tokens are 0 for a release.
   sender @0 :Text;
   endpointId @1 :Text;
   processKey @2 :Text;
@@ -11,6 +11,7 @@
   tokens @4 :UInt64;
   holdS @5 :Float64;
   isRelease @6 :Bool;
+  isRenewal @7 :Bool;
 }
 
 struct OrderDone {}
--- a/cicadacourse/tables/_parser.py
+++ b/cicadacourse/tables/_parser.py
@@ -80,7 +80,7 @@
                 for name, row in pools["pool"].items()
             ),
             organisations=tuple(
-                Organisation(name, row.keys, row.priority)
+                Organisation(name, row.keys, row.priority, row.allowed_regions)
                 for name, row in organisations["organisation"].items()
             ),
             limits=CallerLimits(**attrs.asdict(limits)),
@@ -206,6 +206,7 @@
         max_attempts=row.max_attempts,
         is_public=row.public,
         is_resumable=row.resumable,
+        allowed_regions=row.allowed_regions,
     )
 
 
@@ -214,4 +215,4 @@
     profile = None
     if engine is not None:
         profile = EngineProfile(**attrs.asdict(engine, recurse=False))
-    return Pool(name, row.max_connections, profile)
+    return Pool(name, row.max_connections, profile, row.cold_rate)
--- a/cicadacourse/tables/_render.py
+++ b/cicadacourse/tables/_render.py
@@ -42,6 +42,7 @@
         "max_attempts": route.max_attempts,
         "public": route.is_public,
         "resumable": route.is_resumable,
+        "allowed_regions": ", ".join(sorted(route.allowed_regions)),
     }
 
 
@@ -49,6 +50,7 @@
     return {
         "keys": ", ".join(organisation.keys),
         "priority": organisation.priority,
+        "allowed_regions": ", ".join(sorted(organisation.allowed_regions)),
     }
 
 
@@ -66,6 +68,7 @@
         rows[f"pool {pool.name}"] = {
             "engine": engine,
             "max_connections": pool.max_connections,
+            "cold_rate": pool.cold_rate or None,
         }
     for profile, name in name_by_profile.items():
         row = attrs.asdict(profile, recurse=False)
--- a/cicadacourse/tables/_rows.py
+++ b/cicadacourse/tables/_rows.py
@@ -55,6 +55,11 @@
     return tuple(parse_name(part) for part in text.replace(",", " ").split())
 
 
+def parse_name_set(text: str) -> frozenset[str]:
+    """Parses names of which the order does not count."""
+    return frozenset(parse_names(text))
+
+
 def parse_keys(text: str) -> tuple[str, ...]:
     """Parses keys separated by commas or white space."""
     return tuple(text.replace(",", " ").split())
@@ -66,6 +71,7 @@
         parse_route_kind: "safe, unsafe or stream",
         parse_pool_shares: "a pool's name, or several with weights as 'old 3, new 1'",
         parse_names: "names separated by commas",
+        parse_name_set: "names separated by commas",
         parse_keys: "keys separated by commas",
     }
 )
@@ -123,6 +129,9 @@
         False,
         help="An interrupted stream may be resumed at another endpoint.",
     )
+    allowed_regions: frozenset[str] = option(
+        parse_name_set, frozenset(), help="Regions that may serve it; all if empty."
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -141,6 +150,13 @@
         help="Connections for requests from each instance to one endpoint, 0 if not"
         " bounded; at the limit, requests wait.",
     )
+    cold_rate: float = option(
+        float,
+        0.0,
+        unit="requests per second",
+        minimum=0,
+        help="What a cold endpoint bears from all instances, 0 if not bounded.",
+    )
 
 
 @attrs.frozen(kw_only=True)
@@ -210,6 +226,11 @@
         maximum=100,
         help="Priority of its requests, instead of the route's.",
     )
+    allowed_regions: frozenset[str] = option(
+        parse_name_set,
+        frozenset(),
+        help="Regions that may serve its requests; all if empty.",
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -20,6 +20,7 @@
 )
 from soak._decline_scenario import DECLINE_FAULTS, run_decline_scenario
 from soak._environment import SoakEnvironment
+from soak._evacuation_scenario import EVACUATION_FAULTS, run_evacuation_scenario
 from soak._faults import FAULTS, inject_faults, plan_faults
 from soak._limit_scenario import LIMIT_FAULTS, run_limit_scenario
 from soak._partition_scenario import PARTITION_FAULTS, run_partition_scenario
@@ -34,6 +35,7 @@
     "faults": (run_scenario, FAULTS),
     "configurations": (run_configuration_scenario, CONFIGURATION_FAULTS),
     "declines": (run_decline_scenario, DECLINE_FAULTS),
+    "evacuations": (run_evacuation_scenario, EVACUATION_FAULTS),
     "limits": (run_limit_scenario, LIMIT_FAULTS),
     "partitions": (run_partition_scenario, PARTITION_FAULTS),
     "prompts": (run_prompt_scenario, PROMPT_FAULTS),
@@ -61,7 +63,8 @@
         help="faults of all kinds, a configuration that changes each second,"
         " endpoints that name limits, prompts that crash engines, requests that"
         " crash endpoints, endpoints and connections that fall silent, endpoints that"
-        " leave or turn requests away, or instances that are cut off from endpoints",
+        " leave or turn requests away, instances that are cut off from endpoints, or"
+        " failure domains that are evacuated and come back cold",
     )
     add("--kept", action="store_true", help="run every line of SEEDS.txt instead")
     add(
--- a/soak/_environment.py
+++ b/soak/_environment.py
@@ -47,6 +47,9 @@
     :param has_endpoint_links: whether each endpoint is reached through a proxy, which
         accepts connections also when the endpoint has ended.
     :param is_partitionable: whether instances can be cut off from endpoints one by one.
+    :param settings: further sections of the instances' settings.
+    :param cold_rate: what a cold endpoint bears, in requests per second; 0 for no
+        bound.
     """
 
     size: int
@@ -55,6 +58,8 @@
     link_bytes_per_s: float | None = None
     has_endpoint_links: bool = True
     is_partitionable: bool = False
+    settings: str = ""
+    cold_rate: float = 0.0
 
 
 @attrs.define(eq=False)
@@ -80,6 +85,7 @@
         for none.
     :ivar route_fields: fields that are added to each route or replaced.
     :ivar caller_limits: the limits on callers' connections, by their names there.
+    :param cold_rate: see :class:`Site`.
     :ivar cuts: the cuts between instances and endpoints.
     """
 
@@ -89,6 +95,7 @@
     random: Random
     stack: contextlib.AsyncExitStack
     has_endpoint_links: bool = True
+    cold_rate: float = 0.0
     link_by_endpoint_id: dict[str, Proxy] = attrs.field(factory=dict)
     store_fault_window: FaultWindow = attrs.field(factory=FaultWindow)
     version: int = 1
@@ -140,6 +147,9 @@
             ],
             limits=self.caller_limits,
         )
+        if self.cold_rate:
+            for pool in configuration["services"]:
+                pool["coldPerS"] = self.cold_rate
         routes = configuration["routes"]
         plain_route = routes[-1]
         if self.narrow_segment:
@@ -215,6 +225,7 @@
             Random(seed),
             stack,
             site.has_endpoint_links,
+            site.cold_rate,
         )
         for link in environment.links():
             await stack.enter_async_context(link.running())
@@ -237,6 +248,7 @@
     domain = site.domains[number % len(site.domains)]
     instance = InstanceProcess(f"instance-{number}", domain, host, folder, link)
     instance.is_partitionable = site.is_partitionable
+    instance.further_settings = site.settings
     if site.link_bytes_per_s is not None:
         _limit_links(instance, site.link_bytes_per_s)
     return instance
--- a/soak/_instances.py
+++ b/soak/_instances.py
@@ -48,6 +48,7 @@
     :param peer_link: the proxy through which other instances call it; None if they
         call it directly.
     :param is_partitionable: whether its connections to endpoints can be cut.
+    :param further_settings: further sections of its settings.
     :ivar fault_window: the faults on it and on its links.
     :ivar late_exits: how often its process did not exit in time after SIGTERM.
     :ivar bad_exits: exit statuses other than 0 after SIGTERM, of processes that had
@@ -63,6 +64,7 @@
     store_link: Proxy
     peer_link: Proxy | None = None
     is_partitionable: bool = False
+    further_settings: str = ""
     caller_port: int = attrs.field(factory=free_port)
     peer_port: int = attrs.field(factory=free_port)
     ready_port: int = attrs.field(factory=free_port)
@@ -99,7 +101,7 @@
             metrics=self.metrics_port,
             ttl_s=DIRECTORY_TTL_S,
         )
-        self._settings.write_text(text)
+        self._settings.write_text(text + self.further_settings)
 
     async def start(self) -> None:
         """Starts its process unless one is running."""
--- a/standins/memory_cluster.py
+++ b/standins/memory_cluster.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import contextlib
-from typing import Any, AsyncIterator, Callable, Sequence
+from types import MappingProxyType
+from typing import Any, AsyncIterator, Callable, Mapping, Sequence
 
 from returns.result import Result, Success
 
@@ -44,6 +45,7 @@
     :param sections: further settings sections, the same for each instance.
     :param seed: seeds the simulated faults of the network.
     :param failure_domains: the domains that the instances are distributed over.
+    :param region_by_domain: the regions of the domains.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         sections: Sequence[Any] = (),
         seed: int = 1,
         failure_domains: Sequence[str] = ("a", "b", "c"),
+        region_by_domain: Mapping[str, str] = MappingProxyType({}),
     ) -> None:
         self.network = MemoryNetwork(seed)
         self.application_by_name: dict[str, Application] = {}
@@ -59,6 +62,7 @@
         self._service_specs = service_specs
         self._sections = sections
         self._failure_domains = failure_domains
+        self._region_by_domain = region_by_domain
         self._stack_by_name: dict[str, contextlib.AsyncExitStack] = {}
         self._index_by_name: dict[str, int] = {}
         self._replaced_stacks: list[contextlib.AsyncExitStack] = []
@@ -81,9 +85,12 @@
 
     def build(self, name: str) -> Application:
         """Returns a new application for an instance, not yet running."""
+        domain = self.failure_domain(name)
         instance = InstanceSettings(
             name=name,
-            failure_domain=self.failure_domain(name),
+            region=self._region_by_domain.get(domain, "default"),
+            failure_domain=domain,
+            region_by_domain=self._region_by_domain,
             caller_address=self.address(name).replace(":7000", ":8000"),
             peer_address=self.address(name),
         )
@@ -181,6 +188,7 @@
     *sections: Any,
     seed: int = 1,
     failure_domains: Sequence[str] = ("a", "b", "c"),
+    region_by_domain: Mapping[str, str] = MappingProxyType({}),
 ) -> AsyncIterator[MemoryCluster]:
     """Runs a cluster of instances, all added as contacts, while the context is open.
 
@@ -189,8 +197,11 @@
     :param sections: as for :class:`MemoryCluster`.
     :param seed: as for :class:`MemoryCluster`.
     :param failure_domains: as for :class:`MemoryCluster`.
+    :param region_by_domain: as for :class:`MemoryCluster`.
     """
-    cluster = MemoryCluster(service_specs, sections, seed, failure_domains)
+    cluster = MemoryCluster(
+        service_specs, sections, seed, failure_domains, region_by_domain
+    )
     for name in names:
         cluster.add_contact(name)
     try:
--- a/standins/platform/_fleet.py
+++ b/standins/platform/_fleet.py
@@ -34,6 +34,7 @@
     """An endpoint of a fleet and what its registry entry says of it.
 
     :ivar address: where instances reach it; that of a proxy, if one is in between.
+    :ivar cold_until: until when it is cold, by the clock of the process.
     :ivar port: where it listens itself.
     :ivar started_ms: when it started, in Unix milliseconds; a restart under the same id
         and address has another one.
@@ -45,6 +46,7 @@
     failure_domain: str = "a"
     state: str = "ready"
     started_ms: int = attrs.field(factory=lambda: int(time.time() * 1000))
+    cold_until: float = 0.0
     port: int = attrs.field(init=False)
 
     @port.default
@@ -58,6 +60,7 @@
             field out.
         """
         engine = self.worker.engine
+        cold_left_s = max(0.0, self.cold_until - time.monotonic())
         row = {
             "service": self.pool,
             "address": self.address,
@@ -65,7 +68,7 @@
             "version": "v1",
             "slots": engine.profile.slots if engine else 6,
             "state": self.state,
-            "coldLeftMs": 0,
+            "coldLeftMs": int(cold_left_s * 1000),
             "seqNo": 0,
             "born": self.started_ms,
             **(changes or {}),
@@ -120,6 +123,21 @@
         value = json.dumps(configuration).encode()
         self.store.put("keyed.op", "config", value)
 
+    def evacuate(self, failure_domain: str) -> None:
+        """Requests as an operator that nothing more is sent to a domain's endpoints."""
+        self.store.put("keyed.op", f"evacuate/{failure_domain}", b"{}")
+
+    def withdraw_evacuation(self, failure_domain: str, cold_s: float = 0.0) -> None:
+        """Takes such a request back.
+
+        :param cold_s: for how many seconds the domain's endpoints are cold then.
+        """
+        for endpoint in self.endpoint_by_id.values():
+            if endpoint.failure_domain == failure_domain:
+                endpoint.cold_until = time.monotonic() + cold_s
+                self.register(endpoint)
+        self.store.put("keyed.op", f"evacuate/{failure_domain}", None)
+
     def add_engine(self, id: str, failure_domain: str = "a") -> RegisteredEndpoint:
         """Starts an engine and registers it."""
         engine = Engine(PROFILE, name=id)
--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -7,7 +7,7 @@
 import itertools
 import random
 from collections import defaultdict
-from typing import Any, AsyncIterator, Callable, Iterable
+from typing import Any, AsyncIterator, Callable, Iterable, Sequence
 
 import attrs
 
@@ -108,6 +108,7 @@
             self._make_load,
             "evidence",
             "reachability",
+            "eligibility",
             "permits",
             "limits",
             "quarantine",
@@ -351,16 +352,26 @@
 
 @contextlib.asynccontextmanager
 async def gateway_cluster(
-    instances: int, endpoint_by_id: dict[str, SimulatedEndpoint], seed: int = 1
+    instances: int,
+    endpoint_by_id: dict[str, SimulatedEndpoint],
+    seed: int = 1,
+    catalog: Catalog = CATALOG,
+    sections: Sequence[Any] = (),
+    **domains: Any,
 ) -> AsyncIterator[GatewayCluster]:
     """Runs a cluster whose instances know each other.
 
     :param seed: seeds the faults and all that is drawn at random.
+    :param sections: further settings of the instances.
+    :param domains: see :func:`memory_cluster`.
     """
     random.seed(seed)
-    cluster = GatewayCluster(endpoint_by_id)
+    cluster = GatewayCluster(endpoint_by_id, catalog)
     names = [f"n{number}" for number in range(instances)]
-    async with memory_cluster(names, cluster.services(), seed=seed) as memory:
+    services = cluster.services()
+    async with memory_cluster(
+        names, services, *sections, seed=seed, **domains
+    ) as memory:
         cluster.memory = memory
         async with asyncio.timeout(30):
             while not all(
--- a/tests/test_feed/test_feed_registry_codec.py
+++ b/tests/test_feed/test_feed_registry_codec.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cicadacourse.catalog import Endpoint, EndpointState
+from cicadacourse.catalog import Endpoint, EndpointState, ListedEndpoint
 from cicadacourse.feed._registry_codec import (
     RegistryEncoder,
     make_registry,
@@ -19,16 +19,19 @@
 MAX_REPLY_BYTES = 30_000
 
 
-def _make_endpoints(count: int = ENDPOINTS) -> list[Endpoint]:
+def _make_endpoints(count: int = ENDPOINTS) -> list[ListedEndpoint]:
     return [
-        Endpoint(
-            id=f"worker-{number}",
-            pool=f"pool-{number % 12}",
-            address=f"10.200.{number // 250}.{number % 250}:8668",
-            failure_domain="abc"[number % 3],
-            slots=64,
-            state=EndpointState.READY,
-            started_ms=1_773_202_948_828 + number * 7919,
+        ListedEndpoint(
+            Endpoint(
+                id=f"worker-{number}",
+                pool=f"pool-{number % 12}",
+                address=f"10.200.{number // 250}.{number % 250}:8668",
+                failure_domain="abc"[number % 3],
+                slots=64,
+                state=EndpointState.READY,
+                started_ms=1_773_202_948_828 + number * 7919,
+            ),
+            cold_left_s=2.5 * (number % 3 == 0),
         )
         for number in range(count)
     ]
--- a/tests/test_gateway/test_gateway_configuration_changes.py
+++ b/tests/test_gateway/test_gateway_configuration_changes.py
@@ -63,7 +63,11 @@
 
     @contextlib.asynccontextmanager
     async def exchange(
-        self, request: EndpointRequest, is_idempotent: bool, head_timeout_s: float
+        self,
+        request: EndpointRequest,
+        is_idempotent: bool,
+        head_timeout_s: float,
+        regions: frozenset[str] | None = None,
     ) -> AsyncIterator[Any]:
         """Simulates an exchange; see :class:`FakeEndpointClient`."""
         self.sent_to.append(request.endpoint.id)
--- a/tests/test_gateway/test_gateway_empty_pools.py
+++ b/tests/test_gateway/test_gateway_empty_pools.py
@@ -107,7 +107,7 @@
         await asyncio.sleep(CHANGE_S)
         head = ResponseHead(503, (), never_ran=True, retry_after_s=EMPTY_S)
         for endpoint in instance.app.get("catalog").registry.all():
-            instance.app.get("placement").declines.observe(endpoint, head)
+            instance.app.get("eligibility").declines.observe(endpoint, head)
         instance.client.fault_by_endpoint.clear()
         reply = await task
         assert (reply.status, reply.is_complete) == (OK, True)
--- a/tests/test_gateway/test_gateway_histories.py
+++ b/tests/test_gateway/test_gateway_histories.py
@@ -26,6 +26,7 @@
     RouteKind,
 )
 from cicadacourse.config import InstanceSettings, Settings
+from cicadacourse.eligibility import Eligibility
 from cicadacourse.errors import Error
 from cicadacourse.evidence import Evidence
 from cicadacourse.exchange import (
@@ -145,7 +146,11 @@
 
     @contextlib.asynccontextmanager
     async def exchange(
-        self, request: EndpointRequest, is_idempotent: bool, head_timeout_s: float
+        self,
+        request: EndpointRequest,
+        is_idempotent: bool,
+        head_timeout_s: float,
+        regions: frozenset[str] | None = None,
     ) -> AsyncIterator[EndpointResponse]:
         """Simulates an exchange with an endpoint under its present fault."""
         fault = self.fault_by_endpoint[request.endpoint.id]
@@ -308,6 +313,7 @@
         Evidence,
         Reachability,
         Permits,
+        Eligibility,
         EndpointLimits,
         Quarantine,
         make_client,
--- a/tests/test_placement/test_placement_retry_after.py
+++ b/tests/test_placement/test_placement_retry_after.py
@@ -325,7 +325,7 @@
                 for endpoint in placement.helpers[:2]:
                     unwilling.add(endpoint.address)
                     head = ResponseHead(503, (), retry_after_s=RETRY_AFTER_S)
-                    placer.declines.observe(endpoint, head)
+                    placer._eligibility.declines.observe(endpoint, head)
             return is_confirmed
 
         placer._is_confirmed = decline_and_confirm
--- a/tests/test_platform/test_platform_follower.py
+++ b/tests/test_platform/test_platform_follower.py
@@ -81,7 +81,7 @@
     def __init__(self) -> None:
         self.snapshots = 0
 
-    def on_snapshot(self, records: Sequence[KeyedRecord]) -> None:
+    def on_snapshot(self, records: Sequence[KeyedRecord], end: int) -> None:
         """Counts the snapshot."""
         self.snapshots += 1
 
--- a/tests/test_platform/test_platform_names.py
+++ b/tests/test_platform/test_platform_names.py
@@ -68,6 +68,7 @@
     found: set[str] = set()
     for family in (
         "gateway",
+        "eligibility",
         "evidence",
         "limits",
         "quarantine",
--- a/tests/test_proxy/test_proxy_exchanges.py
+++ b/tests/test_proxy/test_proxy_exchanges.py
@@ -174,7 +174,7 @@
         elif change == "declines":
             endpoint.retry_after_s = 5.0
             head = endpoint.make_head()
-            app.get("placement").declines.observe(endpoint.endpoint, head)
+            app.get("eligibility").declines.observe(endpoint.endpoint, head)
         else:
             app.get("membership").set_leaving()
         outcome = await exchange(cluster, make_request(endpoint))
