Reservations: KV cache isn't renewed for a request that its engine does not serve

Change: the hold ends, and the request is tried again, once its engine has sent no data for the bound on unused reservations less a lease and 0.5 s, or 1.5 times the estimate if that is longer.

--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -206,6 +206,7 @@
                 placement.endpoint,
                 placement.reservation_plans,
                 lambda: self.silent_s,
+                placement.expected_first_event_s,
             ) as reservations:
                 return Success(await self._send(placement, reservations))
         except ReservationRefused as refusal:
--- a/cicadacourse/logs/_placement.py
+++ b/cicadacourse/logs/_placement.py
@@ -124,8 +124,9 @@
 DECODE_ENGINE_DEAD = declare(
     "reservations",
     "decode engine dead",
-    "`endpoint` accepts no connections and sends no data; the exchange of `request`"
-    " ends.",
+    "`endpoint` sends no data, and the exchange of `request` ends; `reason` is"
+    " `unreachable` if it accepts no connections either, `silent` if it has sent none"
+    " for so long that the reserved KV cache may not be in use.",
     True,
 )
 RESERVATION_LEFT_TO_EXPIRE = declare(
--- a/cicadacourse/reservations/_service.py
+++ b/cicadacourse/reservations/_service.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 import itertools
-from typing import Any, AsyncIterator, Callable, Coroutine, Sequence
+from typing import Any, AsyncIterator, Awaitable, Callable, Coroutine, Sequence
 
 import attrs
 from returns.result import Failure, Success
@@ -30,6 +30,7 @@
 from cicadacourse.metrics import declare
 from cicadacourse.placement import ReservationPlan
 from cicadacourse.reservations._engine_watch import EngineWatch
+from cicadacourse.reservations._settings import ReservationSettings
 from cicadacourse.util.clock import now
 
 RESERVATIONS = declare(
@@ -39,6 +40,13 @@
 # A reservation expires on its engine unless it is renewed within this time.
 LEASE_S = 3.5
 RENEW_PERIOD_S = 1.2
+# How long it takes until reservations are made before a request is sent, and released
+# after it has ended.
+RELEASE_MARGIN_S = 0.5
+# A prompt on several engines may take this long until its first event, and this many
+# times the estimate.
+MIN_SILENT_S = 2.0
+ESTIMATE_FACTOR = 1.5
 RELEASE_ATTEMPTS = 3
 RELEASE_RETRY_DELAY_S = 0.2
 RETRY_AFTER_S = 0.5
@@ -77,6 +85,9 @@
         self._numbers = itertools.count(1)
         self._started = f"{now():.3f}"
         self._tasks: set[asyncio.Task[Any]] = set()
+        settings = app.settings.get(ReservationSettings)
+        max_silent_s = settings.unused_bound_s - LEASE_S - RELEASE_MARGIN_S
+        self._max_silent_s = max(MIN_SILENT_S, max_silent_s)
         self._engine_watch = EngineWatch(app)
 
     @contextlib.asynccontextmanager
@@ -94,16 +105,19 @@
         decode_engine: Endpoint,
         plans: Sequence[ReservationPlan],
         silent_s: Callable[[], float],
+        expected_s: float = 0.0,
     ) -> AsyncIterator[tuple[Reservation, ...]]:
         """Holds all reservations while the context is open and the decode engine lives.
 
-        The context is cancelled if the decode engine is dead, so that no KV cache stays
-        reserved on the helpers for a request that is over.
+        The context is cancelled if the decode engine is dead, or sends no data for so
+        long that it has hardly begun with the request. So no KV cache stays reserved on
+        the helpers for a request that is over or does not use it.
 
         :param decode_engine: the engine that the request is sent to.
         :param plans: the reservations to make on the helpers.
         :param silent_s: returns for how many seconds the request has waited for data of
             the decode engine, 0 while it waits for its caller.
+        :param expected_s: the estimated seconds to its first event.
         :raises ReservationRefused: if one of them can't be made; none is kept then.
         :raises SendFailure: if the decode engine is dead.
         """
@@ -114,13 +128,17 @@
             await self._reserve_all(request_id, reservations)
             tasks.append(self._start_task(self._renew(request_id, reservations)))
             async with scope:
-                watch = self._end_when_dead(request_id, decode_engine, silent_s, scope)
+                limit_s = max(self._max_silent_s, ESTIMATE_FACTOR * expected_s)
+                dead = self._engine_watch.wait_until_dead(
+                    decode_engine, silent_s, limit_s
+                )
+                watch = self._end_when_dead(request_id, decode_engine, dead, scope)
                 tasks.append(self._start_task(watch))
                 yield reservations
         except TimeoutError as error:
             if not scope.expired():
                 raise
-            detail = f"{decode_engine.id} accepts no connections and sends no data"
+            detail = f"{decode_engine.id} sends no data"
             raise SendFailure(detail, True, REASON_DEAD, is_broken_off=True) from error
         finally:
             for task in tasks:
@@ -186,12 +204,20 @@
         self,
         request_id: str,
         decode_engine: Endpoint,
-        silent_s: Callable[[], float],
+        dead: Awaitable[str],
         scope: asyncio.Timeout,
     ) -> None:
-        """Ends the scope of a request once its decode engine is dead."""
-        await self._engine_watch.wait_until_dead(decode_engine, silent_s)
-        log(DECODE_ENGINE_DEAD, request=request_id, endpoint=decode_engine.id)
+        """Ends the scope of a request once its decode engine is dead.
+
+        :param dead: returns why the engine counts as dead, once it does.
+        """
+        reason = await dead
+        log(
+            DECODE_ENGINE_DEAD,
+            request=request_id,
+            endpoint=decode_engine.id,
+            reason=reason,
+        )
         scope.reschedule(asyncio.get_running_loop().time())
 
     async def _release(self, reservation: Reservation) -> None:
--- a/tests/test_reservations/test_reservations_silence.py
+++ b/tests/test_reservations/test_reservations_silence.py
@@ -21,6 +21,8 @@
 from cicadacourse.exchange import SendFailure
 from cicadacourse.platform._kv_cache_client import REACHABLE_TIMEOUT_S
 from cicadacourse.reservations import ReservationService
+from cicadacourse.reservations._service import ESTIMATE_FACTOR, LEASE_S
+from cicadacourse.reservations._settings import ReservationSettings
 from cicadacourse.util.clock import now
 from tests.simulated_loop import new_event_loop
 
@@ -30,6 +32,14 @@
 LINK_S = 0.004
 DATA_PERIOD_S = 0.5
 FOR_GOOD = float("inf")
+# The platform's ``idleMaxMs``.
+UNUSED_BOUND_S = 9.0
+INSTANCE = InstanceSettings(
+    name="one",
+    failure_domain="a",
+    caller_address="127.0.0.1:1",
+    peer_address="127.0.0.1:2",
+)
 
 # When a silence begins and ends.
 Silence: TypeAlias = tuple[float, float]
@@ -100,13 +110,7 @@
     :param data_until_s: until when another request gets data of the engine.
     :param pause: the begin and end of a pause of the process.
     """
-    instance = InstanceSettings(
-        name="one",
-        failure_domain="a",
-        caller_address="127.0.0.1:1",
-        peer_address="127.0.0.1:2",
-    )
-    app = Application(Settings(instance))
+    app = Application(Settings(INSTANCE))
     start = now()
     app.add_service(
         SilentEngineClient(
@@ -179,3 +183,35 @@
 
 def test_an_engine_that_is_silent_before_and_after_a_pause_is_dead() -> None:
     assert _run((1.1, FOR_GOOD), pause=(1.25, 4.25))
+
+
+@pytest.mark.parametrize("expected_s", [0.0, 3.0])
+def test_kv_cache_is_not_kept_for_a_request_that_its_engine_does_not_serve(
+    expected_s: float,
+) -> None:
+    """An engine that hangs accepts connections, and its helpers' KV cache was renewed.
+
+    It stayed reserved for as long as the request waited, though nothing used it.
+    """
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        held_s = runner.run(_held_s(expected_s))
+    limit_s = UNUSED_BOUND_S - LEASE_S
+    # A lease that can't be released expires after this.
+    assert held_s <= max(limit_s, ESTIMATE_FACTOR * expected_s)
+    assert held_s >= expected_s
+
+
+async def _held_s(expected_s: float) -> float:
+    """Returns for how long KV cache is kept for a request without data."""
+    settings = ReservationSettings(unused_bound_ms=int(UNUSED_BOUND_S * 1000))
+    app = Application(Settings(INSTANCE, settings))
+    app.add_service(SilentEngineClient(app, [], (0.0, 0.0)))
+    app.add_service(AbortingClient(app))
+    service = ReservationService(app)
+    data = asyncio.create_task(_send_data(app, now() + 2 * UNUSED_BOUND_S))
+    start = now()
+    with pytest.raises(SendFailure):
+        async with service.hold("r1", ENGINE, (), lambda: now() - start, expected_s):
+            await asyncio.sleep(2 * UNUSED_BOUND_S)
+    data.cancel()
+    return now() - start
