Membership: an instance that started alone doesn't refute records that say what its own says

Cause: an instance that found no contact at its start counts as starting for good, and took each record under its name for that of a former process. Others returned the refutation, so that it raised its incarnation 218 times a second, by four calls each. Found by profiling 40 real processes at rest: 30 probes a second at each, not 2.

Change: a starting instance refutes only records that differ from its own, by a margin of 2, as a frozen former process may refute its own death once more.

--- a/cicadacourse/membership/_own.py
+++ b/cicadacourse/membership/_own.py
@@ -10,6 +10,12 @@
 from cicadacourse.membership._model import Member, MemberState
 
 
+# By how much a starting instance's incarnation exceeds the one of a record that it
+# refutes. A former process that was only frozen may still refute its own death, by one
+# more than that record's, before it learns that it was replaced.
+START_MARGIN = 2
+
+
 class OwnRecord:
     """Decides whether to refute what others believe of this instance.
 
@@ -52,7 +58,7 @@
         if self.is_replaced or received.incarnation < self.member.incarnation:
             return False
         if self.is_starting:
-            return True
+            return not self._is_current(received)
         if received.peer_address != self.member.peer_address:
             return False
         return (
@@ -60,6 +66,18 @@
             or received.incarnation > self.member.incarnation
         )
 
+    def next_incarnation(self, received: Member) -> int:
+        """Returns the incarnation that refutes a received record of this instance."""
+        return received.incarnation + (START_MARGIN if self.is_starting else 1)
+
+    def _is_current(self, received: Member) -> bool:
+        """Returns whether a received record says what the own one says.
+
+        Refuting such a record would make others return the refutation, and so on.
+        """
+        version = self.member.configuration_version
+        return attrs.evolve(received, configuration_version=version) == self.member
+
     def detect_replacement(self, received: Member) -> bool:
         """Records whether another process replaced this instance's.
 
--- a/cicadacourse/membership/_records.py
+++ b/cicadacourse/membership/_records.py
@@ -120,7 +120,7 @@
         elif self.own.must_refute(received):
             if received.state is not MemberState.ALIVE:
                 self._app.metrics.count(REFUTATIONS)
-            self.change_own(incarnation=received.incarnation + 1)
+            self.change_own(incarnation=self.own.next_incarnation(received))
             self._on_refuted()
 
     def _may_be_offered(self, member: Member) -> bool:
