--- a/cicadacourse/catalog/_registry.py
+++ b/cicadacourse/catalog/_registry.py
@@ -14,6 +14,7 @@
 
     def __init__(self) -> None:
         self._endpoint_by_id: dict[str, Endpoint] = {}
+        self._ready_by_pool: dict[str, tuple[Endpoint, ...]] = {}
 
     def __len__(self) -> int:
         return len(self._endpoint_by_id)
@@ -40,6 +41,7 @@
         """
         known = self._endpoint_by_id.get(endpoint.id)
         self._endpoint_by_id[endpoint.id] = self.complete(endpoint)
+        self._ready_by_pool.clear()
         return known
 
     def complete(self, endpoint: Endpoint) -> Endpoint:
@@ -55,18 +57,24 @@
 
     def remove(self, endpoint_id: str) -> Endpoint | None:
         """Removes an endpoint and returns it, or None if it was not there."""
+        self._ready_by_pool.clear()
         return self._endpoint_by_id.pop(endpoint_id, None)
 
-    def ready(self, pool: str) -> list[Endpoint]:
-        """Returns the endpoints of a pool that accept new requests, sorted by id."""
-        return sorted(
-            (item for item in self._in_pool(pool) if _is_ready(item)),
-            key=lambda item: item.id,
-        )
+    def ready(self, pool: str) -> tuple[Endpoint, ...]:
+        """Returns the endpoints of a pool that accept new requests, sorted by id.
+
+        Each choice asks for them, and they seldom change.
+        """
+        ready = self._ready_by_pool.get(pool)
+        if ready is None:
+            found = [item for item in self._in_pool(pool) if _is_ready(item)]
+            ready = tuple(sorted(found, key=lambda item: item.id))
+            self._ready_by_pool[pool] = ready
+        return ready
 
     def has_ready(self, pool: str) -> bool:
         """Returns whether any endpoint of a pool accepts new requests."""
-        return any(_is_ready(item) for item in self._in_pool(pool))
+        return bool(self.ready(pool))
 
     def _in_pool(self, pool: str) -> Iterable[Endpoint]:
         return (item for item in self._endpoint_by_id.values() if item.pool == pool)
--- a/cicadacourse/load/_service.py
+++ b/cicadacourse/load/_service.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 import time
-from typing import AsyncIterator, Callable, Iterator
+from typing import AsyncIterator, Callable, Iterator, Sequence
 
 import attrs
 
@@ -85,6 +85,7 @@
         self._own_hash = hash_of(self._instance.name)
         self._transport: asyncio.DatagramTransport | None = None
         self._unreported_change = asyncio.Event()
+        self._version_by_sender: dict[str, int] = {}
         self._attachment_source: Callable[[], bytes] = bytes
         app.events.connect(MEMBER_LEFT, lambda member: self._forget(member.name))
 
@@ -158,9 +159,18 @@
             self._relay(datagram)
 
     def _publish_freshness(self, sender: str, datagram: Datagram) -> None:
-        """Emits events that say how fresh a sender's configuration and registry are."""
+        """Emits events that say how fresh a sender's configuration and registry are.
+
+        A version that the sender has reported before is emitted again only while it is
+        newer than the one here.
+        """
         events = self.app.events
-        events.emit(CATALOG_VERSION_RECEIVED, sender, datagram.catalog_version)
+        version = datagram.catalog_version
+        if version > self._own_version() or version != self._version_by_sender.get(
+            sender
+        ):
+            self._version_by_sender[sender] = version
+            events.emit(CATALOG_VERSION_RECEIVED, sender, version)
         if datagram.configuration_age_ms != UNKNOWN_AGE_MS:
             age_s = datagram.configuration_age_ms / MS_PER_S
             events.emit(CATALOG_CONFIRMED, datagram.catalog_version, age_s)
@@ -173,11 +183,12 @@
 
     def _relay(self, datagram: Datagram) -> None:
         """Forwards a received report to the instances of the own failure domain."""
-        body = attrs.evolve(datagram, is_relayed=False).pack()
         own_domain = self._instance.failure_domain
-        for member in self._other_members():
-            if member.failure_domain == own_domain:
-                self._send_datagram(body, member)
+        neighbours = [
+            item for item in self._other_members() if item.failure_domain == own_domain
+        ]
+        body = attrs.evolve(datagram, is_relayed=False).pack()
+        self._send_datagrams(body, neighbours)
 
     async def report_periodically(self) -> None:
         """Sends a report soon after each change, and at least once per period."""
@@ -212,22 +223,20 @@
         datagram = self.make_datagram()
         own_member = self.app.get("membership").self_member()
         receivers = choose_receivers(own_member, others, datagram.sequence)
-        for member in receivers.direct:
-            self._send_datagram(datagram.pack(), member)
+        self._send_datagrams(datagram.pack(), receivers.direct)
         relayed = attrs.evolve(datagram, is_relayed=True).pack()
-        for member in receivers.relays:
-            self._send_datagram(relayed, member)
+        self._send_datagrams(relayed, receivers.relays)
 
     def _other_members(self) -> list[Member]:
         members = self.app.get("membership").members()
         return [item for item in members if item.name != self._instance.name]
 
-    def _send_datagram(self, data: bytes, member: Member) -> None:
-        if self._transport is None:
+    def _send_datagrams(self, data: bytes, members: Sequence[Member]) -> None:
+        if self._transport is None or not members:
             return
-        host, port = split_address(member.peer_address)
-        self._transport.sendto(data, (host, port))
-        self.app.metrics.count(REPORTS_SENT)
+        for member in members:
+            self._transport.sendto(data, split_address(member.peer_address))
+        self.app.metrics.count(REPORTS_SENT, len(members))
 
     def make_datagram(self) -> Datagram:
         """Returns a new report of all assignments of this instance."""
@@ -242,9 +251,7 @@
             sender_hash=self._own_hash,
             started_ms=self._started_ms,
             sequence=self._sequence,
-            catalog_version=(
-                catalog_service.catalog.version if catalog_service.catalog else 0
-            ),
+            catalog_version=self._own_version(),
             registry_offset=catalog_service.registry_offset,
             store_age_ms=to_ms(now_s - catalog_service.registry_read_at, MAX_UINT32_MS),
             body=encode_report(
@@ -256,6 +263,11 @@
             attachment=self._attachment_source(),
         )
 
+    def _own_version(self) -> int:
+        """Returns the version of the configuration in force, 0 if there is none."""
+        catalog = self.app.get("catalog").catalog
+        return catalog.version if catalog else 0
+
     def _remove_expired(self) -> None:
         """Removes the assignments of instances that sent no report for too long."""
         if now() < self._next_expiry_s:
@@ -267,4 +279,5 @@
 
     def _forget(self, name: str) -> None:
         self._inbox.forget(name)
+        self._version_by_sender.pop(name, None)
         self.app.events.emit(LOAD_CHANGED)
--- a/cicadacourse/load/_table.py
+++ b/cicadacourse/load/_table.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import itertools
-from collections import Counter, defaultdict
+from collections import Counter
 from typing import Sequence
 
 import attrs
@@ -43,26 +43,60 @@
 IDLE = EndpointLoad()
 
 
+@attrs.define
+class _EndpointAssignments:
+    """The assignments at one endpoint.
+
+    Their summary is kept once it no longer changes with time. A choice looks at all
+    endpoints of a pool, and a report changes a few of them.
+    """
+
+    assignments: list[Assignment] = attrs.field(factory=list)
+    _settled: EndpointLoad | None = None
+
+    def add(self, assignment: Assignment) -> None:
+        self.assignments.append(assignment)
+        self._settled = None
+
+    def remove(self, assignment: Assignment) -> None:
+        """Removes exactly this assignment; an equal one may be changed later."""
+        for position, item in enumerate(self.assignments):
+            if item is assignment:
+                del self.assignments[position]
+                break
+        self._settled = None
+
+    def summarize(self, now_s: float) -> EndpointLoad:
+        if self._settled is not None:
+            return self._settled
+        load = summarize(self.assignments, now_s)
+        # Without a further assignment, what is left of the prefills only gets less.
+        if not load.backlog_s and not load.streams_awaiting_prefill:
+            self._settled = load
+        return load
+
+
 class LoadTable:
     """The assignments of this instance, and those that the others reported."""
 
     def __init__(self) -> None:
         self._own_by_number: dict[int, Assignment] = {}
         self._remote_by_instance: dict[str, Sequence[Assignment]] = {}
-        self._by_endpoint_id: dict[str, list[Assignment]] | None = None
+        self._by_endpoint_id: dict[str, _EndpointAssignments] = {}
         self._numbers = itertools.count(1)
 
     def add(self, assignment: Assignment) -> int:
         """Adds an assignment of this instance and returns its number."""
         number = next(self._numbers)
         self._own_by_number[number] = assignment
-        self._by_endpoint_id = None
+        self._add_to_endpoint(assignment)
         return number
 
     def remove(self, number: int) -> None:
         """Removes an assignment of this instance that has ended."""
-        self._own_by_number.pop(number, None)
-        self._by_endpoint_id = None
+        assignment = self._own_by_number.pop(number, None)
+        if assignment is not None:
+            self._remove_from_endpoint(assignment)
 
     def own_assignments(self) -> list[Assignment]:
         """Returns the assignments of this instance."""
@@ -83,11 +117,12 @@
         self, instance: str, assignments: Sequence[Assignment]
     ) -> None:
         """Replaces all assignments of another instance."""
+        for former in self._remote_by_instance.pop(instance, ()):
+            self._remove_from_endpoint(former)
         if assignments:
             self._remote_by_instance[instance] = assignments
-        else:
-            self._remote_by_instance.pop(instance, None)
-        self._by_endpoint_id = None
+        for assignment in assignments:
+            self._add_to_endpoint(assignment)
 
     def remote_assignments_at(self, endpoint_id: str) -> list[tuple[str, Assignment]]:
         """Returns the other instances' assignments at an endpoint.
@@ -106,16 +141,20 @@
 
         :param now_s: loop time in seconds.
         """
-        assignments = self._index().get(endpoint_id)
-        return summarize(assignments, now_s) if assignments else IDLE
-
-    def _index(self) -> dict[str, list[Assignment]]:
-        if self._by_endpoint_id is None:
-            self._by_endpoint_id = defaultdict(list)
-            remote = itertools.chain.from_iterable(self._remote_by_instance.values())
-            for assignment in itertools.chain(self._own_by_number.values(), remote):
-                self._by_endpoint_id[assignment.endpoint].append(assignment)
-        return self._by_endpoint_id
+        found = self._by_endpoint_id.get(endpoint_id)
+        return IDLE if found is None else found.summarize(now_s)
+
+    def _add_to_endpoint(self, assignment: Assignment) -> None:
+        found = self._by_endpoint_id.get(assignment.endpoint)
+        if found is None:
+            found = self._by_endpoint_id[assignment.endpoint] = _EndpointAssignments()
+        found.add(assignment)
+
+    def _remove_from_endpoint(self, assignment: Assignment) -> None:
+        found = self._by_endpoint_id[assignment.endpoint]
+        found.remove(assignment)
+        if not found.assignments:
+            del self._by_endpoint_id[assignment.endpoint]
 
 
 def summarize(assignments: Sequence[Assignment], now_s: float) -> EndpointLoad:
--- a/cicadacourse/membership/_own.py
+++ b/cicadacourse/membership/_own.py
@@ -9,7 +9,6 @@
 from cicadacourse.config import InstanceSettings
 from cicadacourse.membership._model import Member, MemberState
 
-
 # By how much a starting instance's incarnation exceeds the one of a record that it
 # refutes. A former process that was only frozen may still refute its own death, by one
 # more than that record's, before it learns that it was replaced.
--- a/cicadacourse/membership/_records.py
+++ b/cicadacourse/membership/_records.py
@@ -40,12 +40,20 @@
         self._on_refuted = on_refuted
         self._deltas = DeltaQueue()
         self._alive_members: list[Member] | None = None
+        self._members: tuple[Member, ...] = ()
+        self._members_as_of: tuple[Member, int] | None = None
 
     def members(self) -> list[Member]:
-        """Returns all members that are not dead, this one included, sorted by name."""
-        return sorted(
-            [self.own.member, *self.view.live()], key=lambda member: member.name
-        )
+        """Returns all members that are not dead, this one included, sorted by name.
+
+        They are asked for with each report of the load, and seldom change.
+        """
+        as_of = (self.own.member, self.view.generation)
+        if as_of != self._members_as_of:
+            live = [self.own.member, *self.view.live()]
+            self._members = tuple(sorted(live, key=lambda member: member.name))
+            self._members_as_of = as_of
+        return list(self._members)
 
     def alive_members(self) -> list[Member]:
         """Returns the members that callers may be sent to, sorted by name.
--- a/cicadacourse/membership/_reports.py
+++ b/cicadacourse/membership/_reports.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from cicadacourse.application import Application
 from cicadacourse.events import MEMBER_JOINED, MEMBER_LEFT
 from cicadacourse.logs import (
@@ -35,9 +37,9 @@
 
 def update_member_metrics(app: Application, view: MembershipView) -> None:
     """Sets the number of other members known, by state."""
+    counts = Counter(entry.member.state for entry in view.entries())
     for state in MemberState:
-        count = sum(entry.member.state is state for entry in view.entries())
-        app.metrics.set(MEMBERS, count, state=state.value)
+        app.metrics.set(MEMBERS, counts[state], state=state.value)
 
 
 def _log_suspicion(known: Member | None, member: Member) -> None:
--- a/cicadacourse/membership/_view.py
+++ b/cicadacourse/membership/_view.py
@@ -45,9 +45,13 @@
 
 
 class MembershipView:
-    """The records of all other members, the dead included."""
+    """The records of all other members, the dead included.
+
+    :ivar generation: grows with each change of a record.
+    """
 
     def __init__(self) -> None:
+        self.generation = 0
         self._entry_by_name: dict[str, Entry] = {}
 
     def __len__(self) -> int:
@@ -80,25 +84,30 @@
         """
         entry = self._entry_by_name.get(received.name)
         if entry is None:
-            self._entry_by_name[received.name] = Entry(received, now_s)
+            self._put(Entry(received, now_s))
             return True
         if is_newer(received, entry.member):
             version = received.configuration_version
             if received.incarnation == entry.member.incarnation:
                 version = max(version, entry.member.configuration_version)
             member = attrs.evolve(received, configuration_version=version)
-            self._entry_by_name[received.name] = Entry(member, now_s)
+            self._put(Entry(member, now_s))
             return True
         if received.incarnation == entry.member.incarnation:
-            version = max(
-                received.configuration_version, entry.member.configuration_version
-            )
-            entry.member = attrs.evolve(entry.member, configuration_version=version)
+            version = received.configuration_version
+            if version > entry.member.configuration_version:
+                entry.member = attrs.evolve(entry.member, configuration_version=version)
+                self.generation += 1
         return False
 
+    def _put(self, entry: Entry) -> None:
+        self._entry_by_name[entry.member.name] = entry
+        self.generation += 1
+
     def forget(self, name: str) -> None:
         """Removes a record."""
         self._entry_by_name.pop(name, None)
+        self.generation += 1
 
 
 def bucket_of(name: str) -> int:
--- a/cicadacourse/placement/_chooser.py
+++ b/cicadacourse/placement/_chooser.py
@@ -84,21 +84,25 @@
         """
         now_s = now()
         limit = pool.max_connections
-        requests = self._load.table.count_own_requests() if limit else {}
+        table = self._load.table
+        requests = table.count_own_requests() if limit else {}
+        has_limits = self._limits.has_any
+        declines = self._eligibility.declines
+        are_any_in_need = declines.are_any_in_need
         usable = self.usable_endpoints(pool.name, regions)
-        if self._limits.has_any and not with_limited:
+        if has_limits and not with_limited:
             usable = [
                 item for item in usable if self._limits.available_at(item) <= now_s
             ]
         return [
             Candidate(
                 endpoint=item,
-                load=self._load.table.load_of(item.id, now_s),
+                load=table.load_of(item.id, now_s),
                 is_same_domain=item.failure_domain == self._instance.failure_domain,
                 tie_break=hashing.score(self._instance.name, item.id),
                 has_connection=not limit or requests.get(item.id, 0) < limit,
-                may_help=self._limits.limit_of(item) is None,
-                is_in_need=self._eligibility.declines.is_in_need(item),
+                may_help=not has_limits or self._limits.limit_of(item) is None,
+                is_in_need=are_any_in_need and declines.is_in_need(item),
             )
             for item in usable
         ]
--- a/cicadacourse/placement/_cost.py
+++ b/cicadacourse/placement/_cost.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+import itertools
+from typing import Sequence
+
 import attrs
 
 from cicadacourse.catalog import EngineProfile
@@ -64,12 +67,70 @@
 
     A long prompt counts as several short ones, by its tokens.
     """
+    own_cost = _own_cost(request, choice.first_event_s)
+    helpers = HELPER_COST * len(choice.helpers)
+    return own_cost + violation_cost(profile, choice) + helpers
+
+
+def _own_cost(request: PlacementRequest, first_event_s: float) -> float:
+    """Returns the cost of a request's own first event after some seconds."""
     own_weight = request_weight(request)
-    target_share = choice.first_event_s / max(request.target_s, MIN_TARGET_S)
+    target_share = first_event_s / max(request.target_s, MIN_TARGET_S)
     late_share = _ramp(target_share, SAFE_TARGET_SHARE, LATE_TARGET_SHARE)
     urgency = URGENCY_WEIGHT * target_share * own_weight
-    helpers = HELPER_COST * len(choice.helpers)
-    return late_share * own_weight + violation_cost(profile, choice) + urgency + helpers
+    return late_share * own_weight + urgency
+
+
+@attrs.frozen
+class SplitCosts:
+    """The costs of splitting one prompt over the first engines of a sequence.
+
+    What depends on an engine alone is computed once, not for each number of engines: a
+    burst of long prompts asks for this many times a second.
+    """
+
+    _request: PlacementRequest
+    _total_prefill_s: float
+    _allowed_s: tuple[float, ...]
+    _weights: tuple[float, ...]
+    _slowest_s: tuple[float, ...]
+
+    @classmethod
+    def estimate(
+        cls,
+        request: PlacementRequest,
+        profile: EngineProfile,
+        engines: Sequence[Candidate],
+    ) -> SplitCosts:
+        """Returns the costs for engines, of which the first one decodes."""
+        first_events_s = [
+            estimate_first_event_s(profile, item, 0.0) for item in engines
+        ]
+        return cls(
+            request,
+            profile.prefill_s(request.prompt_tokens),
+            tuple(allowed_prefill_s(profile, item) for item in engines),
+            tuple(_streams_weight(item) for item in engines),
+            tuple(itertools.accumulate(first_events_s, max)),
+        )
+
+    def prefill_s(self, count: int) -> float:
+        """Returns the seconds of prefill at each of a number of engines."""
+        return self._total_prefill_s / count
+
+    def first_event_s(self, count: int) -> float:
+        """Returns the estimated seconds to the first event."""
+        return self._slowest_s[count - 1] + self.prefill_s(count)
+
+    def cost(self, count: int) -> float:
+        """Returns the cost of a split; see :func:`estimate_cost`."""
+        prefill_s = self.prefill_s(count)
+        violations = sum(
+            _ramp(prefill_s - allowed_s, 0.0, CERTAIN_VIOLATION_S) * weight
+            for allowed_s, weight in zip(self._allowed_s[:count], self._weights)
+        )
+        own_cost = _own_cost(self._request, self.first_event_s(count))
+        return own_cost + violations + HELPER_COST * (count - 1)
 
 
 def request_weight(request: PlacementRequest) -> float:
--- a/cicadacourse/placement/_dispatcher.py
+++ b/cicadacourse/placement/_dispatcher.py
@@ -96,9 +96,7 @@
     def _place_first(self, is_long: bool) -> None:
         """Places the first request that fits, of the long or of the short queue."""
         candidates_by_scope: dict[_Scope, list[Candidate]] = {}
-        for waiter in self._queue:
-            if waiter.is_long != is_long:
-                continue
+        for waiter in self._queue.waiting(is_long):
             pool = self._pools.current(waiter.request)
             if pool is None:
                 continue
@@ -106,6 +104,9 @@
             if scope not in candidates_by_scope:
                 candidates = self._chooser.candidates(pool, waiter.request.regions)
                 candidates_by_scope[scope] = candidates
+            # At the peak of a burst no slot is free, and hundreds of requests wait.
+            if not any(item.has_slot for item in candidates_by_scope[scope]):
+                continue
             placement = self._chooser.try_place(
                 waiter.request_at(now()), pool, candidates_by_scope[scope]
             )
--- a/cicadacourse/placement/_engines.py
+++ b/cicadacourse/placement/_engines.py
@@ -15,6 +15,7 @@
 from cicadacourse.catalog import EngineProfile
 from cicadacourse.placement._cost import (
     EngineChoice,
+    SplitCosts,
     allowed_prefill_s,
     estimate_cost,
     estimate_first_event_s,
@@ -140,29 +141,25 @@
         decode_engines,
         key=lambda item: _packing_rank(request, profile, item),
     )
-    choices = [
-        _choose_split_with(request, profile, decode_engine, candidates)
-        for decode_engine in ranked[:MAX_DECODE_CANDIDATES]
-    ]
-    return min(choices, key=lambda choice: estimate_cost(request, profile, choice))
-
-
-def _choose_split_with(
-    request: PlacementRequest,
-    profile: EngineProfile,
-    decode_engine: Candidate,
-    candidates: Sequence[Candidate],
-) -> EngineChoice:
-    """Returns the best choice of helpers for one decode engine."""
     helpers = [
         item
         for item in candidates
-        if item is not decode_engine
-        and item.may_help
-        and item.load.helper_prefills < profile.slots
+        if item.may_help and item.load.helper_prefills < profile.slots
     ]
     helpers.sort(key=lambda item: (-allowed_prefill_s(profile, item), item.tie_break))
-    return choose_helpers(request, profile, decode_engine, [], helpers)
+    # Of these, one may be the decode engine.
+    helpers = helpers[: MAX_HELPERS + 1]
+    choices = [
+        choose_helpers(
+            request,
+            profile,
+            decode_engine,
+            [],
+            [item for item in helpers if item is not decode_engine],
+        )
+        for decode_engine in ranked[:MAX_DECODE_CANDIDATES]
+    ]
+    return min(choices, key=lambda choice: estimate_cost(request, profile, choice))
 
 
 def choose_helpers(
@@ -179,23 +176,20 @@
     :param optional_helpers: engines that may help, the most suitable first.
     :param reservation_plans: the KV cache to reserve on the required helpers.
     """
-    total_prefill_s = profile.prefill_s(request.prompt_tokens)
-    choices = []
-    for count in range(
-        min(MAX_HELPERS - len(required_helpers), len(optional_helpers)) + 1
-    ):
-        helpers = (*required_helpers, *optional_helpers[:count])
-        prefill_s = total_prefill_s / (1 + len(helpers))
-        slowest_s = max(
-            estimate_first_event_s(profile, item, prefill_s)
-            for item in (decode_engine, *helpers)
-        )
-        choices.append(
-            EngineChoice(
-                decode_engine, helpers, prefill_s, slowest_s, reservation_plans
-            )
-        )
-    return min(choices, key=lambda choice: estimate_cost(request, profile, choice))
+    most = min(MAX_HELPERS - len(required_helpers), len(optional_helpers))
+    helpers = (*required_helpers, *optional_helpers[:most])
+    costs = SplitCosts.estimate(request, profile, (decode_engine, *helpers))
+    count = min(
+        range(len(required_helpers), len(helpers) + 1),
+        key=lambda number: costs.cost(1 + number),
+    )
+    return EngineChoice(
+        decode_engine,
+        helpers[:count],
+        costs.prefill_s(1 + count),
+        costs.first_event_s(1 + count),
+        reservation_plans,
+    )
 
 
 def _packing_rank(
--- a/cicadacourse/placement/_queue.py
+++ b/cicadacourse/placement/_queue.py
@@ -10,8 +10,11 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
+import heapq
 import itertools
-from typing import Iterator
+from collections import Counter, defaultdict
+from typing import Iterator, TypeAlias
 
 import attrs
 
@@ -88,14 +91,20 @@
         return self.request.after(at_s - self.since)
 
 
+# The waiters of one pool that are either all long prompts or all others.
+_QueueKey: TypeAlias = tuple[str, bool]
+
+
 class WaitQueue:
     """Requests that wait for a placement, with separate queues for short and long ones.
 
-    Each pool has queues of its own.
+    Each pool has queues of its own. No call looks at all waiters, of which a burst
+    leaves thousands, but for those that return or count all of them.
     """
 
     def __init__(self) -> None:
-        self._waiters: list[Waiter] = []
+        self._waiters_by_key: dict[_QueueKey, list[Waiter]] = defaultdict(list)
+        self._count_by_organisation: Counter[tuple[_QueueKey, str]] = Counter()
         self._numbers = itertools.count()
 
     def make_waiter(
@@ -104,51 +113,71 @@
         """Returns a waiter that is not yet in the queue."""
         prefill_s = profile.prefill_s(request.prompt_tokens) if profile else 0.0
         is_split = profile is not None and is_long(request, profile)
-        queued = self._count_queued(request, is_split)
+        key = (request.pool, is_split)
+        queued = self._count_by_organisation[key, request.organisation]
         due = now_s + request.wait_s
         due += min(MAX_LENGTH_DELAY_S, LENGTH_DELAY_SHARE * prefill_s)
         due += min(MAX_ORGANISATION_DELAY_S, ORGANISATION_DELAY_STEP_S * queued)
         rank = Rank(request.priority, due, next(self._numbers))
         return Waiter(request, rank, is_split, now_s)
 
-    def _count_queued(self, request: PlacementRequest, is_split: bool) -> int:
-        """Returns how many requests of the same organisation are in the same queue."""
-        return sum(
-            item.request.organisation == request.organisation
-            and item.request.pool == request.pool
-            and item.is_long == is_split
-            for item in self._waiters
-        )
-
     def is_next(self, waiter: Waiter) -> bool:
         """Returns whether no request in the same queue precedes a waiter."""
-        return not any(
-            item.request.pool == waiter.request.pool
-            and item.is_long == waiter.is_long
-            and item.rank < waiter.rank
-            for item in self._waiters
-        )
+        waiters = self._waiters_by_key.get(_key_of(waiter))
+        return not waiters or not waiters[0].rank < waiter.rank
 
     def add(self, waiter: Waiter) -> None:
         """Adds a waiter to its queue."""
-        self._waiters.append(waiter)
-        self._waiters.sort(key=lambda item: item.rank)
+        key = _key_of(waiter)
+        bisect.insort(self._waiters_by_key[key], waiter, key=_rank_of)
+        self._count_by_organisation[key, waiter.request.organisation] += 1
 
     def remove(self, waiter: Waiter) -> None:
         """Removes a waiter that is placed, has timed out or is cancelled."""
-        self._waiters.remove(waiter)
+        key = _key_of(waiter)
+        waiters = self._waiters_by_key[key]
+        # Ranks are unique, as they hold the number in order of arrival.
+        del waiters[bisect.bisect_left(waiters, waiter.rank, key=_rank_of)]
+        if not waiters:
+            del self._waiters_by_key[key]
+        counted = (key, waiter.request.organisation)
+        self._count_by_organisation[counted] -= 1
+        if not self._count_by_organisation[counted]:
+            del self._count_by_organisation[counted]
 
     def count(self, pool: str) -> int:
         """Returns the number of requests that wait for a pool."""
-        return sum(item.request.pool == pool for item in self._waiters)
+        keys = ((pool, False), (pool, True))
+        return sum(len(self._waiters_by_key.get(key, ())) for key in keys)
 
     def has_long(self) -> bool:
         """Returns whether a long prompt waits."""
-        return any(item.is_long for item in self._waiters)
+        return any(is_split for _, is_split in self._waiters_by_key)
+
+    def waiting(self, is_split: bool) -> Iterator[Waiter]:
+        """Returns an iterator over the long or the short waiters by rank.
+
+        Those that have a placement are left out.
+        """
+        queues = [
+            waiters
+            for (_, is_split_queue), waiters in self._waiters_by_key.items()
+            if is_split_queue == is_split
+        ]
+        merged = heapq.merge(*queues, key=_rank_of)
+        return (item for item in merged if not item.placement.done())
 
     def __iter__(self) -> Iterator[Waiter]:
-        """Returns an iterator over the waiters without a placement, by rank."""
-        return iter([item for item in self._waiters if not item.placement.done()])
+        """Returns an iterator over all waiters without a placement."""
+        return itertools.chain(self.waiting(False), self.waiting(True))
 
     def __len__(self) -> int:
-        return len(self._waiters)
+        return sum(map(len, self._waiters_by_key.values()))
+
+
+def _key_of(waiter: Waiter) -> _QueueKey:
+    return (waiter.request.pool, waiter.is_long)
+
+
+def _rank_of(waiter: Waiter) -> Rank:
+    return waiter.rank
--- a/cicadacourse/placement/_reach_gate.py
+++ b/cicadacourse/placement/_reach_gate.py
@@ -31,7 +31,7 @@
         Endpoints that may not be used, now or at a known time, don't count.
         """
         reachability: Reachability | None = self._app.find("reachability")
-        if reachability is None:
+        if reachability is None or not reachability.have_links_failed:
             return None
         endpoints = [item for item in self._registry.ready(pool) if self._counts(item)]
         if not reachability.are_unreachable(endpoints):
--- a/cicadacourse/reachability/_service.py
+++ b/cicadacourse/reachability/_service.py
@@ -177,6 +177,11 @@
         """
         return bool(self._targets.select_unreachable([endpoint]))
 
+    @property
+    def have_links_failed(self) -> bool:
+        """Whether the link to any endpoint has failed and not worked since."""
+        return self._links.have_failed
+
     def is_pool_unreachable(self, pool: str) -> bool:
         """Returns whether no ready endpoint of a pool is reachable, but there are some.
 
--- a/tests/test_soak/test_soak_evacuations.py
+++ b/tests/test_soak/test_soak_evacuations.py
@@ -63,7 +63,9 @@
 
 
 @pytest.mark.parametrize("excess", [0, 1])
-async def test_too_many_requests_at_a_cold_endpoint_break_an_invariant(excess: int) -> None:
+async def test_too_many_requests_at_a_cold_endpoint_break_an_invariant(
+    excess: int,
+) -> None:
     allowed = int(COLD_RATE * COLD_OVERAGE + COLD_SLACK)
     times = [AT + 0.5 + 0.01 * number for number in range(allowed + excess)]
     # Those of before and after don't count.
