--- a/cicadacourse/membership/_records.py
+++ b/cicadacourse/membership/_records.py
@@ -22,7 +22,8 @@
 
     :param own: this instance's own record.
     :param view: the records of the other members.
-    :param on_refuted: called once this instance has refuted a wrong record of itself.
+    :param on_own_news: called once others should learn at once of a change of this
+        instance: it has refuted a wrong record of itself, or has joined them.
     """
 
     def __init__(
@@ -31,13 +32,13 @@
         settings: MembershipSettings,
         own: OwnRecord,
         view: MembershipView,
-        on_refuted: Callable[[], None],
+        on_own_news: Callable[[], None],
     ) -> None:
         self.own = own
         self.view = view
         self._app = app
         self._settings = settings
-        self._on_refuted = on_refuted
+        self._on_own_news = on_own_news
         self._deltas = DeltaQueue()
         self._alive_members: list[Member] | None = None
         self._members: tuple[Member, ...] = ()
@@ -114,8 +115,12 @@
 
         :param has_synced: whether another instance has answered.
         """
+        was_starting = self.own.is_starting
         self.own.finish_refresh(has_synced)
         self._record_change()
+        if was_starting and not self.own.is_starting:
+            self._deltas.put(self.own.member)
+            self._on_own_news()
 
     def _receive_own(self, received: Member) -> None:
         """Refutes a wrong record of this instance, unless it was replaced."""
@@ -129,7 +134,7 @@
             if received.state is not MemberState.ALIVE:
                 self._app.metrics.count(REFUTATIONS)
             self.change_own(incarnation=self.own.next_incarnation(received))
-            self._on_refuted()
+            self._on_own_news()
 
     def _may_be_offered(self, member: Member) -> bool:
         """Returns whether callers may be sent to an alive member."""
--- a/cicadacourse/membership/_service.py
+++ b/cicadacourse/membership/_service.py
@@ -50,7 +50,7 @@
         self.view = MembershipView()
         self._tasks = Tasks("membership")
         self._records = Records(
-            app, settings, OwnRecord(instance), self.view, self._announce_refutation
+            app, settings, OwnRecord(instance), self.view, self._announce_own_news
         )
         self._pauses = PauseDetector(settings.pause_limit_s, self._resume)
         context = Context(
@@ -168,8 +168,8 @@
         self._tasks.start(self._syncer.refresh(self.sleep))
         self.app.events.emit(RESUMED_AFTER_PAUSE)
 
-    def _announce_refutation(self) -> None:
-        """Sends a refutation to a few members, unless the service has ended.
+    def _announce_own_news(self) -> None:
+        """Sends a change of this instance to a few members, unless it has ended.
 
         Probes, and so suspicions, still arrive soon after the end.
         """
--- a/cicadacourse/util/hashing.py
+++ b/cicadacourse/util/hashing.py
@@ -7,8 +7,8 @@
 
 import xxhash
 
-# Bounds the memory, about 200 bytes each. A choice looks at the scores of all members or
-# endpoints again.
+# Bounds the memory, about 200 bytes each. A choice looks at the scores of all members
+# or endpoints again.
 MAX_KNOWN_SCORES = 8192
 
 
--- a/tests/test_feed/test_feed_evacuations.py
+++ b/tests/test_feed/test_feed_evacuations.py
@@ -1,7 +1,7 @@
 """All instances learn of evacuations in time, whoever reads the store.
 
-An instance that had started, was paused or cut off, or that fetched a configuration from
-one of an earlier release, must not send requests to a domain that is evacuated.
+An instance that had started, was paused or cut off, or that fetched a configuration
+from one of an earlier release, must not send requests to a domain that is evacuated.
 """
 
 from __future__ import annotations
--- a/tests/test_membership/test_membership_service.py
+++ b/tests/test_membership/test_membership_service.py
@@ -85,3 +85,15 @@
             await cluster.kill("e3")
             await asyncio.sleep(15)
             assert handler.has_warning(MEMBER_DIED.text)
+
+
+async def test_instances_that_start_together_know_each_other_within_a_second():
+    """An instance that had joined told only those that it had synced with.
+
+    The others heard of it by probes, one each period.
+    """
+    names = [f"e{number}" for number in range(20)]
+    async with running(names) as cluster:
+        await asyncio.sleep(1.0)
+        for service in cluster.services("membership"):
+            assert len(service.alive_members()) == len(names)
