--- a/bench/control/_load.py
+++ b/bench/control/_load.py
@@ -5,7 +5,7 @@
 from bench.control._sample import Meter, Sample
 from cicadacourse.load import Assignment, Role, choose_receivers
 from cicadacourse.load._codec import decode_report, encode_report
-from cicadacourse.load._datagram import Datagram
+from cicadacourse.load._datagram import Datagram, Relaying
 from cicadacourse.load._messages import LoadReport
 from cicadacourse.load._reports import to_assignment, to_report
 from cicadacourse.membership import Member
@@ -33,7 +33,7 @@
     for _ in range(_REPORTS):
         reports = tuple(to_report(assignment, 1.0) for assignment in assignments)
         body = encode_report(LoadReport(sender="front-a-1", runs=reports))
-        datagram = Datagram(False, 1, 2, 3, 7, 100, 50, body).pack()
+        datagram = Datagram(Relaying.NO, 1, 2, 3, 7, 100, 50, body).pack()
     encoded_us = encoded.cpu_ms() * 1000 / _REPORTS
     received = Meter()
     for _ in range(_REPORTS):
--- a/cicadacourse/load/_datagram.py
+++ b/cicadacourse/load/_datagram.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import enum
 import struct
 
 import attrs
@@ -24,15 +25,32 @@
 # releases read over both, like all that follows the body.
 _ATTACHMENT_END = struct.Struct(">4sI")
 _ATTACHMENT_MARK = b"\xc0att"
+# Follows the body: a mark and the sender's capacity. Instances of earlier releases read
+# over both. A sender with a capacity reads batches of reports.
+_CAPACITY = struct.Struct(">4sI")
+_CAPACITY_MARK = b"\xc0cap"
 # Stands for an age that is not known.
 UNKNOWN_AGE_MS = 2**32 - 1
+# Stands for the capacity of an instance that reads no batches.
+NO_CAPACITY = 0
+
+
+class Relaying(enum.IntEnum):
+    """Whether the receiver of a report relays it within its failure domain.
+
+    Earlier releases take every value but ``NO`` for ``AT_ONCE``.
+    """
+
+    NO = 0
+    AT_ONCE = 1
+    IN_BATCH = 2
 
 
 @attrs.frozen
 class Datagram:
     """One load report with its frame.
 
-    :param is_relayed: whether the receiver relays it within its failure domain.
+    :param relaying: whether the receiver relays it within its failure domain.
     :param sender_hash: hash of the sender's name.
     :param started_ms: start of the sender's process, Unix milliseconds.
     :param sequence: grows with each report of one process.
@@ -45,9 +63,11 @@
         that no version is newer than ``catalog_version``.
     :param attachment: bytes of another part of the sender, for the same part of the
         receiver.
+    :param capacity: the sender's processor capacity in thousandths of a core, or
+        ``NO_CAPACITY``.
     """
 
-    is_relayed: bool
+    relaying: Relaying
     sender_hash: int
     started_ms: int
     sequence: int
@@ -57,15 +77,17 @@
     body: bytes
     configuration_age_ms: int = UNKNOWN_AGE_MS
     attachment: bytes = b""
+    capacity: int = NO_CAPACITY
 
     def pack(self) -> bytes:
         """Returns the bytes of the datagram.
 
-        >>> Datagram.unpack(Datagram(True, 1, 2, 3, 4, 5, 6, b"x").pack()).sequence
-        3
+        >>> packed = Datagram(Relaying.NO, 1, 2, 3, 4, 5, 6, b"x", capacity=500).pack()
+        >>> Datagram.unpack(packed).sequence, Datagram.unpack(packed).capacity
+        (3, 500)
         """
         frame = _FRAME.pack(
-            self.is_relayed,
+            self.relaying,
             self.sender_hash,
             self.started_ms,
             self.sequence,
@@ -74,7 +96,13 @@
             self.store_age_ms,
         )
         trailer = _TRAILER.pack(_TRAILER_MARK, self.configuration_age_ms)
-        return frame + self.body + self._pack_attachment() + trailer
+        body = self.body + self._pack_capacity()
+        return frame + body + self._pack_attachment() + trailer
+
+    def _pack_capacity(self) -> bytes:
+        if self.capacity == NO_CAPACITY:
+            return b""
+        return _CAPACITY.pack(_CAPACITY_MARK, self.capacity)
 
     def _pack_attachment(self) -> bytes:
         if not self.attachment:
@@ -91,14 +119,28 @@
         if len(data) < _FRAME.size:
             raise MalformedMessage("a datagram is too short")
         frame: tuple[int, int, int, int, int, int, int] = _FRAME.unpack_from(data)
-        is_relayed, fields = bool(frame[0]), frame[1:]
+        relaying, fields = _read_relaying(frame[0]), frame[1:]
         rest = data[_FRAME.size :]
         body, trailer = rest[: -_TRAILER.size], rest[-_TRAILER.size :]
         if not trailer.startswith(_TRAILER_MARK) or len(trailer) < _TRAILER.size:
-            return cls(is_relayed, *fields, rest)
+            return cls(relaying, *fields, rest)
         _, age_ms = _TRAILER.unpack(trailer)
         body, attachment = _split_attachment(body)
-        return cls(is_relayed, *fields, body, age_ms, attachment)
+        body, capacity = _split_capacity(body)
+        return cls(relaying, *fields, body, age_ms, attachment, capacity)
+
+
+def _read_relaying(value: int) -> Relaying:
+    return Relaying(value) if value <= max(Relaying) else Relaying.AT_ONCE
+
+
+def _split_capacity(data: bytes) -> tuple[bytes, int]:
+    """Returns the body and the capacity."""
+    end = data[-_CAPACITY.size :]
+    if not end.startswith(_CAPACITY_MARK) or len(end) < _CAPACITY.size:
+        return data, NO_CAPACITY
+    _, capacity = _CAPACITY.unpack(end)
+    return data[: -_CAPACITY.size], capacity
 
 
 def _split_attachment(data: bytes) -> tuple[bytes, bytes]:
--- a/cicadacourse/load/_service.py
+++ b/cicadacourse/load/_service.py
@@ -1,7 +1,8 @@
 """Reports this instance's assignments to the others, and receives theirs.
 
 A report is a datagram with all assignments of its sender, so the next report makes up
-for a lost one. Nothing waits for a report.
+for a lost one. Nothing waits for a report, but for the choice of engines for a long
+prompt: its report is urgent, and others may come some milliseconds later in a batch.
 """
 
 from __future__ import annotations
@@ -24,14 +25,21 @@
     MEMBER_LEFT,
     REGISTRY_OFFSET_RECEIVED,
 )
+from cicadacourse.load._batch import is_batch, unpack_batch
+from cicadacourse.load._batch_relay import BatchRelay
 from cicadacourse.load._codec import encode_report
-from cicadacourse.load._datagram import UNKNOWN_AGE_MS, Datagram, hash_of
+from cicadacourse.load._datagram import UNKNOWN_AGE_MS, Datagram, Relaying, hash_of
 from cicadacourse.load._inbox import Inbox
 from cicadacourse.load._messages import LoadReport
 from cicadacourse.load._model import Assignment
-from cicadacourse.load._receivers import choose_receivers
+from cicadacourse.load._receivers import (
+    Receivers,
+    choose_batching_receivers,
+    choose_receivers,
+)
 from cicadacourse.load._reports import MAX_UINT32_MS, to_ms, to_report
 from cicadacourse.load._settings import (
+    BATCHES_SENT,
     OWN_ASSIGNMENTS,
     REPORTS_REFUSED,
     REPORTS_SENT,
@@ -86,6 +94,9 @@
         self._transport: asyncio.DatagramTransport | None = None
         self._unreported_change = asyncio.Event()
         self._version_by_sender: dict[str, int] = {}
+        self._capacity_by_name: dict[str, int] = {}
+        self._is_urgent = False
+        self._batch_relay = BatchRelay(self._settings.batch_s, self._send_batch)
         self._attachment_source: Callable[[], bytes] = bytes
         app.events.connect(MEMBER_LEFT, lambda member: self._forget(member.name))
 
@@ -103,6 +114,7 @@
         finally:
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
+            self._batch_relay.flush()
             self._transport.close()
 
     @property
@@ -112,10 +124,15 @@
         return self._table
 
     @contextlib.contextmanager
-    def track(self, *assignments: Assignment) -> Iterator[None]:
-        """Keeps assignments in the load table while the context is open."""
+    def track(
+        self, *assignments: Assignment, is_urgent: bool = False
+    ) -> Iterator[None]:
+        """Keeps assignments in the load table while the context is open.
+
+        :param is_urgent: see :meth:`notify_change`.
+        """
         numbers = [self._table.add(assignment) for assignment in assignments]
-        self.notify_change()
+        self.notify_change(is_urgent=is_urgent)
         try:
             yield
         finally:
@@ -123,12 +140,15 @@
                 self._table.remove(number)
             self.notify_change()
 
-    def notify_change(self, notify_peers: bool = True) -> None:
+    def notify_change(self, notify_peers: bool = True, is_urgent: bool = False) -> None:
         """Announces a change of the load to queued requests and the other instances.
 
         :param notify_peers: whether a report is sent soon, not only with the next
             period.
+        :param is_urgent: whether the others wait for it, so that it goes to them
+            without a batch.
         """
+        self._is_urgent = self._is_urgent or is_urgent
         if notify_peers:
             self._unreported_change.set()
         self.app.metrics.set(OWN_ASSIGNMENTS, len(self._table.own_assignments()))
@@ -143,20 +163,35 @@
 
     def receive(self, data: bytes, source: object) -> None:
         """Processes one datagram; a malformed, old or duplicate one changes nothing."""
+        try:
+            reports = unpack_batch(data) if is_batch(data) else [data]
+        except MalformedMessage as error:
+            self._record_malformed(str(source), error)
+            return
+        # All of a batch are processed.
+        if any([self._receive_report(item, source) for item in reports]):
+            self.app.events.emit(LOAD_CHANGED)
+
+    def _receive_report(self, data: bytes, source: object) -> bool:
+        """Processes one report; returns whether it was new."""
         try:
             datagram = Datagram.unpack(data)
             sender = self._inbox.accept(datagram, now())
         except MalformedMessage as error:
             self._record_malformed(str(source), error)
-            return
+            return False
         if sender is None:
-            return
+            return False
+        if datagram.capacity:
+            self._capacity_by_name[sender] = datagram.capacity
         self._publish_freshness(sender, datagram)
         if datagram.attachment:
             self.app.events.emit(ATTACHMENT_RECEIVED, sender, datagram.attachment)
-        self.app.events.emit(LOAD_CHANGED)
-        if datagram.is_relayed:
+        if datagram.relaying is Relaying.AT_ONCE:
             self._relay(datagram)
+        elif datagram.relaying is Relaying.IN_BATCH:
+            self._batch_relay.add(attrs.evolve(datagram, relaying=Relaying.NO).pack())
+        return True
 
     def _publish_freshness(self, sender: str, datagram: Datagram) -> None:
         """Emits events that say how fresh a sender's configuration and registry are.
@@ -183,12 +218,27 @@
 
     def _relay(self, datagram: Datagram) -> None:
         """Forwards a received report to the instances of the own failure domain."""
+        body = attrs.evolve(datagram, relaying=Relaying.NO).pack()
+        self._send_datagrams(body, self._neighbours())
+
+    def _send_batch(self, batch: bytes, reports: Sequence[bytes]) -> None:
+        """Sends collected reports to the instances of the own failure domain.
+
+        Those of earlier releases get them one by one.
+        """
+        known = self._capacity_by_name
+        able = [item for item in self._neighbours() if item.name in known]
+        others = [item for item in self._neighbours() if item.name not in known]
+        self._send_datagrams(batch, able)
+        self.app.metrics.count(BATCHES_SENT, len(able))
+        for report in reports:
+            self._send_datagrams(report, others)
+
+    def _neighbours(self) -> list[Member]:
         own_domain = self._instance.failure_domain
-        neighbours = [
+        return [
             item for item in self._other_members() if item.failure_domain == own_domain
         ]
-        body = attrs.evolve(datagram, is_relayed=False).pack()
-        self._send_datagrams(body, neighbours)
 
     async def report_periodically(self) -> None:
         """Sends a report soon after each change, and at least once per period."""
@@ -221,11 +271,34 @@
         if not others or self._transport is None:
             return
         datagram = self.make_datagram()
+        receivers = self._choose_receivers(others, datagram.sequence)
+        self._is_urgent = False
+        report = datagram.pack()
+        self._send_datagrams(report, receivers.direct)
+        at_once = attrs.evolve(datagram, relaying=Relaying.AT_ONCE).pack()
+        self._send_datagrams(at_once, receivers.relays)
+        relays = [item for item in receivers.batching if item.name != self._own_name]
+        in_batch = attrs.evolve(datagram, relaying=Relaying.IN_BATCH).pack()
+        self._send_datagrams(in_batch, relays)
+        if len(relays) < len(receivers.batching):
+            self._batch_relay.add(report)
+
+    def _choose_receivers(self, others: list[Member], sequence: int) -> Receivers:
         own_member = self.app.get("membership").self_member()
-        receivers = choose_receivers(own_member, others, datagram.sequence)
-        self._send_datagrams(datagram.pack(), receivers.direct)
-        relayed = attrs.evolve(datagram, is_relayed=True).pack()
-        self._send_datagrams(relayed, receivers.relays)
+        if self._is_urgent or not self._settings.batched_from:
+            return choose_receivers(own_member, others, sequence)
+        own_capacity = {self._own_name: self._settings.capacity}
+        return choose_batching_receivers(
+            own_member,
+            [own_member, *others],
+            sequence,
+            self._capacity_by_name | own_capacity,
+            self._settings.batched_from,
+        )
+
+    @property
+    def _own_name(self) -> str:
+        return self._instance.name
 
     def _other_members(self) -> list[Member]:
         members = self.app.get("membership").members()
@@ -247,7 +320,7 @@
         )
         self._sequence += 1
         return Datagram(
-            is_relayed=False,
+            relaying=Relaying.NO,
             sender_hash=self._own_hash,
             started_ms=self._started_ms,
             sequence=self._sequence,
@@ -261,6 +334,7 @@
                 now_s - catalog_service.freshness.read_at, UNKNOWN_AGE_MS
             ),
             attachment=self._attachment_source(),
+            capacity=self._settings.capacity,
         )
 
     def _own_version(self) -> int:
@@ -280,4 +354,5 @@
     def _forget(self, name: str) -> None:
         self._inbox.forget(name)
         self._version_by_sender.pop(name, None)
+        self._capacity_by_name.pop(name, None)
         self.app.events.emit(LOAD_CHANGED)
--- a/cicadacourse/placement/_service.py
+++ b/cicadacourse/placement/_service.py
@@ -135,7 +135,11 @@
             # Another request may have been placed since the dispatcher's choice.
             if self._chooser.has_connection(placement.endpoint, pool):
                 with contextlib.ExitStack() as attempt:
-                    attempt.enter_context(self._load.track(*placement.assignments))
+                    # Other instances compare a long prompt's choice with theirs.
+                    tracked = self._load.track(
+                        *placement.assignments, is_urgent=waiter.is_long
+                    )
+                    attempt.enter_context(tracked)
                     if await self._is_confirmed(waiter, placement):
                         if await self._may_send(waiter, placement):
                             tracking.enter_context(attempt.pop_all())
--- a/tests/test_eligibility/test_eligibility_ways.py
+++ b/tests/test_eligibility/test_eligibility_ways.py
@@ -1,8 +1,8 @@
 """Every way to an endpoint keeps to every rule of eligibility.
 
 Each rule was once kept on some ways only: a retry, a hedge, a helper of a split prompt
-or a request that another instance carries reached an endpoint that the first attempt had
-avoided. The table here holds all ways times all rules.
+or a request that another instance carries reached an endpoint that the first attempt
+had avoided. The table here holds all ways times all rules.
 """
 
 from __future__ import annotations
--- a/tests/test_limits/test_limits_cold.py
+++ b/tests/test_limits/test_limits_cold.py
@@ -1,8 +1,8 @@
 """A cold endpoint gets no more requests than it bears from all instances together.
 
 A failure domain that comes back cold looks idle to all instances at the same moment.
-The tests count what arrives at a cold endpoint in every second, with one instance and with
-many, while instances that grant its permits fail.
+The tests count what arrives at a cold endpoint in every second, with one instance and
+with many, while instances that grant its permits fail.
 """
 
 from __future__ import annotations
--- a/tests/test_load/test_load_sharing.py
+++ b/tests/test_load/test_load_sharing.py
@@ -11,7 +11,7 @@
 
 from cicadacourse.load import Assignment, LoadService, LoadTable, Role, choose_receivers
 from cicadacourse.load._codec import decode_report
-from cicadacourse.load._datagram import UNKNOWN_AGE_MS, Datagram
+from cicadacourse.load._datagram import UNKNOWN_AGE_MS, Datagram, Relaying
 from cicadacourse.load._inbox import Inbox
 from cicadacourse.membership import Member
 from cicadacourse.peers import MalformedMessage
@@ -67,7 +67,8 @@
     """Instances of both releases run side by side while a release is rolled out."""
     earlier = EARLIER_FRAME.pack(1, 2, 3, 4, 5, 6, 7) + b"body"
     datagram = Datagram.unpack(earlier)
-    assert (datagram.is_relayed, datagram.body) == (True, b"body")
+    assert datagram.relaying is Relaying.AT_ONCE
+    assert datagram.body == b"body"
     assert datagram.configuration_age_ms == UNKNOWN_AGE_MS
     aged = attrs.evolve(datagram, configuration_age_ms=1500)
     assert Datagram.unpack(aged.pack()) == aged
@@ -78,7 +79,7 @@
     datagram = make_app("other").get("load").make_datagram()
     packed = attrs.evolve(datagram, configuration_age_ms=1500).pack()
     frame = EARLIER_FRAME.unpack_from(packed)
-    assert frame[0] == datagram.is_relayed == 0
+    assert frame[0] == datagram.relaying == 0
     assert frame[4] == datagram.catalog_version
     assert decode_report(packed[EARLIER_FRAME.size :]) == decode_report(datagram.body)
 
@@ -196,7 +197,7 @@
 
 
 def test_an_attachment_comes_with_a_report_and_hides_nothing_of_it() -> None:
-    plain = Datagram(True, 1, 2, 3, 4, 5, 6, b"body", 7)
+    plain = Datagram(Relaying.AT_ONCE, 1, 2, 3, 4, 5, 6, b"body", 7)
     assert Datagram.unpack(plain.pack()).attachment == b""
     attached = attrs.evolve(plain, attachment=b"more")
     assert Datagram.unpack(attached.pack()) == attached
