--- a/cicadacourse/catalog/_service.py
+++ b/cicadacourse/catalog/_service.py
@@ -27,7 +27,7 @@
     log,
 )
 from cicadacourse.metrics import declare
-from cicadacourse.util.clock import now
+from cicadacourse.util.clock import now, time_to_tick
 
 TICK_PERIOD_S = 0.25
 VERSION = declare("catalog_version", "Version of the configuration in force.")
@@ -83,7 +83,7 @@
     async def _tick(self) -> None:
         while True:
             self.freshness.tick(now())
-            await asyncio.sleep(TICK_PERIOD_S)
+            await asyncio.sleep(time_to_tick(TICK_PERIOD_S))
 
     @property
     def is_known(self) -> bool:
--- a/cicadacourse/cmd/serve.py
+++ b/cicadacourse/cmd/serve.py
@@ -28,7 +28,7 @@
     RELOAD_IGNORED,
     log,
 )
-from cicadacourse.util.clock import BoottimeEventLoop
+from cicadacourse.util.clock import BoottimeEventLoop, time_to_tick
 from cicadacourse.util.logging import FLUSH_PERIOD_S, JsonHandler, json_logging
 
 SETTINGS_VARIABLE = "CICADACOURSE_BOOT"
@@ -130,7 +130,7 @@
 
     async def flush_periodically() -> None:
         while True:
-            await asyncio.sleep(FLUSH_PERIOD_S)
+            await asyncio.sleep(time_to_tick(FLUSH_PERIOD_S))
             handler.flush()
 
     task = asyncio.create_task(flush_periodically())
--- a/cicadacourse/feed/_delegation.py
+++ b/cicadacourse/feed/_delegation.py
@@ -36,6 +36,7 @@
     """
 
     max_age_s: float
+    _trusts_until: float = float("-inf")
     _behind_since_by_subject: dict[str, float] = attrs.field(factory=dict)
     _read_at_by_instance: dict[str, float] = attrs.field(factory=dict)
 
@@ -46,6 +47,15 @@
         """
         self._read_at_by_instance[instance] = now_s - age_s
 
+    def record_first_read(self, now_s: float) -> None:
+        """Records that this instance has read everything, and may not know others yet.
+
+        It waits for their reports as long as its own read is recent enough.
+
+        :param now_s: loop time in seconds.
+        """
+        self._trusts_until = now_s + self.max_age_s
+
     def mark_behind(self, subject: str, now_s: float) -> None:
         """Records that others have a newer configuration or registry.
 
@@ -81,6 +91,8 @@
             or own_name in hashing.rank(_KEY, neighbours)[:STORE_READERS_PER_DOMAIN]
         ):
             return True
+        if now_s < self._trusts_until:
+            return False
         return not any(
             now_s - self._read_at_by_instance.get(name, float("-inf")) <= self.max_age_s
             for name in neighbours
--- a/cicadacourse/feed/_registry_feed.py
+++ b/cicadacourse/feed/_registry_feed.py
@@ -85,7 +85,11 @@
     def record_full_read(self) -> None:
         """Records that all entries of the registry were read and applied."""
         log(REGISTRY_READ, endpoints=len(self._registry))
+        is_first = not self._catalog_service.is_registry_known
         self._catalog_service.mark_registry_known()
+        feed = self._app.find("feed")
+        if is_first and feed is not None:
+            feed.read_delegation.record_first_read(now())
 
     def record_read(self, offset: int) -> None:
         """Records that the registry was read up to an offset, changed or not."""
--- a/cicadacourse/load/_settings.py
+++ b/cicadacourse/load/_settings.py
@@ -71,7 +71,7 @@
         float,
         1.0,
         minimum=0.001,
-        help="Share of each core's time; with `cpu_cores`, what this instance can relay.",
+        help="Share of each core's time; with `cpu_cores`, what it can relay.",
     )
     cpu_cores: int = option(int, 1, minimum=1, help="Cores of this instance.")
     expiry_s: float = option(
--- a/cicadacourse/membership/_service.py
+++ b/cicadacourse/membership/_service.py
@@ -28,6 +28,7 @@
 from cicadacourse.membership._syncer import Syncer
 from cicadacourse.membership._view import MembershipView
 from cicadacourse.peers import handles
+from cicadacourse.util.clock import time_to_tick
 from cicadacourse.util.tasks import Tasks
 
 # Period of the checks for a pause of this instance.
@@ -156,7 +157,7 @@
 
     async def _tick(self) -> None:
         while True:
-            await self.sleep(_TICK_S)
+            await self.sleep(time_to_tick(_TICK_S))
             self._pauses.detect()
 
     def _resume(self, paused_s: float) -> None:
--- a/cicadacourse/platform/_caller_connections.py
+++ b/cicadacourse/platform/_caller_connections.py
@@ -14,7 +14,7 @@
 from cicadacourse.metrics import Metrics, declare
 from cicadacourse.platform._caller_stream import CallerStream
 from cicadacourse.platform._wait_limits import WaitLimits
-from cicadacourse.util.clock import now
+from cicadacourse.util.clock import now, time_to_tick
 
 CLOSED = declare(
     "caller_connections_closed_total",
@@ -52,7 +52,7 @@
     async def close_periodically(self) -> None:
         """Closes connections that wait for too long, until it is cancelled."""
         while True:
-            await asyncio.sleep(SWEEP_PERIOD_S)
+            await asyncio.sleep(time_to_tick(SWEEP_PERIOD_S))
             self._close_overdue()
 
     def close_unused(self) -> None:
--- a/cicadacourse/platform/_follower.py
+++ b/cicadacourse/platform/_follower.py
@@ -16,10 +16,10 @@
 from cicadacourse.platform._records import KeyedBatch, KeyedRecord
 from cicadacourse.platform._settings import STORE_REACHABLE
 from cicadacourse.platform._store import Store
-from cicadacourse.util.clock import now
+from cicadacourse.util.clock import now, time_to_tick
 
 # Interval of the check whether this instance must read the store itself.
-IDLE_POLL_INTERVAL_S = 0.1
+IDLE_POLL_INTERVAL_S = 0.125
 # Backoff between reads that fail; doubles with each failure and is jittered.
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.8
@@ -97,7 +97,7 @@
         backoff_s = FIRST_BACKOFF_S
         while True:
             if not self._must_read():
-                await asyncio.sleep(IDLE_POLL_INTERVAL_S)
+                await asyncio.sleep(time_to_tick(IDLE_POLL_INTERVAL_S))
                 continue
             match await self._read_next():
                 case Success(KeyedBatch() as batch):
--- a/cicadacourse/util/clock.py
+++ b/cicadacourse/util/clock.py
@@ -6,6 +6,8 @@
 import time
 
 MS_PER_S = 1000
+# A timer that would fire sooner is set for the tick after the next one.
+_MIN_SLEEP_S = 0.001
 _CLOCK_ID = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 
 
@@ -25,3 +27,13 @@
 def now() -> float:
     """Returns the running event loop's time in seconds."""
     return asyncio.get_running_loop().time()
+
+
+def time_to_tick(period_s: float) -> float:
+    """Returns the seconds until the clock is at a multiple of a period.
+
+    Tasks that sleep for it wake the process together, if their periods are equal or
+    multiples of each other. Each wake-up costs more than what most of them do.
+    """
+    left_s = period_s - now() % period_s
+    return left_s if left_s >= _MIN_SLEEP_S else left_s + period_s
--- a/cicadacourse/util/logging.py
+++ b/cicadacourse/util/logging.py
@@ -15,7 +15,7 @@
 import logbook
 from logbook.compat import RedirectLoggingHandler
 
-FLUSH_PERIOD_S = 0.2
+FLUSH_PERIOD_S = 0.25
 MAX_QUEUED_CHUNKS = 4000
 # Limits on the records of one flush period, warnings and others counted together:
 # ordinary lines are suppressed above the first, warnings only above the second.
--- a/tests/test_feed/test_feed_delegation.py
+++ b/tests/test_feed/test_feed_delegation.py
@@ -46,3 +46,18 @@
         n for n in NAMES if not delegation.is_store_reader(n, NAMES, now_s=10.1)
     )
     return delegation, own_name
+
+
+def test_an_instance_that_has_started_waits_for_its_neighbours_reports() -> None:
+    """It read the store again and again until it had heard of a neighbour's read."""
+    delegation = ReadDelegation(1.3)
+    names = [
+        n for n in NAMES if not _make_non_reader()[0].is_store_reader(n, NAMES, 10.1)
+    ]
+    own_name = names[0]
+    delegation.record_first_read(now_s=10.0)
+    assert not delegation.is_store_reader(own_name, NAMES, now_s=11.2)
+    assert delegation.is_store_reader(own_name, NAMES, now_s=11.4)
+    delegation.record_first_read(now_s=10.0)
+    delegation.mark_behind("registry", now_s=10.1)
+    assert delegation.is_store_reader(own_name, NAMES, now_s=10.6)
--- a/tests/test_load/test_load_batches.py
+++ b/tests/test_load/test_load_batches.py
@@ -1,8 +1,8 @@
 """In large failure domains, load reports go through relays that collect them.
 
-A report to each instance for each request cost more than the requests. With relays, what
-an instance receives must not grow with the fleet, and must still come in time while
-relays fail, and beside instances of earlier releases, which read no batches.
+A report to each instance for each request cost more than the requests. With relays,
+what an instance receives must not grow with the fleet, and must still come in time
+while relays fail, and beside instances of earlier releases, which read no batches.
 """
 
 from __future__ import annotations
