Command evacuate: operators evacuate a failure domain, or take that back

Cause: the record could only be written by other tools than the product's own. Result: a test writes, shows and withdraws it over a real instance.

--- a/cicadacourse/cmd/__init__.py
+++ b/cicadacourse/cmd/__init__.py
@@ -20,6 +20,7 @@
     "serve": "run one instance",
     "check": "check settings and tables",
     "publish": "put new tables in force, or fetch those in force",
+    "evacuate": "evacuate a failure domain, or take that back",
     "show": "show instances, endpoints, routes and organisations",
     "ask": "send one request as a caller would",
     "explain": "explain how one request ended, from instances' logs",
--- a/cicadacourse/cmd/publish.py
+++ b/cicadacourse/cmd/publish.py
@@ -204,12 +204,17 @@
     return Rollout(tuple(in_force), tuple(sorted(set(versions) - set(in_force))))
 
 
+def exit_status_of(error: Error) -> int:
+    """Returns the exit status for a write to the store that has failed."""
+    return EXITS_BY_KIND.get(error.kind, EXIT_ERROR)
+
+
 def _print_error(arguments: argparse.Namespace, error: Error) -> int:
     if arguments.json:
         print_json({"accepted": False, "error": error.to_json()})
     else:
         print(f"{error.kind.value}: {error.detail}", file=sys.stderr)
-    return EXITS_BY_KIND.get(error.kind, EXIT_ERROR)
+    return exit_status_of(error)
 
 
 def _print_outcome(
--- a/cicadacourse/platform/_publisher.py
+++ b/cicadacourse/platform/_publisher.py
@@ -12,7 +12,11 @@
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.platform._configuration_reader import decode_configuration
 from cicadacourse.platform._configuration_writer import encode_configuration
-from cicadacourse.platform._names import KEY_CONFIGURATION, TOPIC_CONFIGURATION
+from cicadacourse.platform._names import (
+    KEY_CONFIGURATION,
+    KEY_EVACUATION_PREFIX,
+    TOPIC_CONFIGURATION,
+)
 from cicadacourse.platform._records import KeyedBatch
 from cicadacourse.platform._store import StoreClient
 
@@ -87,6 +91,20 @@
             return Failure(_conflict(in_force))
         return await self._replace(stored, attrs.evolve(catalog, version=in_force + 1))
 
+    async def evacuate(
+        self, failure_domain: str, is_in_force: bool
+    ) -> Result[None, Error]:
+        """Has nothing more sent to a failure domain's endpoints, or takes that back.
+
+        A retry of a call whose response was lost changes nothing.
+
+        :returns: a Failure of kind ``STORE_OUTCOME_UNKNOWN`` if the call may or may not
+            have taken effect.
+        """
+        key = f"{KEY_EVACUATION_PREFIX}{failure_domain}"
+        value = b"{}" if is_in_force else b""
+        return await self._store.put(TOPIC_CONFIGURATION, key, value)
+
     async def _replace(
         self, stored: StoredConfiguration, catalog: Catalog
     ) -> Result[PublishOutcome, Error]:
--- a/tests/test_cmd/test_cmd_fleet.py
+++ b/tests/test_cmd/test_cmd_fleet.py
@@ -11,6 +11,7 @@
 import attrs
 import pytest
 
+from cicadacourse.catalog import CatalogSettings
 from cicadacourse.cmd import main
 from standins.platform import HOST, KEY, Fleet, WorkerFaults, make_configuration
 from standins.ports import next_host
@@ -61,6 +62,11 @@
             "publish", "--store", store, "--base", base, *tables, *more
         )
 
+    async def evacuate(self, *more: str) -> int:
+        """Evacuates the failure domain ``b``, or takes that back."""
+        store = self.fleet.operators_address
+        return await self.command("evacuate", "b", "--store", store, *more)
+
     async def show(self, *more: str) -> int:
         """Shows the status of the instance."""
         return await self.command("show", "--instances", self.metrics_address, *more)
@@ -81,7 +87,12 @@
 async def running_deployment(folder: pathlib.Path) -> AsyncIterator[Deployment]:
     """Runs a deployment with one instance."""
     async with running_fleet() as fleet:
-        instance = make_instance(fleet, "one", next_host())
+        instance = make_instance(
+            fleet,
+            "one",
+            next_host(),
+            sections=(CatalogSettings(evacuation_bound_ms=2000),),
+        )
         async with running_instance(instance):
             yield Deployment(fleet, instance, folder)
 
@@ -103,6 +114,21 @@
         assert "in force already: version 2" in capsys.readouterr().out
 
 
+async def test_a_failure_domain_is_evacuated_and_taken_back(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async with running_deployment(tmp_path) as deployment:
+        evacuations = deployment.instance.app.get("catalog").evacuations
+        assert await deployment.evacuate() == 0
+        await wait_until(lambda: "b" in evacuations)
+        assert await deployment.show("evacuations") == 0
+        shown = capsys.readouterr().out
+        assert "failure domain b is evacuated" in shown
+        assert "evacuations (as one sees them)" in shown
+        assert await deployment.evacuate("--withdraw") == 0
+        await wait_until(lambda: "b" not in evacuations)
+
+
 async def test_publish_over_a_newer_version_exits_with_3(
     tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
