--- a/cicadacourse/feed/_registry_fetcher.py
+++ b/cicadacourse/feed/_registry_fetcher.py
@@ -16,6 +16,9 @@
 from cicadacourse.logs import REGISTRY_FETCHED, log
 from cicadacourse.util.clock import now
 
+# Reports state ages in milliseconds, and take some of them to arrive.
+READ_TIME_TOLERANCE_S = 0.05
+
 
 class RegistryFetcher(Fetcher):
     """Fetches registries that other instances have read further, by their reports."""
@@ -23,6 +26,8 @@
     def __init__(self, app: Application) -> None:
         super().__init__(app, "registry")
         self._offset_by_instance: dict[str, int] = {}
+        # The offset and the time of the last read that each instance has reported.
+        self._known_by_instance: dict[str, tuple[int, float]] = {}
         self._encoder = RegistryEncoder()
 
     def make_reply(self, request: FetchRegistry) -> Registry:
@@ -46,7 +51,7 @@
         if not self.catalog_service.is_registry_known:
             self._fetch_first(instance, offset, age_s)
             return
-        if not self.is_neighbour(instance):
+        if self._is_known(instance, offset, age_s) or not self.is_neighbour(instance):
             return
         self.delegation.record_read(instance, age_s, now())
         self._offset_by_instance[instance] = offset
@@ -59,6 +64,25 @@
             self.delegation.mark_behind(self.subject, now())
             self.start(self._fetch(instance))
 
+    def _is_known(self, instance: str, offset: int, age_s: float) -> bool:
+        """Returns whether a report changes nothing here.
+
+        Most instances don't read the store, and repeat the same with each report.
+        """
+        read_at = now() - age_s
+        known = self._known_by_instance.get(instance)
+        is_repeated = (
+            known is not None
+            and known[0] == offset
+            and read_at < known[1] + READ_TIME_TOLERANCE_S
+        )
+        if not is_repeated:
+            self._known_by_instance[instance] = (offset, read_at)
+        is_current = offset <= self.catalog_service.registry_offset
+        return (
+            is_repeated and is_current and not self.delegation.is_behind(self.subject)
+        )
+
     def _is_neighbour_ahead(self) -> bool:
         """Returns whether a live neighbour has a newer registry, as far as is known."""
         own = self.catalog_service.registry_offset
--- a/cicadacourse/load/_datagram.py
+++ b/cicadacourse/load/_datagram.py
@@ -46,6 +46,9 @@
     IN_BATCH = 2
 
 
+_RELAYING_BY_VALUE = {int(item): item for item in Relaying}
+
+
 @attrs.frozen
 class Datagram:
     """One load report with its frame.
@@ -131,7 +134,7 @@
 
 
 def _read_relaying(value: int) -> Relaying:
-    return Relaying(value) if value <= max(Relaying) else Relaying.AT_ONCE
+    return _RELAYING_BY_VALUE.get(value, Relaying.AT_ONCE)
 
 
 def _split_capacity(data: bytes) -> tuple[bytes, int]:
--- a/cicadacourse/load/_service.py
+++ b/cicadacourse/load/_service.py
@@ -95,6 +95,7 @@
         self._unreported_change = asyncio.Event()
         self._version_by_sender: dict[str, int] = {}
         self._capacity_by_name: dict[str, int] = {}
+        self._last_confirmation = (0, 0.0)
         self._is_urgent = False
         self._batch_relay = BatchRelay(self._settings.batch_s, self._send_batch)
         self._attachment_source: Callable[[], bytes] = bytes
@@ -206,12 +207,23 @@
         ):
             self._version_by_sender[sender] = version
             events.emit(CATALOG_VERSION_RECEIVED, sender, version)
-        if datagram.configuration_age_ms != UNKNOWN_AGE_MS:
-            age_s = datagram.configuration_age_ms / MS_PER_S
-            events.emit(CATALOG_CONFIRMED, datagram.catalog_version, age_s)
+        self._publish_confirmation(datagram)
         age_s = datagram.store_age_ms / MS_PER_S
         events.emit(REGISTRY_OFFSET_RECEIVED, sender, datagram.registry_offset, age_s)
 
+    def _publish_confirmation(self, datagram: Datagram) -> None:
+        """Emits that a version was the newest one, unless a later time is known.
+
+        Most instances don't read the store, and repeat an old read of theirs.
+        """
+        if datagram.configuration_age_ms == UNKNOWN_AGE_MS:
+            return
+        age_s = datagram.configuration_age_ms / MS_PER_S
+        confirmation = (datagram.catalog_version, now() - age_s)
+        if confirmation > self._last_confirmation:
+            self._last_confirmation = confirmation
+            self.app.events.emit(CATALOG_CONFIRMED, datagram.catalog_version, age_s)
+
     def _record_malformed(self, source: str, error: Exception) -> None:
         self.app.metrics.count(REPORTS_REFUSED)
         log(REPORT_REFUSED, source=source, reason=str(error))
--- a/cicadacourse/load/_settings.py
+++ b/cicadacourse/load/_settings.py
@@ -61,7 +61,7 @@
     )
     batch_s: float = option(
         float,
-        0.02,
+        0.04,
         unit="seconds",
         minimum=0.001,
         maximum=0.2,
