Load reports: sending and freshness stand in modules of their own

What is sent to whom moves to _sender.py, what reports say of their sender's state to _freshness.py. No behaviour changes.

--- a/cicadacourse/load/_service.py
+++ b/cicadacourse/load/_service.py
@@ -10,44 +10,28 @@
 import asyncio
 import contextlib
 import time
-from typing import AsyncIterator, Callable, Iterator, Sequence
-
-import attrs
+from typing import AsyncIterator, Callable, Iterator
 
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.catalog import CatalogService
 from cicadacourse.config import InstanceSettings
 from cicadacourse.events import (
     ATTACHMENT_RECEIVED,
-    CATALOG_CONFIRMED,
-    CATALOG_VERSION_RECEIVED,
     LOAD_CHANGED,
     MEMBER_LEFT,
-    REGISTRY_OFFSET_RECEIVED,
 )
 from cicadacourse.load._batch import is_batch, unpack_batch
-from cicadacourse.load._batch_relay import BatchRelay
 from cicadacourse.load._codec import encode_report
 from cicadacourse.load._datagram import UNKNOWN_AGE_MS, Datagram, Relaying, hash_of
+from cicadacourse.load._freshness import FreshnessPublisher
 from cicadacourse.load._inbox import Inbox
 from cicadacourse.load._messages import LoadReport
 from cicadacourse.load._model import Assignment
-from cicadacourse.load._receivers import (
-    Receivers,
-    choose_batching_receivers,
-    choose_receivers,
-)
 from cicadacourse.load._reports import MAX_UINT32_MS, to_ms, to_report
-from cicadacourse.load._settings import (
-    BATCHES_SENT,
-    OWN_ASSIGNMENTS,
-    REPORTS_REFUSED,
-    REPORTS_SENT,
-    LoadSettings,
-)
+from cicadacourse.load._sender import ReportSender
+from cicadacourse.load._settings import OWN_ASSIGNMENTS, REPORTS_REFUSED, LoadSettings
 from cicadacourse.load._table import LoadTable
 from cicadacourse.logs import REPORT_REFUSED, log
-from cicadacourse.membership import Member
 from cicadacourse.peers import MalformedMessage
 from cicadacourse.util.addresses import split_address
 from cicadacourse.util.clock import MS_PER_S, now
@@ -91,13 +75,10 @@
         )
         self._next_expiry_s = 0.0
         self._own_hash = hash_of(self._instance.name)
-        self._transport: asyncio.DatagramTransport | None = None
         self._unreported_change = asyncio.Event()
-        self._version_by_sender: dict[str, int] = {}
-        self._capacity_by_name: dict[str, int] = {}
-        self._last_confirmation = (0, 0.0)
         self._is_urgent = False
-        self._batch_relay = BatchRelay(self._settings.batch_s, self._send_batch)
+        self._freshness = FreshnessPublisher(app)
+        self._sender = ReportSender(app)
         self._attachment_source: Callable[[], bytes] = bytes
         app.events.connect(MEMBER_LEFT, lambda member: self._forget(member.name))
 
@@ -106,17 +87,17 @@
         """Sends and receives reports while the instance runs."""
         host, port = split_address(self._instance.peer_address)
         loop = asyncio.get_running_loop()
-        self._transport, _ = await loop.create_datagram_endpoint(
+        transport, _ = await loop.create_datagram_endpoint(
             lambda: _ReportProtocol(self), local_addr=(host, port)
         )
+        self._sender.open(transport)
         task = asyncio.create_task(self.report_periodically())
         try:
             yield
         finally:
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
-            self._batch_relay.flush()
-            self._transport.close()
+            self._sender.close()
 
     @property
     def table(self) -> LoadTable:
@@ -183,75 +164,17 @@
             return False
         if sender is None:
             return False
-        if datagram.capacity:
-            self._capacity_by_name[sender] = datagram.capacity
-        self._publish_freshness(sender, datagram)
+        self._sender.note_capacity(sender, datagram.capacity)
+        self._freshness.publish(sender, datagram, self._own_version())
         if datagram.attachment:
             self.app.events.emit(ATTACHMENT_RECEIVED, sender, datagram.attachment)
-        if datagram.relaying is Relaying.AT_ONCE:
-            self._relay(datagram)
-        elif datagram.relaying is Relaying.IN_BATCH:
-            self._batch_relay.add(attrs.evolve(datagram, relaying=Relaying.NO).pack())
+        self._sender.relay(datagram)
         return True
 
-    def _publish_freshness(self, sender: str, datagram: Datagram) -> None:
-        """Emits events that say how fresh a sender's configuration and registry are.
-
-        A version that the sender has reported before is emitted again only while it is
-        newer than the one here.
-        """
-        events = self.app.events
-        version = datagram.catalog_version
-        if version > self._own_version() or version != self._version_by_sender.get(
-            sender
-        ):
-            self._version_by_sender[sender] = version
-            events.emit(CATALOG_VERSION_RECEIVED, sender, version)
-        self._publish_confirmation(datagram)
-        age_s = datagram.store_age_ms / MS_PER_S
-        events.emit(REGISTRY_OFFSET_RECEIVED, sender, datagram.registry_offset, age_s)
-
-    def _publish_confirmation(self, datagram: Datagram) -> None:
-        """Emits that a version was the newest one, unless a later time is known.
-
-        Most instances don't read the store, and repeat an old read of theirs.
-        """
-        if datagram.configuration_age_ms == UNKNOWN_AGE_MS:
-            return
-        age_s = datagram.configuration_age_ms / MS_PER_S
-        confirmation = (datagram.catalog_version, now() - age_s)
-        if confirmation > self._last_confirmation:
-            self._last_confirmation = confirmation
-            self.app.events.emit(CATALOG_CONFIRMED, datagram.catalog_version, age_s)
-
     def _record_malformed(self, source: str, error: Exception) -> None:
         self.app.metrics.count(REPORTS_REFUSED)
         log(REPORT_REFUSED, source=source, reason=str(error))
 
-    def _relay(self, datagram: Datagram) -> None:
-        """Forwards a received report to the instances of the own failure domain."""
-        body = attrs.evolve(datagram, relaying=Relaying.NO).pack()
-        self._send_datagrams(body, self._neighbours())
-
-    def _send_batch(self, batch: bytes, reports: Sequence[bytes]) -> None:
-        """Sends collected reports to the instances of the own failure domain.
-
-        Those of earlier releases get them one by one.
-        """
-        known = self._capacity_by_name
-        able = [item for item in self._neighbours() if item.name in known]
-        others = [item for item in self._neighbours() if item.name not in known]
-        self._send_datagrams(batch, able)
-        self.app.metrics.count(BATCHES_SENT, len(able))
-        for report in reports:
-            self._send_datagrams(report, others)
-
-    def _neighbours(self) -> list[Member]:
-        own_domain = self._instance.failure_domain
-        return [
-            item for item in self._other_members() if item.failure_domain == own_domain
-        ]
-
     async def report_periodically(self) -> None:
         """Sends a report soon after each change, and at least once per period."""
         while True:
@@ -267,7 +190,9 @@
                 pass
             self._remove_expired()
             self._unreported_change.clear()
-            self._send_report()
+            if self._sender.other_members():
+                self._sender.send(self.make_datagram(), self._is_urgent)
+                self._is_urgent = False
 
     def _period_factor(self) -> float:
         """Returns the factor by which periods and expiry are longer in a large fleet.
@@ -275,54 +200,10 @@
         It bounds what periodic reports cost each instance.
         """
         return max(
-            1.0, len(self._other_members()) / self._settings.repeats_full_rate_up_to
-        )
-
-    def _send_report(self) -> None:
-        others = self._other_members()
-        if not others or self._transport is None:
-            return
-        datagram = self.make_datagram()
-        receivers = self._choose_receivers(others, datagram.sequence)
-        self._is_urgent = False
-        report = datagram.pack()
-        self._send_datagrams(report, receivers.direct)
-        at_once = attrs.evolve(datagram, relaying=Relaying.AT_ONCE).pack()
-        self._send_datagrams(at_once, receivers.relays)
-        relays = [item for item in receivers.batching if item.name != self._own_name]
-        in_batch = attrs.evolve(datagram, relaying=Relaying.IN_BATCH).pack()
-        self._send_datagrams(in_batch, relays)
-        if len(relays) < len(receivers.batching):
-            self._batch_relay.add(report)
-
-    def _choose_receivers(self, others: list[Member], sequence: int) -> Receivers:
-        own_member = self.app.get("membership").self_member()
-        if self._is_urgent or not self._settings.batched_from:
-            return choose_receivers(own_member, others, sequence)
-        own_capacity = {self._own_name: self._settings.capacity}
-        return choose_batching_receivers(
-            own_member,
-            [own_member, *others],
-            sequence,
-            self._capacity_by_name | own_capacity,
-            self._settings.batched_from,
+            1.0,
+            len(self._sender.other_members()) / self._settings.repeats_full_rate_up_to,
         )
 
-    @property
-    def _own_name(self) -> str:
-        return self._instance.name
-
-    def _other_members(self) -> list[Member]:
-        members = self.app.get("membership").members()
-        return [item for item in members if item.name != self._instance.name]
-
-    def _send_datagrams(self, data: bytes, members: Sequence[Member]) -> None:
-        if self._transport is None or not members:
-            return
-        for member in members:
-            self._transport.sendto(data, split_address(member.peer_address))
-        self.app.metrics.count(REPORTS_SENT, len(members))
-
     def make_datagram(self) -> Datagram:
         """Returns a new report of all assignments of this instance."""
         catalog_service: CatalogService = self.app.get("catalog")
@@ -365,6 +246,6 @@
 
     def _forget(self, name: str) -> None:
         self._inbox.forget(name)
-        self._version_by_sender.pop(name, None)
-        self._capacity_by_name.pop(name, None)
+        self._freshness.forget(name)
+        self._sender.forget(name)
         self.app.events.emit(LOAD_CHANGED)
--- a/tests/gateway_cluster.py
+++ b/tests/gateway_cluster.py
@@ -39,7 +39,7 @@
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Sends and receives reports while the instance runs."""
-        self._transport = _MemoryTransport(self._cluster, self._instance.peer_address)
+        self._sender.open(_MemoryTransport(self._cluster, self._instance.peer_address))
         task = asyncio.create_task(self.report_periodically())
         try:
             yield
--- a/tests/test_load/test_load_batches.py
+++ b/tests/test_load/test_load_batches.py
@@ -228,10 +228,10 @@
         earlier = [f"n{number}" for number in range(0, 30, 2)]
         for name in earlier:
             load: MemoryLoad = cluster.memory.get(name, "load")
-            load._settings = LoadSettings()
+            load._settings = load._sender._settings = LoadSettings()
         for app in cluster.memory.applications:
             for name in earlier:
-                app.get("load")._capacity_by_name.pop(name, None)
+                app.get("load")._sender.forget(name)
         for name in ("n0", "n1"):
             assert await _knows(cluster, name) == 1.0
 
