--- a/review/standins.py
+++ b/review/standins.py
@@ -546,7 +546,10 @@
         self.reader = self.writer = None
 
     async def ask(self, method, target, deadline_ms=1500, body=b"", headers=None, id=None, limit_s=None):
-        """Sends a request; returns its id, its status (0 without an answer) and its body."""
+        """Sends a request; returns its id, and the status, body and headers of its answer.
+
+        The status is 0 without a whole answer.
+        """
         id = id or f"{random.getrandbits(64):016x}"
         lines = {
             "Host": HOST, "X-Cicadacourse-Request-Id": id,
@@ -557,7 +560,7 @@
             lines["Content-Length"] = str(len(body))
         head = f"{method} {target} HTTP/1.1\r\n" + "".join(f"{name}: {value}\r\n" for name, value in lines.items())
         self.record.write(f"consumer: sends {method} {target} id {id} to {self.address}")
-        status, answer = 0, b""
+        status, answer, answer_headers = 0, b"", {}
         try:
             async with asyncio.timeout(limit_s or deadline_ms / 1000):
                 if self.writer is None:
@@ -567,15 +570,16 @@
                 found = await read_head(self.reader)
                 if found is None:
                     raise ConnectionError("closed")
+                answer_headers = found[1]
+                answer = await read_body(self.reader, answer_headers)
                 status = int(found[0].split(" ")[1])
-                answer = await read_body(self.reader, found[1])
                 if found[1].get("connection", "").lower() == "close":
                     self.close()
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError) as error:
             self.record.write(f"consumer: {id} ends with {error!r}")
             self.close()
         self.record.write(f"consumer: {id} gets status {status}, {len(answer)} bytes")
-        return id, status, answer
+        return id, status, answer, answer_headers
 
     def close(self) -> None:
         if self.writer is not None:
