--- a/review/standins.py
+++ b/review/standins.py
@@ -24,6 +24,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 from urllib.parse import parse_qs, urlsplit
 
 ROOT = pathlib.Path(__file__).resolve().parents[1]
@@ -611,16 +612,25 @@
     return results
 
 
+async def _run(case, record: Record, folder: pathlib.Path) -> int:
+    """Runs a case as a task that a signal cancels, so that it ends its processes."""
+    task = asyncio.create_task(case(record, folder))
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
+    return await task
+
+
 def main(case) -> None:
     """Runs a case; exits with 1 if the rule was broken, 0 if it held, else 2."""
     folder = pathlib.Path(sys.argv[0]).resolve().parent
     record = Record(folder)
     temporary = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
+    status = COULD_NOT_RUN
     try:
-        status = asyncio.run(case(record, temporary))
-    except (CouldNotRun, OSError) as error:
-        record.write(f"could not run: {error!r}")
-        status = COULD_NOT_RUN
+        status = asyncio.run(_run(case, record, temporary))
+    except (Exception, asyncio.CancelledError):
+        record.write(f"could not run: {traceback.format_exc()}")
     finally:
         if "KEEP" in os.environ:
             print(temporary, file=sys.stderr)
