--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,9 +1,11 @@
-"""Another writer's entry, with fields missing, names a worker that drains."""
+"""A worker leaves just as the open channels to the store fall silent for good.
+
+It never reports that it drains: its entry is removed, and it serves on.
+"""
 
 from __future__ import annotations
 
 import asyncio
-import json
 import pathlib
 import sys
 
@@ -13,20 +15,11 @@
 
 INSTANCES = 6
 REQUESTS_PER_S = 20.0
-WARM_UP_S = 5.0
-# The other writer's entry comes this long after the worker's report, and stands until the
-# worker's next heartbeat.
-ENTRY_AFTER_S = 4.0
-SERVES_ON_S = 9.0
-
-
-def other_entry(worker: s.Worker) -> bytes:
-    """Returns an entry without ``version``, ``coldLeftMs``, ``seqNo`` and ``born``."""
-    row = {
-        "service": s.PLAIN, "address": worker.address, "zone": worker.zone,
-        "slots": worker.slots, "state": "ready",
-    }
-    return json.dumps(row).encode()
+WARM_UP_S = 6.0
+# The worker leaves this long after the channels have fallen silent.
+LEAVES_AFTER_S = 0.1
+# It serves on for ``drainMs`` and "at times many seconds" more.
+SERVES_ON_S = 8.0
 
 
 async def case(record: s.Record, folder: pathlib.Path) -> int:
@@ -39,51 +32,59 @@
     ports = s.free_ports()
     ips = [s.loopback(100 + n) for n in range(INSTANCES)]
     seeds = [f"{ip}:{ports['control']}" for ip in ips[:3]]
-    instances = [
-        s.Instance(folder, f"front-{n}", s.ZONES[n % 3], ip, ports, store.address, seeds)
-        for n, ip in enumerate(ips)
-    ]
+    links, instances = [], []
+    for number, ip in enumerate(ips):
+        link = s.Link(store.address)
+        await link.start(s.loopback(2))
+        links.append(link)
+        zone = s.ZONES[number % 3]
+        instances.append(s.Instance(folder, f"front-{number}", zone, ip, ports, link.address, seeds))
     try:
         for instance in instances:
             await instance.start()
         for instance in instances:
             await instance.wait_until_ready()
-        return await check(record, store, workers[2], instances)
+        return await check(record, workers[2], links, instances)
     finally:
         for instance in instances:
             await instance.end()
 
 
-async def check(record, store, leaving, instances) -> int:
-    drain_at = s.now() + WARM_UP_S
+async def check(record, leaving, links, instances) -> int:
+    start = s.now()
+    silent_at = start + WARM_UP_S
+    end = silent_at + LEAVES_AFTER_S + SERVES_ON_S
     load = [
-        asyncio.create_task(s.keep_asking(record, item, REQUESTS_PER_S, drain_at + SERVES_ON_S))
+        asyncio.create_task(s.keep_asking(record, item, REQUESTS_PER_S, end))
         for item in instances
     ]
-    await asyncio.sleep(drain_at - s.now())
-    leaving.drain()
-    drain_at = s.now()
-    record.write(f"the store accepts that worker {leaving.id} is draining")
-    await asyncio.sleep(ENTRY_AFTER_S)
+    await asyncio.sleep(silent_at - s.now())
+    silent_at = s.now()
+    record.write(f"channels to the store, by instance: {[link.open for link in links]}")
     if s.TROUBLE:
-        store.put("keyed.servers", leaving.id, other_entry(leaving))
-        record.write(f"trouble: another writer's entry, with fields missing, names {leaving.id}")
-    await asyncio.sleep(s.HEARTBEAT_S)
-    store.put("keyed.servers", leaving.id, leaving.entry())
-    record.write(f"heartbeat of worker {leaving.id}, which is draining")
+        for link in links:
+            link.silence_open()
+        record.write("trouble: the open channels to the store fall silent for good")
+    await asyncio.sleep(LEAVES_AFTER_S)
+    leaving.unregister()
+    left_at = s.now()
+    record.write(f"the store accepts that the entry of worker {leaving.id} is removed")
     results = [item for part in await asyncio.gather(*load) for item in part]
     answered = sum(1 for item in results if item[3] == 200)
     if answered < 0.5 * len(results):
         record.write(f"only {answered} of {len(results)} requests were served")
         return s.COULD_NOT_RUN
-    bound = drain_at + s.BOUNDS["drainMs"] / 1000
+    drained_at = left_at + s.BOUNDS["drainMs"] / 1000
+    in_touch_at = silent_at + s.BOUNDS["contactMs"] / 1000 if s.TROUBLE else start
+    bound = max(drained_at, in_touch_at)
     late = [item for item in leaving.arrivals if item[0] > bound]
     last = max((item[0] for item in leaving.arrivals), default=0.0)
     record.write(
-        f"{len(results)} requests, {answered} served; draining at {drain_at:.3f}, last"
-        f" request reached the worker at {last:.3f}; {len(late)} were late"
+        f"{len(results)} requests, {answered} served; removed at {left_at:.3f}, drained"
+        f" at {drained_at:.3f}, machines in touch from {in_touch_at:.3f}, last request"
+        f" reached the worker at {last:.3f}; {len(late)} were late"
     )
-    print(f"last request {last - drain_at:.2f} s after the report; {len(late)} late")
+    print(f"last request {last - left_at:.2f} s after the removal; {len(late)} late")
     return s.BROKEN if late else s.HELD
 
 
