--- a/review/standins.py
+++ b/review/1/standins.py
@@ -27,7 +27,7 @@
 import traceback
 from urllib.parse import parse_qs, urlsplit
 
-ROOT = pathlib.Path(__file__).resolve().parents[1]
+ROOT = pathlib.Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
