--- a/cicadacourse/config.py
+++ b/cicadacourse/config.py
@@ -4,6 +4,7 @@
 
 import configparser
 import ipaddress
+import re
 from types import MappingProxyType
 from typing import Any, Callable, Mapping, TypeVar, dataclass_transform
 
@@ -116,7 +117,8 @@
     """
     host, _, port = text.rpartition(":")
     ipaddress.ip_address(host.strip("[]"))
-    if not 0 < int(port) <= MAX_PORT:
+    # A zone of an IPv6 address may be any text.
+    if "%" in host or _PORT.fullmatch(port) is None or int(port) > MAX_PORT:
         raise ValueError(text)
     return text
 
@@ -155,6 +157,7 @@
 
 
 MAX_PORT = 65535
+_PORT = re.compile("[1-9][0-9]{0,4}")
 MAX_NAME_LENGTH = 64
 LOG_LEVELS = ("critical", "error", "warning", "notice", "info", "debug", "trace")
 
--- a/cicadacourse/platform/_registry.py
+++ b/cicadacourse/platform/_registry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import json
+from typing import Any
 
 from returns.result import Failure, Result, Success
 
@@ -11,6 +11,9 @@
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.platform import _fields as fields
 
+# The most requests at once that an entry may state; larger numbers are no true ones.
+MAX_SLOTS = 65_535
+
 STATE_BY_NAME = {
     "ready": EndpointState.READY,
     "draining": EndpointState.LEAVING,
@@ -24,21 +27,33 @@
         of another writer or one that is cut short.
     """
     try:
-        row = json.loads(value)
-        if not isinstance(row, dict):
-            raise ValueError("expected a JSON object")
+        row = fields.parse_object(value)
         # When the endpoint's process started, in milliseconds by its own clock.
         started_ms = fields.integer(row, "born", None)
         endpoint = Endpoint(
-            id=endpoint_id,
+            id=_id(endpoint_id),
             pool=fields.string(row, "service"),
             address=parse_address(fields.string(row, "address")),
             failure_domain=fields.string(row, "zone"),
-            slots=int(fields.integer(row, "slots")),
+            slots=_slots(row),
             state=STATE_BY_NAME[fields.string(row, "state")],
             started_ms=None if started_ms is None else int(started_ms),
         )
         return Success(ListedEndpoint(endpoint, fields.seconds(row, "coldLeftMs", 0.0)))
-    except (ValueError, KeyError, TypeError, RecursionError) as error:
+    except (ValueError, KeyError) as error:
         detail = f"registry entry {endpoint_id!r:.40}: {error!r:.120}"
         return Failure(Error(ErrorKind.BAD_REQUEST, detail))
+
+
+def _id(text: str) -> str:
+    """Returns an id that can be named in a header of a request."""
+    if not text or not text.isascii() or not text.isprintable() or " " in text:
+        raise fields.FieldError("the id is not of visible ASCII characters")
+    return text
+
+
+def _slots(row: dict[str, Any]) -> int:
+    slots = int(fields.integer(row, "slots"))
+    if not 0 < slots <= MAX_SLOTS:
+        raise fields.FieldError(f"slots is {slots}, expected 1 to {MAX_SLOTS}")
+    return slots
