--- a/cicadacourse/logs/_state.py
+++ b/cicadacourse/logs/_state.py
@@ -88,6 +88,13 @@
 STORE_RECOVERED = declare(
     "store", "store regained", "Reads of `topic` succeed again after `lost_for_s`."
 )
+STORE_CONNECTION_SILENT = declare(
+    "store",
+    "connection to the store silent",
+    "A read got no byte of a response on a connection that had been used before, and is"
+    " made again on a new one; all connections open then are given up.",
+    True,
+)
 STORE_RESTORED = declare(
     "store",
     "store restored",
--- a/cicadacourse/platform/_store.py
+++ b/cicadacourse/platform/_store.py
@@ -13,7 +13,7 @@
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.events import STORE_RESTORED as STORE_RESTORED_EVENT
-from cicadacourse.logs import STORE_RESTORED, log
+from cicadacourse.logs import STORE_CONNECTION_SILENT, STORE_RESTORED, log
 from cicadacourse.metrics import Metrics
 from cicadacourse.platform import _names as names
 from cicadacourse.platform._names import PATH_APPEND, PATH_NEWEST, PATH_READ
@@ -170,9 +170,7 @@
         """Makes one call, which fails if the response has no accepted status."""
         target = f"{path}?{urlencode(query)}"
         try:
-            response = await self._http.request(
-                method, self.settings.address, target, timeout_s, body
-            )
+            response = await self._request(method, target, timeout_s, body)
         except HttpError as error:
             self._metrics.count(STORE_CALLS, call=path, outcome="unreachable")
             kind = ErrorKind.STORE_UNAVAILABLE
@@ -186,6 +184,26 @@
         kind = KIND_BY_STATUS.get(response.status, ErrorKind.STORE_OUTCOME_UNKNOWN)
         return Failure(Error(kind, f"{path} answered with status {response.status}"))
 
+    async def _request(
+        self, method: str, target: str, timeout_s: float, body: bytes | None
+    ) -> HttpResponse:
+        """Sends a request, a read again if its connection alone was silent.
+
+        Only a new connection shows whether the store itself is lost.
+
+        :raises HttpError: if there is no response.
+        """
+        address = self.settings.address
+        try:
+            return await self._http.request(method, address, target, timeout_s, body)
+        except HttpError as error:
+            if method != "GET" or not error.is_silent:
+                raise
+            log(STORE_CONNECTION_SILENT, reason=str(error))
+            path = target.partition("?")[0]
+            self._metrics.count(STORE_CALLS, call=path, outcome="silent")
+        return await self._http.request(method, address, target, timeout_s, body)
+
     def on_restored(self, era: int) -> None:
         """Called when the store has come back from a copy; its era has risen."""
 
--- a/cicadacourse/util/http.py
+++ b/cicadacourse/util/http.py
@@ -12,7 +12,7 @@
 from tornado.httpclient import HTTPRequest
 
 # Further calls wait for a connection; a call's timeout starts after this wait.
-MAX_CONNECTIONS = 512
+MAX_CONNECTIONS = 64
 # curl may resend requests of these methods on its own.
 _RETRYABLE_METHODS = frozenset({"GET", "HEAD", "DELETE"})
 # curl fails with these errors before it sends any byte of the request.
@@ -24,11 +24,16 @@
 
     :param detail: the address and what failed.
     :param may_have_been_sent: whether any byte of the request may have been sent.
+    :param is_silent: whether a connection that had been used before gave no byte of the
+        response in time. The server may answer at once on a new one.
     """
 
-    def __init__(self, detail: str, may_have_been_sent: bool) -> None:
+    def __init__(
+        self, detail: str, may_have_been_sent: bool, is_silent: bool = False
+    ) -> None:
         super().__init__(detail)
         self.may_have_been_sent = may_have_been_sent
+        self.is_silent = is_silent
 
 
 @attrs.frozen
@@ -47,8 +52,33 @@
         return json.loads(self.body)
 
 
+class _Request(HTTPRequest):
+    """A request that keeps whether it fell silent on a connection used before."""
+
+    is_silent = False
+
+
 class CurlClient(CurlAsyncHTTPClient):
-    """A curl client whose timer may still fire after it was closed."""
+    """A curl client whose timer may still fire after it was closed.
+
+    :ivar in_progress: how many calls are in progress.
+    """
+
+    in_progress = 0
+
+    def _finish(
+        self,
+        curl: pycurl.Curl,
+        curl_error: int | None = None,
+        curl_message: str | None = None,
+    ) -> None:
+        # Another call may use the handle as soon as this one is finished.
+        if curl_error == pycurl.E_OPERATION_TIMEDOUT:
+            is_kept = curl.getinfo(pycurl.NUM_CONNECTS) == 0
+            has_response = curl.getinfo(pycurl.HEADER_SIZE) > 0
+            request = curl.info["request"].request
+            request.is_silent = is_kept and not has_response
+        super()._finish(curl, curl_error, curl_message)
 
     def _handle_timeout(self) -> None:
         # Closing the handles starts the timer once more, which then finds no handle.
@@ -57,10 +87,16 @@
 
 
 class HttpClient:
-    """Calls servers at ``IP:port`` addresses; belongs to one event loop."""
+    """Calls servers at ``IP:port`` addresses; belongs to one event loop.
+
+    Open connections may fall silent together. So once a call has timed out, none of the
+    connections that were open then is used for another call.
+    """
 
     def __init__(self) -> None:
         self._curl: CurlClient | None = None
+        # Clients with calls in progress that take no further ones.
+        self._retired: list[CurlClient] = []
 
     async def request(
         self,
@@ -80,7 +116,7 @@
             raise HttpError(
                 f"{address}: no time left for the call", may_have_been_sent=False
             )
-        request = HTTPRequest(
+        request = _Request(
             f"http://{address}{path}",
             method=method,
             headers={"Content-Type": _content_type(body)},
@@ -91,19 +127,39 @@
             prepare_curl_callback=_get_curl_setup(method),
             follow_redirects=False,
         )
+        client = self._client()
+        client.in_progress += 1
         try:
-            response = await self._client().fetch(request, raise_error=False)
+            response = await client.fetch(request, raise_error=False)
         except CurlError as error:
+            if error.errno == pycurl.E_OPERATION_TIMEDOUT:
+                self._retire(client)
             sent = error.errno not in _NEVER_SENT
-            raise HttpError(f"{address}: {error}", sent) from error
+            raise HttpError(f"{address}: {error}", sent, request.is_silent) from error
+        finally:
+            client.in_progress -= 1
+            self._close_if_retired(client)
         headers = {name.lower(): text for name, text in response.headers.get_all()}
         return HttpResponse(response.code, response.body or b"", headers)
 
     def close(self) -> None:
         """Closes every connection."""
-        if self._curl is not None:
-            self._curl.close()
+        for client in (self._curl, *self._retired):
+            if client is not None:
+                client.close()
+        self._curl = None
+        self._retired.clear()
+
+    def _retire(self, client: CurlClient) -> None:
+        """Makes new calls use new connections; those in progress go on."""
+        if client is self._curl:
             self._curl = None
+            self._retired.append(client)
+
+    def _close_if_retired(self, client: CurlClient) -> None:
+        if client in self._retired and not client.in_progress:
+            self._retired.remove(client)
+            client.close()
 
     def _client(self) -> CurlClient:
         if self._curl is None:
