Tasks: one place starts, logs, counts and restarts background tasks

Cause: each part started its own tasks; most ends showed only when the process stopped. Change: cicadacourse/tasks.py in place of util/tasks.py; what must not end is made again after a backoff, and what may end is logged and counted if it fails. The event loop's handler does the same for callbacks.

--- a/cicadacourse/catalog/_service.py
+++ b/cicadacourse/catalog/_service.py
@@ -27,6 +27,7 @@
     log,
 )
 from cicadacourse.metrics import declare
+from cicadacourse.tasks import Tasks
 from cicadacourse.util.clock import now, time_to_tick
 
 TICK_PERIOD_S = 0.25
@@ -73,12 +74,12 @@
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Watches for stalls of the process while the instance runs."""
-        task = asyncio.create_task(self._tick())
+        tasks = Tasks(self.app.metrics, "catalog")
+        tasks.keep("tick", self._tick)
         try:
             yield
         finally:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+            await tasks.cancel()
 
     async def _tick(self) -> None:
         while True:
--- a/cicadacourse/cmd/serve.py
+++ b/cicadacourse/cmd/serve.py
@@ -29,6 +29,8 @@
     RELOAD_IGNORED,
     log,
 )
+from cicadacourse.metrics import Metrics
+from cicadacourse.tasks import Tasks, watch_event_loop
 from cicadacourse.util.clock import BoottimeEventLoop, time_to_tick
 from cicadacourse.util.logging import FLUSH_PERIOD_S, JsonHandler, json_logging
 
@@ -104,8 +106,9 @@
 async def _run(settings: Settings, handler: JsonHandler) -> int:
     app = Application(settings)
     name = settings.get(InstanceSettings).name
+    watch_event_loop(asyncio.get_running_loop(), app.metrics)
     try:
-        async with capnp.kj_loop(), _flushing(handler):
+        async with capnp.kj_loop(), _flushing(handler, app.metrics):
             app.add_services(*SERVICES_IN_ORDER)
             with termination() as terminated, _logging_reloads():
                 async with app.running():
@@ -136,7 +139,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _flushing(handler: JsonHandler) -> AsyncIterator[None]:
+async def _flushing(handler: JsonHandler, metrics: Metrics) -> AsyncIterator[None]:
     """Flushes buffered log lines once per period while it is open."""
 
     async def flush_periodically() -> None:
@@ -144,12 +147,12 @@
             await asyncio.sleep(time_to_tick(FLUSH_PERIOD_S))
             handler.flush()
 
-    task = asyncio.create_task(flush_periodically())
+    tasks = Tasks(metrics, "log")
+    tasks.keep("flush", flush_periodically)
     try:
         yield
     finally:
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
+        await tasks.cancel()
 
 
 @contextlib.contextmanager
--- a/cicadacourse/evidence/_service.py
+++ b/cicadacourse/evidence/_service.py
@@ -31,6 +31,7 @@
 from cicadacourse.logs import FACTS_NOT_FETCHED, FACTS_REFUSED, log
 from cicadacourse.metrics import declare
 from cicadacourse.peers import MalformedMessage, handles
+from cicadacourse.tasks import Tasks
 from cicadacourse.util.clock import now
 
 KNOWN_FACTS = declare(
@@ -61,6 +62,7 @@
         self._own_name = app.settings.get(InstanceSettings).name
         self._synced = asyncio.Event()
         self._synced.set()
+        self._tasks = Tasks(app.metrics, "evidence")
         self._sync_task: asyncio.Task[None] | None = None
         app.get("load").set_attachment_source(self._make_attachment)
         app.events.connect(ATTACHMENT_RECEIVED, self._receive)
@@ -137,12 +139,10 @@
     def _start_sync(self) -> None:
         if self._sync_task is None or self._sync_task.done():
             self._synced.clear()
-            self._sync_task = asyncio.create_task(self._sync())
+            self._sync_task = self._tasks.start(self._sync(), "sync")
 
     async def _stop_sync(self) -> None:
-        if self._sync_task is not None:
-            self._sync_task.cancel()
-            await asyncio.gather(self._sync_task, return_exceptions=True)
+        await self._tasks.cancel()
 
     async def _sync(self) -> None:
         """Fetches the facts of one other instance, or gives up after a time."""
--- a/cicadacourse/feed/_fetcher.py
+++ b/cicadacourse/feed/_fetcher.py
@@ -12,6 +12,7 @@
 from cicadacourse.feed._source import TableFeed
 from cicadacourse.logs import FETCH_FAILED, log
 from cicadacourse.membership import Member
+from cicadacourse.tasks import Tasks
 from cicadacourse.util.clock import now
 
 FETCH_TIMEOUT_S = 0.3
@@ -30,6 +31,7 @@
         self.subject = subject
         self.own_name = app.settings.get(InstanceSettings).name
         self.catalog_service: CatalogService = app.get("catalog")
+        self._tasks = Tasks(app.metrics, "relay")
         self._task: asyncio.Task[None] | None = None
         self._failure_logged_at: dict[str, float] = {}
 
@@ -38,13 +40,11 @@
         if self._task is not None and not self._task.done():
             coroutine.close()
             return
-        self._task = asyncio.create_task(coroutine)
+        self._task = self._tasks.start(coroutine, self.subject)
 
     async def stop(self) -> None:
         """Cancels the fetch in progress, if there is one."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self._tasks.cancel()
 
     async def call(self, member: Member, request: Any, timeout_s: float) -> Any:
         """Calls another instance and returns the result with its reply."""
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -137,9 +137,7 @@
         error = task.exception()
         if error is None or not self._task_by_attempt:
             return task.result()
-        logger.error(
-            "attempt of request {} failed: {!r}", self.admitted.request.id, error
-        )
+        self._log_error(error)
         return _NOT_WRITTEN
 
     def _go_on(self, result: AttemptResult) -> Error | None:
@@ -354,4 +352,11 @@
         """
         self._cancel([item for item in self._task_by_attempt if not item.has_failed])
         tasks = [*self._task_by_attempt.values(), *self._cancelled]
-        await asyncio.gather(*tasks, return_exceptions=True)
+        for error in await asyncio.gather(*tasks, return_exceptions=True):
+            if isinstance(error, Exception):
+                self._log_error(error)
+
+    def _log_error(self, error: BaseException) -> None:
+        logger.error(
+            "attempt of request {} failed: {!r}", self.admitted.request.id, error
+        )
--- a/cicadacourse/load/_service.py
+++ b/cicadacourse/load/_service.py
@@ -33,6 +33,7 @@
 from cicadacourse.load._table import LoadTable
 from cicadacourse.logs import REPORT_REFUSED, log
 from cicadacourse.peers import MalformedMessage
+from cicadacourse.tasks import Tasks
 from cicadacourse.util.addresses import split_address
 from cicadacourse.util.clock import MS_PER_S, now
 
@@ -91,12 +92,12 @@
             lambda: _ReportProtocol(self), local_addr=(host, port)
         )
         self._sender.open(transport)
-        task = asyncio.create_task(self.report_periodically())
+        tasks = Tasks(self.app.metrics, "load")
+        tasks.keep("report", self.report_periodically)
         try:
             yield
         finally:
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+            await tasks.cancel()
             self._sender.close()
 
     @property
--- a/cicadacourse/logs/__init__.py
+++ b/cicadacourse/logs/__init__.py
@@ -10,6 +10,7 @@
 
 from cicadacourse.logs._event import EVENTS_BY_TEXT, LogEvent, log
 from cicadacourse.logs._instance import (
+    CALLBACK_FAILED,
     FACTS_NOT_FETCHED,
     FACTS_REFUSED,
     INSTANCE_ANNOUNCED,
@@ -29,6 +30,7 @@
     RELOAD_IGNORED,
     REPORT_REFUSED,
     RESUMED,
+    TASK_ENDED,
 )
 from cicadacourse.logs._placement import (
     DECLINE_FORGOTTEN,
@@ -107,6 +109,7 @@
 __all__ = [
     "ATTEMPT_FAILED",
     "ATTEMPT_SUPERSEDED",
+    "CALLBACK_FAILED",
     "CALLER_DISCONNECTED",
     "CONFIGURATION_ENTRY_REFUSED",
     "CONFIGURATION_IN_FORCE",
@@ -190,5 +193,6 @@
     "STORE_RECOVERED",
     "STORE_RESTORED",
     "STREAM_ABORTED",
+    "TASK_ENDED",
     "log",
 ]
--- a/cicadacourse/logs/_instance.py
+++ b/cicadacourse/logs/_instance.py
@@ -19,6 +19,19 @@
     "`reason` is the system's error, such as an address that can't be bound.",
     True,
 )
+TASK_ENDED = declare(
+    "tasks",
+    "background task ended",
+    "The part `task` has failed, or a part that must not end has returned; the latter"
+    " is started again after a backoff.",
+    True,
+)
+CALLBACK_FAILED = declare(
+    "tasks",
+    "callback failed",
+    "The event loop reports an error that no part has handled.",
+    True,
+)
 RELOAD_IGNORED = declare(
     "instance",
     "settings unchanged until the next start",
--- a/cicadacourse/membership/_context.py
+++ b/cicadacourse/membership/_context.py
@@ -10,7 +10,7 @@
 from cicadacourse.membership._pauses import PauseDetector
 from cicadacourse.membership._records import Records
 from cicadacourse.membership._settings import MembershipSettings
-from cicadacourse.util.tasks import Tasks
+from cicadacourse.tasks import Tasks
 
 
 @attrs.frozen
--- a/cicadacourse/membership/_service.py
+++ b/cicadacourse/membership/_service.py
@@ -28,8 +28,8 @@
 from cicadacourse.membership._syncer import Syncer
 from cicadacourse.membership._view import MembershipView
 from cicadacourse.peers import handles
+from cicadacourse.tasks import Tasks
 from cicadacourse.util.clock import time_to_tick
-from cicadacourse.util.tasks import Tasks
 
 # Period of the checks for a pause of this instance.
 _TICK_S = 0.25
@@ -49,7 +49,7 @@
         settings = app.settings.get(MembershipSettings)
         instance = app.settings.get(InstanceSettings)
         self.view = MembershipView()
-        self._tasks = Tasks("membership")
+        self._tasks = Tasks(app.metrics, "membership")
         self._records = Records(
             app, settings, OwnRecord(instance), self.view, self._announce_own_news
         )
@@ -70,10 +70,10 @@
     async def running(self) -> AsyncIterator[None]:
         """Joins the other instances and detects their failures while it runs."""
         self._pauses.start()
-        self._tasks.start(self._tick())
-        self._tasks.start(self._prober.run(self.sleep))
-        self._tasks.start(self._syncer.run(self.sleep))
-        self._tasks.start(self._syncer.refresh(self.sleep))
+        self._tasks.keep("tick", self._tick)
+        self._tasks.keep("probe", lambda: self._prober.run(self.sleep))
+        self._tasks.keep("sync", lambda: self._syncer.run(self.sleep))
+        self._tasks.start(self._syncer.refresh(self.sleep), "refresh")
         try:
             yield
         finally:
@@ -166,7 +166,7 @@
         self.app.metrics.count(PAUSES)
         self._records.start_refresh()
         self._prober.restart_suspicions()
-        self._tasks.start(self._syncer.refresh(self.sleep))
+        self._tasks.start(self._syncer.refresh(self.sleep), "refresh")
         self.app.events.emit(RESUMED_AFTER_PAUSE)
 
     def _announce_own_news(self) -> None:
@@ -180,7 +180,7 @@
     def _announce(self) -> None:
         """Sends a change of this instance to a few members at once."""
         for announcement in self._prober.announcements():
-            self._tasks.start(announcement)
+            self._tasks.start(announcement, "announce")
 
     async def _send_leave_announcement(self) -> None:
         """Announces a graceful end, so that the others needn't detect a failure."""
--- a/cicadacourse/peers/_capnp.py
+++ b/cicadacourse/peers/_capnp.py
@@ -16,6 +16,7 @@
 from cicadacourse.peers._connection import Connection
 from cicadacourse.peers._dispatch import Frame, from_frame
 from cicadacourse.peers._framed import FramedPeers
+from cicadacourse.tasks import Tasks
 from cicadacourse.util.addresses import split_address
 from cicadacourse.util.logging import get_logger
 
@@ -56,7 +57,8 @@
     def __init__(self, app: Application) -> None:
         super().__init__(app)
         self._connection_by_address: dict[str, Connection] = {}
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = Tasks(app.metrics, "peers")
+        self._serving: set[asyncio.Task[Any]] = set()
         self._has_ended = False
 
     @contextlib.asynccontextmanager
@@ -70,9 +72,10 @@
         finally:
             self._has_ended = True
             server.close()
-            for task in list(self._tasks):
+            for task in list(self._serving):
                 task.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+            await asyncio.gather(*self._serving, return_exceptions=True)
+            await self._tasks.cancel()
 
     async def _exchange(
         self, address: str, frame: Frame, timeout_s: float
@@ -96,7 +99,7 @@
         if connection is None or connection.retired:
             connection = Connection(address, self._settings)
             self._connection_by_address[address] = connection
-            self._start(self._maintain(connection))
+            self._tasks.start(self._maintain(connection), "connection")
         return connection
 
     async def _maintain(self, connection: Connection) -> None:
@@ -120,7 +123,7 @@
         """Serves one connection of a peer until it ends."""
         task = asyncio.current_task()
         assert task is not None
-        self._tasks.add(task)
+        self._serving.add(task)
         limit_words = self._settings.max_message_bytes // 4
         server = capnp.TwoPartyServer(
             stream, bootstrap=_PeerServer(self), traversal_limit_in_words=limit_words
@@ -130,19 +133,9 @@
         except (asyncio.CancelledError, capnp.KjException) as error:
             logger.debug("connection of a peer ended: {}", _first_line(error))
         finally:
-            self._tasks.discard(task)
+            self._serving.discard(task)
             stream.close()
 
-    def _start(self, coroutine: Any) -> None:
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._task_ended)
-
-    def _task_ended(self, task: asyncio.Task[Any]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            logger.error("task of a peer connection failed", exc_info=task.exception())
-
 
 def _listening_socket(address: str) -> socket.socket:
     """Returns a listening socket whose connections detect a vanished peer."""
--- a/cicadacourse/platform/_feed.py
+++ b/cicadacourse/platform/_feed.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import contextlib
 from typing import AsyncIterator, Sequence
 
@@ -31,6 +30,7 @@
 from cicadacourse.platform._registry import decode_endpoint
 from cicadacourse.platform._settings import StoreSettings
 from cicadacourse.platform._store import Store
+from cicadacourse.tasks import Tasks
 from cicadacourse.util.clock import now
 
 # Shares of the bound for superseded configurations. Reads of the configuration end at
@@ -193,14 +193,13 @@
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Follows both topics while the instance runs."""
-        followers = (self._configuration_follower, self._registry_follower)
-        tasks = [asyncio.create_task(follower.run()) for follower in followers]
+        tasks = Tasks(self.app.metrics, "feed")
+        tasks.keep("configuration", self._configuration_follower.run)
+        tasks.keep("registry", self._registry_follower.run)
         try:
             yield
         finally:
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await tasks.cancel()
 
     def _is_configuration_reader(self) -> bool:
         """Returns whether this instance reads the configuration from the store now.
--- a/cicadacourse/platform/_ingress.py
+++ b/cicadacourse/platform/_ingress.py
@@ -24,6 +24,7 @@
 from cicadacourse.platform._caller_stream import CallerServer, CallerStream
 from cicadacourse.platform._settings import ListenSettings
 from cicadacourse.platform._wait_limits import WaitLimits
+from cicadacourse.tasks import Tasks
 from cicadacourse.util.addresses import split_address
 from cicadacourse.util.clock import now
 from cicadacourse.util.logging import get_logger
@@ -66,7 +67,9 @@
         super().__init__(app)
         self.is_leaving = False
         self._address = app.settings.get(InstanceSettings).caller_address
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = Tasks(app.metrics, "ingress")
+        # Not cancelled at a stop, so that each caller gets its refusal.
+        self._refusals = Tasks(app.metrics, "ingress")
         self._last_request_at = 0.0
         self._refuses_requests = False
         self._server: CallerServer | None = None
@@ -97,12 +100,12 @@
         server.listen(port, host)
         self._server = server
         self._apply_limits()
-        closing = asyncio.create_task(self.waiting.close_periodically())
+        closing = Tasks(self.app.metrics, "ingress")
+        closing.keep("close_waiting", self.waiting.close_periodically)
         try:
             yield
         finally:
-            closing.cancel()
-            await asyncio.gather(closing, return_exceptions=True)
+            await closing.cancel()
             await self._stop(server)
 
     async def _stop(self, server: CallerServer) -> None:
@@ -112,9 +115,7 @@
         """
         self.is_leaving = self._refuses_requests = True
         server.stop()
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.cancel()
         deadline = now() + CLOSE_TIMEOUT_S
         self.waiting.close_unused()
         while server.has_connections() and now() < deadline:
@@ -179,13 +180,15 @@
         """
         self._last_request_at = now()
         if self._refuses_requests:
-            asyncio.create_task(reply.fail(leaving_error()))
+            self.refuse(reply, leaving_error())
             return
-        task = asyncio.create_task(self._handle(request, reply))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task = self._tasks.start(self._handle(request, reply), "request")
         reply.on_disconnect(task.cancel)
 
+    def refuse(self, reply: CallerReply, error: Error) -> None:
+        """Answers a request that is not handled, without waiting for that."""
+        self._refusals.start(reply.fail(error), "refusal")
+
     async def _handle(self, request: CallerRequest, reply: CallerReply) -> None:
         try:
             await self.app.get("gateway").handle(request, reply)
@@ -251,7 +254,7 @@
             request = read_request(self._start_line, self._headers, body, self._arrived)
         except ValueError as error:
             detail = f"malformed request: {error}"
-            asyncio.create_task(reply.fail(Error(ErrorKind.BAD_REQUEST, detail)))
+            self._ingress.refuse(reply, Error(ErrorKind.BAD_REQUEST, detail))
             return
         reply.request_id = request.id
         self._ingress.serve(request, reply)
--- a/cicadacourse/platform/_instances.py
+++ b/cicadacourse/platform/_instances.py
@@ -25,6 +25,7 @@
 from cicadacourse.platform._records import KeyedRecord
 from cicadacourse.platform._settings import ListenSettings
 from cicadacourse.platform._store import Store
+from cicadacourse.tasks import Tasks
 
 # Backoff between attempts to announce this instance; doubles with each attempt.
 FIRST_BACKOFF_S = 0.5
@@ -46,25 +47,25 @@
         self._store: Store = app.get("store")
         self._peer_port = self._instance.peer_address.rpartition(":")[2]
         self._seeds = app.settings.get(ListenSettings).seeds
+        self._tasks = Tasks(app.metrics, "contacts")
         self._task: asyncio.Task[None] | None = None
         app.events.connect(STORE_RESTORED, self._announce_again)
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Announces this instance, with retries until the store accepts the record."""
-        self._task = asyncio.create_task(self._announce())
+        self._task = self._tasks.start(self._announce(), "announce")
         try:
             yield
         finally:
-            task, self._task = self._task, None
-            task.cancel()
-            await asyncio.gather(task, return_exceptions=True)
+            self._task = None
+            await self._tasks.cancel()
 
     def _announce_again(self) -> None:
         """Writes the record once more, as a restored store may have lost it."""
         if self._task is not None:
             self._task.cancel()
-            self._task = asyncio.create_task(self._announce())
+            self._task = self._tasks.start(self._announce(), "announce")
 
     async def fetch(self, timeout_s: float) -> Result[tuple[Contact, ...], Error]:
         """Returns the stored instances, and the seeds that are not stored.
--- a/cicadacourse/proxy/_client.py
+++ b/cicadacourse/proxy/_client.py
@@ -23,8 +23,8 @@
     ConnectAttempt,
     Ways,
 )
+from cicadacourse.tasks import Tasks
 from cicadacourse.util.clock import now
-from cicadacourse.util.tasks import Tasks
 
 
 @SERVICES.register("endpoint_caller")
@@ -36,7 +36,7 @@
     def __init__(self, app: Application) -> None:
         super().__init__(app)
         self._connector: EndpointConnector = app.get("endpoint_connector")
-        self._tasks = Tasks("proxy")
+        self._tasks = Tasks(app.metrics, "proxy")
         self._ways = Ways(app, self._tasks)
         self._race = ConnectionRace(app, self._ways, self._tasks)
 
--- a/cicadacourse/proxy/_proxied_connection.py
+++ b/cicadacourse/proxy/_proxied_connection.py
@@ -29,8 +29,8 @@
     SendProxied,
 )
 from cicadacourse.proxy._pieces import PIECE_WAIT_S
+from cicadacourse.tasks import Tasks
 from cicadacourse.util.clock import now
-from cicadacourse.util.tasks import Tasks
 
 # How long a call to the peer may take beyond its own wait until it is made again. A
 # call that is lost is repeated before the peer cancels the exchange.
--- a/cicadacourse/proxy/_race.py
+++ b/cicadacourse/proxy/_race.py
@@ -9,8 +9,8 @@
 from cicadacourse.metrics import declare
 from cicadacourse.proxy._ways import ConnectAttempt, OpenConnection, Ways
 from cicadacourse.reachability import Reachability
+from cicadacourse.tasks import Tasks
 from cicadacourse.util.clock import now
-from cicadacourse.util.tasks import Tasks
 
 PROXIED = declare(
     "exchanges_proxied_total",
--- a/cicadacourse/proxy/_server.py
+++ b/cicadacourse/proxy/_server.py
@@ -32,6 +32,7 @@
     SendProxied,
 )
 from cicadacourse.reachability import Reachability
+from cicadacourse.tasks import Tasks
 from cicadacourse.util.clock import now
 
 CARRIED_IN_PROGRESS = declare(
@@ -67,7 +68,7 @@
         self._is_sent_by_ended_id: collections.OrderedDict[str, bool] = (
             collections.OrderedDict()
         )
-        self._closing: set[asyncio.Task[None]] = set()
+        self._closing = Tasks(app.metrics, "proxy")
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
@@ -77,7 +78,7 @@
         finally:
             for exchange in list(self._exchange_by_id.values()):
                 self._end(exchange, STOPPED)
-            await asyncio.gather(*self._closing, return_exceptions=True)
+            await self._closing.wait()
 
     @property
     def in_progress(self) -> int:
@@ -213,9 +214,7 @@
         if self._exchange_by_id.pop(exchange.id, None) is None:
             return
         self._remember_ended(exchange.id, exchange.is_sent)
-        task = asyncio.create_task(exchange.close(outcome))
-        self._closing.add(task)
-        task.add_done_callback(self._closing.discard)
+        self._closing.start(exchange.close(outcome), "close")
 
     def _remember_ended(self, exchange_id: str, is_sent: bool) -> None:
         self._is_sent_by_ended_id[exchange_id] = is_sent
--- a/cicadacourse/proxy/_ways.py
+++ b/cicadacourse/proxy/_ways.py
@@ -24,8 +24,8 @@
 from cicadacourse.proxy._messages import REASON_LINK_LOST
 from cicadacourse.proxy._proxied_connection import ProxiedConnection
 from cicadacourse.reachability import Reachability
+from cicadacourse.tasks import Tasks
 from cicadacourse.util.clock import now
-from cicadacourse.util.tasks import Tasks
 
 PEERS_NOT_USED = declare(
     "proxy_peers_not_used_total",
--- a/cicadacourse/quarantine/_service.py
+++ b/cicadacourse/quarantine/_service.py
@@ -40,6 +40,7 @@
     choose_blamed,
     judge,
 )
+from cicadacourse.tasks import Tasks
 from cicadacourse.util.clock import now
 
 SUSPECTED_PARTS = declare(
@@ -83,7 +84,7 @@
         self._requests = Ledger(self._evidence, REQUEST_CRASH, REQUEST_SUCCESS)
         self._ended: EndedProcesses | None = None
         self._news = EndedNews(app)
-        self._check_tasks: set[asyncio.Task[None]] = set()
+        self._tasks = Tasks(app.metrics, "quarantine")
         self._verdict_by_key: dict[str, Verdict] = {}
         self._verdicts_changed = asyncio.Event()
         self._judged_at = float("-inf")
@@ -150,9 +151,7 @@
         if self._ended is None:
             self._ended = EndedProcesses(client)
         check = self._check(self._ended, endpoint, keys, has_begun)
-        task = asyncio.create_task(check)
-        self._check_tasks.add(task)
-        task.add_done_callback(self._check_tasks.discard)
+        task = self._tasks.start(check, "check")
         await asyncio.wait({task}, timeout=MAX_CHECK_WAIT_S)
 
     def record_crash(
--- a/cicadacourse/reachability/_prober.py
+++ b/cicadacourse/reachability/_prober.py
@@ -13,6 +13,7 @@
 import attrs
 
 from cicadacourse.catalog import Endpoint
+from cicadacourse.tasks import Tasks
 from cicadacourse.util.logging import get_logger
 
 logger = get_logger("reachability")
@@ -52,12 +53,14 @@
         was made.
     :param on_try: called after each try.
     :param sleep: sleeps for some seconds.
+    :param tasks: runs the tries.
     """
 
     choose: Callable[[], Sequence[ProbeGroup]]
     try_connection: Callable[[Endpoint], Awaitable[bool]]
     on_try: Callable[[], None]
     sleep: Callable[[float], Awaitable[None]]
+    tasks: Tasks
     _task: asyncio.Task[None] | None = None
     _is_running: bool = False
 
@@ -68,15 +71,13 @@
     def wake(self) -> None:
         """Starts the tries if there is an endpoint to try and none are in progress."""
         if self._is_running and self._task is None and self.choose():
-            self._task = asyncio.create_task(self._run())
+            self._task = self.tasks.start(self._run(), "links")
             self._task.add_done_callback(self._ended)
 
     async def stop(self) -> None:
         """Ends the tries for good."""
         self._is_running = False
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await self.tasks.cancel()
 
     async def _run(self) -> None:
         while groups := self.choose():
@@ -100,5 +101,4 @@
     def _ended(self, task: asyncio.Task[None]) -> None:
         self._task = None
         if not task.cancelled() and task.exception() is not None:
-            logger.error("probes of links failed: {!r}", task.exception())
-            # A link that is still lost starts them again with its next change.
+            asyncio.get_running_loop().call_later(PERIOD_S, self.wake)
--- a/cicadacourse/reachability/_service.py
+++ b/cicadacourse/reachability/_service.py
@@ -25,6 +25,7 @@
 from cicadacourse.reachability._prober import LinkProber
 from cicadacourse.reachability._report import CUT_OFF_SHARE, LossReport
 from cicadacourse.reachability._targets import ProbeTargets
+from cicadacourse.tasks import Tasks
 from cicadacourse.util.clock import now
 
 # How many instances are asked whether they reach an endpoint.
@@ -53,7 +54,11 @@
         self._checks = EndpointChecks(app)
         self._targets = ProbeTargets(app, self._links)
         self._prober = LinkProber(
-            self._targets.choose, self._probe, self._repeat, lambda s: self.sleep(s)
+            self._targets.choose,
+            self._probe,
+            self._repeat,
+            lambda s: self.sleep(s),
+            Tasks(app.metrics, "reachability"),
         )
         app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
         app.events.connect(RESUMED_AFTER_PAUSE, self._resume)
--- a/cicadacourse/reservations/_proxying_client.py
+++ b/cicadacourse/reservations/_proxying_client.py
@@ -23,7 +23,7 @@
 from cicadacourse.reachability import Reachability
 from cicadacourse.reservations._client import KvCacheClient
 from cicadacourse.reservations._messages import OrderDone, SendOrder
-from cicadacourse.util.tasks import Tasks
+from cicadacourse.tasks import Tasks
 
 # How long a direct order may take before another instance is asked beside it.
 HEAD_START_S = 0.15
@@ -41,7 +41,7 @@
         super().__init__(app)
         self._own_name = app.settings.get(InstanceSettings).name
         self._direct: KvCacheClient = app.get("direct_memory_client")
-        self._tasks = Tasks("reservations")
+        self._tasks = Tasks(app.metrics, "reservations")
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
--- a/cicadacourse/reservations/_service.py
+++ b/cicadacourse/reservations/_service.py
@@ -9,7 +9,7 @@
 import asyncio
 import contextlib
 import itertools
-from typing import Any, AsyncIterator, Awaitable, Callable, Coroutine, Sequence
+from typing import Any, AsyncIterator, Awaitable, Callable, Sequence
 
 import attrs
 from returns.result import Failure, Success
@@ -31,6 +31,7 @@
 from cicadacourse.placement import ReservationPlan
 from cicadacourse.reservations._engine_watch import EngineWatch
 from cicadacourse.reservations._settings import ReservationSettings
+from cicadacourse.tasks import Tasks
 from cicadacourse.util.clock import now
 
 RESERVATIONS = declare(
@@ -84,7 +85,7 @@
         self._own_name = app.settings.get(InstanceSettings).name
         self._numbers = itertools.count(1)
         self._started = f"{now():.3f}"
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = Tasks(app.metrics, "reservations")
         settings = app.settings.get(ReservationSettings)
         max_silent_s = settings.unused_bound_s - LEASE_S - RELEASE_MARGIN_S
         self._max_silent_s = max(MIN_SILENT_S, max_silent_s)
@@ -96,7 +97,7 @@
         try:
             yield
         finally:
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+            await self._tasks.wait()
 
     @contextlib.asynccontextmanager
     async def hold(
@@ -126,14 +127,14 @@
         scope = asyncio.timeout(None)
         try:
             await self._reserve_all(request_id, reservations)
-            tasks.append(self._start_task(self._renew(request_id, reservations)))
+            tasks.append(self._tasks.start(self._renew(request_id, reservations)))
             async with scope:
                 limit_s = max(self._max_silent_s, ESTIMATE_FACTOR * expected_s)
                 dead = self._engine_watch.wait_until_dead(
                     decode_engine, silent_s, limit_s
                 )
                 watch = self._end_when_dead(request_id, decode_engine, dead, scope)
-                tasks.append(self._start_task(watch))
+                tasks.append(self._tasks.start(watch))
                 yield reservations
         except TimeoutError as error:
             if not scope.expired():
@@ -144,7 +145,7 @@
             for task in tasks:
                 task.cancel()
             for reservation in reservations:
-                self._start_task(self._release(reservation))
+                self._tasks.start(self._release(reservation))
 
     def _make_reservation(self, plan: ReservationPlan) -> Reservation:
         number = next(self._numbers)
@@ -238,12 +239,6 @@
             reason=detail,
         )
 
-    def _start_task(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
-        task = asyncio.create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
 
 def _log_failures(
     request_id: str, reservations: Sequence[Reservation], results: Sequence[Any]
