Peers: a connection on which a call timed out is replaced at once, not after 3 s

Cause: a silent connection between instances failed each call for 3 s, and each other one had to be found silent by itself, so that instances suspect each other, and fetches and permits fail. Evidence: with the former peers/, the call that follows a silent one fails (new test). Change: a connection that answered nothing since a call that timed out is replaced, at most once a second for each peer; once the peer answers on the new one, siblings that answered nothing lately are replaced as well. A second direct probe before a suspicion was tried and taken back: a test that shows why pauses are detected no longer showed it.

--- a/cicadacourse/peers/_capnp.py
+++ b/cicadacourse/peers/_capnp.py
@@ -18,12 +18,18 @@
 from cicadacourse.peers._framed import FramedPeers
 from cicadacourse.tasks import Tasks
 from cicadacourse.util.addresses import split_address
+from cicadacourse.util.clock import now
 from cicadacourse.util.logging import get_logger
 
 logger = get_logger("peers")
 
 _KEEPALIVE_IDLE_S = 60
 _LISTEN_BACKLOG = 256
+# A connection to a peer that is lost is replaced no more often than this.
+MIN_REPLACEMENT_S = 1.0
+# Connections that were answered no longer ago than this when another one was found
+# silent have not fallen silent with it: calls wait no longer than this in most cases.
+SILENCE_S = 1.0
 
 
 # The class exists only once the schema file is loaded, so it has no static type.
@@ -83,21 +89,24 @@
         if self._has_ended:
             return _unreachable(f"{address}: this instance is stopping")
         connection = self._get_connection(address)
+        called_at = now()
         try:
             async with asyncio.timeout(timeout_s):
                 reply = await connection.call(frame, timeout_s)
         except TimeoutError:
-            self._retire_if_unresponsive(connection)
+            self._retire_if_silent(connection, called_at)
             return _unreachable(f"{address}: no answer in {timeout_s:g} s")
         except (OSError, capnp.KjException) as error:
             return _unreachable(f"{address}: {_first_line(error)}")
+        self._retire_silent_siblings(connection)
         return from_frame(reply, self._settings.max_message_bytes)
 
     def _get_connection(self, address: str) -> Connection:
         """Returns the connection to an address, and opens one if there is none."""
         connection = self._connection_by_address.get(address)
         if connection is None or connection.retired:
-            connection = Connection(address, self._settings)
+            replaced_at = now() if connection is not None else None
+            connection = Connection(address, self._settings, replaced_at)
             self._connection_by_address[address] = connection
             self._tasks.start(self._maintain(connection), "connection")
         return connection
@@ -110,15 +119,33 @@
             if self._connection_by_address.get(connection.address) is connection:
                 del self._connection_by_address[connection.address]
 
-    def _retire_if_unresponsive(self, connection: Connection) -> None:
-        """Makes later calls open a new connection if the peer answers none on this one.
+    def _retire_if_silent(self, connection: Connection, called_at: float) -> None:
+        """Makes later calls open a new connection if this one has fallen silent.
 
-        After a network partition, the connection would otherwise resume only when TCP
-        retransmits, which may take minutes.
+        The peer may be lost, or only the connection: after a network partition, it
+        would resume only when TCP retransmits, which may take minutes.
+
+        :param called_at: when a call was made that timed out, loop time in seconds.
         """
-        if connection.is_unresponsive():
+        replaced_at = connection.replaced_at
+        if replaced_at is not None and now() - replaced_at < MIN_REPLACEMENT_S:
+            return
+        if connection.is_silent_since(called_at):
             connection.retired = True
 
+    def _retire_silent_siblings(self, connection: Connection) -> None:
+        """Gives up connections that may have fallen silent together with another one.
+
+        The peer answers on the connection that replaced it, so the peer was not lost.
+        """
+        replaced_at, connection.replaced_at = connection.replaced_at, None
+        if replaced_at is None:
+            return
+        for sibling in self._connection_by_address.values():
+            is_proven = sibling.answered_at >= replaced_at - SILENCE_S
+            if sibling is not connection and not is_proven:
+                sibling.retired = True
+
     async def _serve(self, stream: Any) -> None:
         """Serves one connection of a peer until it ends."""
         task = asyncio.current_task()
--- a/cicadacourse/peers/_connection.py
+++ b/cicadacourse/peers/_connection.py
@@ -13,7 +13,6 @@
 from cicadacourse.util.clock import now
 
 _FIRST_BACKOFF_S = 0.05
-_UNRESPONSIVE_AFTER_S = 3.0
 
 
 class Connection:
@@ -21,23 +20,30 @@
 
     :param address: the peer's address.
     :param settings: timeouts, backoff and message size limits.
+    :param replaced_at: when it replaced a silent connection, loop time in seconds; None
+        if it did not.
     :ivar retired: whether new calls must use another connection.
+    :ivar answered_at: when a call was answered last, loop time in seconds.
     """
 
-    def __init__(self, address: str, settings: PeersSettings) -> None:
+    def __init__(
+        self, address: str, settings: PeersSettings, replaced_at: float | None = None
+    ) -> None:
         self.address = address
         self.retired = False
+        self.replaced_at = replaced_at
+        self.answered_at = float("-inf")
         self._settings = settings
         self._ready: asyncio.Future[Any] = _make_future()
         self._in_progress = 0
         self._last_used = now()
-        self._unanswered_since: float | None = None
 
-    def is_unresponsive(self) -> bool:
-        """Returns whether calls got no answer for over ``_UNRESPONSIVE_AFTER_S``."""
-        if self._unanswered_since is None:
-            return False
-        return now() - self._unanswered_since > _UNRESPONSIVE_AFTER_S
+    def is_silent_since(self, called_at: float) -> bool:
+        """Returns whether it is connected but answered no call since a time.
+
+        :param called_at: loop time in seconds.
+        """
+        return self._ready.done() and self.answered_at < called_at
 
     async def call(self, frame: Frame, timeout_s: float) -> Frame:
         """Sends a frame and returns the reply.
@@ -47,8 +53,6 @@
         :raises capnp.KjException: if the connection broke.
         """
         self._last_used = now()
-        if self._unanswered_since is None:
-            self._unanswered_since = now()
         self._in_progress += 1
         try:
             peer = await asyncio.shield(self._ready)
@@ -58,7 +62,7 @@
             envelope.body = frame.body
             envelope.timeoutS = timeout_s
             reply = (await request.send()).reply
-            self._unanswered_since = now() if self._in_progress > 1 else None
+            self.answered_at = now()
             return Frame(reply.name, reply.body)
         finally:
             self._in_progress -= 1
--- a/tests/test_peers/test_peers_capnp.py
+++ b/tests/test_peers/test_peers_capnp.py
@@ -16,12 +16,13 @@
 
 import capnp
 import pytest
-from returns.result import Success
+from returns.result import Failure, Success
 
 from cicadacourse.errors import ErrorKind
 from cicadacourse.membership import Member
 from cicadacourse.peers import PeersSettings
-from cicadacourse.peers._capnp import _listening_socket
+from cicadacourse.peers._capnp import SILENCE_S, _listening_socket
+from soak._proxy import Proxy
 from standins.ports import free_port
 from tests.test_peers.echo_process import ACK, build, ping
 
@@ -147,12 +148,51 @@
         peers, address = one.get("peers"), other.get("peers").address
         assert await peers.call(address, ping(), LIMIT_S) == OK
         unresponsive = peers._connection_by_address[address]
-        unresponsive._unanswered_since = 0.0
         await peers.call(address, ping(target="5"), 0.1)
         assert await peers.call(address, ping(), LIMIT_S) == OK
         assert peers._connection_by_address[address] is not unresponsive
 
 
+async def test_silent_connections_are_replaced_after_one_call_each_at_most():
+    """Open connections fall silent for good while new ones work.
+
+    Calls on them failed for three seconds, so that instances suspected each other.
+    """
+    one = build("e1", free_port())
+    others = [build(f"e{number}", free_port()) for number in (2, 3, 4)]
+    async with contextlib.AsyncExitStack() as stack:
+        await stack.enter_async_context(capnp.kj_loop())
+        proxies = []
+        for app in (one, *others):
+            await stack.enter_async_context(app.running())
+        for app in others:
+            address = f"127.0.0.1:{free_port()}"
+            proxies.append(Proxy(address, app.get("peers").address))
+            await stack.enter_async_context(proxies[-1].running())
+        peers = one.get("peers")
+        for proxy in proxies:
+            assert await peers.call(proxy.address, ping(), LIMIT_S) == OK
+        await asyncio.sleep(SILENCE_S)
+        for proxy in proxies:
+            proxy.silence_open_connections()
+        result = await peers.call(proxies[0].address, ping(), 0.2)
+        assert result.failure().kind is ErrorKind.PEER_UNREACHABLE
+        for proxy in proxies:
+            assert await peers.call(proxy.address, ping(), 1.0) == OK
+
+
+async def test_a_call_that_is_slow_beside_answered_ones_keeps_its_connection():
+    async with running_pair() as (peers, address):
+        assert await peers.call(address, ping(), LIMIT_S) == OK
+        connection = peers._connection_by_address[address]
+        slow = asyncio.create_task(peers.call(address, ping(target="60"), 0.3))
+        await asyncio.sleep(0.1)
+        assert await peers.call(address, ping(), LIMIT_S) == OK
+        assert isinstance(await slow, Failure)
+        assert await peers.call(address, ping(), LIMIT_S) == OK
+        assert peers._connection_by_address[address] is connection
+
+
 @pytest.mark.parametrize("protocol", [socket.IPPROTO_TCP, 0])
 async def test_replies_are_sent_without_delay(protocol):
     """Nagle's algorithm, which delays small replies, is off.
