--- a/cicadacourse/platform/_endpoint_connector.py
+++ b/cicadacourse/platform/_endpoint_connector.py
@@ -197,10 +197,7 @@
         if not isinstance(response, h11.Response):
             raise SendFailure("no response head was received", True, "malformed_answer")
         head = read_head(response)
-        if not _is_response_to(response, request):
-            raise SendFailure(
-                "the response bears the id of another request", True, "foreign_answer"
-            )
+        _check_origin(head, response, caller.id)
         return _Response(head, self._connection, _keep_alive_s(response))
 
     async def _receive_head(self, timeout_s: float) -> object:
@@ -274,13 +271,32 @@
     return headers
 
 
-def _is_response_to(response: h11.Response, request: EndpointRequest) -> bool:
-    """Returns False only if a response has the id of another request."""
-    expected = request.caller.id
-    for header in decode_headers(response):
-        if header.name.lower() == names.HEADER_REQUEST_ID.lower():
-            return header.value == expected
-    return True
+def _check_origin(head: ResponseHead, response: h11.Response, request_id: str) -> None:
+    """Checks that a response is the endpoint's, and the one to a request.
+
+    A faulty endpoint may send further bytes after a response, which look like the
+    response to the next request. Endpoints name the request in each response, and seal
+    successes.
+
+    :raises SendFailure: if it names no request or another one, or is an unsealed
+        success. The request was sent and may have run.
+    """
+    # A caller may give its request no id, or an empty one.
+    ids = set(_values(response, names.HEADER_REQUEST_ID)) - {""}
+    if ids != {request_id} - {""}:
+        detail = "the response bears the id of another request, or none"
+        raise SendFailure(detail, True, "foreign_answer")
+    if head.is_success and not any(_values(response, names.HEADER_SIGNATURE)):
+        raise SendFailure("the success bears no seal", True, "unsealed_answer")
+
+
+def _values(response: h11.Response, name: str) -> list[str]:
+    """Returns the values of all headers of a name."""
+    return [
+        header.value
+        for header in decode_headers(response)
+        if header.name.lower() == name.lower()
+    ]
 
 
 def _keep_alive_s(response: h11.Response) -> float:
--- a/standins/platform/_worker_http.py
+++ b/standins/platform/_worker_http.py
@@ -42,6 +42,7 @@
             self.worker.leaving_ids.add(self.request_id)
         expected = self.request.headers.get(names.HEADER_EXPECTED_ENDPOINT)
         if expected is not None and expected != self.worker.id:
+            self.set_header(names.HEADER_REQUEST_ID, self.request_id)
             self.set_header(names.HEADER_NOT_EXECUTED, "1")
             self.set_status(MISDIRECTED)
             self.finish()
--- a/tests/test_gateway/test_gateway_histories.py
+++ b/tests/test_gateway/test_gateway_histories.py
@@ -46,6 +46,7 @@
 from cicadacourse.load import LoadService
 from cicadacourse.membership import Member
 from cicadacourse.placement import Placer
+from cicadacourse.platform import _names as names
 from cicadacourse.proxy import ProxyingClient
 from cicadacourse.quarantine import Quarantine
 from cicadacourse.reachability import Reachability
@@ -361,7 +362,7 @@
         timeout_s=scheduled.time_limit_s,
         last_event_id=None,
         prompt=Prompt("m", 4000, 46 * EVENTS) if scheduled.is_stream else None,
-        headers=(),
+        headers=(Header(names.HEADER_REQUEST_ID, f"r{number}"),),
         body=b"",
     )
     reply = FakeReply()
--- a/tests/test_platform/test_platform_broken_streams.py
+++ b/tests/test_platform/test_platform_broken_streams.py
@@ -12,6 +12,7 @@
 from standins.platform import ENGINE_POOL, RegisteredEndpoint, Worker
 from standins.ports import next_host
 from tests.platform_fleet import Caller, make_instance, running_fleet, running_instance
+from tests.raw_endpoints import identify
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
 EVENTS = b"id: 0\ndata: a\n\nid: 1\ndata: b\n\n"
@@ -21,8 +22,8 @@
 async def _server(host: str, answer: bytes) -> AsyncIterator[str]:
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(answer)
+            head = await reader.readuntil(b"\r\n\r\n")
+            writer.write(identify(answer, head))
             await writer.drain()
         writer.close()
 
--- a/tests/test_platform/test_platform_endless.py
+++ b/tests/test_platform/test_platform_endless.py
@@ -19,6 +19,7 @@
 from standins.platform import ENGINE_POOL, PLAIN_POOL, RegisteredEndpoint, Worker
 from standins.ports import next_host
 from tests.platform_fleet import Caller, make_instance, running_fleet, running_instance
+from tests.raw_endpoints import identify
 
 BLOCK = b"x" * 65_536
 STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -36,6 +37,7 @@
 
     def __init__(self, head: bytes, is_chunked: bool = False) -> None:
         self.head = head
+        self.is_valid = head.startswith(b"HTTP/1.1 ")
         self.is_chunked = is_chunked
         self.sent = 0
 
@@ -44,8 +46,8 @@
     ) -> None:
         """Serves one connection until it is closed."""
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(self.head)
+            head = await reader.readuntil(b"\r\n\r\n")
+            writer.write(identify(self.head, head) if self.is_valid else self.head)
             while True:
                 size = b"%x\r\n" % len(BLOCK) if self.is_chunked else b""
                 writer.write(size + BLOCK + (b"\r\n" if self.is_chunked else b""))
--- a/tests/test_platform/test_platform_lost_links.py
+++ b/tests/test_platform/test_platform_lost_links.py
@@ -23,6 +23,7 @@
 from standins.callers import encode_request, event_ids, read_response
 from standins.platform import PROFILE
 from standins.ports import free_port, next_host
+from tests.raw_endpoints import identify, read_id
 
 OK = 200
 TIMEOUT_MS = 4000
@@ -36,20 +37,16 @@
 BODY = bytes(range(256)) * 40
 ANSWERS = {
     "/look/length?a=%20&b=1": (
-        b"HTTP/1.1 200 Fine\r\n%s: raw.ID\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\n"
+        b"HTTP/1.1 200 Fine\r\nSet-Cookie: a=1\r\nSet-Cookie: b=2\r\n"
         b"X-Odd:  two  spaces \r\nContent-Length: 10240\r\n\r\n" + BODY
     ),
     "/look/chunks": (
-        b"HTTP/1.1 200 OK\r\n%s: raw.ID\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
         b"3\r\n\x00\r\n\r\n2800\r\n" + BODY + b"\r\n0\r\n\r\n"
     ),
-    "/look/empty": b"HTTP/1.1 204 No Content\r\n%s: raw.ID\r\n\r\n",
-    "/book/failure": (
-        b"HTTP/1.1 409 Conflict\r\n%s: raw.ID\r\nContent-Length: 4\r\n\r\nno\r\n"
-    ),
-    "/book/error": (
-        b"HTTP/1.1 500 Broken\r\n%s: raw.ID\r\nContent-Length: 2\r\n\r\n{}"
-    ),
+    "/look/empty": b"HTTP/1.1 204 No Content\r\n\r\n",
+    "/book/failure": (b"HTTP/1.1 409 Conflict\r\nContent-Length: 4\r\n\r\nno\r\n"),
+    "/book/error": (b"HTTP/1.1 500 Broken\r\nContent-Length: 2\r\n\r\n{}"),
 }
 
 
@@ -73,12 +70,9 @@
                 head = await reader.readuntil(b"\r\n\r\n")
                 length = re.search(rb"(?i)content-length: (\d+)", head)
                 body = await reader.readexactly(int(length[1]) if length else 0)
-                id = re.search(rb"(?i)request-id: (\S+)", head)
-                assert id is not None
-                self.request_by_id[id[1].decode()] = head + body
+                self.request_by_id[read_id(head).decode()] = head + body
                 answer = ANSWERS[head.split()[1].decode()]
-                seal = names.HEADER_SIGNATURE.encode()
-                writer.write(answer.replace(b"%s", seal).replace(b"ID", id[1]))
+                writer.write(identify(answer, head))
         writer.close()
 
 
--- a/tests/test_platform/test_platform_silent_connections.py
+++ b/tests/test_platform/test_platform_silent_connections.py
@@ -16,6 +16,7 @@
 from cicadacourse.catalog import CatalogService
 from cicadacourse.platform import PlatformEndpointConnector
 from cicadacourse.util.clock import now
+from tests.raw_endpoints import identify
 from tests.test_gateway.test_gateway_histories import (
     OK,
     ScheduledRequest,
@@ -50,9 +51,9 @@
         """Serves one connection; called by asyncio."""
         self.open_connections.append(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
-            while await reader.readuntil(b"\r\n\r\n"):
+            while head := await reader.readuntil(b"\r\n\r\n"):
                 if writer not in self.silent:
-                    writer.write(RESPONSE)
+                    writer.write(identify(RESPONSE, head))
         writer.close()
 
 
--- a/tests/test_tasks.py
+++ b/tests/test_tasks.py
@@ -1,6 +1,6 @@
 """Background tasks that end by themselves.
 
-The failure: the task that follows the registry ended with an error that nothing noticed.
+The failure: the task that follows the registry ended with an error, unnoticed.
 """
 
 from __future__ import annotations
