--- a/cicadacourse/platform/_registry.py
+++ b/cicadacourse/platform/_registry.py
@@ -23,13 +23,11 @@
 def decode_endpoint(endpoint_id: str, value: bytes) -> Result[ListedEndpoint, Error]:
     """Decodes one entry of the registry.
 
-    :returns: a Failure of kind ``BAD_REQUEST`` if the entry is malformed, such as one
-        of another writer or one that is cut short.
+    :returns: a Failure of kind ``BAD_REQUEST`` if the entry is malformed or lacks a
+        field, such as one of another writer or one that is cut short.
     """
     try:
         row = fields.parse_object(value)
-        # When the endpoint's process started, in milliseconds by its own clock.
-        started_ms = fields.integer(row, "born", None)
         endpoint = Endpoint(
             id=_id(endpoint_id),
             pool=fields.string(row, "service"),
@@ -37,9 +35,12 @@
             failure_domain=fields.string(row, "zone"),
             slots=_slots(row),
             state=STATE_BY_NAME[fields.string(row, "state")],
-            started_ms=None if started_ms is None else int(started_ms),
+            started_ms=_started_ms(row),
         )
-        return Success(ListedEndpoint(endpoint, fields.seconds(row, "coldLeftMs", 0.0)))
+        # Endpoints always write these; an entry without one is another writer's.
+        fields.string(row, "version")
+        fields.integer(row, "seqNo")
+        return Success(ListedEndpoint(endpoint, fields.seconds(row, "coldLeftMs")))
     except (ValueError, KeyError) as error:
         detail = f"registry entry {endpoint_id!r:.40}: {error!r:.120}"
         return Failure(Error(ErrorKind.BAD_REQUEST, detail))
@@ -52,6 +53,14 @@
     return text
 
 
+def _started_ms(row: dict[str, Any]) -> int:
+    """Returns when the process started, in Unix milliseconds by its own clock."""
+    started_ms = int(fields.integer(row, "born"))
+    if not started_ms:
+        raise fields.FieldError(f"born is {started_ms}, expected a time")
+    return started_ms
+
+
 def _slots(row: dict[str, Any]) -> int:
     slots = int(fields.integer(row, "slots"))
     if not 0 < slots <= MAX_SLOTS:
--- a/tests/test_platform/test_platform_foreign_entries.py
+++ b/tests/test_platform/test_platform_foreign_entries.py
@@ -81,6 +81,23 @@
             assert "odd" not in other.app.get("catalog").registry
 
 
+@pytest.mark.parametrize("field", ENTRY)
+async def test_an_entry_that_lacks_a_field_names_no_endpoint(field: str) -> None:
+    """Requests of one pool were sent to an endpoint of another one.
+
+    An entry under the endpoint's id lacked its version, its start and other fields, and
+    named another pool.
+    """
+    entry = {**ENTRY, "service": "other"}
+    del entry[field]
+    decoded = decode_endpoint("odd", json.dumps(entry).encode())
+    assert isinstance(decoded, Failure)
+    assert field in decoded.failure().detail
+    for value in (None, [], "", {}):
+        decoded = decode_endpoint("odd", json.dumps({**entry, field: value}).encode())
+        assert isinstance(decoded, Failure)
+
+
 JSON_VALUES = st.recursive(
     st.sampled_from(ODD_VALUES) | st.integers() | st.floats() | st.text(max_size=20),
     lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(), inner),
