Resumed streams: only later events of the same kind follow what was forwarded

Callers found another text in the middle of their stream, events twice, or an end that looked complete, after a stream had broken off and another worker answered.

Cause: any success was taken for the rest; an empty one ended the stream as complete. Ruled out: error pages, which were kept out before. Change: a response goes on with a begun stream only with the same status and media type, and with a first event whose id is greater than the last one forwarded; without an event it ends nothing. Else another endpoint is tried, or the stream is broken off.

--- a/cicadacourse/exchange/_model.py
+++ b/cicadacourse/exchange/_model.py
@@ -137,6 +137,14 @@
         """Whether the status is a 2xx."""
         return 200 <= self.status < 300
 
+    @property
+    def media_type(self) -> str:
+        """The media type of the body in lower case, empty if it has none."""
+        for header in self.headers:
+            if header.name.lower() == "content-type":
+                return header.value.partition(";")[0].strip().lower()
+        return ""
+
     @property
     def is_server_error(self) -> bool:
         """Whether the status is 500 or above."""
--- a/cicadacourse/gateway/_attempt_owner.py
+++ b/cicadacourse/gateway/_attempt_owner.py
@@ -54,6 +54,14 @@
     def may_write_response(self) -> bool:
         """Returns whether nothing has been written to the caller yet."""
 
+    @abc.abstractmethod
+    def check_continues(self, head: ResponseHead, first_event_id: str | None) -> None:
+        """Checks that a response may go on with the stream that has been written.
+
+        :param first_event_id: the id of its first event, None if that has none.
+        :raises StreamMismatch: if it may not; nothing of it must be written.
+        """
+
     @abc.abstractmethod
     async def write_events(
         self, attempt: Attempt, head: ResponseHead, events: bytes
--- a/cicadacourse/gateway/_events.py
+++ b/cicadacourse/gateway/_events.py
@@ -14,9 +14,15 @@
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 # An event's end may begin this many bytes before the end of the bytes received.
 _MAX_PARTIAL_END_BYTES = 3
+# Longer ids are no numbers: the conversion of thousands of digits is refused.
+_NUMBER = re.compile("[0-9]{1,40}")
 _ID_FIELD = re.compile(rb"^id:[ ]?(.*?)\r?$", re.MULTILINE)
 
 
+class StreamMismatch(ValueError):
+    """A response can't go on with a stream that has begun."""
+
+
 class EventTooLarge(ValueError):
     """An event is larger than :data:`MAX_EVENT_BYTES`."""
 
@@ -26,6 +32,7 @@
     """Buffers bytes until they form complete events.
 
     :ivar last_id: the id of the last complete event that had one, or None.
+    :ivar first_id: the id of the first event of the latest ones, or None.
 
     >>> splitter = EventSplitter()
     >>> splitter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
@@ -35,6 +42,7 @@
     """
 
     last_id: str | None = None
+    first_id: str | None = None
     _partial: bytearray = attrs.field(factory=bytearray)
 
     @property
@@ -57,22 +65,63 @@
         del self._partial[:end]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise EventTooLarge(f"an event is larger than {MAX_EVENT_BYTES} bytes")
+        if complete:
+            self._read_ids(complete)
+        return complete
+
+    def _read_ids(self, complete: bytes) -> None:
+        first_event = complete[: _find_end(complete)]
+        first = _ID_FIELD.search(first_event)
+        self.first_id = first[1].decode("latin-1") if first else None
         ids = _ID_FIELD.findall(complete)
         if ids:
             self.last_id = ids[-1].decode("latin-1")
-        return complete
 
     def discard_partial(self) -> None:
         """Drops an incomplete event from the buffer."""
         self._partial.clear()
 
 
+def _find_end(events: bytes) -> int:
+    """Returns where the first event ends."""
+    match = _EVENT_END.search(events)
+    return match.end() if match else len(events)
+
+
+def check_follows(first_id: str | None, last_id: str | None) -> None:
+    """Checks that an event may follow the last one that was forwarded.
+
+    Ids increase, so an event that has none, or one that is no greater, was forwarded
+    before or is of another stream.
+
+    >>> check_follows("10", "9")
+
+    :raises StreamMismatch: if it may not.
+    """
+    if first_id is None:
+        raise StreamMismatch("an event has no id")
+    if not _is_greater(first_id, last_id or ""):
+        raise StreamMismatch(f"event {first_id:.40} does not follow {last_id!r:.40}")
+
+
+def _is_greater(event_id: str, last_id: str) -> bool:
+    """Returns whether an id is greater; ids that are no numbers need only differ."""
+    if _NUMBER.fullmatch(event_id) and _NUMBER.fullmatch(last_id):
+        return int(event_id) > int(last_id)
+    return event_id != last_id
+
+
 @attrs.define
 class EventReader:
     """Reads the whole events of one response."""
 
     _splitter: EventSplitter = attrs.field(factory=EventSplitter)
 
+    @property
+    def first_id(self) -> str | None:
+        """The id of the first of the events that were read last, or None."""
+        return self._splitter.first_id
+
     @property
     def last_id(self) -> str | None:
         """The id of the last event that was read, or that it resumes after."""
--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -25,7 +25,11 @@
 from cicadacourse.gateway._attempts import Progress
 from cicadacourse.gateway._endpoint_activity import EndpointActivity
 from cicadacourse.gateway._endpoint_request import build_request
-from cicadacourse.gateway._events import EventReader, cut_short_failure
+from cicadacourse.gateway._events import (
+    EventReader,
+    StreamMismatch,
+    cut_short_failure,
+)
 from cicadacourse.gateway._outcomes import OutcomeReporter
 from cicadacourse.placement import Placement, Placer
 from cicadacourse.quarantine import Quarantine
@@ -308,16 +312,34 @@
         while events := await self._events.read(response, self._restart_wait):
             self.waiting_since = None
             if self.progress is not Progress.STREAMING:
+                self._check_continues(response)
                 self._quarantine.record_first_event(self.admitted.keys)
             self.progress = Progress.STREAMING
             self._mark_prefilled(placement)
             await self.owner.write_events(self, response.head, events)
         self.waiting_since = None
-        is_resumed = self._events.last_id is not None
-        if not is_resumed and self.progress is not Progress.STREAMING:
+        if self.progress is not Progress.STREAMING and not self._may_be_empty():
             raise cut_short_failure()
         await self.owner.finish_stream(self, response.head)
 
+    def _may_be_empty(self) -> bool:
+        """Returns whether a stream without an event may be complete.
+
+        It may be if the caller has resumed it. If this instance has, it must not: the
+        caller would take a stream for complete that has broken off.
+        """
+        return self._events.last_id is not None and self.owner.may_write_response()
+
+    def _check_continues(self, response: EndpointResponse) -> None:
+        """Checks that the first event may follow what the caller has received.
+
+        :raises SendFailure: if it may not; a further attempt may resume the stream.
+        """
+        try:
+            self.owner.check_continues(response.head, self._events.first_id)
+        except StreamMismatch as error:
+            raise SendFailure(str(error), True, "stream_mismatch") from error
+
     def _restart_wait(self) -> None:
         """Records that data came and that the wait for more of them begins."""
         self.waiting_since = now()
--- a/cicadacourse/gateway/_forward.py
+++ b/cicadacourse/gateway/_forward.py
@@ -19,6 +19,7 @@
 from cicadacourse.gateway._attempt_owner import AttemptOwner
 from cicadacourse.gateway._attempts import Attempts
 from cicadacourse.gateway._endpoint_activity import EndpointActivity
+from cicadacourse.gateway._events import StreamMismatch, check_follows
 from cicadacourse.gateway._exchange_attempt import AttemptResult, ExchangeAttempt
 from cicadacourse.gateway._hedging import MIN_TIME_LEFT_S, TIMER_SLACK_S, HedgeTimer
 from cicadacourse.gateway._outcomes import OutcomeReporter
@@ -72,6 +73,7 @@
     activity: EndpointActivity
     times: StreamTimes = attrs.field(factory=StreamTimes)
     last_event_id: str | None = None
+    _stream_head: ResponseHead | None = None
     _pool: str = ""
     _task_by_attempt: dict[ExchangeAttempt, asyncio.Task[AttemptResult]] = attrs.field(
         factory=dict
@@ -287,6 +289,20 @@
         """Returns whether nothing has been written to the caller yet."""
         return not self.reply.started
 
+    def check_continues(self, head: ResponseHead, first_event_id: str | None) -> None:
+        """Checks that a response may go on with the stream that has been written.
+
+        It must be of the same kind as the one that began, and its first event must
+        follow the last one; see :func:`check_follows`.
+        """
+        began = self._stream_head
+        if not self.reply.started or began is None:
+            return
+        if (head.status, head.media_type) != (began.status, began.media_type):
+            detail = f"status {head.status} with the type {head.media_type!r:.40}"
+            raise StreamMismatch(detail)
+        check_follows(first_event_id, self.last_event_id)
+
     async def write_events(
         self, attempt: Attempt, head: ResponseHead, events: bytes
     ) -> None:
@@ -297,6 +313,7 @@
         if self.reply.started:
             await self.reply.send_events(events)
         else:
+            self._stream_head = head
             await self.reply.start_stream(head, events)
 
     async def finish_stream(self, attempt: Attempt, head: ResponseHead) -> None:
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -14,6 +14,7 @@
 from cicadacourse.cmd._services import import_services
 from cicadacourse.cmd.serve import SERVICES_IN_ORDER
 from cicadacourse.config import InstanceSettings, Settings
+from cicadacourse.exchange import SendFailure
 from cicadacourse.load import LoadSettings
 from cicadacourse.membership import MembershipSettings
 from cicadacourse.platform import ListenSettings, StoreSettings
@@ -110,6 +111,31 @@
         yield instance
 
 
+async def _refuse_connection(*_: object) -> None:
+    raise SendFailure("the link is cut", False, "unreachable")
+
+
+@contextlib.asynccontextmanager
+async def running_one_instance(fleet: Fleet) -> AsyncIterator[Instance]:
+    """Runs an instance alone, and waits until it is ready."""
+    instance = make_instance(fleet, "one", next_host())
+    async with running_instance(instance):
+        yield instance
+
+
+@contextlib.asynccontextmanager
+async def running_cut_off_instance(fleet: Fleet) -> AsyncIterator[Instance]:
+    """Runs an instance that is cut off from all endpoints, and another one."""
+    first = make_instance(fleet, "one", next_host())
+    seeds = (f"{first.host}:{first.caller_port}",)
+    second = make_instance(fleet, "two", next_host(), seeds=seeds)
+    async with running_instance(first), running_instance(second):
+        await wait_until(lambda: len(first.app.get("membership").members()) == 2)
+        await wait_until(lambda: len(second.app.get("membership").members()) == 2)
+        first.app.get("endpoint_connector")._open = _refuse_connection
+        yield first
+
+
 async def wait_until(condition: Callable[[], Any]) -> None:
     """Polls until a condition holds.
 
--- a/tests/test_platform/test_platform_foreign_answers.py
+++ b/tests/test_platform/test_platform_foreign_answers.py
@@ -14,17 +14,14 @@
 import attrs
 import pytest
 
-from cicadacourse.exchange import SendFailure
 from standins.callers import Response, read_response
 from standins.platform import ENGINE_POOL, PLAIN_POOL, Fleet, RegisteredEndpoint, Worker
-from standins.ports import next_host
 from tests.platform_fleet import (
     Caller,
     Instance,
-    make_instance,
+    running_cut_off_instance,
     running_fleet,
-    running_instance,
-    wait_until,
+    running_one_instance,
 )
 from tests.raw_endpoints import identify, read_id
 
@@ -106,30 +103,6 @@
         yield runs_by_id
 
 
-async def _refuse(*_: object) -> None:
-    raise SendFailure("the link is cut", False, "unreachable")
-
-
-@contextlib.asynccontextmanager
-async def _direct(fleet: Fleet) -> AsyncIterator[Instance]:
-    instance = make_instance(fleet, "one", next_host())
-    async with running_instance(instance):
-        yield instance
-
-
-@contextlib.asynccontextmanager
-async def _through_a_peer(fleet: Fleet) -> AsyncIterator[Instance]:
-    """Runs an instance that is cut off from all endpoints, and another one."""
-    first = make_instance(fleet, "one", next_host())
-    seeds = (f"{first.host}:{first.caller_port}",)
-    second = make_instance(fleet, "two", next_host(), seeds=seeds)
-    async with running_instance(first), running_instance(second):
-        await wait_until(lambda: len(first.app.get("membership").members()) == 2)
-        await wait_until(lambda: len(second.app.get("membership").members()) == 2)
-        first.app.get("endpoint_connector")._open = _refuse
-        yield first
-
-
 async def _ask(instance: Instance, path: str, tokens: str | None) -> list[Response]:
     """Sends requests one after the other, so that connections are used again."""
     caller = Caller(instance)
@@ -143,7 +116,7 @@
 
 
 @pytest.mark.parametrize("path", ["/book/x", "/look/x", "/ask/x"])
-@pytest.mark.parametrize("way", [_direct, _through_a_peer])
+@pytest.mark.parametrize("way", [running_one_instance, running_cut_off_instance])
 @pytest.mark.parametrize("extra", EXTRA_ANSWERS.values(), ids=list(EXTRA_ANSWERS))
 async def test_bytes_that_belong_to_no_request_answer_none(
     extra: bytes,
@@ -183,7 +156,7 @@
             host, port = server.sockets[0].getsockname()
             worker = Worker("raw")
             fleet.register(RegisteredEndpoint(worker, f"{host}:{port}", pool))
-            async with _direct(fleet) as instance:
+            async with running_one_instance(fleet) as instance:
                 tokens = "5000,46" if path == "/ask/x" else None
                 response = await Caller(instance).request(path, tokens)
     assert response.status == 502
