Endpoint connections: several silent ones give up the kept ones to all endpoints

Requests that may run once wait on a kept connection until their deadline, though another one was found silent. Cause: a silent exchange gave up the kept connections to its own endpoint only. Change: once two endpoints were silent within 2 s, no connection that has been idle since before is used.

--- a/cicadacourse/platform/_endpoint_connector.py
+++ b/cicadacourse/platform/_endpoint_connector.py
@@ -7,23 +7,17 @@
 from collections import defaultdict
 from typing import AsyncIterator
 
-import h11
-
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.catalog import Endpoint
 from cicadacourse.events import ENDPOINT_CHANGED
 from cicadacourse.exchange import (
     EndpointConnection,
     EndpointConnector,
-    EndpointRequest,
-    EndpointResponse,
-    ResponseHead,
     SendFailure,
 )
 from cicadacourse.metrics import declare
-from cicadacourse.platform import _names as names
-from cicadacourse.platform._response_head import decode_headers, read_head
-from cicadacourse.util.clock import MS_PER_S, now
+from cicadacourse.platform._endpoint_exchange import DirectConnection
+from cicadacourse.util.clock import now
 from cicadacourse.util.connection import HttpConnection, HttpConnectionError
 
 CONNECTIONS_OPENED = declare("channels_opened_total", "Connections made to endpoints.")
@@ -33,15 +27,17 @@
 CONNECT_TIMEOUTS_S = (0.08, 0.3)
 # How long an endpoint that broke off a response may take to accept a connection.
 GONE_TIMEOUT_S = 0.1
-# Keep-alive time of an endpoint whose response has no Keep-Alive header.
-DEFAULT_KEEP_ALIVE_S = 4.0
-# Subtracted from the announced keep-alive time, so that no request is sent while the
-# endpoint closes the connection.
-KEEP_ALIVE_MARGIN_S = 0.5
 # The longest idle time of a connection that may carry a request that is not idempotent.
 # The endpoint may be closing one that idled for longer, and it would remain unknown
 # whether the request ran.
 MAX_IDLE_NON_IDEMPOTENT_S = 1.5
+# Open connections fall silent together if so many endpoints are silent within a window;
+# a single one may be slow or hang.
+MIN_SILENT_ENDPOINTS = 2
+SILENCE_WINDOW_S = 2.0
+# An endpoint counts as silent after a longer time, so that a connection whose last
+# exchange ended later has not fallen silent with it.
+MIN_SILENCE_S = 0.25
 
 
 @SERVICES.register("endpoint_connector")
@@ -59,6 +55,8 @@
         super().__init__(app)
         self._idle_by_endpoint: dict[str, list[HttpConnection]] = defaultdict(list)
         self._busy_by_endpoint: dict[str, set[HttpConnection]] = defaultdict(set)
+        self._silent_at_by_id: dict[str, float] = {}
+        self._suspect_before = float("-inf")
         app.events.connect(ENDPOINT_CHANGED, self._endpoint_changed)
 
     @contextlib.asynccontextmanager
@@ -68,7 +66,7 @@
             yield
         finally:
             for endpoint_id in list(self._idle_by_endpoint):
-                self.close_idle_connections(endpoint_id)
+                self._close_idle(endpoint_id)
 
     @contextlib.asynccontextmanager
     async def connect(
@@ -83,7 +81,7 @@
             connection = await self._open(endpoint)
         self._busy_by_endpoint[endpoint.id].add(connection)
         try:
-            yield _DirectConnection(connection, is_kept)
+            yield DirectConnection(connection, is_kept)
         finally:
             self._release(endpoint, connection)
 
@@ -120,14 +118,15 @@
     ) -> bool:
         """Returns whether an idle connection may carry a request.
 
-        One that was used last before the link failed may be silent for good.
+        One that was used last before the link failed, or before several connections
+        were found silent, may be silent for good.
         """
         failed_at = self.app.get("reachability").failed_at(endpoint)
         is_recent = now() - connection.idle_since < MAX_IDLE_NON_IDEMPOTENT_S
         return (
             connection.address == endpoint.address
             and connection.is_reusable
-            and connection.idle_since > failed_at
+            and connection.idle_since > max(failed_at, self._suspect_before)
             and (is_idempotent or is_recent)
         )
 
@@ -151,7 +150,7 @@
         """Closes every connection to an endpoint, including those in use."""
         for connection in self._busy_by_endpoint.get(endpoint_id, ()):
             connection.fail("the endpoint is dead")
-        self.close_idle_connections(endpoint_id)
+        self._close_idle(endpoint_id)
 
     def _release(self, endpoint: Endpoint, connection: HttpConnection) -> None:
         busy = self._busy_by_endpoint[endpoint.id]
@@ -166,146 +165,25 @@
     def _endpoint_changed(self, endpoint: Endpoint) -> None:
         current = self.app.get("catalog").registry.find(endpoint.id)
         if current is None or not current.is_same_process(endpoint):
-            self.close_idle_connections(endpoint.id)
+            self._close_idle(endpoint.id)
 
     def close_idle_connections(self, endpoint_id: str) -> None:
-        """See :meth:`EndpointConnector.close_idle_connections`."""
-        for connection in self._idle_by_endpoint.pop(endpoint_id, ()):
-            connection.close()
-
-
-class _DirectConnection(EndpointConnection):
-    """A connection from this instance to an endpoint."""
-
-    def __init__(self, connection: HttpConnection, is_kept: bool) -> None:
-        self.is_kept = is_kept
-        self._connection = connection
-
-    async def send(
-        self, request: EndpointRequest, head_timeout_s: float
-    ) -> EndpointResponse:
-        """Sends a request; see :meth:`EndpointConnection.send`."""
-        caller = request.caller
-        headers = _request_headers(request)
-        try:
-            self._connection.send(caller.method, caller.target, headers, caller.body)
-        except HttpConnectionError as error:
-            raise SendFailure(str(error), False, "connection_ended") from error
-        except h11.LocalProtocolError as error:
-            raise SendFailure(str(error), False, "malformed_request") from error
-        response = await self._receive_head(head_timeout_s)
-        if not isinstance(response, h11.Response):
-            raise SendFailure("no response head was received", True, "malformed_answer")
-        head = read_head(response)
-        _check_origin(head, response, caller.id)
-        return _Response(head, self._connection, _keep_alive_s(response))
-
-    async def _receive_head(self, timeout_s: float) -> object:
-        try:
-            async with asyncio.timeout(timeout_s):
-                return await self._connection.receive()
-        except TimeoutError:
-            detail = f"no response head within {timeout_s:.2f} s"
-            raise SendFailure(detail, True, "no_answer") from None
-        except HttpConnectionError as error:
-            raise SendFailure(
-                str(error), True, "connection_broken", is_broken_off=True
-            ) from error
-
-
-class _Response(EndpointResponse):
-    """A response that is read from a connection."""
-
-    def __init__(
-        self, head: ResponseHead, connection: HttpConnection, keep_alive_s: float
-    ) -> None:
-        self.head = head
-        self._connection = connection
-        self._keep_alive_s = keep_alive_s
-        self._is_complete = False
-
-    async def read_chunk(self) -> bytes:
-        """Returns the next bytes of the body, or none at its end.
+        """Gives up the idle connections to an endpoint that was silent.
 
-        :raises SendFailure: if the connection breaks before the end of the body.
+        Once several endpoints were, the connections have fallen silent rather than the
+        endpoints. Those to all endpoints that were not used since are then given up.
         """
-        while not self._is_complete:
-            try:
-                part = await self._connection.receive()
-            except HttpConnectionError as error:
-                raise SendFailure(
-                    str(error), True, "cut_short", is_broken_off=True
-                ) from error
-            if isinstance(part, h11.EndOfMessage):
-                self._is_complete = True
-                self._connection.end_exchange(self._keep_alive_s)
-            elif isinstance(part, h11.Data) and part.data:
-                return bytes(part.data)
-        return b""
-
-
-def _request_headers(request: EndpointRequest) -> list[tuple[str, str]]:
-    """Returns the headers of one attempt: the caller's, then those of this instance."""
-    caller = request.caller
-    time_left_ms = max(1, int(request.time_left_s * MS_PER_S))
-    headers = [("Host", caller.host)]
-    headers += [(item.name, item.value) for item in caller.headers]
-    headers.append((names.HEADER_TIME_LEFT_MS, str(time_left_ms)))
-    headers.append((names.HEADER_EXPECTED_ENDPOINT, request.endpoint.id))
-    if request.organisation is not None:
-        headers.append((names.HEADER_ORGANISATION, request.organisation))
-    if request.last_event_id is not None:
-        headers.append((names.HEADER_LAST_EVENT_ID, request.last_event_id))
-    if request.helpers:
-        helper_list = ",".join(
-            (
-                f"{item.address}/{item.reservation_id}"
-                if item.reservation_id
-                else item.address
-            )
-            for item in request.helpers
-        )
-        headers.append((names.HEADER_HELPERS, helper_list))
-    if caller.body or caller.method in ("POST", "PUT", "PATCH"):
-        headers.append(("Content-Length", str(len(caller.body))))
-    return headers
-
-
-def _check_origin(head: ResponseHead, response: h11.Response, request_id: str) -> None:
-    """Checks that a response is the endpoint's, and the one to a request.
-
-    A faulty endpoint may send further bytes after a response, which look like the
-    response to the next request. Endpoints name the request in each response, and seal
-    successes.
-
-    :raises SendFailure: if it names no request or another one, or is an unsealed
-        success. The request was sent and may have run.
-    """
-    # A caller may give its request no id, or an empty one.
-    ids = set(_values(response, names.HEADER_REQUEST_ID)) - {""}
-    if ids != {request_id} - {""}:
-        detail = "the response bears the id of another request, or none"
-        raise SendFailure(detail, True, "foreign_answer")
-    if head.is_success and not any(_values(response, names.HEADER_SIGNATURE)):
-        raise SendFailure("the success bears no seal", True, "unsealed_answer")
-
-
-def _values(response: h11.Response, name: str) -> list[str]:
-    """Returns the values of all headers of a name."""
-    return [
-        header.value
-        for header in decode_headers(response)
-        if header.name.lower() == name.lower()
-    ]
-
-
-def _keep_alive_s(response: h11.Response) -> float:
-    """Returns how long the connection may be idle before its next use, in seconds."""
-    for header in decode_headers(response):
-        if header.name.lower() != "keep-alive":
-            continue
-        for part in header.value.split(","):
-            name, _, value = part.strip().partition("=")
-            if name.lower() == "timeout" and value.strip().isdigit():
-                return max(0.0, int(value) - KEEP_ALIVE_MARGIN_S)
-    return DEFAULT_KEEP_ALIVE_S
+        self._close_idle(endpoint_id)
+        now_s = now()
+        self._silent_at_by_id[endpoint_id] = now_s
+        self._silent_at_by_id = {
+            id: at
+            for id, at in self._silent_at_by_id.items()
+            if now_s - at <= SILENCE_WINDOW_S
+        }
+        if len(self._silent_at_by_id) >= MIN_SILENT_ENDPOINTS:
+            self._suspect_before = now_s - MIN_SILENCE_S
+
+    def _close_idle(self, endpoint_id: str) -> None:
+        for connection in self._idle_by_endpoint.pop(endpoint_id, ()):
+            connection.close()
--- a/tests/endpoint_links.py
+++ b/tests/endpoint_links.py
@@ -11,9 +11,9 @@
 from cicadacourse.catalog import Endpoint
 from cicadacourse.platform._endpoint_connector import (
     CONNECT_TIMEOUTS_S,
-    DEFAULT_KEEP_ALIVE_S,
     MAX_IDLE_NON_IDEMPOTENT_S,
 )
+from cicadacourse.platform._endpoint_exchange import DEFAULT_KEEP_ALIVE_S
 from cicadacourse.util.clock import now
 
 ENDPOINT_LINK_S = 0.004
--- a/tests/test_gateway/test_gateway_lost_links.py
+++ b/tests/test_gateway/test_gateway_lost_links.py
@@ -14,7 +14,7 @@
 import attrs
 import pytest
 
-from cicadacourse.platform._endpoint_connector import DEFAULT_KEEP_ALIVE_S
+from cicadacourse.platform._endpoint_exchange import DEFAULT_KEEP_ALIVE_S
 from cicadacourse.util.clock import now
 from tests.endpoint_links import LinkFault
 from tests.gateway_cluster import GatewayCluster, gateway_cluster
--- a/tests/test_platform/test_platform_silent_connections.py
+++ b/tests/test_platform/test_platform_silent_connections.py
@@ -15,6 +15,7 @@
 from cicadacourse.application import Application
 from cicadacourse.catalog import CatalogService
 from cicadacourse.platform import PlatformEndpointConnector
+from cicadacourse.platform._endpoint_connector import MIN_SILENCE_S
 from cicadacourse.util.clock import now
 from tests.raw_endpoints import identify
 from tests.test_gateway.test_gateway_histories import (
@@ -109,3 +110,36 @@
         blamed = [id for id in ids if health.is_ejected(id, now())]
         assert len(blamed) == 1
         assert not idle.get(blamed[0])
+
+
+async def test_no_kept_connection_is_used_after_several_fell_silent() -> None:
+    """A request that may run once can't be tried again, and met one more of them."""
+    endpoints = _Endpoints()
+    async with _instance(endpoints) as app:
+        await _send(app, *range(12))
+        endpoints.silence_open_connections()
+        await asyncio.sleep(MIN_SILENCE_S)
+        connector = app.get("endpoint_connector")
+        for number in range(ENDPOINTS - 1):
+            connector.close_idle_connections(f"plain-{number}")
+        assert connector._idle_by_endpoint[f"plain-{ENDPOINTS - 1}"]
+        requests = [
+            serve(app, number, ScheduledRequest(0.0, "book", TIME_LIMIT_S))
+            for number in range(200, 206)
+        ]
+        replies = await asyncio.gather(*requests)
+        assert [reply.status for reply, _ in replies] == [OK] * 6
+
+
+async def test_kept_connections_are_used_after_one_endpoint_was_silent() -> None:
+    endpoints = _Endpoints()
+    async with _instance(endpoints) as app:
+        await _send(app, *range(12))
+        connector = app.get("endpoint_connector")
+        opened = len(endpoints.open_connections)
+        connector.close_idle_connections("plain-0")
+        connector.close_idle_connections("plain-0")
+        for number in (1, 2):
+            endpoint = app.get("catalog").registry.find(f"plain-{number}")
+            assert connector.has_kept_connection(endpoint, True)
+        assert len(endpoints.open_connections) == opened
