Decoders: what others write is refused with one kind of error, or can be given on

Cause: decoders caught the errors that were thought of; JSON, headers and messages hold values that raise others. Change: type, range, length and encoding of each field are checked where it is decoded; one bad record of another instance's registry no longer refuses all. Callers' headers are forwarded as Latin-1, and token counts below 0 are refused.

--- a/cicadacourse/catalog/_endpoint.py
+++ b/cicadacourse/catalog/_endpoint.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import re
 
 import attrs
 
@@ -14,6 +15,8 @@
     LEAVING = "leaving"
 
 
+# A start fits into a field of 64 bits.
+_START = re.compile("[0-9]{1,18}")
 # Stands for the start of a process that does not report it.
 UNKNOWN_START = 0
 
@@ -47,6 +50,8 @@
         :raises ValueError: if it names none.
         """
         endpoint_id, _, started_ms = text.rpartition("@")
+        if not endpoint_id or _START.fullmatch(started_ms) is None:
+            raise ValueError(f"{text!r:.80} names no process")
         return cls(endpoint_id, int(started_ms))
 
 
--- a/cicadacourse/eligibility/_leaving.py
+++ b/cicadacourse/eligibility/_leaving.py
@@ -32,7 +32,12 @@
 MAX_LEAVING = 2000
 # Longer than an endpoint serves on after it has stated that it leaves.
 FACT_KINDS.register(ENDPOINT_LEAVING)(
-    FactKind(lifetime_s=600.0, max_facts=MAX_LEAVING, is_latest_only=True)
+    FactKind(
+        lifetime_s=600.0,
+        max_facts=MAX_LEAVING,
+        is_latest_only=True,
+        check_key=ProcessKey.parse,
+    )
 )
 
 
--- a/cicadacourse/eligibility/_peer_declines.py
+++ b/cicadacourse/eligibility/_peer_declines.py
@@ -22,7 +22,12 @@
 # Endpoints state a few seconds at a time, and an instance that starts later learns the
 # rest by refusals.
 FACT_KINDS.register(ENDPOINT_DECLINES)(
-    FactKind(lifetime_s=10.0, max_facts=MAX_PEER_DECLINES, is_latest_only=True)
+    FactKind(
+        lifetime_s=10.0,
+        max_facts=MAX_PEER_DECLINES,
+        is_latest_only=True,
+        check_key=ProcessKey.parse,
+    )
 )
 # A time is told again only if what is known covers less than this share of it: one
 # instance that was refused is enough to warn the others.
--- a/cicadacourse/evidence/_messages.py
+++ b/cicadacourse/evidence/_messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from cicadacourse.evidence._model import FACT_KINDS, Fact
+from cicadacourse.logs import FACTS_REFUSED, log
 from cicadacourse.peers import decode, encode, message
 from cicadacourse.util.clock import MS_PER_S
 
@@ -43,17 +44,26 @@
 
 
 def to_facts(reports: FactReports, received_at_s: float) -> list[Fact]:
-    """Returns the facts of a message; kinds that are not known here are left out.
+    """Returns the facts of a message, without those of unknown kinds or keys.
 
     :param received_at_s: loop time in seconds.
     """
     return [
         _to_fact(item, received_at_s)
         for item in reports.facts
-        if item.kind in FACT_KINDS
+        if item.kind in FACT_KINDS and _is_valid(item)
     ]
 
 
+def _is_valid(item: FactReport) -> bool:
+    try:
+        FACT_KINDS.get(item.kind).check_key(item.key)
+    except ValueError as error:
+        log(FACTS_REFUSED, source=item.kind, reason=str(error))
+        return False
+    return True
+
+
 def encode_facts(facts: list[Fact], now_s: float) -> bytes:
     """Returns the bytes of facts, none if there are no facts.
 
--- a/cicadacourse/evidence/_model.py
+++ b/cicadacourse/evidence/_model.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Callable
+
 import attrs
 
 from cicadacourse.registry import Registry
@@ -14,11 +16,13 @@
     :param lifetime_s: after how many seconds an observation no longer counts.
     :param max_facts: the oldest ones beyond this number are dropped.
     :param is_latest_only: whether a later observation of a key replaces earlier ones.
+    :param check_key: raises ValueError if a key is none of this kind.
     """
 
     lifetime_s: float
     max_facts: int
     is_latest_only: bool
+    check_key: Callable[[str], object] = len
 
 
 FACT_KINDS: Registry[FactKind] = Registry("kind of facts")
--- a/cicadacourse/feed/_registry_codec.py
+++ b/cicadacourse/feed/_registry_codec.py
@@ -7,8 +7,10 @@
 import attrs
 
 from cicadacourse.catalog import Endpoint, EndpointState, ListedEndpoint
+from cicadacourse.config import parse_address
 from cicadacourse.feed._delta import apply_delta, make_delta
 from cicadacourse.load import EndpointRecord, Registry
+from cicadacourse.logs import ENDPOINT_ENTRY_REFUSED, log
 from cicadacourse.peers import decode, encode
 from cicadacourse.util.clock import MS_PER_S
 
@@ -51,14 +53,22 @@
 def read_endpoints(reply: Registry) -> list[ListedEndpoint]:
     """Returns the endpoints of a reply, compressed or not.
 
-    :raises ValueError: if it is malformed.
+    Records that are malformed are logged and left out: an instance of an earlier
+    release may have taken an entry of another writer.
+
+    :raises ValueError: if the reply itself is malformed.
     """
     if reply.packed:
         reply = decode(_MESSAGE_NAME, apply_delta(b"", reply.packed))
-    return [
-        ListedEndpoint(_to_endpoint(record), record.cold_ms / MS_PER_S)
-        for record in reply.endpoints
-    ]
+    found = []
+    for record in reply.endpoints:
+        try:
+            endpoint = _to_endpoint(record)
+        except ValueError as error:
+            log(ENDPOINT_ENTRY_REFUSED, entry=record.id, reason=str(error))
+        else:
+            found.append(ListedEndpoint(endpoint, record.cold_ms / MS_PER_S))
+    return found
 
 
 def _to_record(listed: ListedEndpoint) -> EndpointRecord:
@@ -76,10 +86,12 @@
 
 
 def _to_endpoint(record: EndpointRecord) -> Endpoint:
+    if not record.id or not record.slots:
+        raise ValueError(f"endpoint {record.id!r:.40} with {record.slots} slots")
     return Endpoint(
         id=record.id,
         pool=record.pool,
-        address=record.address,
+        address=parse_address(record.address),
         failure_domain=record.failure_domain,
         slots=record.slots,
         state=EndpointState(record.state),
--- a/cicadacourse/limits/_service.py
+++ b/cicadacourse/limits/_service.py
@@ -38,7 +38,12 @@
 # An endpoint names its limit in each response, so its observation is renewed long
 # before it expires.
 FACT_KINDS.register(ENDPOINT_LIMIT)(
-    FactKind(lifetime_s=600.0, max_facts=MAX_LIMITS, is_latest_only=True)
+    FactKind(
+        lifetime_s=600.0,
+        max_facts=MAX_LIMITS,
+        is_latest_only=True,
+        check_key=ProcessKey.parse,
+    )
 )
 RENEWAL_S = 300.0
 # The lowest rate, in requests per second: one request in a while shows whether an
--- a/cicadacourse/membership/_model.py
+++ b/cicadacourse/membership/_model.py
@@ -6,6 +6,9 @@
 
 import attrs
 
+from cicadacourse.config import MAX_PORT
+from cicadacourse.util.addresses import split_address
+
 
 class MemberState(enum.Enum):
     """The state of an instance; a leaving one still finishes its work."""
@@ -16,6 +19,13 @@
     DEAD = "dead"
 
 
+def _check_address(_: object, attribute: object, text: str) -> None:
+    """Raises ValueError if calls can't be made to an address."""
+    _, port = split_address(text)
+    if not 0 < port <= MAX_PORT:
+        raise ValueError(f"{text!r:.40} is no address")
+
+
 @attrs.frozen
 class Member:
     """The record of one instance.
@@ -32,7 +42,7 @@
     """
 
     name: str
-    peer_address: str
+    peer_address: str = attrs.field(validator=_check_address)
     caller_address: str = ""
     region: str = "default"
     failure_domain: str = ""
--- a/cicadacourse/peers/_codec.py
+++ b/cicadacourse/peers/_codec.py
@@ -9,6 +9,7 @@
 
 import functools
 import importlib.resources
+import math
 import types
 import typing
 from typing import Any, Callable
@@ -58,7 +59,13 @@
             body, traversal_limit_in_words=limit_words
         )
         return _converter.structure(reader.to_dict(), cls)
-    except (capnp.KjException, cattrs.BaseValidationError, ValueError) as error:
+    except (
+        capnp.KjException,
+        cattrs.BaseValidationError,
+        ValueError,
+        TypeError,
+        RecursionError,
+    ) as error:
         raise MalformedMessage(f"{name}: not a valid message") from error
 
 
@@ -163,8 +170,20 @@
     return () if typing.get_origin(annotation) in (tuple, list) else {}
 
 
+def _to_finite(value: Any, _: type) -> float:
+    """Returns a number by which timers can be set.
+
+    :raises ValueError: if it is none.
+    """
+    number = float(value)
+    if not math.isfinite(number):
+        raise ValueError(f"{number} is not finite")
+    return number
+
+
 _converter = cattrs.Converter()
 _converter.register_unstructure_hook_factory(attrs.has, _make_unstructure)
 _converter.register_structure_hook_factory(attrs.has, _make_structure)
+_converter.register_structure_hook(float, _to_finite)
 _converter.register_unstructure_hook(bytes, lambda data: data)
 _converter.register_structure_hook(bytes, lambda data, _: bytes(data))
--- a/cicadacourse/platform/_caller_request.py
+++ b/cicadacourse/platform/_caller_request.py
@@ -11,6 +11,8 @@
 # Bounds what is kept of each prompt; the platform's prompts have a few parts.
 MAX_SHARED_PARTS = 32
 MAX_PART_ID_LENGTH = 64
+# No engine takes as many; sums of some still fit into the fields of load reports.
+MAX_TOKENS = 2**28
 
 
 def read_request(
@@ -61,10 +63,12 @@
     if tokens is None:
         return None
     prompt_tokens, _, output_tokens = tokens.partition(",")
+    if int(prompt_tokens) < 0 or int(output_tokens or 0) < 0:
+        raise ValueError(f"token counts are {tokens!r:.40}, expected none below 0")
     return Prompt(
         model=headers.get(names.HEADER_MODEL, ""),
-        tokens=int(prompt_tokens),
-        max_output_tokens=int(output_tokens or 0),
+        tokens=min(MAX_TOKENS, int(prompt_tokens)),
+        max_output_tokens=min(MAX_TOKENS, int(output_tokens or 0)),
         shared_part_ids=_read_shared_parts(headers.get(names.HEADER_PROMPT_PARTS, "")),
     )
 
--- a/cicadacourse/platform/_configuration_reader.py
+++ b/cicadacourse/platform/_configuration_reader.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any, Callable, TypeVar
 
 from returns.result import Failure, Result, Success
@@ -24,6 +23,9 @@
 T = TypeVar("T")
 
 _DEFAULT_TIMEOUT_S = 30.0
+# Rows may hold any value. A nested one that can be parsed may still be too deep to be
+# compared.
+_ROW_ERRORS = (ValueError, TypeError, AttributeError, KeyError, RecursionError)
 KIND_BY_NAME = {
     "safe": RouteKind.SAFE,
     "unsafe": RouteKind.UNSAFE,
@@ -53,9 +55,9 @@
             or has no valid version.
         """
         try:
-            configuration = json.loads(value)
+            configuration = fields.parse_object(value)
             version = fields.integer(configuration, "version")
-        except (ValueError, TypeError, AttributeError) as error:
+        except fields.FieldError as error:
             detail = f"configuration can't be read: {error}"
             return Failure(Error(ErrorKind.INVALID_TABLES, detail))
         rows = self._decode_rows
@@ -82,19 +84,16 @@
         decoded = []
         for row in rows:
             key = _name_of(row)
-            former = known.get(key)
-            if former is not None and former[0] == row:
-                current[key] = former
-                decoded.append(former[1])
-                continue
             try:
-                item = decode(row)
-            except (ValueError, TypeError, AttributeError, KeyError) as error:
+                former = known.get(key)
+                is_same = former is not None and former[0] == row
+                item = former[1] if former is not None and is_same else decode(row)
+            except _ROW_ERRORS as error:
                 log(
                     CONFIGURATION_ENTRY_REFUSED,
                     table=name,
-                    entry=str(row)[:120],
-                    reason=str(error),
+                    entry=fields.shorten(row),
+                    reason=f"{error!r:.120}",
                 )
                 continue
             current[key] = (row, item)
@@ -164,15 +163,15 @@
 
 def _engine(row: dict[str, Any]) -> EngineProfile:
     return EngineProfile(
-        slots=int(fields.integer(row, "slots")),
+        slots=int(fields.positive(row, "slots")),
         kv_tokens=int(fields.integer(row, "kvTokens")),
-        steps_per_pass=int(fields.integer(row, "stride", 1)),
+        steps_per_pass=int(fields.positive(row, "stride", 1)),
         step_s=fields.seconds(row, "step_ms"),
         step_per_writer_s=fields.seconds(row, "per_seq_ms", 0),
         step_per_1k_context_s=fields.seconds(row, "context_per_k", 0),
-        read_tokens_per_s=fields.number(row, "read_per_s"),
+        read_tokens_per_s=fields.positive(row, "read_per_s"),
         read_per_1m_pairs_s=fields.seconds(row, "pairs_per_m", 0),
-        chunk_tokens=int(fields.integer(row, "chunk", 2048)),
+        chunk_tokens=int(fields.positive(row, "chunk", 2048)),
         hop_s=fields.seconds(row, "hopMs", 0),
         models=tuple(
             fields.string(item, "name") for item in fields.array(row, "models")
--- a/cicadacourse/platform/_fields.py
+++ b/cicadacourse/platform/_fields.py
@@ -70,6 +70,11 @@
     return _field(row, name, default, "a non-negative integer", _is_integer)
 
 
+def positive(row: dict[str, Any], name: str, default: Any = _MISSING) -> float:
+    """Returns a number from 1 to :data:`MAX_NUMBER`, as what is divided by it needs."""
+    return _field(row, name, default, "a number of at least 1", _is_positive)
+
+
 def seconds(row: dict[str, Any], name: str, default: Any = _MISSING) -> float:
     """Returns a field that holds milliseconds, in seconds.
 
@@ -112,5 +117,9 @@
     return is_real and 0 <= item <= MAX_NUMBER
 
 
+def _is_positive(item: Any) -> bool:
+    return _is_number(item) and item >= 1
+
+
 def _is_integer(item: Any) -> bool:
     return _is_number(item) and item == int(item)
--- a/cicadacourse/platform/_instances.py
+++ b/cicadacourse/platform/_instances.py
@@ -21,6 +21,7 @@
     log,
 )
 from cicadacourse.membership import Contact, ContactSource
+from cicadacourse.platform import _fields as fields
 from cicadacourse.platform._names import TOPIC_INSTANCES
 from cicadacourse.platform._records import KeyedRecord
 from cicadacourse.platform._settings import ListenSettings
@@ -124,8 +125,9 @@
     found = {}
     for record in records:
         try:
-            address = parse_address(json.loads(record.value or b"")["address"])
-        except (ValueError, KeyError, TypeError) as error:
+            row = fields.parse_object(record.value or b"")
+            address = parse_address(fields.string(row, "address"))
+        except ValueError as error:
             log(ENDPOINT_ENTRY_REFUSED, entry=record.key, reason=repr(error))
             continue
         found[record.key] = Contact(record.key, address)
--- a/cicadacourse/platform/_publisher.py
+++ b/cicadacourse/platform/_publisher.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any, Mapping
 
 import attrs
@@ -10,6 +9,7 @@
 
 from cicadacourse.catalog import Catalog
 from cicadacourse.errors import Error, ErrorKind
+from cicadacourse.platform import _fields as fields
 from cicadacourse.platform._configuration_reader import decode_configuration
 from cicadacourse.platform._configuration_writer import encode_configuration
 from cicadacourse.platform._names import (
@@ -148,4 +148,4 @@
             pass
         case Failure() as failure:
             return failure
-    return Success(StoredConfiguration(catalog, json.loads(value), end))
+    return Success(StoredConfiguration(catalog, fields.parse_object(value), end))
--- a/cicadacourse/platform/_records.py
+++ b/cicadacourse/platform/_records.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import base64
-import json
 import struct
+from typing import Any
 
 import attrs
 
+from cicadacourse.platform import _fields as fields
+
 _ENDS = struct.Struct(">QQ")
 _LENGTH = struct.Struct(">I")
 
@@ -62,16 +64,30 @@
 def parse_page(body: bytes) -> Page:
     """Parses a page of the newest records of each key.
 
-    :raises ValueError: if the page is malformed; also KeyError or TypeError.
+    :raises FieldError: if the page is malformed.
     """
-    page = json.loads(body)
-    records = tuple(
-        KeyedRecord(
-            item["key"], base64.b64decode(item["value"]), int(item.get("offset", 0))
-        )
-        for item in page["items"]
-    )
-    return Page(records, int(page["end"]), bool(page["hasMore"]) and bool(records))
+    page = fields.parse_object(body)
+    records = tuple(_read_item(item) for item in fields.array(page, "items"))
+    end = int(fields.integer(page, "end"))
+    return Page(records, end, fields.boolean(page, "hasMore") and bool(records))
+
+
+def _read_item(item: Any) -> KeyedRecord:
+    if not isinstance(item, dict):
+        raise fields.FieldError(f"an item is {fields.shorten(item)}")
+    key, text = item.get("key"), item.get("value")
+    if not isinstance(key, str) or not isinstance(text, str):
+        raise fields.FieldError(f"an item is {fields.shorten(item)}")
+    try:
+        value = base64.b64decode(text)
+    except ValueError as error:
+        raise fields.FieldError(f"a value is {fields.shorten(text)}") from error
+    return KeyedRecord(_to_key(key), value, int(fields.integer(item, "offset", 0)))
+
+
+def _to_key(text: str) -> str:
+    """Returns a key that can be encoded, as keys of other writers may not be."""
+    return text.encode(errors="replace").decode()
 
 
 def parse_batch(body: bytes, offset: int) -> KeyedBatch:
@@ -85,14 +101,13 @@
     ((KeyedRecord(key='a', value=b'b', position=4),), 5, True)
 
     :param offset: the offset of the first record.
-    :raises ValueError: if a record is truncated, or missing; struct.error if an offset
-        or a length is truncated.
+    :raises ValueError: if an offset, a length or a record is truncated, or missing.
     """
-    topic_end, _ = _ENDS.unpack_from(body)
+    topic_end, _ = _unpack(_ENDS, body, 0)
     position = _ENDS.size
     records: list[KeyedRecord] = []
     while position < len(body):
-        (length,) = _LENGTH.unpack_from(body, position)
+        (length,) = _unpack(_LENGTH, body, position)
         position += _LENGTH.size
         if position + length > len(body):
             raise ValueError("a record is truncated")
@@ -105,6 +120,13 @@
     return KeyedBatch(tuple(records), end, has_more=end < topic_end)
 
 
+def _unpack(layout: struct.Struct, body: bytes, position: int) -> tuple[int, ...]:
+    try:
+        return layout.unpack_from(body, position)
+    except struct.error as error:
+        raise ValueError(f"truncated at byte {position}") from error
+
+
 def _unpack_record(body: bytes, offset: int) -> KeyedRecord:
     """Splits a record into key and value; an empty value deletes the key."""
     key_end = 1 + body[0] if body else 0
--- a/cicadacourse/platform/_store.py
+++ b/cicadacourse/platform/_store.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import contextlib
-import struct
+import re
 from typing import Any, AsyncIterator, Collection
 from urllib.parse import urlencode
 
@@ -37,6 +37,8 @@
 _SERVICE_UNAVAILABLE = 503
 _INSUFFICIENT_STORAGE = 507
 _PARTITION = 0
+# Positions leave 20 bits for the era.
+_ERA = re.compile("[0-9]{1,6}")
 # Errors by HTTP status. After any other status an append may have taken effect.
 KIND_BY_STATUS = {
     _BAD_REQUEST: ErrorKind.BAD_REQUEST,
@@ -226,7 +228,7 @@
     ) -> Result[Any, Error]:
         try:
             return Success(parse(response.body))
-        except (ValueError, KeyError, TypeError, struct.error) as error:
+        except ValueError as error:
             detail = f"{path}: malformed response: {error!r}"
             return Failure(Error(ErrorKind.STORE_UNAVAILABLE, detail))
 
@@ -234,7 +236,7 @@
 def _era_of_response(response: HttpResponse) -> int:
     """Returns the store's era, 0 if a response names none or a malformed one."""
     text = response.headers.get(names.HEADER_STORE_ERA.lower(), "")
-    return int(text) if text.isdecimal() else 0
+    return int(text) if _ERA.fullmatch(text) else 0
 
 
 def _in_era(batch: KeyedBatch, era: int) -> KeyedBatch:
--- a/cicadacourse/util/connection.py
+++ b/cicadacourse/util/connection.py
@@ -90,8 +90,12 @@
         """
         if self._error or self._transport is None:
             raise HttpConnectionError(self._error or "not connected")
+        head = h11.Request(
+            method=_encode(method),
+            target=_encode(target),
+            headers=[(_encode(name), _encode(value)) for name, value in headers],
+        )
         self._busy = True
-        head = h11.Request(method=method, target=target, headers=list(headers))
         parts = [self._codec.send(head)]
         if body:
             parts.append(self._codec.send(h11.Data(data=body)))
@@ -203,5 +207,16 @@
         return self._transport is None or self._transport.get_write_buffer_size() > 0
 
 
+def _encode(text: str) -> bytes:
+    """Returns the bytes of a part of a head, which HTTP reads as Latin-1.
+
+    :raises h11.LocalProtocolError: if it has other characters.
+    """
+    try:
+        return text.encode("latin-1")
+    except UnicodeEncodeError as error:
+        raise h11.LocalProtocolError(f"not Latin-1: {text!r:.40}") from error
+
+
 def _new_codec() -> h11.Connection:
     return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
