--- a/standins/ports.py
+++ b/standins/ports.py
@@ -26,7 +26,7 @@
 
     :param number: its number, from 0.
     :param claim: bound to the block's first port while this process lives.
-    :param ports: the ports that are left.
+    :param ports: its ports, over and over.
     """
 
     number: int
@@ -49,7 +49,7 @@
         except OSError:
             claim.close()
             continue
-        ports = iter(range(first_port + 1, first_port + PORTS_PER_BLOCK))
+        ports = itertools.cycle(range(first_port + 1, first_port + PORTS_PER_BLOCK))
         return _Block(number, claim, ports)
     raise AssertionError(f"all {BLOCKS} blocks of ports are claimed")
 
@@ -65,16 +65,16 @@
 def free_port(host: str = "127.0.0.1") -> int:
     """Returns a port that is free on a host.
 
-    Two calls in one process never return the same port, and no outgoing connection
-    takes it. Other processes get ports of other blocks.
+    Two calls in one process return the same port only after all others of its block,
+    and no outgoing connection takes it. Other processes get ports of other blocks.
 
-    :raises AssertionError: if no port of this process's block is left, or no block.
+    :raises AssertionError: if no port of this process's block is free, or no block.
     """
-    for port in _claim_block().ports:
+    for port in itertools.islice(_claim_block().ports, PORTS_PER_BLOCK - 1):
         with socket.socket() as probe:
             try:
                 probe.bind((host, port))
             except OSError:
                 continue
             return port
-    raise AssertionError(f"no free port is left on {host}")
+    raise AssertionError(f"no port is free on {host}")
--- a/tests/test_peers/test_peers_memory.py
+++ b/tests/test_peers/test_peers_memory.py
@@ -74,7 +74,7 @@
 
 def test_encoding_a_value_that_does_not_fit_its_field_raises():
     with pytest.raises(MalformedMessage):
-        encode(ping(deltas=(Member("n", "a", incarnation=-1),)))
+        encode(ping(deltas=(Member("n", "10.0.0.1:1", incarnation=-1),)))
 
 
 @pytest.mark.looptime
--- a/tests/test_platform/test_platform_connection_limits.py
+++ b/tests/test_platform/test_platform_connection_limits.py
@@ -12,7 +12,7 @@
 
 from cicadacourse.catalog import EndpointState
 from cicadacourse.placement import PlacementRequest, Placer
-from cicadacourse.platform import _endpoint_connector
+from cicadacourse.platform import _endpoint_exchange
 from cicadacourse.util.clock import now
 from standins.platform import ENGINE_POOL, PLAIN_POOL, Fleet, make_configuration
 from standins.ports import next_host
@@ -77,9 +77,9 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     sent: list[Any] = []
-    original = _endpoint_connector._request_headers
+    original = _endpoint_exchange._request_headers
     monkeypatch.setattr(
-        _endpoint_connector,
+        _endpoint_exchange,
         "_request_headers",
         lambda request: sent.append(request) or original(request),
     )
