--- a/cicadacourse/platform/_configuration_reader.py
+++ b/cicadacourse/platform/_configuration_reader.py
@@ -163,15 +163,15 @@
 
 def _engine(row: dict[str, Any]) -> EngineProfile:
     return EngineProfile(
-        slots=int(fields.positive(row, "slots")),
+        slots=fields.count(row, "slots"),
         kv_tokens=int(fields.integer(row, "kvTokens")),
-        steps_per_pass=int(fields.positive(row, "stride", 1)),
+        steps_per_pass=fields.count(row, "stride", 1),
         step_s=fields.seconds(row, "step_ms"),
         step_per_writer_s=fields.seconds(row, "per_seq_ms", 0),
         step_per_1k_context_s=fields.seconds(row, "context_per_k", 0),
-        read_tokens_per_s=fields.positive(row, "read_per_s"),
+        read_tokens_per_s=fields.rate(row, "read_per_s"),
         read_per_1m_pairs_s=fields.seconds(row, "pairs_per_m", 0),
-        chunk_tokens=int(fields.positive(row, "chunk", 2048)),
+        chunk_tokens=fields.count(row, "chunk", 2048),
         hop_s=fields.seconds(row, "hopMs", 0),
         models=tuple(
             fields.string(item, "name") for item in fields.array(row, "models")
--- a/cicadacourse/platform/_endpoint_exchange.py
+++ b/cicadacourse/platform/_endpoint_exchange.py
@@ -50,7 +50,7 @@
         if not isinstance(response, h11.Response):
             raise SendFailure("no response head was received", True, "malformed_answer")
         head = read_head(response)
-        _check_origin(head, response, caller.id)
+        _check_origin(head, caller.id)
         return _Response(head, self._connection, _keep_alive_s(response))
 
     async def _receive_head(self, timeout_s: float) -> object:
@@ -124,7 +124,7 @@
     return headers
 
 
-def _check_origin(head: ResponseHead, response: h11.Response, request_id: str) -> None:
+def _check_origin(head: ResponseHead, request_id: str) -> None:
     """Checks that a response is the endpoint's, and the one to a request.
 
     A faulty endpoint may send further bytes after a response, which look like the
@@ -135,21 +135,18 @@
         success. The request was sent and may have run.
     """
     # A caller may give its request no id, or an empty one.
-    ids = set(_values(response, names.HEADER_REQUEST_ID)) - {""}
+    ids = set(_values(head, names.HEADER_REQUEST_ID)) - {""}
     if ids != {request_id} - {""}:
         detail = "the response bears the id of another request, or none"
         raise SendFailure(detail, True, "foreign_answer")
-    if head.is_success and not any(_values(response, names.HEADER_SIGNATURE)):
+    if head.is_success and not any(_values(head, names.HEADER_SIGNATURE)):
         raise SendFailure("the success bears no seal", True, "unsealed_answer")
 
 
-def _values(response: h11.Response, name: str) -> list[str]:
+def _values(head: ResponseHead, name: str) -> list[str]:
     """Returns the values of all headers of a name."""
-    return [
-        header.value
-        for header in decode_headers(response)
-        if header.name.lower() == name.lower()
-    ]
+    lower_name = name.lower()
+    return [item.value for item in head.headers if item.name.lower() == lower_name]
 
 
 def _keep_alive_s(response: h11.Response) -> float:
--- a/cicadacourse/platform/_fields.py
+++ b/cicadacourse/platform/_fields.py
@@ -70,9 +70,14 @@
     return _field(row, name, default, "a non-negative integer", _is_integer)
 
 
-def positive(row: dict[str, Any], name: str, default: Any = _MISSING) -> float:
-    """Returns a number from 1 to :data:`MAX_NUMBER`, as what is divided by it needs."""
-    return _field(row, name, default, "a number of at least 1", _is_positive)
+def count(row: dict[str, Any], name: str, default: Any = _MISSING) -> int:
+    """Returns an integer from 1 to :data:`MAX_NUMBER`."""
+    return int(_field(row, name, default, "an integer of at least 1", _is_count))
+
+
+def rate(row: dict[str, Any], name: str) -> float:
+    """Returns a number from 1 to :data:`MAX_NUMBER`, by which others are divided."""
+    return _field(row, name, _MISSING, "a number of at least 1", _is_rate)
 
 
 def seconds(row: dict[str, Any], name: str, default: Any = _MISSING) -> float:
@@ -117,9 +122,13 @@
     return is_real and 0 <= item <= MAX_NUMBER
 
 
-def _is_positive(item: Any) -> bool:
+def _is_rate(item: Any) -> bool:
     return _is_number(item) and item >= 1
 
 
+def _is_count(item: Any) -> bool:
+    return _is_integer(item) and item >= 1
+
+
 def _is_integer(item: Any) -> bool:
     return _is_number(item) and item == int(item)
--- a/cicadacourse/platform/_registry.py
+++ b/cicadacourse/platform/_registry.py
@@ -62,7 +62,7 @@
 
 
 def _slots(row: dict[str, Any]) -> int:
-    slots = int(fields.integer(row, "slots"))
-    if not 0 < slots <= MAX_SLOTS:
+    slots = fields.count(row, "slots")
+    if slots > MAX_SLOTS:
         raise fields.FieldError(f"slots is {slots}, expected 1 to {MAX_SLOTS}")
     return slots
