--- a/tests/test_decoders.py
+++ b/tests/test_decoders.py
@@ -74,7 +74,11 @@
     return changes.map(lambda item: json.dumps(item).encode()) | st.sampled_from(DEEP)
 
 
-PAGE = {"items": [{"key": "k", "value": "dg==", "offset": 4}], "hasMore": 1, "end": 9}
+PAGE = {
+    "items": [{"key": "k", "value": "dg==", "offset": 4}],
+    "hasMore": True,
+    "end": 9,
+}
 INSTANCE = {"address": "10.0.0.1:7000"}
 
 
