--- a/tests/test_platform/test_platform_foreign_answers.py
+++ b/tests/test_platform/test_platform_foreign_answers.py
@@ -161,3 +161,85 @@
                 response = await Caller(instance).request(path, tokens)
     assert response.status == 502
     assert b"true" not in response.body
+
+
+LONG_PROMPT = "460000,92"
+ENGINES = 8
+
+
+@attrs.define
+class _FaultyRelay:
+    """Forwards connections to an engine; sends extra bytes before later responses.
+
+    :ivar sent: how often it has sent them.
+    """
+
+    target: str
+    extra: bytes
+    sent: int = 0
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serves one connection; called by asyncio."""
+        to_engine, from_engine = None, None
+        with contextlib.suppress(ConnectionError):
+            engine, to_engine = await asyncio.open_connection(*self.target.split(":"))
+            from_engine = asyncio.create_task(self._copy(engine, writer))
+            requests = 0
+            while data := await reader.read(65_536):
+                requests += data.count(b" HTTP/1.1\r\n")
+                if requests > 1:
+                    self.sent += 1
+                    writer.write(self.extra)
+                to_engine.write(data)
+        for item in (writer, to_engine):
+            if item is not None:
+                item.close()
+        if from_engine is not None:
+            await asyncio.gather(from_engine, return_exceptions=True)
+
+    async def _copy(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(65_536):
+                writer.write(data)
+
+
+@pytest.mark.parametrize("name", ["success", "refusal 503"])
+async def test_a_prompt_with_reserved_cache_gets_no_foreign_answer(name: str) -> None:
+    """Its orders go on connections of their own, its request on a kept one."""
+    async with running_fleet(engines=ENGINES, plain_services=0) as fleet:
+        async with contextlib.AsyncExitStack() as stack:
+            relays = []
+            for endpoint in fleet.endpoint_by_id.values():
+                relay = _FaultyRelay(endpoint.address, EXTRA_ANSWERS[name])
+                server = await asyncio.start_server(relay.serve, fleet.host, 0)
+                await stack.enter_async_context(server)
+                host, port = server.sockets[0].getsockname()
+                endpoint.address = f"{host}:{port}"
+                assert endpoint.worker.engine is not None
+                endpoint.worker.engine.name = endpoint.address
+                fleet.register(endpoint)
+                relays.append(relay)
+            instance = await stack.enter_async_context(running_one_instance(fleet))
+            metrics = instance.app.metrics
+            caller = Caller(instance)
+            for _ in range(PAIRS):
+                # Short prompts leave kept connections, which long ones use then.
+                await asyncio.gather(
+                    *(caller.request("/ask/x", "5000,46") for _ in range(ENGINES))
+                )
+                response = await caller.request("/ask/x", LONG_PROMPT)
+                assert b"EXTRA" not in response.body
+                if response.status == OK:
+                    seal = response.headers["x-cicadacourse-server-seal"]
+                    assert seal.endswith(f".{caller.sent_ids[-1]}")
+                elif response.status != 502:
+                    assert not fleet.count_runs(caller.sent_ids[-1])
+            reserved = metrics.value(
+                "reservations_total", action="reserve", outcome="ok"
+            )
+    assert reserved
+    assert sum(relay.sent for relay in relays)
