Tests: crowds of clients that don't behave, run alone; settings of the machine's memory

They check that it lives, its resident memory and descriptors, and that an ordinary request gets an answer while the crowd is there and after it left.

--- a/cicadacourse/cmd/_services.py
+++ b/cicadacourse/cmd/_services.py
@@ -6,6 +6,7 @@
 from typing import Sequence
 
 SERVICE_PACKAGES = (
+    "resources",
     "peers",
     "membership",
     "catalog",
--- a/tests/test_platform/test_platform_processes.py
+++ b/tests/test_platform/test_platform_processes.py
@@ -7,9 +7,10 @@
 import json
 import os
 import pathlib
+import resource
 import signal
 import sys
-from typing import AsyncIterator
+from typing import AsyncIterator, BinaryIO
 
 from cicadacourse.platform import _names as names
 from standins.callers import event_ids
@@ -28,12 +29,18 @@
 OK = 200
 
 
-def write_settings(path: pathlib.Path, fleet: Fleet, host: str) -> Instance:
+def write_settings(
+    path: pathlib.Path,
+    fleet: Fleet,
+    host: str,
+    name: str = "one",
+    further_sections: str = "",
+) -> Instance:
     """Writes an instance's settings and returns its addresses."""
     ports = [free_port(host) for _ in range(4)]
     path.write_text(f"""
 [instance]
-name = one
+name = {name}
 failure_domain = a
 caller_address = {host}:{ports[0]}
 peer_address = {host}:{PEER_PORT}
@@ -44,20 +51,35 @@
 directory_address = {host}:{ports[2]}
 metrics_address = {host}:{ports[3]}
 directory_ttl_s = 0.2
-""")
-    return Instance(None, host, *ports[:3])
+{further_sections}""")
+    return Instance(None, host, *ports)
 
 
 @contextlib.asynccontextmanager
 async def running_process(
-    settings: pathlib.Path, instance: Instance
+    settings: pathlib.Path,
+    instance: Instance,
+    max_descriptors: int | None = None,
+    output: int | BinaryIO = asyncio.subprocess.PIPE,
 ) -> AsyncIterator[asyncio.subprocess.Process]:
-    """Runs an instance as a process, which is ready when it is yielded."""
+    """Runs an instance as a process, which is ready when it is yielded.
+
+    :param max_descriptors: the limit of its open descriptors, None for that of the
+        test.
+    :param output: where its standard output goes.
+    """
+
+    def limit_descriptors() -> None:
+        if max_descriptors is not None:
+            limits = (max_descriptors, max_descriptors)
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+
     process = await asyncio.create_subprocess_exec(
         *(sys.executable, "-m", "cicadacourse", "serve"),
         cwd=ROOT,
         env={**os.environ, "CICADACOURSE_BOOT": str(settings)},
-        stdout=asyncio.subprocess.PIPE,
+        stdout=output,
+        preexec_fn=limit_descriptors,
     )
     try:
         await _wait_until_ready(instance)
--- /dev/null
+++ b/tests/test_platform/test_platform_unruly_clients.py
@@ -0,0 +1,226 @@
+"""Clients that don't behave: an instance lives in bounds and answers ordinary callers.
+
+Such clients ended a process, as it ran out of memory, and chunks of one byte stopped
+one for good. Each test starts an instance of a machine of 300 MB as a process, and a
+crowd as another one. Both run alone: ``tests.run`` starts these tests after the others,
+one at a time. No test depends on times or on a share of requests.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import pathlib
+import sys
+from typing import AsyncIterator
+
+import attrs
+import pytest
+
+from standins.callers import Response
+from standins.platform import PLAIN_POOL, Fleet, RegisteredEndpoint, Worker
+from standins.ports import next_host
+from tests.platform_fleet import Caller, Instance, running_fleet
+from tests.raw_endpoints import identify
+from tests.test_platform.test_platform_processes import (
+    ROOT,
+    running_process,
+    write_settings,
+)
+
+pytestmark = pytest.mark.alone
+
+MEMORY_MB = 300
+MAX_DESCRIPTORS = 512
+# What an instance keeps free for other instances, the store, operators and files.
+SPARE_DESCRIPTORS = 100
+RESOURCES = f"""
+[resources]
+memory_mb = {MEMORY_MB}
+max_descriptors = {MAX_DESCRIPTORS}
+"""
+# A caller whose request is refused or cut off comes back, as callers do.
+MAX_TRIES = 6
+RETRY_S = 0.5
+# The shortest deadline on the users' sheets.
+CALLER_TIMEOUT_MS = 1500
+OK = 200
+LARGE_ANSWER = b"y" * 4_194_304
+
+
+@attrs.define
+class Watch:
+    """The most that a process has used while it was watched."""
+
+    pid: int
+    descriptors: int = 0
+
+    async def run(self) -> None:
+        """Looks at the descriptors until it is cancelled."""
+        while True:
+            with contextlib.suppress(OSError):
+                entries = pathlib.Path(f"/proc/{self.pid}/fd").iterdir()
+                self.descriptors = max(self.descriptors, sum(1 for _ in entries))
+            await asyncio.sleep(0.05)
+
+    @property
+    def memory_mb(self) -> float:
+        """The most resident memory that the process has had, in MB."""
+        status = pathlib.Path(f"/proc/{self.pid}/status").read_text()
+        line = next(item for item in status.splitlines() if item.startswith("VmHWM:"))
+        return int(line.split()[1]) * 1024 / 1_000_000
+
+
+@contextlib.asynccontextmanager
+async def running_crowd(kind: str, count: int, address: str) -> AsyncIterator[None]:
+    """Keeps a crowd, settled when it is yielded; see tests/unruly_crowd.py."""
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "tests.unruly_crowd", kind, str(count), address),
+        cwd=ROOT,
+        stdin=asyncio.subprocess.PIPE,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        assert process.stdout is not None
+        assert await process.stdout.readline() == b"settled\n"
+        yield
+    finally:
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
+        await process.communicate()
+
+
+async def ask(
+    instance: Instance, path: str = "/look/x", tokens: str | None = None
+) -> Response:
+    """Returns the answer to an ordinary request, sent again until it is served."""
+    caller = Caller(instance)
+    response = None
+    for _ in range(MAX_TRIES):
+        with contextlib.suppress(OSError, EOFError, TimeoutError):
+            async with asyncio.timeout(CALLER_TIMEOUT_MS / 1000):
+                response = await caller.request(
+                    path, tokens, timeout_ms=CALLER_TIMEOUT_MS
+                )
+            if response.status == OK and response.is_complete:
+                return response
+        await asyncio.sleep(RETRY_S)
+    raise AssertionError(f"no answer to an ordinary request, the last: {response}")
+
+
+async def check_crowd(
+    fleet: Fleet,
+    folder: pathlib.Path,
+    kind: str,
+    count: int,
+    listener: str = "caller",
+    path: str = "/look/x",
+    tokens: str | None = None,
+) -> None:
+    """Runs an instance beside a crowd, and checks its life, its use and its answers."""
+    settings = folder / "one.ini"
+    instance = write_settings(settings, fleet, next_host(), further_sections=RESOURCES)
+    ports = {
+        "caller": instance.caller_port,
+        "ready": instance.ready_port,
+        "directory": instance.directory_port,
+        "metrics": instance.metrics_port,
+        "peer": peer_port(settings),
+    }
+    log = (folder / "one.log").open("wb")
+    async with running_process(settings, instance, MAX_DESCRIPTORS, log) as process:
+        await ask(instance, path, tokens)
+        watch = Watch(process.pid)
+        watching = asyncio.create_task(watch.run())
+        address = f"{instance.host}:{ports[listener]}"
+        async with running_crowd(kind, count, address):
+            await ask(instance, path, tokens)
+        await ask(instance, path, tokens)
+        watching.cancel()
+        assert process.returncode is None
+        used = (round(watch.memory_mb), watch.descriptors)
+        print(f"{kind} x {count}, {listener}: most MB and descriptors {used}")
+        assert watch.memory_mb <= MEMORY_MB
+        assert watch.descriptors <= MAX_DESCRIPTORS - SPARE_DESCRIPTORS
+
+
+def peer_port(settings: pathlib.Path) -> int:
+    """Returns the port at which an instance listens for other instances."""
+    lines = settings.read_text().splitlines()
+    line = next(item for item in lines if item.startswith("peer_address"))
+    return int(line.rpartition(":")[2])
+
+
+@pytest.mark.parametrize(
+    ("kind", "count"),
+    [
+        ("length-short", 120),
+        ("chunked-short", 120),
+        ("length-over", 120),
+        ("chunked-over", 120),
+        ("length-no-key", 120),
+        ("chunked-no-key", 120),
+        ("chunked-no-route", 120),
+        ("small-chunks", 12),
+        ("small-chunks", 120),
+        ("small-chunks", 360),
+        ("small-chunks-no-key", 120),
+        ("head-only", 120),
+        ("tiny-headers", 12),
+        ("tiny-headers", 120),
+        ("tiny-headers", 360),
+        ("pipelined", 120),
+        ("silent", 600),
+        ("head-short", 600),
+        ("head-only", 600),
+    ],
+)
+async def test_requests_that_are_not_whole_or_not_allowed(
+    kind: str, count: int, tmp_path: pathlib.Path
+) -> None:
+    """Nothing summed what was held for callers, and no timer ran from head to end."""
+    async with running_fleet() as fleet:
+        await check_crowd(fleet, tmp_path, kind, count)
+
+
+@pytest.mark.parametrize(
+    ("listener", "kind", "count"),
+    [
+        *(
+            (listener, kind, count)
+            for listener in ("ready", "directory", "metrics")
+            for kind, count in (("get-short", 30), ("head-short", 600))
+        ),
+        ("peer", "peer-short", 120),
+        ("peer", "silent", 600),
+    ],
+)
+async def test_the_other_listeners_are_bounded_too(
+    listener: str, kind: str, count: int, tmp_path: pathlib.Path
+) -> None:
+    """Each read bodies of 100 MB, and waited for an hour for a head."""
+    async with running_fleet() as fleet:
+        await check_crowd(fleet, tmp_path, kind, count, listener)
+
+
+async def test_answers_that_are_not_read(tmp_path: pathlib.Path) -> None:
+    """Each was kept until its caller had read it or had left."""
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, EOFError):
+            while head := await reader.readuntil(b"\r\n\r\n"):
+                answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+                writer.write(identify(answer % len(LARGE_ANSWER), head) + LARGE_ANSWER)
+                await writer.drain()
+
+    async with (
+        running_fleet(plain_services=0) as fleet,
+        await asyncio.start_server(serve, fleet.host, 0) as server,
+    ):
+        address = f"{fleet.host}:{server.sockets[0].getsockname()[1]}"
+        for number in range(3):
+            worker = Worker(f"large-{number}")
+            fleet.register(RegisteredEndpoint(worker, address, PLAIN_POOL))
+        await check_crowd(
+            fleet, tmp_path, "answers-unread", 120, path="/ask/x", tokens="5000,230"
+        )
