One account of the memory that is held for callers

Nothing summed what an instance holds for its callers; each connection had a limit, all together had none. It has a lane for each kind of load, so that none starves another one.

--- a/cicadacourse/cmd/serve.py
+++ b/cicadacourse/cmd/serve.py
@@ -37,6 +37,7 @@
 SETTINGS_VARIABLE = "CICADACOURSE_BOOT"
 # Services start in this order and stop in the reverse order.
 SERVICES_IN_ORDER = (
+    "resources",
     "store",
     "contacts",
     "peers",
--- a/cicadacourse/logs/_requests.py
+++ b/cicadacourse/logs/_requests.py
@@ -92,3 +92,19 @@
     " too late in its shutdown or was not placed when that ended (`leaving`).",
     True,
 )
+CALLERS_SHED = declare(
+    "resources",
+    "callers without progress shed",
+    "`count` callers that moved too little, and for whom `freed_bytes` were held, were"
+    " refused or cut off as `waiting` others waited for room: `held_bytes` of"
+    " `limit_bytes` were held. `kind` is what was held: a `body` not read whole, a"
+    " `connection` with a partial head, or an unread `answer`.",
+    True,
+)
+CONNECTIONS_REPLACED = declare(
+    "ingress",
+    "connections closed for new ones",
+    "`listener` had its `limit` of connections; `count` that waited for a head were"
+    " closed since the last line. `refused` new ones were, as none waited for a head.",
+    True,
+)
--- a/standins/memory_cluster.py
+++ b/standins/memory_cluster.py
@@ -14,6 +14,7 @@
 from cicadacourse.errors import Error
 from cicadacourse.membership import Contact, ContactSource
 from cicadacourse.peers import MemoryNetwork, MemoryPeers
+from cicadacourse.resources import Resources
 
 # Added to the index of an instance when another one replaces it under its name; the
 # address is made from the index. In a cluster of more instances than this, two would
@@ -95,6 +96,7 @@
             peer_address=self.address(name),
         )
         app = Application(Settings(instance, *self._sections))
+        app.add_service(Resources(app))
         app.add_service(MemoryPeers(app, self.network))
         app.add_service(MemoryContacts(app, self.contact_by_name))
         for spec in self._service_specs:
--- a/tests/test_gateway/test_gateway_histories.py
+++ b/tests/test_gateway/test_gateway_histories.py
@@ -50,6 +50,7 @@
 from cicadacourse.proxy import ProxyingClient
 from cicadacourse.quarantine import Quarantine
 from cicadacourse.reachability import Reachability
+from cicadacourse.resources import Resources
 from cicadacourse.util.clock import now
 from standins.platform import PROFILE
 from tests.simulated_loop import new_event_loop
@@ -308,6 +309,7 @@
     )
     app = Application(Settings(settings))
     for service_class in (
+        Resources,
         CatalogService,
         FakeMembership,
         LoadService,
--- a/tests/test_peers/echo_process.py
+++ b/tests/test_peers/echo_process.py
@@ -12,6 +12,7 @@
 from cicadacourse.membership import Member
 from cicadacourse.membership._messages import Ack, Ping
 from cicadacourse.peers import CapnpPeers, PeersSettings, handles
+from cicadacourse.resources import Resources
 from cicadacourse.util.clock import BoottimeEventLoop
 
 SENDER = Member("e1", "127.0.0.1:1")
@@ -44,6 +45,7 @@
         peer_address=f"127.0.0.1:{port}",
     )
     app = Application(Settings(instance, settings or PeersSettings()))
+    app.add_service(Resources(app))
     app.add_service(CapnpPeers(app))
     app.add_service(Echo(app))
     return app
