Callers' heads and bodies: judged at the head, charged, timed and decoded in slices

Callers saw an instance end, or stay without answer for seconds, beside clients that send bodies without end, stop just short of it, or send chunks of one byte or heads of thousands of lines.

Cause, by reading: parts of a body were kept one by one and summed over no two connections; no timer ran between a head and its end; key, route and size were judged once the body was whole; the server decodes 256 chunks of each connection in one turn of the loop, parses heads of any number of lines, searches a partial head from its begin with each part, and accepts connections until no descriptor is left.

Now the request's reader reads bodies itself, through tornado's delegate: what the head tells is answered at once and the connection ends without a reset; a body above 64 KB reserves all that it may need first; it must be whole by the deadline, and may not pause for 15 s. Chunks beyond the first ones, heads of many lines and pipelined heads are decoded in the slices of the loop's time that answers have. Callers get half of the descriptors.

--- a/cicadacourse/errors.py
+++ b/cicadacourse/errors.py
@@ -21,6 +21,7 @@
     BAD_REQUEST = "bad_request"
     TOO_LARGE = "too_large"
     HEADERS_TOO_LARGE = "headers_too_large"
+    BODY_TOO_SLOW = "body_too_slow"
     UNKNOWN_ROUTE = "unknown_route"
     UNKNOWN_KEY = "unknown_key"
     FORBIDDEN = "forbidden"
@@ -65,6 +66,7 @@
     ErrorKind.HEADERS_TOO_LARGE: ErrorResponse(
         431, Execution.NOT_RUN, is_retryable=False
     ),
+    ErrorKind.BODY_TOO_SLOW: ErrorResponse(408, Execution.NOT_RUN, is_retryable=True),
     ErrorKind.UNKNOWN_ROUTE: ErrorResponse(404, Execution.NOT_RUN, is_retryable=False),
     ErrorKind.UNKNOWN_KEY: ErrorResponse(401, Execution.NOT_RUN, is_retryable=False),
     ErrorKind.FORBIDDEN: ErrorResponse(403, Execution.NOT_RUN, is_retryable=False),
--- a/cicadacourse/gateway/__init__.py
+++ b/cicadacourse/gateway/__init__.py
@@ -2,6 +2,7 @@
 
 from cicadacourse.gateway._admission import leaving_error
 from cicadacourse.gateway._events import MAX_EVENT_BYTES
+from cicadacourse.gateway._head import BodyTerms
 from cicadacourse.gateway._service import Gateway
 from cicadacourse.gateway._settings import GatewaySettings
 from cicadacourse.gateway._status import (
@@ -15,6 +16,7 @@
 )
 
 __all__ = [
+    "BodyTerms",
     "EndpointStatus",
     "Gateway",
     "MAX_EVENT_BYTES",
--- a/cicadacourse/gateway/_admission.py
+++ b/cicadacourse/gateway/_admission.py
@@ -228,18 +228,19 @@
 
 
 def admit(
-    request: CallerRequest, catalog: Catalog | None
+    request: CallerRequest, catalog: Catalog | None, body_bytes: int | None = None
 ) -> Result[AdmittedRequest, Error]:
     """Resolves a request's route and organisation.
 
     :param catalog: the configuration in force, or None if none is known yet.
+    :param body_bytes: the size of a body that was not read yet.
     :returns: the admitted request, or the error to respond with.
     """
     if catalog is None:
         detail = "no configuration is known yet"
         wait_s = RETRY_AFTER_NOT_READY_S
         return Failure(Error(ErrorKind.NOT_READY, detail, retry_after_s=wait_s))
-    too_large = _check_size(request, catalog.limits)
+    too_large = _check_size(request, catalog.limits, body_bytes)
     if too_large is not None:
         return Failure(too_large)
     route = catalog.find_route(request.host, request.target)
@@ -296,12 +297,15 @@
     return Error(ErrorKind.LEAVING, detail, retry_after_s=RETRY_AFTER_LEAVING_S)
 
 
-def _check_size(request: CallerRequest, limits: CallerLimits) -> Error | None:
+def _check_size(
+    request: CallerRequest, limits: CallerLimits, body_bytes: int | None
+) -> Error | None:
     """Returns an error if the headers or the body exceed the limits, else None."""
+    size = len(request.body) if body_bytes is None else body_bytes
     if request.header_bytes > limits.max_header_bytes:
         detail = f"the headers are larger than {limits.max_header_bytes} bytes"
         return Error(ErrorKind.HEADERS_TOO_LARGE, detail)
-    if len(request.body) > limits.max_body_bytes:
+    if size > limits.max_body_bytes:
         detail = f"the body is larger than {limits.max_body_bytes} bytes"
         return Error(ErrorKind.TOO_LARGE, detail)
     return None
--- a/cicadacourse/gateway/_service.py
+++ b/cicadacourse/gateway/_service.py
@@ -23,6 +23,7 @@
 from cicadacourse.gateway._attempts import Attempts
 from cicadacourse.gateway._endpoint_activity import EndpointActivity
 from cicadacourse.gateway._forward import Forwarder
+from cicadacourse.gateway._head import BodyTerms, check_head
 from cicadacourse.gateway._settings import (
     DURATION,
     FIRST_EVENT,
@@ -73,10 +74,24 @@
         """
         match await self._admit(request):
             case Failure(error):
-                await self._refuse(request, reply, error)
+                await self.refuse(request, reply, error)
             case Success(admitted):
                 await self._serve(admitted, reply)
 
+    def check_head(
+        self, request: CallerRequest, length: int | None, max_bytes: int
+    ) -> Result[BodyTerms, Error]:
+        """Returns the terms of a request's body; see :func:`check_head`."""
+        catalog_service: CatalogService = self.app.get("catalog")
+        return check_head(
+            request,
+            length,
+            catalog_service.catalog,
+            catalog_service.freshness,
+            max_bytes,
+            now(),
+        )
+
     async def _admit(self, request: CallerRequest) -> Result[AdmittedRequest, Error]:
         """Admits a request by a configuration that is recent enough to decide on it.
 
@@ -154,7 +169,7 @@
         self, admitted: AdmittedRequest, reply: Reply, error: Error
     ) -> None:
         if not reply.started:
-            await self._refuse(admitted.request, reply, error)
+            await self.refuse(admitted.request, reply, error)
             return
         log(
             STREAM_ABORTED,
@@ -164,7 +179,8 @@
         )
         reply.abort()
 
-    async def _refuse(self, request: CallerRequest, reply: Reply, error: Error) -> None:
+    async def refuse(self, request: CallerRequest, reply: Reply, error: Error) -> None:
+        """Refuses a request that has not run, or has failed."""
         self.app.metrics.count(REFUSALS, reason=error.label)
         freshness = self.app.get("catalog").freshness
         log(
--- a/cicadacourse/platform/_caller_connections.py
+++ b/cicadacourse/platform/_caller_connections.py
@@ -12,7 +12,7 @@
 
 from cicadacourse.logs import CONNECTIONS_CLOSED, log
 from cicadacourse.metrics import Metrics, declare
-from cicadacourse.platform._caller_stream import CallerStream
+from cicadacourse.platform._client_stream import ClientStream
 from cicadacourse.platform._wait_limits import WaitLimits
 from cicadacourse.util.clock import now, time_to_tick
 
@@ -37,14 +37,14 @@
     def __init__(self, metrics: Metrics, limits: WaitLimits) -> None:
         self._metrics = metrics
         self._limits = limits
-        self._streams: set[CallerStream] = set()
+        self._streams: set[ClientStream] = set()
 
-    def begin_wait(self, stream: CallerStream) -> None:
+    def begin_wait(self, stream: ClientStream) -> None:
         """Records that a connection waits for the head of a request."""
         stream.begin_wait()
         self._streams.add(stream)
 
-    def end_wait(self, stream: CallerStream) -> None:
+    def end_wait(self, stream: ClientStream) -> None:
         """Records that the head was read."""
         stream.end_wait()
         self._streams.discard(stream)
@@ -64,7 +64,7 @@
     def _close_overdue(self) -> None:
         self._streams = {item for item in self._streams if not item.closed()}
         now_s = now()
-        overdue_by_reason: dict[str, list[CallerStream]] = defaultdict(list)
+        overdue_by_reason: dict[str, list[ClientStream]] = defaultdict(list)
         for stream in self._streams:
             reason = self._reason_to_close(stream, now_s)
             if reason is not None:
@@ -72,7 +72,7 @@
         for reason, streams in overdue_by_reason.items():
             self._close(streams, reason)
 
-    def _reason_to_close(self, stream: CallerStream, now_s: float) -> str | None:
+    def _reason_to_close(self, stream: ClientStream, now_s: float) -> str | None:
         """Returns why a connection waits for too long, or None if it does not.
 
         It does not if its head is complete but was not passed on yet, or if the socket
@@ -90,7 +90,7 @@
             return None
         return REASON_IDLE if began_at is None else REASON_SLOW_HEAD
 
-    def _close(self, streams: list[CallerStream], reason: str) -> None:
+    def _close(self, streams: list[ClientStream], reason: str) -> None:
         """Closes connections; one line tells of all of them."""
         first_since = min(item.waits_since or now() for item in streams)
         log(
@@ -106,7 +106,7 @@
             stream.close()
 
 
-def _caller_of(stream: CallerStream) -> str:
+def _caller_of(stream: ClientStream) -> str:
     """Returns a caller's address, or a dash if the system no longer knows it."""
     try:
         host, port = stream.socket.getpeername()[:2]
--- a/cicadacourse/platform/_caller_reply.py
+++ b/cicadacourse/platform/_caller_reply.py
@@ -21,16 +21,22 @@
 
     :param is_leaving: returns whether the instance is leaving; the response then
         announces that the connection closes.
+    :param stays_open: whether the connection is not closed by this response although
+        the body of its request was not read; whoever reads the rest closes it.
     :ivar request_id: the caller's id of the request; empty if it gave none.
     """
 
     def __init__(
-        self, connection: HTTP1Connection, is_leaving: Callable[[], bool]
+        self,
+        connection: HTTP1Connection,
+        is_leaving: Callable[[], bool],
+        stays_open: bool = False,
     ) -> None:
         super().__init__()
         self.request_id = ""
         self._connection = connection
         self._is_leaving = is_leaving
+        self._stays_open = stays_open
         self._is_ended = False
 
     def on_disconnect(self, callback: Any) -> None:
@@ -103,4 +109,5 @@
 
     def _end(self) -> None:
         self._is_ended = True
-        self._connection.finish()
+        if not self._stays_open:
+            self._connection.finish()
--- a/cicadacourse/platform/_ingress.py
+++ b/cicadacourse/platform/_ingress.py
@@ -4,9 +4,10 @@
 
 import asyncio
 import contextlib
-from typing import Any, AsyncIterator
+from typing import Any, AsyncIterator, Callable
 
 import tornado.httputil
+from returns.result import Failure, Result
 from tornado.http1connection import HTTP1Connection
 from tornado.iostream import StreamClosedError
 
@@ -16,14 +17,17 @@
 from cicadacourse.errors import Error, ErrorKind
 from cicadacourse.events import CATALOG_CHANGED
 from cicadacourse.exchange import CallerRequest
-from cicadacourse.gateway import leaving_error
+from cicadacourse.gateway import BodyTerms, Gateway, leaving_error
 from cicadacourse.logs import CALLER_DISCONNECTED, log
+from cicadacourse.platform._caller_body import BodyReader
 from cicadacourse.platform._caller_connections import WaitingConnections
 from cicadacourse.platform._caller_reply import CallerReply
-from cicadacourse.platform._caller_request import read_request
-from cicadacourse.platform._caller_stream import CallerServer, CallerStream
+from cicadacourse.platform._client_server import ClientServer
+from cicadacourse.platform._client_stream import ClientStream
+from cicadacourse.platform._request_reader import RequestReader
 from cicadacourse.platform._settings import ListenSettings
 from cicadacourse.platform._wait_limits import WaitLimits
+from cicadacourse.resources import Resources
 from cicadacourse.tasks import Tasks
 from cicadacourse.util.addresses import split_address
 from cicadacourse.util.clock import now
@@ -31,9 +35,8 @@
 
 logger = get_logger("ingress")
 
-# Bounds of a connection's memory, above the default limits of a configuration. Tornado
-# rejects larger requests, even if the configured limits allow them.
-MAX_HEADER_BYTES = 131_072
+# Larger heads and bodies are not read, even if the configured limits allow them.
+MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 8_388_608
 # Idle limit of connections until the configuration is known.
 IDLE_TIMEOUT_S = 120.0
@@ -72,7 +75,7 @@
         self._refusals = Tasks(app.metrics, "ingress")
         self._last_request_at = 0.0
         self._refuses_requests = False
-        self._server: CallerServer | None = None
+        self._server: ClientServer | None = None
         self._wait_limits = WaitLimits(
             app.settings.get(CatalogSettings).superseded_bound_s,
             IDLE_MARGIN_S,
@@ -81,6 +84,10 @@
         self.waiting = WaitingConnections(app.metrics, self._wait_limits)
         app.events.connect(CATALOG_CHANGED, self._apply_limits)
 
+    @property
+    def _resources(self) -> Resources:
+        return self.app.get("resources")
+
     @property
     def in_progress(self) -> int:
         """How many requests are in progress."""
@@ -89,10 +96,14 @@
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Listens for callers while the instance runs."""
-        server = CallerServer(
+        server = ClientServer(
             _RequestReaderFactory(self),
+            listener="caller",
+            max_connections=self._resources.settings.caller_connections,
+            answer_idle_s=self._resources.settings.answer_idle_s,
+            account=self._resources.account,
+            metrics=self.app.metrics,
             max_header_size=MAX_HEADER_BYTES,
-            max_body_size=MAX_BODY_BYTES,
         )
         # Tornado's own timer has neither a hook nor a limit that may change.
         server.conn_params.header_timeout = None
@@ -102,13 +113,14 @@
         self._apply_limits()
         closing = Tasks(self.app.metrics, "ingress")
         closing.keep("close_waiting", self.waiting.close_periodically)
+        closing.keep("close_unread", server.sweep_periodically)
         try:
             yield
         finally:
             await closing.cancel()
             await self._stop(server)
 
-    async def _stop(self, server: CallerServer) -> None:
+    async def _stop(self, server: ClientServer) -> None:
         """Answers the requests in progress, then closes all connections.
 
         One on which a request arrives meanwhile is closed after its refusal.
@@ -172,17 +184,50 @@
                 return
             await asyncio.sleep(LEAVE_POLL_INTERVAL_S)
 
-    def serve(self, request: CallerRequest, reply: CallerReply) -> None:
+    def check_head(
+        self, request: CallerRequest, length: int | None
+    ) -> Result[BodyTerms, Error]:
+        """Returns the terms of a body, or why the request is refused without it.
+
+        :param length: the size that the head states, None if it states none.
+        """
+        if self._refuses_requests:
+            return Failure(leaving_error())
+        gateway: Gateway = self.app.get("gateway")
+        return gateway.check_head(request, length, MAX_BODY_BYTES)
+
+    def make_body_reader(self, stream: ClientStream, terms: BodyTerms) -> BodyReader:
+        """Returns a reader of one body, which its user closes."""
+        idle_s = self._resources.settings.body_idle_s
+        return BodyReader(stream, self._resources.account, terms, idle_s)
+
+    async def refuse_at_head(
+        self, request: CallerRequest, reply: CallerReply, error: Error
+    ) -> None:
+        """Refuses a request whose body was not read whole."""
+        self._last_request_at = now()
+        await self.app.get("gateway").refuse(request, reply, error)
+
+    def serve(
+        self,
+        request: CallerRequest,
+        reply: CallerReply,
+        on_end: Callable[[], None],
+    ) -> None:
         """Starts a task that handles one request.
 
         The task is cancelled if the caller disconnects or the instance stops. Once a
         leaving instance accepts no more requests, the request is refused instead.
+
+        :param on_end: called once the request has ended.
         """
         self._last_request_at = now()
         if self._refuses_requests:
+            on_end()
             self.refuse(reply, leaving_error())
             return
         task = self._tasks.start(self._handle(request, reply), "request")
+        task.add_done_callback(lambda _: on_end())
         reply.on_disconnect(task.cancel)
 
     def refuse(self, reply: CallerReply, error: Error) -> None:
@@ -216,49 +261,6 @@
     ) -> tornado.httputil.HTTPMessageDelegate:
         """Returns the reader of one request; called by tornado."""
         assert isinstance(request_conn, HTTP1Connection)
-        assert isinstance(request_conn.stream, CallerStream)
+        assert isinstance(request_conn.stream, ClientStream)
         self._ingress.waiting.begin_wait(request_conn.stream)
-        return _RequestReader(self._ingress, request_conn, request_conn.stream)
-
-
-class _RequestReader(tornado.httputil.HTTPMessageDelegate):
-    """Collects one request and starts serving it once it is complete."""
-
-    def __init__(
-        self, ingress: Ingress, connection: HTTP1Connection, stream: CallerStream
-    ) -> None:
-        self._ingress = ingress
-        self._connection = connection
-        self._stream = stream
-        self._parts: list[bytes] = []
-        self._arrived = 0.0
-        self._start_line = tornado.httputil.RequestStartLine("", "", "")
-        self._headers = tornado.httputil.HTTPHeaders()
-
-    def headers_received(self, start_line: Any, headers: Any) -> None:
-        """Stores the request line and the headers; called by tornado."""
-        self._ingress.waiting.end_wait(self._stream)
-        self._arrived = now()
-        self._start_line = start_line
-        self._headers = headers
-
-    def data_received(self, chunk: bytes) -> None:
-        """Stores a part of the body; called by tornado."""
-        self._parts.append(chunk)
-
-    def finish(self) -> None:
-        """Serves the complete request; called by tornado."""
-        reply = CallerReply(self._connection, lambda: self._ingress.is_leaving)
-        try:
-            body = b"".join(self._parts)
-            request = read_request(self._start_line, self._headers, body, self._arrived)
-        except ValueError as error:
-            detail = f"malformed request: {error}"
-            self._ingress.refuse(reply, Error(ErrorKind.BAD_REQUEST, detail))
-            return
-        reply.request_id = request.id
-        self._ingress.serve(request, reply)
-
-    def on_connection_close(self) -> None:
-        """Discards an incomplete request; called by tornado."""
-        self._parts.clear()
+        return RequestReader(self._ingress, request_conn, request_conn.stream)
--- a/tests/test_platform/test_platform_caller_connections.py
+++ b/tests/test_platform/test_platform_caller_connections.py
@@ -17,8 +17,9 @@
 from cicadacourse.catalog import CallerLimits
 from cicadacourse.metrics import Metrics
 from cicadacourse.platform._caller_connections import WaitingConnections
-from cicadacourse.platform._caller_stream import CallerStream
+from cicadacourse.platform._client_stream import ClientStream
 from cicadacourse.platform._wait_limits import WaitLimits
+from cicadacourse.resources import MemoryAccount
 
 LINE = b"GET / HTTP/1.1\r\n"
 LONG_S = 60.0
@@ -28,7 +29,7 @@
 class _Pair:
     """A connection that waits for a line, and its caller's end."""
 
-    stream: CallerStream
+    stream: ClientStream
     caller: socket.socket
     waiting: WaitingConnections
     line: asyncio.Future[bytes]
@@ -47,7 +48,7 @@
         own, _ = server.accept()
     limits = WaitLimits(0.0, 0.0, CallerLimits(0, 0, header_s, idle_s))
     waiting = WaitingConnections(Metrics(), limits)
-    stream = CallerStream(own)
+    stream = ClientStream(own, account=MemoryAccount(10**9, Metrics()))
     waiting.begin_wait(stream)
     yield _Pair(stream, caller, waiting, stream.read_until(b"\r\n"))
     stream.close()
