A caller's time limit that is not finite is malformed

NaN and infinity were read as limits; before a configuration was known they became the deadline of a timer. Four tests over the headers of callers failed before: one property, three values.

--- a/cicadacourse/platform/_caller_request.py
+++ b/cicadacourse/platform/_caller_request.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from cicadacourse.exchange import CallerRequest, Header, Prompt
@@ -23,7 +25,6 @@
     :param arrived: when its headers were read, loop time in seconds.
     :raises ValueError: if a number in a header is malformed.
     """
-    timeout_ms = headers.get(names.HEADER_TIME_LEFT_MS)
     return CallerRequest(
         id=headers.get(names.HEADER_REQUEST_ID, ""),
         method=start.method,
@@ -31,7 +32,7 @@
         target=start.path,
         key=_read_key(headers),
         arrived=arrived,
-        timeout_s=None if timeout_ms is None else float(timeout_ms) / MS_PER_S,
+        timeout_s=_read_timeout_s(headers),
         last_event_id=headers.get(names.HEADER_LAST_EVENT_ID),
         prompt=_read_prompt(headers),
         headers=_forwarded_headers(headers),
@@ -40,6 +41,20 @@
     )
 
 
+def _read_timeout_s(headers: HTTPHeaders) -> float | None:
+    """Returns how long the caller waits, None if it states no limit.
+
+    :raises ValueError: if it is no finite number.
+    """
+    text = headers.get(names.HEADER_TIME_LEFT_MS)
+    if text is None:
+        return None
+    timeout_s = float(text) / MS_PER_S
+    if not math.isfinite(timeout_s):
+        raise ValueError(f"the time limit {text!r:.40} is not finite")
+    return timeout_s
+
+
 def _header_bytes(headers: HTTPHeaders) -> int:
     """Returns the size of all header lines in bytes, separators included."""
     return sum(
--- a/tests/test_platform/test_platform_caller_request.py
+++ b/tests/test_platform/test_platform_caller_request.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+import math
+
+import hypothesis.strategies as st
 import pytest
+from hypothesis import given
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from cicadacourse.exchange import CallerRequest
@@ -45,3 +49,43 @@
 def test_the_number_of_parts_is_bounded() -> None:
     text = ",".join(f"{number:x}:1" for number in range(500))
     assert len(read(text).prompt.shared_part_ids) == MAX_SHARED_PARTS
+
+
+header_texts = st.text(st.characters(max_codepoint=255, exclude_categories=["Cc"]))
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(
+            [
+                "X-Cicadacourse-Deadline-Ms",
+                "X-Cicadacourse-Token-Usage",
+                "X-Cicadacourse-Prompt-Prefix",
+                "Authorization",
+                "Connection",
+                "Last-Event-Id",
+            ]
+        ),
+        header_texts
+        | st.from_regex("-?[0-9]{0,400}(,[0-9]*)?(e[0-9]+)?", fullmatch=True)
+        | st.sampled_from(["nan", "inf", "-inf", "1e999", "0", "Bearer "]),
+    )
+)
+def test_whatever_headers_say_they_are_read_or_malformed(
+    text_by_name: dict[str, str],
+) -> None:
+    """A time limit that is no number was taken for a deadline."""
+    start = RequestStartLine("POST", "/ask/x", "HTTP/1.1")
+    try:
+        request = read_request(start, HTTPHeaders(text_by_name), b"", 0.0)
+    except ValueError:
+        return
+    assert request.timeout_s is None or math.isfinite(request.timeout_s)
+
+
+@pytest.mark.parametrize("text", ["nan", "inf", "1e999"])
+def test_a_time_limit_that_is_not_finite_is_malformed(text: str) -> None:
+    headers = HTTPHeaders({"X-Cicadacourse-Deadline-Ms": text})
+    start = RequestStartLine("GET", "/look/x", "HTTP/1.1")
+    with pytest.raises(ValueError, match="not finite"):
+        read_request(start, headers, b"", 0.0)
