The listeners for probes, look-ups and operators are bounded as that for callers

They had the defaults of the library: bodies of 100 MB, an hour for a head, no limit of connections. 30 clients that held back the end of a body took 310 to 314 MB, 600 with a partial head all descriptors, so that callers got no answer. Now bodies are limited to 16 KB, which no request there has, heads to 120 s, and connections to a sixteenth (look-ups) and a thirty-second of the descriptors.

--- a/cicadacourse/platform/_probes.py
+++ b/cicadacourse/platform/_probes.py
@@ -9,15 +9,16 @@
 
 import attrs
 import tornado.web
-from tornado.httpserver import HTTPServer
 
 from cicadacourse.application import SERVICES, Application, Service
 from cicadacourse.catalog import Catalog, CatalogService
 from cicadacourse.gateway import PATH_STATUS, get_instance_status
 from cicadacourse.logs import INSTANCES_LEFT_OUT, NOT_READY, READY, log
 from cicadacourse.membership import Member, choose_for_callers, select_connected
+from cicadacourse.platform._client_server import ClientServer
 from cicadacourse.platform._names import PATH_READY, PATH_RESOLVE
 from cicadacourse.platform._settings import ListenSettings
+from cicadacourse.tasks import Tasks
 from cicadacourse.util.addresses import split_address
 from cicadacourse.util.clock import now
 
@@ -26,6 +27,11 @@
 # Limit of the names in one log line.
 MAX_LOGGED = 8
 PATH_METRICS = "/metrics"
+# None of the requests here has a body.
+MAX_HEADER_BYTES = 16_384
+MAX_BODY_BYTES = 16_384
+BODY_TIMEOUT_S = 5.0
+IDLE_TIMEOUT_S = 120.0
 _OK = 200
 _UNAVAILABLE = 503
 
@@ -47,29 +53,62 @@
     async def running(self) -> AsyncIterator[None]:
         """Listens on the three addresses while the instance runs."""
         settings = self._settings
+        resources = self.app.get("resources").settings
         servers = [
-            self._listen(settings.ready_address, {PATH_READY: _ReadyHandler}),
-            self._listen(settings.directory_address, {PATH_RESOLVE: _ResolveHandler}),
             self._listen(
+                "ready",
+                settings.ready_address,
+                resources.probe_connections,
+                {PATH_READY: _ReadyHandler},
+            ),
+            self._listen(
+                "directory",
+                settings.directory_address,
+                resources.directory_connections,
+                {PATH_RESOLVE: _ResolveHandler},
+            ),
+            self._listen(
+                "metrics",
                 settings.metrics_address,
+                resources.probe_connections,
                 {PATH_METRICS: _MetricsHandler, PATH_STATUS: _StatusHandler},
             ),
         ]
+        sweeping = Tasks(self.app.metrics, "probes")
+        for server in servers:
+            sweeping.keep("close_unread", server.sweep_periodically)
         try:
             yield
         finally:
+            await sweeping.cancel()
             for server in servers:
                 server.stop()
 
     def _listen(
-        self, address: str, handler_by_path: dict[str, type[_Handler]]
-    ) -> HTTPServer:
+        self,
+        listener: str,
+        address: str,
+        max_connections: int,
+        handler_by_path: dict[str, type[_Handler]],
+    ) -> ClientServer:
         arguments = {"probes": self}
         application = tornado.web.Application(
             [(path, handler, arguments) for path, handler in handler_by_path.items()],
             log_function=lambda _: None,
         )
-        server = HTTPServer(application)
+        resources = self.app.get("resources")
+        server = ClientServer(
+            application,
+            listener=listener,
+            max_connections=max_connections,
+            answer_idle_s=resources.settings.answer_idle_s,
+            account=resources.account,
+            metrics=self.app.metrics,
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=MAX_BODY_BYTES,
+            idle_connection_timeout=IDLE_TIMEOUT_S,
+            body_timeout=BODY_TIMEOUT_S,
+        )
         host, port = split_address(address)
         server.listen(port, host)
         return server
