Answers are charged to the account while they are collected and until they are read

120 callers that asked for answers of 4 MB and read none took 603 MB, and each answer stayed until its caller left.

--- a/cicadacourse/exchange/_endpoint_client.py
+++ b/cicadacourse/exchange/_endpoint_client.py
@@ -4,7 +4,7 @@
 
 import abc
 import contextlib
-from typing import Callable
+from typing import Awaitable, Callable
 
 import attrs
 
@@ -44,9 +44,11 @@
     """A response of an endpoint whose body is being read.
 
     :ivar head: its status and headers.
+    :ivar length: the size of its body in bytes, None if it is not known.
     """
 
     head: ResponseHead
+    length: int | None = None
 
     @abc.abstractmethod
     async def read_chunk(self) -> bytes:
@@ -55,10 +57,15 @@
         :raises SendFailure: if the response breaks off.
         """
 
-    async def read_all(self, on_wait: Callable[[], None]) -> bytes:
+    async def read_all(
+        self,
+        on_wait: Callable[[], None],
+        make_room: Callable[[int], Awaitable[None]],
+    ) -> bytes:
         """Returns the rest of the body.
 
         :param on_wait: called whenever the wait for the next bytes begins.
+        :param make_room: waits until there is room for so many bytes of the body.
         :raises SendFailure: if the response breaks off, or if the rest is larger than
             ``MAX_BODY_BYTES``.
         """
@@ -70,6 +77,7 @@
             if size > MAX_BODY_BYTES:
                 detail = f"the body is larger than {MAX_BODY_BYTES} bytes"
                 raise SendFailure(detail, True, "body_too_large")
+            await make_room(size)
             parts.append(part)
             on_wait()
         return b"".join(parts)
--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -13,6 +13,7 @@
 from cicadacourse.errors import Error
 from cicadacourse.events import ENDPOINT_SENT_DATA
 from cicadacourse.exchange import (
+    MAX_BODY_BYTES,
     EndpointClient,
     EndpointResponse,
     SendFailure,
@@ -38,6 +39,13 @@
     ReservationRefused,
     ReservationService,
 )
+from cicadacourse.resources import (
+    SMALL_BYTES,
+    HeldKind,
+    Holding,
+    MemoryAccount,
+    NoRoom,
+)
 from cicadacourse.util.clock import now
 
 # The head of a response is awaited until the deadline, which cancels the attempt. This
@@ -293,12 +301,38 @@
 
     async def _forward_body(self, response: EndpointResponse) -> bool:
         """Forwards a whole body; returns False if the caller already has a stream."""
-        body = await response.read_all(self._restart_wait)
+        account: MemoryAccount = self.app.get("resources").account
+        with account.holding(HeldKind.ANSWER) as holding:
+
+            async def make_room(size: int) -> None:
+                await self._make_room(holding, size, response.length)
+
+            body = await response.read_all(self._restart_wait, make_room)
+            self.waiting_since = None
+            if not self.owner.may_write_response():
+                return False
+            await self.owner.write_response(self, response.head, body)
+            return True
+
+    async def _make_room(self, holding: Holding, size: int, length: int | None) -> None:
+        """Makes room for more of an answer: for all of it once it is no small one.
+
+        So no two answers that have begun wait for each other. The endpoint is not
+        silent meanwhile.
+
+        :param size: how much of it has come, in bytes.
+        :param length: the size of the whole answer, None if it is not known.
+        :raises SendFailure: if there is no room before the deadline.
+        """
+        if size <= holding.size:
+            return
         self.waiting_since = None
-        if not self.owner.may_write_response():
-            return False
-        await self.owner.write_response(self, response.head, body)
-        return True
+        if size > SMALL_BYTES:
+            size = MAX_BODY_BYTES if length is None else max(size, length)
+        try:
+            await holding.reserve(size, max(0.0, self.admitted.deadline - now()))
+        except NoRoom as error:
+            raise SendFailure(str(error), True, "no_room") from error
 
     async def _forward_stream(
         self, response: EndpointResponse, placement: Placement
--- a/cicadacourse/platform/_endpoint_exchange.py
+++ b/cicadacourse/platform/_endpoint_exchange.py
@@ -15,7 +15,11 @@
     SendFailure,
 )
 from cicadacourse.platform import _names as names
-from cicadacourse.platform._response_head import decode_headers, read_head
+from cicadacourse.platform._response_head import (
+    decode_headers,
+    read_head,
+    read_length,
+)
 from cicadacourse.util.clock import MS_PER_S
 from cicadacourse.util.connection import HttpConnection, HttpConnectionError
 
@@ -51,7 +55,8 @@
             raise SendFailure("no response head was received", True, "malformed_answer")
         head = read_head(response)
         _check_origin(head, caller.id)
-        return _Response(head, self._connection, _keep_alive_s(response))
+        length, keep_alive_s = read_length(response), _keep_alive_s(response)
+        return _Response(head, length, self._connection, keep_alive_s)
 
     async def _receive_head(self, timeout_s: float) -> object:
         try:
@@ -70,9 +75,14 @@
     """A response that is read from a connection."""
 
     def __init__(
-        self, head: ResponseHead, connection: HttpConnection, keep_alive_s: float
+        self,
+        head: ResponseHead,
+        length: int | None,
+        connection: HttpConnection,
+        keep_alive_s: float,
     ) -> None:
         self.head = head
+        self.length = length
         self._connection = connection
         self._keep_alive_s = keep_alive_s
         self._is_complete = False
--- a/cicadacourse/platform/_response_head.py
+++ b/cicadacourse/platform/_response_head.py
@@ -8,7 +8,7 @@
 
 import h11
 
-from cicadacourse.exchange import Header, ResponseHead
+from cicadacourse.exchange import MAX_BODY_BYTES, Header, ResponseHead
 from cicadacourse.platform import _names as names
 
 # Bounds the times that endpoints state: timers have no greater one.
@@ -48,6 +48,15 @@
     )
 
 
+def read_length(response: h11.Response) -> int | None:
+    """Returns the size of a response's body in bytes, None if it states none."""
+    # The codec refuses a length that is no number, and several different ones.
+    for name, value in response.headers:
+        if name == b"content-length":
+            return min(int(value), MAX_BODY_BYTES)
+    return None
+
+
 def _parse_limit(text: str) -> float | None:
     """Returns a limit in requests per second, or None if it is malformed.
 
