Bodies are passed to endpoints in pieces, not copied as a whole

Each attempt joined the head and the body and left a copy of what the endpoint had not taken in the transport. A body of 4 MB took up to three times its size. Now the transport gets 64 KB at a time, and what connections to endpoints buffer both ways is charged to the account.

--- a/cicadacourse/platform/_endpoint_connector.py
+++ b/cicadacourse/platform/_endpoint_connector.py
@@ -17,6 +17,7 @@
 )
 from cicadacourse.metrics import declare
 from cicadacourse.platform._endpoint_exchange import DirectConnection
+from cicadacourse.resources import HeldKind, MemoryAccount
 from cicadacourse.util.clock import now
 from cicadacourse.util.connection import HttpConnection, HttpConnectionError
 
@@ -80,10 +81,17 @@
         if connection is None:
             connection = await self._open(endpoint)
         self._busy_by_endpoint[endpoint.id].add(connection)
-        try:
-            yield DirectConnection(connection, is_kept)
-        finally:
-            self._release(endpoint, connection)
+        with self._account.holding(HeldKind.EXCHANGE) as holding:
+            connection.on_buffered = holding.resize
+            try:
+                yield DirectConnection(connection, is_kept)
+            finally:
+                self._release(endpoint, connection)
+                connection.on_buffered = None
+
+    @property
+    def _account(self) -> MemoryAccount:
+        return self.app.get("resources").account
 
     async def _open(self, endpoint: Endpoint) -> HttpConnection:
         # Sockets of connections that were closed before are closed in the next turn of
--- a/cicadacourse/util/connection.py
+++ b/cicadacourse/util/connection.py
@@ -10,7 +10,7 @@
 
 import asyncio
 import collections
-from typing import Sequence
+from typing import Callable, Sequence
 
 import h11
 
@@ -26,6 +26,8 @@
 
 # The connection stops reading from its socket above this size of unread response body.
 MAX_BUFFERED_BYTES = 262_144
+# A body is passed on in pieces of this size, the first of them with the head.
+SEND_BYTES = 65_536
 
 
 class HttpConnectionError(Exception):
@@ -38,10 +40,12 @@
     :param address: ``IP:port`` of the server.
     :ivar idle_since: when the last exchange ended, loop time in seconds.
     :ivar keep_alive_s: how many seconds from then the connection may be reused.
+    :ivar on_buffered: called with the bytes that it buffers, when they change.
     """
 
     def __init__(self, address: str) -> None:
         self.address = address
+        self.on_buffered: Callable[[int], None] | None = None
         self.idle_since = 0.0
         self.keep_alive_s = 0.0
         self._transport: asyncio.Transport | None = None
@@ -49,6 +53,9 @@
         self._decoder = ResponseDecoder(self._codec)
         self._parts: collections.deque[ResponsePart] = collections.deque()
         self._buffered_bytes = 0
+        # What was not passed to the transport yet, whose buffer is bounded.
+        self._unsent = memoryview(b"")
+        self._is_write_paused = False
         self._is_decoding_scheduled = False
         self._state_changed = asyncio.Event()
         self._error: str | None = None
@@ -91,7 +98,7 @@
         headers: Sequence[tuple[str, str]],
         body: bytes,
     ) -> None:
-        """Writes a whole request; never waits.
+        """Writes a request, as fast as the server takes it; never waits.
 
         :raises HttpConnectionError: if the connection is not open.
         :raises h11.LocalProtocolError: if the request is malformed.
@@ -105,11 +112,36 @@
         )
         self._busy = True
         self._decoder.start_response()
-        parts = [self._codec.send(head)]
+        start = self._codec.send(head) or b""
+        # Fails if the headers state another length.
         if body:
-            parts.append(self._codec.send(h11.Data(data=body)))
-        parts.append(self._codec.send(h11.EndOfMessage()))
-        self._transport.write(b"".join(part for part in parts if part))
+            self._codec.send_with_data_passthrough(h11.Data(data=body))
+        self._codec.send(h11.EndOfMessage())
+        first = min(len(body), SEND_BYTES)
+        self._unsent = memoryview(body)[first:]
+        self._transport.write(start + body[:first])
+        self._send_rest()
+
+    def _send_rest(self) -> None:
+        """Passes more of the body to the transport while that takes it."""
+        while self._unsent and not self._is_write_paused and self._transport:
+            piece, self._unsent = self._unsent[:SEND_BYTES], self._unsent[SEND_BYTES:]
+            self._transport.write(piece)
+        self._report_buffered()
+
+    def pause_writing(self) -> None:
+        """Stops passing on the body; called by asyncio."""
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        """Passes on more of the body; called by asyncio."""
+        self._is_write_paused = False
+        self._send_rest()
+
+    def _report_buffered(self) -> None:
+        if self.on_buffered is not None and self._transport is not None:
+            unsent = self._transport.get_write_buffer_size()
+            self.on_buffered(0 if self._error else self._buffered_bytes + unsent)
 
     async def receive(self) -> ResponsePart:
         """Waits for the next part of the response and returns it.
@@ -137,6 +169,7 @@
             chunks.append(part.data)
             self._parts.popleft()
         self._buffered_bytes -= sum(map(len, chunks))
+        self._report_buffered()
         return first if len(chunks) == 1 else h11.Data(data=b"".join(chunks))
 
     def _read_on(self) -> None:
@@ -175,8 +208,10 @@
     def fail(self, detail: str) -> None:
         """Aborts the connection; an exchange in progress fails with ``detail``."""
         self._error = self._error or detail
+        self._unsent = memoryview(b"")
         if self._transport is not None:
             self._transport.abort()
+        self._report_buffered()
         self._state_changed.set()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -223,6 +258,7 @@
         parts = self._decoder.decode()
         self._parts.extend(parts)
         self._buffered_bytes += sum(len(getattr(item, "data", b"")) for item in parts)
+        self._report_buffered()
         if self._decoder.is_ended:
             self._error = self._error or "closed by the server"
         self._state_changed.set()
@@ -251,7 +287,9 @@
             self._read_on()
 
     def _has_unsent_bytes(self) -> bool:
-        return self._transport is None or self._transport.get_write_buffer_size() > 0
+        if self._unsent or self._transport is None:
+            return True
+        return self._transport.get_write_buffer_size() > 0
 
 
 def _encode(text: str) -> bytes:
