The listener for instances looks at a connection before it reads messages from it

120 clients that announced a message of 8 MB and stopped short took 1,029 MB. Connections are bounded to an eighth of the descriptors, and must begin within 2 s with a small message, as those of instances do. Open: a client that begins as an instance does.

--- a/cicadacourse/peers/_capnp.py
+++ b/cicadacourse/peers/_capnp.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import socket
 from typing import Any, AsyncIterator
 
 import capnp
@@ -16,15 +15,14 @@
 from cicadacourse.peers._connection import Connection
 from cicadacourse.peers._dispatch import Frame, from_frame
 from cicadacourse.peers._framed import FramedPeers
+from cicadacourse.peers._listener import PeerListener
+from cicadacourse.resources import HeldKind, Resources
 from cicadacourse.tasks import Tasks
-from cicadacourse.util.addresses import split_address
 from cicadacourse.util.clock import now
 from cicadacourse.util.logging import get_logger
 
 logger = get_logger("peers")
 
-_KEEPALIVE_IDLE_S = 60
-_LISTEN_BACKLOG = 256
 # A connection to a peer that is lost is replaced no more often than this.
 MIN_REPLACEMENT_S = 1.0
 # Connections that were answered no longer ago than this when another one was found
@@ -64,24 +62,34 @@
         super().__init__(app)
         self._connection_by_address: dict[str, Connection] = {}
         self._tasks = Tasks(app.metrics, "peers")
-        self._serving: set[asyncio.Task[Any]] = set()
         self._has_ended = False
 
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Listens on the peer address while the instance runs."""
-        listener = _listening_socket(self.address)
-        server = await capnp.AsyncIoStream.create_server(self._serve, sock=listener)
-        logger.info("listening on {}", self.address)
-        try:
-            yield
-        finally:
-            self._has_ended = True
-            server.close()
-            for task in list(self._serving):
-                task.cancel()
-            await asyncio.gather(*self._serving, return_exceptions=True)
-            await self._tasks.cancel()
+        listener = PeerListener(
+            self.address,
+            self._resources.settings.peer_connections,
+            self._serve,
+            self.app.metrics,
+        )
+        async with listener.running():
+            logger.info("listening on {}", self.address)
+            try:
+                yield
+            finally:
+                self._has_ended = True
+        await self._tasks.cancel()
+
+    @property
+    def _resources(self) -> Resources:
+        return self.app.get("resources")
+
+    async def answer(self, frame: Frame, timeout_s: float) -> Frame:
+        """Answers one frame, which is held meanwhile, and so is what is decoded."""
+        with self._resources.account.holding(HeldKind.EXCHANGE) as holding:
+            holding.resize(2 * len(frame.body))
+            return await super().answer(frame, timeout_s)
 
     async def _exchange(
         self, address: str, frame: Frame, timeout_s: float
@@ -148,37 +156,18 @@
 
     async def _serve(self, stream: Any) -> None:
         """Serves one connection of a peer until it ends."""
-        task = asyncio.current_task()
-        assert task is not None
-        self._serving.add(task)
         limit_words = self._settings.max_message_bytes // 4
         server = capnp.TwoPartyServer(
             stream, bootstrap=_PeerServer(self), traversal_limit_in_words=limit_words
         )
         try:
             await server.on_disconnect()
-        except (asyncio.CancelledError, capnp.KjException) as error:
+        except capnp.KjException as error:
             logger.debug("connection of a peer ended: {}", _first_line(error))
         finally:
-            self._serving.discard(task)
             stream.close()
 
 
-def _listening_socket(address: str) -> socket.socket:
-    """Returns a listening socket whose connections detect a vanished peer."""
-    host, port = split_address(address)
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    # asyncio disables Nagle's algorithm only on sockets that name their protocol.
-    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    if hasattr(socket, "TCP_KEEPIDLE"):
-        listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
-    listener.bind((host, port))
-    listener.listen(_LISTEN_BACKLOG)
-    return listener
-
-
 def _unreachable(detail: str) -> Result[Any, Error]:
     return Failure(Error(ErrorKind.PEER_UNREACHABLE, detail))
 
--- a/soak/_linked_instance.py
+++ b/soak/_linked_instance.py
@@ -9,13 +9,13 @@
 import sys
 
 from cicadacourse.cmd import main
-from cicadacourse.peers import _capnp
+from cicadacourse.peers import _listener
 
 
 def run(listen_address: str, arguments: list[str]) -> int:
     """Runs the program and returns its exit status."""
-    make_socket = _capnp._listening_socket
-    _capnp._listening_socket = lambda address: make_socket(listen_address)
+    make_socket = _listener._listening_socket
+    _listener._listening_socket = lambda address: make_socket(listen_address)
     return main(arguments)
 
 
--- a/soak/_partitioned_instance.py
+++ b/soak/_partitioned_instance.py
@@ -30,7 +30,12 @@
 ) -> Callable[..., Awaitable[Any]]:
     """Returns an event loop's method that connects from a host as a file allows."""
 
-    async def create_connection(loop: Any, factory: Any, target: str, port: int) -> Any:
+    async def create_connection(
+        loop: Any, factory: Any, target: str = "", port: int = 0, **keywords: Any
+    ) -> Any:
+        if "sock" in keywords:
+            # A connection that was accepted is not cut.
+            return await connect(loop, factory, **keywords)
         fault = _read_faults(cuts).get(f"{target}:{port}")
         if fault == REFUSE:
             raise ConnectionRefusedError("the link is cut")
--- a/tests/test_peers/test_peers_capnp.py
+++ b/tests/test_peers/test_peers_capnp.py
@@ -21,7 +21,8 @@
 from cicadacourse.errors import ErrorKind
 from cicadacourse.membership import Member
 from cicadacourse.peers import PeersSettings
-from cicadacourse.peers._capnp import SILENCE_S, _listening_socket
+from cicadacourse.peers._capnp import SILENCE_S
+from cicadacourse.peers._listener import _listening_socket
 from soak._proxy import Proxy
 from standins.ports import free_port
 from tests.test_peers.echo_process import ACK, build, ping
