--- a/cicadacourse/proxy/_carried.py
+++ b/cicadacourse/proxy/_carried.py
@@ -21,6 +21,7 @@
 from cicadacourse.proxy._idle_timer import IdleTimer
 from cicadacourse.proxy._messages import OpenProxied, ProxiedPiece, SendProxied
 from cicadacourse.proxy._pieces import Pieces
+from cicadacourse.resources import HeldKind, MemoryAccount
 from cicadacourse.util.clock import now
 from cicadacourse.util.logging import get_logger
 
@@ -39,12 +40,20 @@
 # its time to arrive.
 UNSENT_IDLE_S = 1.0
 
+# How often the body of a request is kept: the frame, and what is decoded and sent.
+COPIES = 2
+
 COMPLETE = "complete"
 CLOSED = "closed"
 ABANDONED = "abandoned"
 STOPPED = "stopped"
 
 
+def held_bytes(opening: OpenProxied) -> int:
+    """Returns what an exchange holds for its request, in bytes."""
+    return COPIES * opening.body_bytes
+
+
 @attrs.frozen
 class _Order:
     """A request to be sent, and when it came, loop time in seconds."""
@@ -93,6 +102,9 @@
         self._task = asyncio.create_task(self._run())
         self._task.add_done_callback(lambda _: self._report_end())
         self._on_end = on_end
+        account: MemoryAccount = app.get("resources").account
+        self._holding = account.open(HeldKind.CARRIED)
+        self._holding.resize(held_bytes(opening))
 
     @property
     def id(self) -> str:
@@ -173,6 +185,7 @@
             self._opened.set_exception(failure)
 
     def _report_end(self) -> None:
+        self._holding.close()
         self._on_end()
         self._app.metrics.count(CARRIED, outcome=self._outcome)
         log(
--- a/cicadacourse/proxy/_messages.py
+++ b/cicadacourse/proxy/_messages.py
@@ -28,6 +28,7 @@
     :param request: the caller's id of the request, for the log.
     :param is_idempotent: whether the request may run more than once.
     :param needs_new_connection: whether a kept connection may not be used.
+    :param body_bytes: the size of the request's body.
     """
 
     exchange: str
@@ -36,6 +37,7 @@
     endpoint: Endpoint
     is_idempotent: bool
     needs_new_connection: bool
+    body_bytes: int = 0
 
 
 @message("proxy.ProxiedOpened")
--- a/cicadacourse/proxy/_proxied_connection.py
+++ b/cicadacourse/proxy/_proxied_connection.py
@@ -29,6 +29,7 @@
     SendProxied,
 )
 from cicadacourse.proxy._pieces import PIECE_WAIT_S
+from cicadacourse.resources import HeldKind, MemoryAccount, NoRoom
 from cicadacourse.tasks import Tasks
 from cicadacourse.util.clock import now
 
@@ -45,6 +46,10 @@
 # goes on.
 KEEP_ALIVE_S = 0.1
 CLOSE_TIMEOUT_S = 0.2
+# How often a body is copied to be sent to a peer: encoded, enveloped and queued.
+COPIES = 3
+# How long a request waits for room for these copies.
+ROOM_WAIT_S = 0.8
 
 REASON_PEER_LOST = "peer_lost"
 
@@ -71,6 +76,7 @@
         self.endpoint = endpoint
         self.closes_kept = False
         self._peers: Peers = app.get("peers")
+        self._account: MemoryAccount = app.get("resources").account
         self._own_name = app.settings.get(InstanceSettings).name
         self._peer = peer
         self._exchange_id = exchange_id
@@ -92,6 +98,7 @@
             endpoint=request.endpoint,
             is_idempotent=is_idempotent,
             needs_new_connection=request.needs_new_connection,
+            body_bytes=len(request.caller.body),
         )
         match await self._peers.call(self._peer.peer_address, message, timeout_s):
             case Success(reply):
@@ -109,8 +116,13 @@
         message = SendProxied(
             exchange=self._exchange_id, request=request, head_timeout_s=head_timeout_s
         )
-        transfer_s = len(request.caller.body) / SEND_BYTES_PER_S
-        piece = await self._call(message, transfer_s)
+        size = len(request.caller.body)
+        with self._account.holding(HeldKind.COPY) as holding:
+            try:
+                await holding.reserve(COPIES * size, ROOM_WAIT_S)
+            except NoRoom as error:
+                raise SendFailure(str(error), False, "no_room") from error
+            piece = await self._call(message, size / SEND_BYTES_PER_S)
         if piece.is_pending:
             piece = await self._read()
         self._check(piece)
--- a/cicadacourse/schema/proxy.capnp
+++ b/cicadacourse/schema/proxy.capnp
@@ -85,13 +85,15 @@
 
 struct OpenProxied {
   # Asks for a connection to an endpoint. exchange is an id that the sender chooses;
-  # request is the caller's id of the request, for the log.
+  # request is the caller's id of the request, for the log. bodyBytes is the size of its
+  # body, 0 from earlier releases.
   exchange @0 :Text;
   sender @1 :Text;
   request @2 :Text;
   endpoint @3 :Endpoint;
   isIdempotent @4 :Bool;
   needsNewConnection @5 :Bool;
+  bodyBytes @6 :UInt64;
 }
 
 struct ProxiedOpened {
