--- a/cicadacourse/cmd/show.py
+++ b/cicadacourse/cmd/show.py
@@ -21,6 +21,7 @@
     "routes": "routes",
     "organisations": "organisations",
     "evacuations": "evacuations",
+    "held": "held",
 }
 ALL = "all"
 
@@ -30,7 +31,7 @@
     parser = argparse.ArgumentParser(
         prog="cicadacourse show",
         description="Show instances with the configuration version in force on each, "
-        "endpoints, routes and organisations.",
+        "endpoints, routes, organisations and what is held for callers.",
         epilog="exit status: 0 shown, 1 no instance answered, 2 usage",
     )
     add = parser.add_argument
@@ -70,7 +71,11 @@
     print(
         f"{status.instance} has version {status.configuration_version} in force"
         f" for {status.configuration_age_s:g} s"
-        f"{', and is leaving' if status.is_leaving else ''}\n"
+        f"{', and is leaving' if status.is_leaving else ''}"
+    )
+    print(
+        f"{sum(item.held_bytes for item in status.held)} of {status.held_limit_bytes}"
+        f" bytes are held for callers, {status.held_waiting} wait for room\n"
     )
     for subject, field in FIELD_BY_SUBJECT.items():
         if selected not in (subject, ALL):
--- a/cicadacourse/gateway/_status.py
+++ b/cicadacourse/gateway/_status.py
@@ -7,7 +7,9 @@
 from cicadacourse.application import Application
 from cicadacourse.catalog import Catalog, CatalogService, Endpoint
 from cicadacourse.membership import Membership
+from cicadacourse.metrics import Metrics
 from cicadacourse.placement import Placer
+from cicadacourse.resources import SHED, HeldKind, MemoryAccount
 from cicadacourse.util.clock import now
 
 PATH_STATUS = "/status"
@@ -80,6 +82,22 @@
     position: int
 
 
+@attrs.frozen
+class HeldStatus:
+    """What an instance holds for callers, of one kind.
+
+    :param held_bytes: the memory that it takes.
+    :param holders: how many connections or requests hold it.
+    :param shed: how many were given up since the start, as they made no progress while
+        others waited for room.
+    """
+
+    kind: str
+    held_bytes: int
+    holders: int
+    shed: int
+
+
 @attrs.frozen
 class InstanceStatus:
     """The state of one instance and its view of the others.
@@ -89,6 +107,10 @@
     :param registry_age_s: seconds since this instance last read the registry, or None
         if it never did.
     :param evacuations: the failure domains that are evacuated.
+    :param held: what is held for callers, by kind. Instances of earlier releases don't
+        say it.
+    :param held_limit_bytes: the limit of all that is held.
+    :param held_waiting: how many wait for room in it.
     """
 
     instance: str
@@ -101,12 +123,16 @@
     routes: tuple[RouteStatus, ...]
     organisations: tuple[OrganisationStatus, ...]
     evacuations: tuple[EvacuationStatus, ...] = ()
+    held: tuple[HeldStatus, ...] = ()
+    held_limit_bytes: int = 0
+    held_waiting: int = 0
 
 
 def get_instance_status(app: Application) -> InstanceStatus:
     """Returns the status of an instance and its present view of the others."""
     catalog_service: CatalogService = app.get("catalog")
     membership: Membership = app.get("membership")
+    account: MemoryAccount = app.get("resources").account
     catalog = catalog_service.catalog or Catalog(version=0)
     registry_age_s = now() - catalog_service.registry_read_at
     has_read = registry_age_s != float("inf")
@@ -150,6 +176,22 @@
             for item in catalog_service.evacuations.all
             if item.is_in_force
         ),
+        held=_held_status(account, app.metrics),
+        held_limit_bytes=account.limit,
+        held_waiting=account.waiting,
+    )
+
+
+def _held_status(account: MemoryAccount, metrics: Metrics) -> tuple[HeldStatus, ...]:
+    held, holders = account.held_by_kind(), account.counts_by_kind()
+    return tuple(
+        HeldStatus(
+            kind.value,
+            held.get(kind, 0),
+            holders.get(kind, 0),
+            int(metrics.value(SHED, kind=kind.value)),
+        )
+        for kind in HeldKind
     )
 
 
