Soak: clients that don't behave, beside restarts, kills and ordinary callers

Crowds come and go at the listeners for callers, probes, operators and instances. No instance may end by itself or take more than 300 MB, and ordinary requests are served after the last crowd. The crowd moved to the stand-ins.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,6 +28,7 @@
 from soak._request_scenario import REQUEST_FAULTS, run_request_scenario
 from soak._scenario import run_scenario
 from soak._silence_scenario import SILENCE_FAULTS, run_silence_scenario
+from soak._unruly_scenario import UNRULY_FAULTS, run_unruly_scenario
 
 SEEDS = pathlib.Path(__file__).with_name("SEEDS.txt")
 SECONDS_PER_MINUTE = 60.0
@@ -41,6 +42,7 @@
     "prompts": (run_prompt_scenario, PROMPT_FAULTS),
     "requests": (run_request_scenario, REQUEST_FAULTS),
     "silence": (run_silence_scenario, SILENCE_FAULTS),
+    "unruly": (run_unruly_scenario, UNRULY_FAULTS),
 }
 
 
@@ -63,8 +65,9 @@
         help="faults of all kinds, a configuration that changes each second,"
         " endpoints that name limits, prompts that crash engines, requests that"
         " crash endpoints, endpoints and connections that fall silent, endpoints that"
-        " leave or turn requests away, instances that are cut off from endpoints, or"
-        " failure domains that are evacuated and come back cold",
+        " leave or turn requests away, instances that are cut off from endpoints,"
+        " failure domains that are evacuated and come back cold, or clients that keep"
+        " to no limit",
     )
     add("--kept", action="store_true", help="run every line of SEEDS.txt instead")
     add(
--- a/soak/_instances.py
+++ b/soak/_instances.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import pathlib
 import signal
@@ -136,6 +137,17 @@
         """Whether its process was started and has not ended."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def peak_memory_mb(self) -> float:
+        """The most resident memory of its process so far in MB, 0 if none runs."""
+        if self._process is None or not self.is_running:
+            return 0.0
+        with contextlib.suppress(OSError, StopIteration):
+            status = pathlib.Path(f"/proc/{self._process.pid}/status").read_text()
+            lines = (item for item in status.splitlines() if "VmHWM:" in item)
+            return int(next(lines).split()[1]) * 1024 / 1_000_000
+        return 0.0
+
     def send(self, signal_number: signal.Signals) -> None:
         """Sends a signal to its process if one is running."""
         if self._process is not None and self.is_running:
--- a/tests/unruly_crowd.py
+++ b/standins/unruly_crowd.py
@@ -1,7 +1,7 @@
 """A crowd of clients that don't behave, run as a process of its own.
 
-``python -m tests.unruly_crowd KIND COUNT HOST:PORT...`` keeps ``COUNT`` connections to
-each address. Each sends what its kind says and is made again when it ends. It prints
+``python -m standins.unruly_crowd KIND COUNT HOST:PORT...`` keeps ``COUNT`` connections
+to each address. Each sends what its kind says and is made again when it ends. It prints
 ``settled`` once the crowd has sent nothing more for a while, or has sent for
 ``MAX_SETTLE_S``, and stays until its standard input ends.
 """
--- a/tests/test_platform/test_platform_unruly_clients.py
+++ b/tests/test_platform/test_platform_unruly_clients.py
@@ -73,9 +73,9 @@
 
 @contextlib.asynccontextmanager
 async def running_crowd(kind: str, count: int, address: str) -> AsyncIterator[None]:
-    """Keeps a crowd, settled when it is yielded; see tests/unruly_crowd.py."""
+    """Keeps a crowd, settled when it is yielded; see standins/unruly_crowd.py."""
     process = await asyncio.create_subprocess_exec(
-        *(sys.executable, "-m", "tests.unruly_crowd", kind, str(count), address),
+        *(sys.executable, "-m", "standins.unruly_crowd", kind, str(count), address),
         cwd=ROOT,
         stdin=asyncio.subprocess.PIPE,
         stdout=asyncio.subprocess.PIPE,
