Log: what waits to be written is bounded in bytes

Lines were bounded in number only. A client that sends request ids of 15,000 characters, which each line of its requests repeats, and a reader of the log that stands still made 100 periods of warnings hold 598 MB. Texts of over 4,000 characters are cut, a period has 1 MB of lines, and 8 MB may wait; what is lost is counted as before.

--- a/cicadacourse/util/logging.py
+++ b/cicadacourse/util/logging.py
@@ -17,6 +17,10 @@
 
 FLUSH_PERIOD_S = 0.25
 MAX_QUEUED_CHUNKS = 4000
+# Limits of what is kept until it is written, as callers choose some of the texts.
+MAX_QUEUED_BYTES = 8_388_608
+MAX_PERIOD_BYTES = 1_048_576
+MAX_TEXT_CHARACTERS = 4000
 # Limits on the records of one flush period, warnings and others counted together:
 # ordinary lines are suppressed above the first, warnings only above the second.
 LINES_PER_PERIOD = 200
@@ -37,10 +41,13 @@
     :param descriptor: the file descriptor to write to.
     :ivar dropped_count: chunks, each with the lines of one flush period, that were not
         written since this count was last reset.
+    :ivar queued_bytes: the bytes that wait to be written.
     """
 
     def __init__(self, descriptor: int) -> None:
         self.dropped_count = 0
+        self.queued_bytes = 0
+        self._lock = threading.Lock()
         self._descriptor = descriptor
         self._chunks: queue.Queue[bytes | None] = queue.Queue(MAX_QUEUED_CHUNKS)
         self._thread = threading.Thread(target=self._run, daemon=True, name="log")
@@ -48,10 +55,19 @@
 
     def put(self, chunk: bytes) -> None:
         """Queues a chunk of lines, or counts it as dropped if the queue is full."""
+        if self.queued_bytes + len(chunk) > MAX_QUEUED_BYTES:
+            self.dropped_count += 1
+            return
         try:
             self._chunks.put_nowait(chunk)
         except queue.Full:
             self.dropped_count += 1
+            return
+        self._change_queued(len(chunk))
+
+    def _change_queued(self, difference: int) -> None:
+        with self._lock:
+            self.queued_bytes += difference
 
     def close(self) -> None:
         """Waits for the thread to write the queued lines, up to a timeout."""
@@ -66,6 +82,7 @@
                 return
             if not self._write(chunk):
                 self.dropped_count += 1
+            self._change_queued(-len(chunk))
 
     def _write(self, chunk: bytes) -> bool:
         remaining = memoryview(chunk)
@@ -95,16 +112,20 @@
         self._writer = writer
         self._constants = constants
         self._lines: list[bytes] = []
+        self._line_bytes = 0
         self._count = 0
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Buffers one record; never blocks, and converts unknown types to text."""
         self._count += 1
         is_warning = record.level >= logbook.WARNING
-        if self._count > (WARNINGS_PER_PERIOD if is_warning else LINES_PER_PERIOD):
+        limit = WARNINGS_PER_PERIOD if is_warning else LINES_PER_PERIOD
+        if self._count > limit or self._line_bytes > MAX_PERIOD_BYTES:
             self.suppressed_count += 1
             return
-        self._lines.append(self._format(record))
+        line = self._format(record)
+        self._line_bytes += len(line)
+        self._lines.append(line)
 
     def flush(self) -> None:
         """Passes the buffered lines to the writer and starts a new period.
@@ -112,7 +133,7 @@
         If lines were lost, a last line reports the number of suppressed lines and the
         number of unwritten chunks.
         """
-        self._count = 0
+        self._count = self._line_bytes = 0
         if self.suppressed_count or self._writer.dropped_count:
             self._lines.append(self._loss_line())
         if self._lines:
@@ -151,11 +172,19 @@
             **self._constants,
             "part": part,
             "event": event,
-            **fields,
+            **{name: _cut(value) for name, value in fields.items()},
         }
         return json.dumps(line, default=str, separators=(",", ":")).encode() + b"\n"
 
 
+def _cut(value: Any) -> Any:
+    """Returns a value, or the begin of a text that is too long."""
+    if not isinstance(value, str) or len(value) <= MAX_TEXT_CHARACTERS:
+        return value
+    rest = len(value) - MAX_TEXT_CHARACTERS
+    return f"{value[:MAX_TEXT_CHARACTERS]}… {rest} more"
+
+
 @contextlib.contextmanager
 def _redirected_libraries() -> Iterator[None]:
     """Redirects records of the standard library's ``logging`` to logbook while open."""
