An exchange that was carried for another instance lets go of its request

60 clients with whole bodies of 3 MB at an instance that is cut off from all endpoints took 1,633 MB at the other one (510 at their own).

--- a/cicadacourse/proxy/_carried.py
+++ b/cicadacourse/proxy/_carried.py
@@ -173,6 +173,7 @@
             response = await connection.send(
                 order.make_request(self.endpoint), order.message.head_timeout_s
             )
+            del order
             head = response.head
             self._app.get("limits").observe(self.endpoint, head, sent_at)
             eligibility.declines.observe(self.endpoint, head)
@@ -185,6 +186,8 @@
             self._opened.set_exception(failure)
 
     def _report_end(self) -> None:
+        # The callbacks of this object refer to it, so it lives on for a while.
+        self._order = asyncio.get_running_loop().create_future()
         self._holding.close()
         self._on_end()
         self._app.metrics.count(CARRIED, outcome=self._outcome)
--- a/standins/unruly_crowd.py
+++ b/standins/unruly_crowd.py
@@ -103,6 +103,26 @@
     ),
     "pipelined": Behaviour(b"", 100 * _head("", method="GET", path="/none/x"), None),
     "answers-unread": Behaviour(_head("", method="GET")),
+    "streams-unread": Behaviour(
+        _head(
+            "X-Cicadacourse-Model: m\r\nX-Cicadacourse-Token-Usage: 5000,230\r\n",
+            path="/ask/x",
+        )
+    ),
+    "whole": Behaviour(b"", _head(WHOLE) + BLOCKS_PER_BODY * BLOCK, None, reads=True),
+    "whole-3mb": Behaviour(
+        b"",
+        _head(f"Content-Length: {48 * BLOCK_BYTES}\r\n") + 48 * BLOCK,
+        None,
+        reads=True,
+    ),
+    "long-ids": Behaviour(
+        b"",
+        f"GET /none/x HTTP/1.1\r\nHost: {HOST}\r\nX-Cicadacourse-Request-Id:"
+        f" {'i' * 15_000}\r\n\r\n".encode(),
+        None,
+        reads=True,
+    ),
     "peer-short": Behaviour(PEER_FRAME, BLOCK, 8 * PEER_SEGMENT_WORDS // BLOCK_BYTES),
     "get-short": Behaviour(
         f"GET /metrics HTTP/1.1\r\nHost: x\r\nContent-Length: {8 * MAX_BODY_BYTES}\r\n"
--- a/tests/test_platform/test_platform_unruly_clients.py
+++ b/tests/test_platform/test_platform_unruly_clients.py
@@ -17,9 +17,17 @@
 import attrs
 import pytest
 
+from soak._instances import InstanceProcess
+from soak._proxy import Proxy
 from standins.callers import Response
-from standins.platform import PLAIN_POOL, Fleet, RegisteredEndpoint, Worker
-from standins.ports import next_host
+from standins.platform import (
+    ENGINE_POOL,
+    PLAIN_POOL,
+    Fleet,
+    RegisteredEndpoint,
+    Worker,
+)
+from standins.ports import free_port, next_host
 from tests.platform_fleet import Caller, Instance, running_fleet
 from tests.raw_endpoints import identify
 from tests.test_platform.test_platform_processes import (
@@ -170,6 +178,8 @@
         ("tiny-headers", 120),
         ("tiny-headers", 360),
         ("pipelined", 120),
+        ("long-ids", 120),
+        ("whole", 120),
         ("silent", 600),
         ("head-short", 600),
         ("head-only", 600),
@@ -203,24 +213,93 @@
         await check_crowd(fleet, tmp_path, kind, count, listener)
 
 
-async def test_answers_that_are_not_read(tmp_path: pathlib.Path) -> None:
+WHOLE_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(LARGE_ANSWER)
+ENDLESS_STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+LARGE_EVENTS = b"".join(
+    b"id: %d\ndata: %s\n\n" % (number, b"z" * 200_000) for number in range(40)
+)
+
+
+@pytest.mark.parametrize(
+    ("kind", "pool", "answer", "ordinary"),
+    [
+        (
+            "answers-unread",
+            PLAIN_POOL,
+            (WHOLE_ANSWER, LARGE_ANSWER),
+            ("/ask/x", "5000,230"),
+        ),
+        (
+            "streams-unread",
+            ENGINE_POOL,
+            (ENDLESS_STREAM, LARGE_EVENTS),
+            ("/look/x", None),
+        ),
+    ],
+)
+async def test_answers_that_are_not_read(
+    kind: str,
+    pool: str,
+    answer: tuple[bytes, bytes],
+    ordinary: tuple[str, str | None],
+    tmp_path: pathlib.Path,
+) -> None:
     """Each was kept until its caller had read it or had left."""
+    start, rest = answer
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with contextlib.suppress(OSError, EOFError):
             while head := await reader.readuntil(b"\r\n\r\n"):
-                answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
-                writer.write(identify(answer % len(LARGE_ANSWER), head) + LARGE_ANSWER)
+                writer.write(identify(start, head) + rest)
                 await writer.drain()
 
+    is_plain = pool == PLAIN_POOL
     async with (
-        running_fleet(plain_services=0) as fleet,
+        running_fleet(
+            engines=3 if is_plain else 0, plain_services=0 if is_plain else 2
+        ) as fleet,
         await asyncio.start_server(serve, fleet.host, 0) as server,
     ):
         address = f"{fleet.host}:{server.sockets[0].getsockname()[1]}"
         for number in range(3):
-            worker = Worker(f"large-{number}")
-            fleet.register(RegisteredEndpoint(worker, address, PLAIN_POOL))
-        await check_crowd(
-            fleet, tmp_path, "answers-unread", 120, path="/ask/x", tokens="5000,230"
+            worker = Worker(f"raw-{number}")
+            fleet.register(RegisteredEndpoint(worker, address, pool))
+        path, tokens = ordinary
+        await check_crowd(fleet, tmp_path, kind, 120, path=path, tokens=tokens)
+
+
+async def test_bodies_that_go_through_another_instance(tmp_path: pathlib.Path) -> None:
+    """Both instances keep copies of each body, which neither counted.
+
+    Larger bodies do not fit into a message between instances.
+    """
+    async with running_fleet() as fleet:
+        cut_off, other = (
+            InstanceProcess(
+                name,
+                "a",
+                next_host(),
+                tmp_path,
+                Proxy(f"{next_host()}:{free_port()}", fleet.store_address),
+            )
+            for name in ("one", "two")
         )
+        cut_off.is_partitionable = True
+        async with contextlib.AsyncExitStack() as stack:
+            for instance in (cut_off, other):
+                instance.further_settings = RESOURCES
+                instance.write_settings()
+                await stack.enter_async_context(instance.store_link.running())
+                stack.push_async_callback(instance.kill)
+                await instance.start()
+            addresses = [item.address for item in fleet.endpoint_by_id.values()]
+            cut_off.cuts.write_text("".join(f"{item} refuse\n" for item in addresses))
+            address = Instance(None, cut_off.host, cut_off.caller_port, 0, 0)
+            await ask(address)
+            async with running_crowd("whole-3mb", 60, cut_off.caller_address):
+                await ask(address)
+            await ask(address)
+            used = [round(item.peak_memory_mb) for item in (cut_off, other)]
+            print(f"whole-3mb x 60 through another instance: most MB {used}")
+            assert cut_off.is_running and other.is_running
+            assert max(used) <= MEMORY_MB
