--- a/cicadacourse/util/connection.py
+++ b/cicadacourse/util/connection.py
@@ -10,6 +10,10 @@
 
 import asyncio
 import collections
+import fcntl
+import socket
+import sys
+import termios
 from typing import Callable, Sequence
 
 import h11
@@ -231,7 +235,14 @@
         self._receive(data, "malformed response")
 
     def eof_received(self) -> bool:
-        """Handles the end of the server's stream of bytes; called by asyncio."""
+        """Handles the end of the server's stream of bytes; called by asyncio.
+
+        It ends a response without a length, but not while the request is still being
+        sent: such a server is in trouble and mostly resets the connection next.
+        """
+        if self._busy and self._is_request_in_transit():
+            self.fail("closed by the server before it had the whole request")
+            return False
         self._receive(b"", "incomplete response")
         if not self._busy:
             self.fail("closed by the server")
@@ -286,12 +297,28 @@
         if not self._decoder.has_undecoded and not self._parts:
             self._read_on()
 
+    def _is_request_in_transit(self) -> bool:
+        """Returns whether bytes of the request were not received by the server."""
+        if self._has_unsent_bytes() or self._transport is None:
+            return True
+        connection = self._transport.get_extra_info("socket")
+        return connection is not None and _count_unacknowledged(connection) > 0
+
     def _has_unsent_bytes(self) -> bool:
         if self._unsent or self._transport is None:
             return True
         return self._transport.get_write_buffer_size() > 0
 
 
+def _count_unacknowledged(connection: socket.socket) -> int:
+    """Returns the bytes in a socket that its peer has not received; 0 if unknown."""
+    try:
+        count = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return int.from_bytes(count, sys.byteorder)
+
+
 def _encode(text: str) -> bytes:
     """Returns the bytes of a part of a head, which HTTP reads as Latin-1.
 
