--- a/cicadacourse/exchange/__init__.py
+++ b/cicadacourse/exchange/__init__.py
@@ -7,6 +7,7 @@
     EndpointConnector,
     EndpointResponse,
     SendFailure,
+    check_status,
 )
 from cicadacourse.exchange._model import (
     CallerRequest,
@@ -32,4 +33,5 @@
     "Prompt",
     "Reply",
     "SendFailure",
+    "check_status",
 ]
--- a/cicadacourse/exchange/_endpoint_client.py
+++ b/cicadacourse/exchange/_endpoint_client.py
@@ -40,6 +40,16 @@
         return self.detail
 
 
+def check_status(head: ResponseHead) -> None:
+    """Checks that a response has a status; a faulty endpoint may send any number.
+
+    :raises SendFailure: if it has none. The request was sent and may have run.
+    """
+    if not head.is_valid:
+        detail = f"{head.status} is no status of a response"
+        raise SendFailure(detail, True, "malformed_answer")
+
+
 class EndpointResponse(abc.ABC):
     """A response of an endpoint whose body is being read.
 
--- a/cicadacourse/exchange/_model.py
+++ b/cicadacourse/exchange/_model.py
@@ -132,6 +132,11 @@
     is_retry_after_malformed: bool = False
     is_leaving: bool = False
 
+    @property
+    def is_valid(self) -> bool:
+        """Whether the status is one of a final response."""
+        return 200 <= self.status < 600
+
     @property
     def is_success(self) -> bool:
         """Whether the status is a 2xx."""
--- a/cicadacourse/platform/_endpoint_exchange.py
+++ b/cicadacourse/platform/_endpoint_exchange.py
@@ -13,6 +13,7 @@
     EndpointResponse,
     ResponseHead,
     SendFailure,
+    check_status,
 )
 from cicadacourse.platform import _names as names
 from cicadacourse.platform._response_head import (
@@ -54,6 +55,7 @@
         if not isinstance(response, h11.Response):
             raise SendFailure("no response head was received", True, "malformed_answer")
         head = read_head(response)
+        check_status(head)
         _check_origin(head, caller.id)
         length, keep_alive_s = read_length(response), _keep_alive_s(response)
         return _Response(head, length, self._connection, keep_alive_s)
--- a/cicadacourse/proxy/_proxied_connection.py
+++ b/cicadacourse/proxy/_proxied_connection.py
@@ -17,6 +17,7 @@
     EndpointResponse,
     ResponseHead,
     SendFailure,
+    check_status,
 )
 from cicadacourse.membership import Member
 from cicadacourse.peers import Peers
@@ -128,6 +129,8 @@
         self._check(piece)
         if piece.head is None:
             raise SendFailure("no response head was received", True, "malformed_answer")
+        # A peer of an earlier release does not check it.
+        check_status(piece.head)
         return _ProxiedResponse(piece.head, self)
 
     async def read_next(self) -> ProxiedPiece:
--- a/tests/test_platform/test_platform_early_answers.py
+++ b/tests/test_platform/test_platform_early_answers.py
@@ -184,3 +184,30 @@
     response = await _request(endpoints, way)
     assert response.status == 200 and response.is_complete
     assert response.body in (PART, EVENTS + LATER_EVENTS)
+
+
+STATUSES = (0, 1, 99, 100, 101, 102, 103, 150, 199, 600, 601, 700, 999)
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("way", WAYS)
+async def test_an_answer_of_no_status_is_none(way: str, framing: str) -> None:
+    """Statuses above 599 were passed on as answers."""
+    make_success = _make_answer(way, WHOLE_FRAMINGS[framing])
+    status = b""
+
+    def answer(head: bytes) -> bytes:
+        success = make_success(head)
+        if way == "resume" and not _RESUMED.search(head):
+            return success
+        return success.replace(b"200 OK", status + b" Odd", 1)
+
+    for number in STATUSES:
+        status = b"%03d" % number
+        endpoints = TroubledEndpoints(answer)
+        response = await _request(endpoints, way, body=b"question")
+        assert endpoints.answered
+        expected = (200,) if way == "resume" else (502, 504)
+        assert response.status in expected, f"status {number}"
+        assert not (response.status == 200 and response.is_complete)
+        assert PART[:10] not in response.body
