--- a/cicadacourse/gateway/_exchange_attempt.py
+++ b/cicadacourse/gateway/_exchange_attempt.py
@@ -13,7 +13,6 @@
 from cicadacourse.errors import Error
 from cicadacourse.events import ENDPOINT_SENT_DATA
 from cicadacourse.exchange import (
-    MAX_BODY_BYTES,
     EndpointClient,
     EndpointResponse,
     SendFailure,
@@ -22,6 +21,7 @@
     ESTIMATE_TIMEOUT_FACTOR,
     AdmittedRequest,
 )
+from cicadacourse.gateway._answer_room import answer_room
 from cicadacourse.gateway._attempt_owner import AttemptOwner
 from cicadacourse.gateway._attempts import Progress
 from cicadacourse.gateway._endpoint_activity import EndpointActivity
@@ -39,13 +39,7 @@
     ReservationRefused,
     ReservationService,
 )
-from cicadacourse.resources import (
-    SMALL_BYTES,
-    HeldKind,
-    Holding,
-    MemoryAccount,
-    NoRoom,
-)
+from cicadacourse.resources import MemoryAccount
 from cicadacourse.util.clock import now
 
 # The head of a response is awaited until the deadline, which cancels the attempt. This
@@ -302,11 +296,10 @@
     async def _forward_body(self, response: EndpointResponse) -> bool:
         """Forwards a whole body; returns False if the caller already has a stream."""
         account: MemoryAccount = self.app.get("resources").account
-        with account.holding(HeldKind.ANSWER) as holding:
-
-            async def make_room(size: int) -> None:
-                await self._make_room(holding, size, response.length)
-
+        deadline = self.admitted.deadline
+        with answer_room(
+            account, response.length, deadline, self._pause_wait
+        ) as make_room:
             body = await response.read_all(self._restart_wait, make_room)
             self.waiting_since = None
             if not self.owner.may_write_response():
@@ -314,26 +307,6 @@
             await self.owner.write_response(self, response.head, body)
             return True
 
-    async def _make_room(self, holding: Holding, size: int, length: int | None) -> None:
-        """Makes room for more of an answer: for all of it once it is no small one.
-
-        So no two answers that have begun wait for each other. The endpoint is not
-        silent meanwhile.
-
-        :param size: how much of it has come, in bytes.
-        :param length: the size of the whole answer, None if it is not known.
-        :raises SendFailure: if there is no room before the deadline.
-        """
-        if size <= holding.size:
-            return
-        self.waiting_since = None
-        if size > SMALL_BYTES:
-            size = MAX_BODY_BYTES if length is None else max(size, length)
-        try:
-            await holding.reserve(size, max(0.0, self.admitted.deadline - now()))
-        except NoRoom as error:
-            raise SendFailure(str(error), True, "no_room") from error
-
     async def _forward_stream(
         self, response: EndpointResponse, placement: Placement
     ) -> None:
@@ -374,6 +347,10 @@
         except StreamMismatch as error:
             raise SendFailure(str(error), True, "stream_mismatch") from error
 
+    def _pause_wait(self) -> None:
+        """Records that it does not wait for data of its endpoint now."""
+        self.waiting_since = None
+
     def _restart_wait(self) -> None:
         """Records that data came and that the wait for more of them begins."""
         self.waiting_since = now()
--- a/cicadacourse/platform/_ingress.py
+++ b/cicadacourse/platform/_ingress.py
@@ -6,9 +6,7 @@
 import contextlib
 from typing import Any, AsyncIterator, Callable
 
-import tornado.httputil
 from returns.result import Failure, Result
-from tornado.http1connection import HTTP1Connection
 from tornado.iostream import StreamClosedError
 
 from cicadacourse.application import SERVICES, Application, Service
@@ -24,7 +22,7 @@
 from cicadacourse.platform._caller_reply import CallerReply
 from cicadacourse.platform._client_server import ClientServer
 from cicadacourse.platform._client_stream import ClientStream
-from cicadacourse.platform._request_reader import RequestReader
+from cicadacourse.platform._request_reader import RequestReaderFactory
 from cicadacourse.platform._settings import ListenSettings
 from cicadacourse.platform._wait_limits import WaitLimits
 from cicadacourse.resources import Resources
@@ -97,7 +95,7 @@
     async def running(self) -> AsyncIterator[None]:
         """Listens for callers while the instance runs."""
         server = ClientServer(
-            _RequestReaderFactory(self),
+            RequestReaderFactory(self),
             listener="caller",
             max_connections=self._resources.settings.caller_connections,
             answer_idle_s=self._resources.settings.answer_idle_s,
@@ -248,19 +246,3 @@
         except Exception as error:
             logger.exception("request {} failed", request.id)
             await reply.fail(Error(ErrorKind.INTERNAL, repr(error)))
-
-
-class _RequestReaderFactory(tornado.httputil.HTTPServerConnectionDelegate):
-    """Creates a reader for each request; passed to tornado's server."""
-
-    def __init__(self, ingress: Ingress) -> None:
-        self._ingress = ingress
-
-    def start_request(
-        self, server_conn: object, request_conn: tornado.httputil.HTTPConnection
-    ) -> tornado.httputil.HTTPMessageDelegate:
-        """Returns the reader of one request; called by tornado."""
-        assert isinstance(request_conn, HTTP1Connection)
-        assert isinstance(request_conn.stream, ClientStream)
-        self._ingress.waiting.begin_wait(request_conn.stream)
-        return RequestReader(self._ingress, request_conn, request_conn.stream)
--- a/cicadacourse/platform/_request_reader.py
+++ b/cicadacourse/platform/_request_reader.py
@@ -146,3 +146,19 @@
         if self._body_reader is not None:
             self._body_reader.close()
             self._body_reader = None
+
+
+class RequestReaderFactory(tornado.httputil.HTTPServerConnectionDelegate):
+    """Creates a reader for each request; passed to tornado's server."""
+
+    def __init__(self, ingress: Ingress) -> None:
+        self._ingress = ingress
+
+    def start_request(
+        self, server_conn: object, request_conn: tornado.httputil.HTTPConnection
+    ) -> tornado.httputil.HTTPMessageDelegate:
+        """Returns the reader of one request; called by tornado."""
+        assert isinstance(request_conn, HTTP1Connection)
+        assert isinstance(request_conn.stream, ClientStream)
+        self._ingress.waiting.begin_wait(request_conn.stream)
+        return RequestReader(self._ingress, request_conn, request_conn.stream)
--- a/cicadacourse/proxy/_carried.py
+++ b/cicadacourse/proxy/_carried.py
@@ -49,7 +49,13 @@
 STOPPED = "stopped"
 
 
-def held_bytes(opening: OpenProxied) -> int:
+def has_room(app: Application, opening: OpenProxied) -> bool:
+    """Returns whether there is room for the request of another exchange."""
+    account: MemoryAccount = app.get("resources").account
+    return account.has_room(HeldKind.CARRIED, _held_bytes(opening))
+
+
+def _held_bytes(opening: OpenProxied) -> int:
     """Returns what an exchange holds for its request, in bytes."""
     return COPIES * opening.body_bytes
 
@@ -104,7 +110,7 @@
         self._on_end = on_end
         account: MemoryAccount = app.get("resources").account
         self._holding = account.open(HeldKind.CARRIED)
-        self._holding.resize(held_bytes(opening))
+        self._holding.resize(_held_bytes(opening))
 
     @property
     def id(self) -> str:
--- a/cicadacourse/proxy/_proxied_connection.py
+++ b/cicadacourse/proxy/_proxied_connection.py
@@ -21,6 +21,7 @@
 )
 from cicadacourse.membership import Member
 from cicadacourse.peers import Peers
+from cicadacourse.proxy._copies import holding_copies
 from cicadacourse.proxy._messages import (
     REASON_NOT_SENT,
     CloseProxied,
@@ -30,7 +31,7 @@
     SendProxied,
 )
 from cicadacourse.proxy._pieces import PIECE_WAIT_S
-from cicadacourse.resources import HeldKind, MemoryAccount, NoRoom
+from cicadacourse.resources import MemoryAccount
 from cicadacourse.tasks import Tasks
 from cicadacourse.util.clock import now
 
@@ -47,10 +48,6 @@
 # goes on.
 KEEP_ALIVE_S = 0.1
 CLOSE_TIMEOUT_S = 0.2
-# How often a body is copied to be sent to a peer: encoded, enveloped and queued.
-COPIES = 3
-# How long a request waits for room for these copies.
-ROOM_WAIT_S = 0.8
 
 REASON_PEER_LOST = "peer_lost"
 
@@ -118,11 +115,7 @@
             exchange=self._exchange_id, request=request, head_timeout_s=head_timeout_s
         )
         size = len(request.caller.body)
-        with self._account.holding(HeldKind.COPY) as holding:
-            try:
-                await holding.reserve(COPIES * size, ROOM_WAIT_S)
-            except NoRoom as error:
-                raise SendFailure(str(error), False, "no_room") from error
+        async with holding_copies(self._account, size):
             piece = await self._call(message, size / SEND_BYTES_PER_S)
         if piece.is_pending:
             piece = await self._read()
--- a/cicadacourse/proxy/_server.py
+++ b/cicadacourse/proxy/_server.py
@@ -20,7 +20,7 @@
     CLOSED,
     STOPPED,
     CarriedExchange,
-    held_bytes,
+    has_room,
 )
 from cicadacourse.proxy._messages import (
     REASON_BUSY,
@@ -38,7 +38,6 @@
     SendProxied,
 )
 from cicadacourse.reachability import Reachability
-from cicadacourse.resources import HeldKind, MemoryAccount
 from cicadacourse.tasks import Tasks
 from cicadacourse.util.clock import now
 
@@ -161,16 +160,12 @@
             return REASON_CLOSED
         if self.app.get("membership").self_member().state is MemberState.LEAVING:
             return REASON_LEAVING
-        if self.in_progress >= MAX_CARRIED or not self._has_room(message):
+        if self.in_progress >= MAX_CARRIED or not has_room(self.app, message):
             return REASON_BUSY
         if self._is_link_lost(message.endpoint, message.is_idempotent):
             return REASON_LINK_LOST
         return None
 
-    def _has_room(self, message: OpenProxied) -> bool:
-        account: MemoryAccount = self.app.get("resources").account
-        return account.has_room(HeldKind.CARRIED, held_bytes(message))
-
     def _is_link_lost(self, endpoint: Endpoint, is_idempotent: bool) -> bool:
         if self._connector.has_kept_connection(endpoint, is_idempotent):
             return False
--- a/cicadacourse/util/connection.py
+++ b/cicadacourse/util/connection.py
@@ -10,16 +10,13 @@
 
 import asyncio
 import collections
-import fcntl
-import socket
-import sys
-import termios
 from typing import Callable, Sequence
 
 import h11
 
 from cicadacourse.util.addresses import split_address
 from cicadacourse.util.clock import now
+from cicadacourse.util.request_sender import RequestSender, encode_start
 from cicadacourse.util.response_decoder import (
     MAX_HEAD_BYTES,
     MalformedResponse,
@@ -30,8 +27,6 @@
 
 # The connection stops reading from its socket above this size of unread response body.
 MAX_BUFFERED_BYTES = 262_144
-# A body is passed on in pieces of this size, the first of them with the head.
-SEND_BYTES = 65_536
 
 
 class HttpConnectionError(Exception):
@@ -53,13 +48,11 @@
         self.idle_since = 0.0
         self.keep_alive_s = 0.0
         self._transport: asyncio.Transport | None = None
+        self._sender: RequestSender | None = None
         self._codec = _new_codec()
         self._decoder = ResponseDecoder(self._codec)
         self._parts: collections.deque[ResponsePart] = collections.deque()
         self._buffered_bytes = 0
-        # What was not passed to the transport yet, whose buffer is bounded.
-        self._unsent = memoryview(b"")
-        self._is_write_paused = False
         self._is_decoding_scheduled = False
         self._state_changed = asyncio.Event()
         self._error: str | None = None
@@ -107,45 +100,29 @@
         :raises HttpConnectionError: if the connection is not open.
         :raises h11.LocalProtocolError: if the request is malformed.
         """
-        if self._error or self._transport is None:
+        if self._error or self._sender is None:
             raise HttpConnectionError(self._error or "not connected")
-        head = h11.Request(
-            method=_encode(method),
-            target=_encode(target),
-            headers=[(_encode(name), _encode(value)) for name, value in headers],
-        )
+        start = encode_start(self._codec, method, target, headers, body)
         self._busy = True
         self._decoder.start_response()
-        start = self._codec.send(head) or b""
-        # Fails if the headers state another length.
-        if body:
-            self._codec.send_with_data_passthrough(h11.Data(data=body))
-        self._codec.send(h11.EndOfMessage())
-        first = min(len(body), SEND_BYTES)
-        self._unsent = memoryview(body)[first:]
-        self._transport.write(start + body[:first])
-        self._send_rest()
-
-    def _send_rest(self) -> None:
-        """Passes more of the body to the transport while that takes it."""
-        while self._unsent and not self._is_write_paused and self._transport:
-            piece, self._unsent = self._unsent[:SEND_BYTES], self._unsent[SEND_BYTES:]
-            self._transport.write(piece)
+        self._sender.send(start, body)
         self._report_buffered()
 
     def pause_writing(self) -> None:
-        """Stops passing on the body; called by asyncio."""
-        self._is_write_paused = True
+        """Stops sending the body; called by asyncio."""
+        if self._sender is not None:
+            self._sender.pause()
 
     def resume_writing(self) -> None:
-        """Passes on more of the body; called by asyncio."""
-        self._is_write_paused = False
-        self._send_rest()
+        """Sends more of the body; called by asyncio."""
+        if self._sender is not None:
+            self._sender.resume()
+            self._report_buffered()
 
     def _report_buffered(self) -> None:
-        if self.on_buffered is not None and self._transport is not None:
-            unsent = self._transport.get_write_buffer_size()
-            self.on_buffered(0 if self._error else self._buffered_bytes + unsent)
+        if self.on_buffered is not None and self._sender is not None:
+            held = self._buffered_bytes + self._sender.buffered_bytes
+            self.on_buffered(0 if self._error else held)
 
     async def receive(self) -> ResponsePart:
         """Waits for the next part of the response and returns it.
@@ -212,9 +189,10 @@
     def fail(self, detail: str) -> None:
         """Aborts the connection; an exchange in progress fails with ``detail``."""
         self._error = self._error or detail
-        self._unsent = memoryview(b"")
         if self._transport is not None:
             self._transport.abort()
+        if self._sender is not None:
+            self._sender.stop()
         self._report_buffered()
         self._state_changed.set()
 
@@ -222,6 +200,7 @@
         """Keeps the transport; called by asyncio."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._sender = RequestSender(transport)
 
     def data_received(self, data: bytes) -> None:
         """Passes received bytes to the codec; called by asyncio.
@@ -240,7 +219,7 @@
         It ends a response without a length, but not while the request is still being
         sent: such a server is in trouble and mostly resets the connection next.
         """
-        if self._busy and self._is_request_in_transit():
+        if self._busy and self._sender is not None and self._sender.is_in_transit:
             self.fail("closed by the server before it had the whole request")
             return False
         self._receive(b"", "incomplete response")
@@ -297,37 +276,8 @@
         if not self._decoder.has_undecoded and not self._parts:
             self._read_on()
 
-    def _is_request_in_transit(self) -> bool:
-        """Returns whether bytes of the request were not received by the server."""
-        if self._has_unsent_bytes() or self._transport is None:
-            return True
-        connection = self._transport.get_extra_info("socket")
-        return connection is not None and _count_unacknowledged(connection) > 0
-
     def _has_unsent_bytes(self) -> bool:
-        if self._unsent or self._transport is None:
-            return True
-        return self._transport.get_write_buffer_size() > 0
-
-
-def _count_unacknowledged(connection: socket.socket) -> int:
-    """Returns the bytes in a socket that its peer has not received; 0 if unknown."""
-    try:
-        count = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
-    except OSError:
-        return 0
-    return int.from_bytes(count, sys.byteorder)
-
-
-def _encode(text: str) -> bytes:
-    """Returns the bytes of a part of a head, which HTTP reads as Latin-1.
-
-    :raises h11.LocalProtocolError: if it has other characters.
-    """
-    try:
-        return text.encode("latin-1")
-    except UnicodeEncodeError as error:
-        raise h11.LocalProtocolError(f"not Latin-1: {text!r:.40}") from error
+        return self._sender is None or self._sender.has_unsent
 
 
 def _new_codec() -> h11.Connection:
