A listener at its limit also replaces connections whose client makes no progress

600 clients that sent a head and held back the body took all connections for callers until the deadline of their route; with one of 60 s, ordinary callers were cut off meanwhile. Only connections that wait for a head made place. Now one does that is being ended, or whose body or answer has made no progress for a second.

--- a/cicadacourse/logs/_requests.py
+++ b/cicadacourse/logs/_requests.py
@@ -104,7 +104,7 @@
 CONNECTIONS_REPLACED = declare(
     "ingress",
     "connections closed for new ones",
-    "`listener` had its `limit` of connections; `count` that waited for a head were"
-    " closed since the last line. `refused` new ones were, as none waited for a head.",
+    "`listener` had its `limit` of connections; `count` that waited for their clients"
+    " were closed since the last line. `refused` new ones were, as none did.",
     True,
 )
--- a/cicadacourse/platform/_caller_body.py
+++ b/cicadacourse/platform/_caller_body.py
@@ -92,7 +92,7 @@
         idle_s: float,
     ) -> None:
         self._stream = stream
-        self._holding = account.open(HeldKind.BODY, self._shed)
+        self._holding = stream.body = account.open(HeldKind.BODY, self._shed)
         self._terms = terms
         self._idle_s = idle_s
         self._body = bytearray()
@@ -103,6 +103,7 @@
         """Gives up what is held."""
         # An error in progress refers to this reader until the connection is closed.
         self._body = bytearray()
+        self._stream.body = None
         self._holding.close()
 
     async def read(self, framing: Framing) -> bytes:
--- a/cicadacourse/platform/_client_server.py
+++ b/cicadacourse/platform/_client_server.py
@@ -31,8 +31,8 @@
 class ClientServer(HTTPServer):
     """An HTTP server whose connections are of the class :class:`ClientStream`.
 
-    At its limit of connections it closes the one that has waited longest for a head,
-    those with a part of one first, and accepts the new one.
+    At its limit of connections it closes one that waits for its client and accepts the
+    new one; see :meth:`ClientStream.replacement_rank`.
     """
 
     def initialize(  # type: ignore[override]  # tornado passes on what it is given
@@ -101,16 +101,18 @@
         return self._streams
 
     def _make_place(self) -> bool:
-        """Closes a connection that waits for a head; returns whether there was one."""
+        """Closes a connection for a new one; returns whether there was one to close."""
         streams = self._open_streams()
         if len(streams) < self.max_connections:
             return True
-        waiting = [item for item in streams if item.waits_since is not None]
-        if not waiting:
+        now_s = now()
+        stream_by_rank = {item.replacement_rank(now_s): item for item in streams}
+        ranks = [item for item in stream_by_rank if item is not None]
+        if not ranks:
             return False
-        oldest = min(waiting, key=_rank)
-        oldest.close()
-        self._streams.discard(oldest)
+        stream = stream_by_rank[min(ranks)]
+        stream.close()
+        self._streams.discard(stream)
         self._replaced += 1
         return True
 
@@ -137,9 +139,3 @@
         for which, number in (("waiting", self._replaced), ("new", self._refused)):
             self._metrics.count(REPLACED, number, listener=self.listener, which=which)
         self._replaced = self._refused = 0
-
-
-def _rank(stream: ClientStream) -> tuple[bool, float]:
-    """Orders connections that wait for a head, those with a part of one first."""
-    has_begun = stream.head_began_at is not None
-    return not has_begun, stream.head_began_at or stream.waits_since or 0.0
--- a/cicadacourse/platform/_client_stream.py
+++ b/cicadacourse/platform/_client_stream.py
@@ -10,7 +10,7 @@
 from tornado.concurrent import Future
 from tornado.iostream import IOStream, StreamClosedError
 
-from cicadacourse.resources import HeldKind, MemoryAccount, NoRoom
+from cicadacourse.resources import HeldKind, Holding, MemoryAccount, NoRoom
 from cicadacourse.util.clock import now
 from cicadacourse.util.slices import Slice, begin_slice
 
@@ -41,6 +41,7 @@
     :ivar head_began_at: when the first bytes of that head were read, or None.
     :ivar written_at: when the client last took bytes of an answer, or the present
         answer began.
+    :ivar body: what is held of the body that is being read, None while none is.
     """
 
     def __init__(
@@ -50,6 +51,8 @@
         self.waits_since: float | None = None
         self.head_began_at: float | None = None
         self.written_at = now()
+        self.body: Holding | None = None
+        self._is_ending = False
         self._account = account
         self._connection = account.open(HeldKind.CONNECTION, self.close)
         self._head = account.open(HeldKind.HEAD)
@@ -193,6 +196,7 @@
         Drops what still comes for a while. Closing a connection with unread bytes
         resets it, and the client would lose the answer.
         """
+        self._is_ending = True
         # A read that was cancelled is still recorded as one.
         self._read_future = None
         self._read_bytes = None
@@ -209,6 +213,22 @@
         finally:
             self.close()
 
+    def replacement_rank(self, now_s: float) -> tuple[int, float] | None:
+        """Returns how soon it should make place for a new one, None if it may not.
+
+        Those that end are first, then those with a part of a head, those without one,
+        and those whose client makes no progress with a body or an answer.
+        """
+        if self._is_ending:
+            return 0, self.written_at
+        if self.waits_since is not None:
+            if self.head_began_at is not None:
+                return 1, self.head_began_at
+            return 2, self.waits_since
+        holdings = [self._answer] if self.body is None else [self._answer, self.body]
+        is_stalled = any(item.is_stalled(now_s) for item in holdings)
+        return (3, self.written_at) if is_stalled else None
+
     def is_write_stalled(self, now_s: float, limit_s: float) -> bool:
         """Returns whether the client has read nothing of its answer for some time."""
         is_writing = not self.closed() and self.writing()
--- a/cicadacourse/resources/_account.py
+++ b/cicadacourse/resources/_account.py
@@ -175,7 +175,9 @@
         The largest come first, then those that have moved least.
         """
         now_s = now()
-        stalled = [item for item in self._holdings if item.is_stalled(now_s)]
+        stalled = [
+            item for item in self._holdings if item.size and item.is_stalled(now_s)
+        ]
         stalled.sort(key=lambda item: (-item.size, item.moved))
         for lane in self._lanes.all:
             in_lane = [item for item in stalled if item.lane is lane]
--- a/cicadacourse/resources/_holding.py
+++ b/cicadacourse/resources/_holding.py
@@ -78,7 +78,7 @@
 
     def is_stalled(self, now_s: float) -> bool:
         """Returns whether the caller makes no progress, so that it may be shed."""
-        if self.shed is None or self._progress_at is None or not self.size:
+        if self.shed is None or self._progress_at is None:
             return False
         return now_s - self._progress_at > STALL_S
 
--- a/tests/test_platform/test_platform_unruly_clients.py
+++ b/tests/test_platform/test_platform_unruly_clients.py
@@ -26,6 +26,7 @@
     Fleet,
     RegisteredEndpoint,
     Worker,
+    make_configuration,
 )
 from standins.ports import free_port, next_host
 from tests.platform_fleet import Caller, Instance, running_fleet
@@ -193,6 +194,19 @@
         await check_crowd(fleet, tmp_path, kind, count)
 
 
+@pytest.mark.parametrize("kind", ["head-only", "length-short", "answers-unread"])
+async def test_connections_are_not_all_taken_for_the_time_of_a_long_route(
+    kind: str, tmp_path: pathlib.Path
+) -> None:
+    """A body may be held back until its deadline, and an answer for longer."""
+    async with running_fleet() as fleet:
+        configuration = make_configuration(2)
+        for route in configuration["routes"]:
+            route["timeoutMs"] = 60_000
+        fleet.configure(configuration)
+        await check_crowd(fleet, tmp_path, kind, 600)
+
+
 @pytest.mark.parametrize(
     ("listener", "kind", "count"),
     [
