Stand-ins: the port that instances use on all hosts is given out once only

Traced: a process that has asked for 1,000 ports comes back to the first one, which all instances listen on for each other; a listener of the same instance then got it as well. Reserved ports are returned no more.

--- a/standins/ports.py
+++ b/standins/ports.py
@@ -27,11 +27,13 @@
     :param number: its number, from 0.
     :param claim: bound to the block's first port while this process lives.
     :param ports: its ports, over and over.
+    :ivar reserved_ports: those that are returned no more.
     """
 
     number: int
     claim: socket.socket
     ports: Iterator[int]
+    reserved_ports: set[int] = attrs.field(factory=set)
 
 
 @functools.cache
@@ -70,7 +72,10 @@
 
     :raises AssertionError: if no port of this process's block is free, or no block.
     """
-    for port in itertools.islice(_claim_block().ports, PORTS_PER_BLOCK - 1):
+    block = _claim_block()
+    for port in itertools.islice(block.ports, PORTS_PER_BLOCK - 1):
+        if port in block.reserved_ports:
+            continue
         with socket.socket() as probe:
             try:
                 probe.bind((host, port))
@@ -78,3 +83,10 @@
                 continue
             return port
     raise AssertionError(f"no port is free on {host}")
+
+
+def reserve_port() -> int:
+    """Returns a port that no later call returns, to be used on many hosts."""
+    port = free_port()
+    _claim_block().reserved_ports.add(port)
+    return port
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -20,7 +20,7 @@
 from cicadacourse.platform import ListenSettings, StoreSettings
 from standins.callers import Response, encode_request, read_response
 from standins.platform import KEY, Fleet, make_configuration
-from standins.ports import free_port, next_host
+from standins.ports import free_port, next_host, reserve_port
 
 POLL_INTERVAL_S = 0.02
 MAX_POLLS = 500
@@ -28,7 +28,7 @@
 import_services()
 
 
-PEER_PORT = free_port()
+PEER_PORT = reserve_port()
 
 
 @attrs.define
--- a/tests/test_standins/test_standins_ports.py
+++ b/tests/test_standins/test_standins_ports.py
@@ -8,6 +8,8 @@
 import sys
 from typing import Iterator
 
+from standins.ports import PORTS_PER_BLOCK, free_port, reserve_port
+
 ROOT = pathlib.Path(__file__).parents[2]
 PROGRAM = """
 import os, sys
@@ -38,3 +40,10 @@
         ports, hosts = zip(first, second, third)
         assert len({int(port) // 1000 for port in ports}) == 3
         assert len({host.split(".")[1] for host in hosts}) == 3
+
+
+def test_a_reserved_port_is_returned_by_no_later_call() -> None:
+    """Long runs came back to the one port that instances use on all hosts."""
+    reserved = reserve_port()
+    later = {free_port() for _ in range(2 * PORTS_PER_BLOCK)}
+    assert reserved not in later
