A body that grows by little makes no progress

Cause: each part that was added to a body called for room, which it mostly had, and began the time without progress anew; so none of these connections counted as stalled, and none made place. Now only a wait for room begins it anew.

--- a/cicadacourse/platform/_caller_body.py
+++ b/cicadacourse/platform/_caller_body.py
@@ -185,7 +185,6 @@
             return
         left_s = max(0.0, self._terms.deadline - now())
         await self._holding.reserve(size, min(ROOM_WAIT_S, ROOM_WAIT_SHARE * left_s))
-        self._holding.wait_for_caller()
 
     def _shed(self) -> None:
         self._limit_until(now())
--- a/cicadacourse/resources/_account.py
+++ b/cicadacourse/resources/_account.py
@@ -121,11 +121,11 @@
             return
         waiter = Waiter(holding, size, asyncio.get_running_loop().create_future())
         lane.waiters.append(waiter)
-        # The caller is not to blame for what is not read meanwhile.
-        holding.end_wait()
         try:
-            async with asyncio.timeout(timeout_s):
-                await waiter.granted
+            # The caller is not to blame for what is not read meanwhile.
+            with holding.not_waiting():
+                async with asyncio.timeout(timeout_s):
+                    await waiter.granted
         except TimeoutError:
             self._metrics.count(WAITS, outcome="refused")
             raise NoRoom(f"no room for {size} bytes in {timeout_s:.2f} s") from None
--- a/cicadacourse/resources/_holding.py
+++ b/cicadacourse/resources/_holding.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import enum
-from typing import TYPE_CHECKING, Callable
+from typing import TYPE_CHECKING, Callable, Iterator
 
 from cicadacourse.util.clock import now
 
@@ -70,6 +71,17 @@
         """Records that it is no longer the caller who is waited for."""
         self._progress_at = None
 
+    @contextlib.contextmanager
+    def not_waiting(self) -> Iterator[None]:
+        """Ends the wait for the caller in the block, and begins it anew after it."""
+        is_waiting = self._progress_at is not None
+        self.end_wait()
+        try:
+            yield
+        finally:
+            if is_waiting:
+                self.wait_for_caller()
+
     def record_moved(self, count: int) -> None:
         """Records bytes that came from the caller, or that it took."""
         self._moved += count
--- a/tests/test_resources/test_resources_account.py
+++ b/tests/test_resources/test_resources_account.py
@@ -22,6 +22,7 @@
     MemoryAccount,
     NoRoom,
 )
+from cicadacourse.util.clock import now
 
 MB = 1_000_000
 LIMIT = 100 * MB
@@ -165,3 +166,30 @@
         holding.close()
     assert account.held == 0
     assert not any(account.held_by_kind().values())
+
+
+@pytest.mark.looptime
+async def test_a_body_that_grows_by_little_makes_no_progress() -> None:
+    """Bodies in chunks of one byte seemed to move, and kept all connections."""
+    account = _make_account()
+    caller = _Caller(account, 1)
+    for size in range(2, 40):
+        await asyncio.sleep(0.05)
+        caller.holding.record_moved(1)
+        await caller.holding.reserve(size, 1.0)
+    assert caller.holding.is_stalled(now())
+
+
+@pytest.mark.looptime
+async def test_a_wait_for_room_is_not_the_callers() -> None:
+    account = _make_account()
+    others = [await _hold(account, BODY) for _ in range(BODIES)]
+    caller = _Caller(account, 1)
+    waiting = asyncio.create_task(caller.holding.reserve(BODY, 5.0))
+    await asyncio.sleep(3.0)
+    assert not caller.holding.is_stalled(now())
+    others[0].close()
+    await waiting
+    assert not caller.holding.is_stalled(now())
+    await asyncio.sleep(1.1)
+    assert caller.holding.is_stalled(now())
