A listener at its limit replaces connections with a head and nothing of its body

A connection of whose body nothing has come makes place at once, the oldest first; bodies of ordinary callers come with their heads.

--- a/cicadacourse/platform/_client_stream.py
+++ b/cicadacourse/platform/_client_stream.py
@@ -217,7 +217,8 @@
         """Returns how soon it should make place for a new one, None if it may not.
 
         Those that end are first, then those with a part of a head, those without one,
-        and those whose client makes no progress with a body or an answer.
+        those with a head and nothing of its body, and those whose client makes no
+        progress with a body or an answer.
         """
         if self._is_ending:
             return 0, self.written_at
@@ -225,9 +226,11 @@
             if self.head_began_at is not None:
                 return 1, self.head_began_at
             return 2, self.waits_since
+        if self.body is not None and self.body.is_awaited:
+            return 3, self.written_at
         holdings = [self._answer] if self.body is None else [self._answer, self.body]
         is_stalled = any(item.is_stalled(now_s) for item in holdings)
-        return (3, self.written_at) if is_stalled else None
+        return (4, self.written_at) if is_stalled else None
 
     def is_write_stalled(self, now_s: float, limit_s: float) -> bool:
         """Returns whether the client has read nothing of its answer for some time."""
--- a/cicadacourse/resources/_holding.py
+++ b/cicadacourse/resources/_holding.py
@@ -88,6 +88,11 @@
         if self._moved >= PROGRESS_BYTES:
             self.restart_wait()
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether the caller is waited for and nothing has come of it."""
+        return self._progress_at is not None and not self.size and not self._moved
+
     def is_stalled(self, now_s: float) -> bool:
         """Returns whether the caller makes no progress, so that it may be shed."""
         if self.shed is None or self._progress_at is None:
